Fix the packages' interfaces first

Cause: several people build at once, so the types between packages have to stand before the code behind them. Ruled out: letting each package define what it needs and adapting later; two adapters for each pair would be the first duplicated logic. Conclusion: the packages can be built in parallel against these types.

--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,175 @@
+// Package wire owns the protocol between nodes: the message types, their Avro
+// schemas, the framing and its size limits. It knows nothing of what a message
+// leads to (package distribution).
+//
+// A frame is a 4-byte big-endian length of what follows, a 1-byte Type and the
+// Avro encoding of the message.
+package wire
+
+import (
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// ProtocolVersion is raised when nodes of two builds cannot talk to each other.
+const ProtocolVersion = 1
+
+// Type tells the message in a frame. It also labels the byte counters.
+type Type uint8
+
+// The message types.
+const (
+	TypeHello         Type = 1
+	TypeHeartbeat     Type = 2
+	TypeAnnounce      Type = 3
+	TypePull          Type = 4
+	TypeUpdate        Type = 5
+	TypeDigest        Type = 6
+	TypeRecords       Type = 7
+	TypeRecordPull    Type = 8
+	TypeRefusal       Type = 9
+	TypeStatusRequest Type = 10
+	TypeStatusReply   Type = 11
+	TypeGoodbye       Type = 12
+)
+
+// Message is one of the types below.
+type Message interface{ Type() Type }
+
+// Hello is the first message in both directions of a link.
+type Hello struct {
+	Protocol int
+	Self     membership.Record
+	Held     snapshot.Version
+	// FleetDigest is the digest of all records the sender holds.
+	FleetDigest uint64
+	// Purpose tells a lasting link from a short query.
+	Purpose Purpose
+}
+
+// Purpose tells why a connection was opened.
+type Purpose uint8
+
+// The purposes of a connection.
+const (
+	PurposeLink   Purpose = 1 // a lasting overlay link
+	PurposeStatus Purpose = 2 // one StatusRequest, then closed
+)
+
+// Heartbeat keeps a quiet link known to be alive.
+type Heartbeat struct{}
+
+// Announce tells that the sender has put a version in force.
+type Announce struct{ Version snapshot.Version }
+
+// Pull asks for a version; Held lets the answer be a delta.
+type Pull struct {
+	Want snapshot.Version
+	Held snapshot.Version
+}
+
+// Update carries a delta, or a whole document when Delta.Base is zero.
+type Update struct{ Delta snapshot.Delta }
+
+// Digest repairs what was lost: the receiver compares and pulls.
+type Digest struct {
+	Held        snapshot.Version
+	FleetDigest uint64
+	// SourceAge is how many milliseconds ago, by the sender's knowledge, any
+	// reader last confirmed the revision with the source.
+	SourceAge int64
+}
+
+// Records carries endpoint records, observations and platform list changes.
+type Records struct {
+	Records      []membership.Record
+	Observations []membership.Observation
+	// Listed and Unlisted carry changes of the platform's list.
+	Listed   []membership.ListedMember
+	Unlisted []membership.NodeID
+	// ListVersion orders the list changes: the time of the reader's read in Unix
+	// milliseconds. Zero when the message carries none.
+	ListVersion int64
+}
+
+// RecordPull carries the digest of each bucket of the sender's records; the
+// receiver answers with its records of the buckets that differ.
+type RecordPull struct {
+	Buckets []uint64
+	// Reply asks for a RecordPull in return, so that both sides are repaired.
+	Reply bool
+}
+
+// Refusal tells that a revision was refused as a whole, and why.
+type Refusal struct {
+	Version snapshot.Version
+	Reason  string
+	// By is the node that refused it first.
+	By membership.NodeID
+}
+
+// StatusRequest asks what the node holds.
+type StatusRequest struct{}
+
+// StatusReply answers StatusRequest.
+type StatusReply struct {
+	Node        membership.NodeID
+	Incarnation membership.Incarnation
+	Zone        string
+	State       membership.State
+	Held        snapshot.Version
+	Generation  uint64
+	Refused     snapshot.Version
+	Reason      string
+	Reader      bool
+	// SourceAge is as in Digest.
+	SourceAge int64
+}
+
+// Goodbye announces that the sender closes the link on purpose, so that no one
+// reports it as unreachable.
+type Goodbye struct{ Reason string }
+
+// Type returns TypeHello.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type returns TypeHeartbeat.
+func (*Heartbeat) Type() Type { return TypeHeartbeat }
+
+// Type returns TypeAnnounce.
+func (*Announce) Type() Type { return TypeAnnounce }
+
+// Type returns TypePull.
+func (*Pull) Type() Type { return TypePull }
+
+// Type returns TypeUpdate.
+func (*Update) Type() Type { return TypeUpdate }
+
+// Type returns TypeDigest.
+func (*Digest) Type() Type { return TypeDigest }
+
+// Type returns TypeRecords.
+func (*Records) Type() Type { return TypeRecords }
+
+// Type returns TypeRecordPull.
+func (*RecordPull) Type() Type { return TypeRecordPull }
+
+// Type returns TypeRefusal.
+func (*Refusal) Type() Type { return TypeRefusal }
+
+// Type returns TypeStatusRequest.
+func (*StatusRequest) Type() Type { return TypeStatusRequest }
+
+// Type returns TypeStatusReply.
+func (*StatusReply) Type() Type { return TypeStatusReply }
+
+// Type returns TypeGoodbye.
+func (*Goodbye) Type() Type { return TypeGoodbye }
+
+// Contract of the functions beside these types (codec.go, frame.go):
+//
+//	func Encode(message Message) ([]byte, error)            // a whole frame, ready to write to many links
+//	func Decode(messageType Type, body []byte) (Message, error)
+//	type Reader; func NewReader(r io.Reader, limits Limits) *Reader
+//	func (r *Reader) Next() (message Message, frameBytes int, err error)
+//	type Limits struct{ MaxFrameBytes int }                 // checked before anything is allocated
