--- /dev/null
+++ b/internal/emulator/backend/sessions.go
@@ -0,0 +1,146 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// UpgradeProtocol is the token of the Upgrade header for PathUpgrade.
+const UpgradeProtocol = "echo"
+
+// Defaults of the streams' query parameters.
+const (
+	defaultEvents        = 10
+	defaultDownloadBytes = 1 << 20
+	defaultChunkBytes    = 16 << 10
+)
+
+// serveEvents sends numbered events. It holds its slot only until the header is
+// sent; then it is a session.
+func (b *Backend) serveEvents(w http.ResponseWriter, r *http.Request) {
+	j := b.begin(w, r)
+	if j == nil {
+		return
+	}
+	defer j.end()
+	if !j.work(r) {
+		expired(w, r)
+		return
+	}
+	b.counters.sessions.add(1)
+	defer b.counters.sessions.add(-1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	j.release()
+	flusher := http.NewResponseController(w)
+	w.WriteHeader(http.StatusOK)
+	_ = flusher.Flush()
+	interval := queryMillis(r, "interval-ms")
+	for number := range queryInt(r, "count", defaultEvents) {
+		if !pause(j.ctx, interval) {
+			j.stopped()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, Checksum([]byte(strconv.Itoa(number))))
+		_ = flusher.Flush()
+	}
+	b.journal.finished(j.run)
+}
+
+// serveDownload streams a Pattern in chunks and holds its slot to the end.
+func (b *Backend) serveDownload(w http.ResponseWriter, r *http.Request) {
+	j := b.begin(w, r)
+	if j == nil {
+		return
+	}
+	defer j.end()
+	if !j.work(r) {
+		expired(w, r)
+		return
+	}
+	body := Pattern(j.run.request, queryInt(r, "bytes", defaultDownloadBytes))
+	chunk := max(queryInt(r, "chunk", defaultChunkBytes), 1)
+	interval := queryMillis(r, "interval-ms")
+	w.Header().Set(HeaderChecksum, Checksum(body))
+	w.Header().Set(HeaderRequest, j.run.request)
+	for len(body) > 0 {
+		piece := body[:min(chunk, len(body))]
+		body = body[len(piece):]
+		if !j.sendPiece(w, piece, interval, len(body) == 0) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (j *job) sendPiece(w http.ResponseWriter, piece []byte, interval time.Duration, last bool) bool {
+	if !pause(j.ctx, interval) {
+		j.stopped()
+		return false
+	}
+	if last {
+		j.backend.journal.finished(j.run)
+		j.release()
+	}
+	if _, err := w.Write(piece); err != nil {
+		if !last {
+			j.stopped()
+		}
+		return false
+	}
+	_ = http.NewResponseController(w).Flush()
+	return true
+}
+
+// serveUpgrade switches to UpgradeProtocol and sends back what it receives until
+// the client ends its side.
+func (b *Backend) serveUpgrade(w http.ResponseWriter, r *http.Request) {
+	if !strings.EqualFold(r.Header.Get("Upgrade"), UpgradeProtocol) {
+		http.Error(w, "want Upgrade: "+UpgradeProtocol, http.StatusUpgradeRequired)
+		return
+	}
+	j := b.begin(w, r)
+	if j == nil {
+		return
+	}
+	defer j.end()
+	if !j.work(r) {
+		expired(w, r)
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "no upgrade on this connection", http.StatusInternalServerError)
+		return
+	}
+	defer conn.Close()
+	b.counters.sessions.add(1)
+	defer b.counters.sessions.add(-1)
+	j.release()
+	echoUntilEnd(conn, buffered)
+	b.journal.finished(j.run)
+}
+
+func echoUntilEnd(conn net.Conn, buffered *bufio.ReadWriter) {
+	header := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + UpgradeProtocol + "\r\n\r\n"
+	if _, err := io.WriteString(conn, header); err != nil {
+		return
+	}
+	_, _ = io.Copy(conn, buffered) // ends when either side does
+}
+
+func queryInt(r *http.Request, name string, fallback int) int {
+	value, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil || value < 0 {
+		return fallback
+	}
+	return value
+}
+
+func queryMillis(r *http.Request, name string) time.Duration {
+	return Milliseconds(queryInt(r, name, 0)).Duration()
+}
--- /dev/null
+++ b/internal/emulator/backend/statistics.go
@@ -0,0 +1,58 @@
+package backend
+
+import "sync/atomic"
+
+// Statistics is what the back end counted since it was made. Gauges end in Now.
+type Statistics struct {
+	InFlightNow          int64 `json:"in_flight_now"`
+	InFlightMax          int64 `json:"in_flight_max"`
+	SlotViolations       int64 `json:"slot_violations"`
+	ConnectionsNow       int64 `json:"connections_now"`
+	ConnectionsMax       int64 `json:"connections_max"`
+	ConnectionViolations int64 `json:"connection_violations"`
+	SessionsNow          int64 `json:"sessions_now"`
+	Shed                 int64 `json:"shed"`
+	ExpiredOnArrival     int64 `json:"expired_on_arrival"`
+	TakenWhileDraining   int64 `json:"taken_while_draining"`
+}
+
+// gauge is a number with its highest value.
+type gauge struct{ now, highest atomic.Int64 }
+
+func (g *gauge) add(delta int64) int64 {
+	value := g.now.Add(delta)
+	for {
+		highest := g.highest.Load()
+		if value <= highest || g.highest.CompareAndSwap(highest, value) {
+			return value
+		}
+	}
+}
+
+type counters struct {
+	inFlight             gauge
+	connections          gauge
+	sessions             gauge
+	slotViolations       atomic.Int64
+	connectionViolations atomic.Int64
+	shed                 atomic.Int64
+	expiredOnArrival     atomic.Int64
+	takenWhileDraining   atomic.Int64
+}
+
+// Statistics returns the counts now.
+func (b *Backend) Statistics() Statistics {
+	c := &b.counters
+	return Statistics{
+		InFlightNow:          c.inFlight.now.Load(),
+		InFlightMax:          c.inFlight.highest.Load(),
+		SlotViolations:       c.slotViolations.Load(),
+		ConnectionsNow:       c.connections.now.Load(),
+		ConnectionsMax:       c.connections.highest.Load(),
+		ConnectionViolations: c.connectionViolations.Load(),
+		SessionsNow:          c.sessions.now.Load(),
+		Shed:                 c.shed.Load(),
+		ExpiredOnArrival:     c.expiredOnArrival.Load(),
+		TakenWhileDraining:   c.takenWhileDraining.Load(),
+	}
+}
