--- /dev/null
+++ b/internal/bench/command/command.go
@@ -0,0 +1,75 @@
+// Package command owns the command line of winchhead-bench: one file a
+// subcommand and the exit codes.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of winchhead-bench.
+const (
+	// ExitOK: all that was promised held.
+	ExitOK = 0
+	// ExitBroken: a promise broke or an experiment could not be run to its end.
+	ExitBroken = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+)
+
+// environment is what a subcommand gets from the process.
+type environment struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// subcommand describes one subcommand to the parser.
+type subcommand struct {
+	name, short, long string
+	command           flags.Commander
+}
+
+// Run parses the arguments (without the program's name), runs the subcommand and
+// returns the exit code. Cancelling ctx ends it in order.
+func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	env := environment{ctx: ctx, stdout: stdout, stderr: stderr}
+	parser := flags.NewNamedParser("winchhead-bench", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "winchhead-bench rehearses winchhead with stand-ins for what surrounds it."
+	for _, description := range subcommands(env) {
+		if _, err := parser.AddCommand(description.name, description.short, description.long, description.command); err != nil {
+			panic(err) // a wrong struct tag in this package
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return report(env, err)
+}
+
+func subcommands(env environment) []subcommand {
+	return []subcommand{
+		{"platform", "Run the emulated platform", platformHelp, &platformCommand{environment: env}},
+		{"backend", "Run an emulated back end", backendHelp, &backendCommand{environment: env}},
+	}
+}
+
+// report prints err and returns the exit code.
+func report(env environment, err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(env.stdout, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(env.stderr, "winchhead-bench:", err)
+		return ExitUsage
+	default:
+		_, _ = fmt.Fprintln(env.stderr, "winchhead-bench:", err)
+		return ExitBroken
+	}
+}
--- /dev/null
+++ b/internal/bench/deployment/deployment.go
@@ -0,0 +1,192 @@
+// Package deployment reads a whole example deployment from a directory: the
+// settings file of each node and the first content of the platform. It starts
+// nothing.
+//
+// The directory holds settings/*.yaml, one file a node, content.yaml with the
+// services and secrets, and policies/*.star, one program a policy.
+package deployment
+
+import (
+	"bytes"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// The files of a deployment.
+const (
+	settingsPattern = "settings/*.yaml"
+	contentFile     = "content.yaml"
+	policyPattern   = "policies/*.star"
+	policySuffix    = ".star"
+)
+
+// Node is one node of a deployment.
+type Node struct {
+	settings.Settings
+	// File is the path of its settings file.
+	File string
+}
+
+// Edge reports whether the node stands alone, for callers.
+func (n Node) Edge() bool { return n.Inbound.Service == "" }
+
+// Member returns the node as the platform's list names it.
+func (n Node) Member() membership.ListedMember {
+	address := n.Peers.Advertise
+	if address == "" {
+		address = n.Peers.Listen
+	}
+	return membership.ListedMember{
+		Node:        membership.NodeID(n.Node.Name),
+		PeerAddress: address,
+		Region:      n.Node.Region,
+		Zone:        n.Node.Zone,
+		Service:     n.Inbound.Service,
+		State:       membership.ListedLive,
+	}
+}
+
+// Deployment is a set of nodes and what the platform first holds.
+type Deployment struct {
+	// Name is the name of the directory.
+	Name    string
+	Nodes   []Node
+	Content snapshot.Content
+}
+
+// Load reads the deployment in a directory.
+func Load(directory string) (*Deployment, error) {
+	nodes, err := LoadNodes(filepath.Join(directory, settingsPattern))
+	if err != nil {
+		return nil, err
+	}
+	content, err := LoadContent(directory)
+	if err != nil {
+		return nil, err
+	}
+	return &Deployment{Name: filepath.Base(directory), Nodes: nodes, Content: content}, nil
+}
+
+// LoadNodes reads the settings files that match a pattern of path/filepath.
+func LoadNodes(pattern string) ([]Node, error) {
+	files, err := filepath.Glob(pattern)
+	if err != nil || len(files) == 0 {
+		return nil, eris.Errorf("no settings files match %s", pattern)
+	}
+	nodes := make([]Node, 0, len(files))
+	for _, file := range files {
+		loaded, err := settings.Load(file, nil)
+		if err != nil {
+			return nil, eris.Wrapf(err, "settings %s", file)
+		}
+		nodes = append(nodes, Node{Settings: loaded.Settings, File: file})
+	}
+	return nodes, nil
+}
+
+// LoadContent reads services, secrets and policies from a directory, or from one
+// YAML file that holds all three.
+func LoadContent(path string) (snapshot.Content, error) {
+	information, err := os.Stat(path)
+	if err != nil {
+		return snapshot.Content{}, eris.Wrap(err, "read the content")
+	}
+	if !information.IsDir() {
+		return readContent(path)
+	}
+	content, err := readContent(filepath.Join(path, contentFile))
+	if err != nil {
+		return snapshot.Content{}, err
+	}
+	policies, err := LoadPolicies(filepath.Join(path, policyPattern))
+	content.Policies = append(content.Policies, policies...)
+	return content, err
+}
+
+func readContent(file string) (snapshot.Content, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return snapshot.Content{}, eris.Wrap(err, "read the content")
+	}
+	var content snapshot.Content
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&content); err != nil {
+		return snapshot.Content{}, eris.Wrapf(err, "content %s", file)
+	}
+	return content, nil
+}
+
+// LoadPolicies reads the programs that match a pattern. A policy has the name of
+// its file without the suffix.
+func LoadPolicies(pattern string) ([]snapshot.Policy, error) {
+	files, err := filepath.Glob(pattern)
+	if err != nil {
+		return nil, eris.Wrapf(err, "policies %s", pattern)
+	}
+	policies := make([]snapshot.Policy, 0, len(files))
+	for _, file := range files {
+		program, err := os.ReadFile(file)
+		if err != nil {
+			return nil, eris.Wrap(err, "read a policy")
+		}
+		name := strings.TrimSuffix(filepath.Base(file), policySuffix)
+		policies = append(policies, snapshot.Policy{Name: name, Program: string(program)})
+	}
+	return policies, nil
+}
+
+// Members returns the platform's list of all nodes.
+func (d *Deployment) Members() []membership.ListedMember {
+	members := make([]membership.ListedMember, 0, len(d.Nodes))
+	for _, node := range d.Nodes {
+		members = append(members, node.Member())
+	}
+	return members
+}
+
+// Rehost returns the deployment with the IP of every address replaced, so that
+// several can run on one machine. The ports stay.
+func (d *Deployment) Rehost(host string) (*Deployment, error) {
+	moved := &Deployment{Name: d.Name, Content: d.Content, Nodes: slices.Clone(d.Nodes)}
+	for i := range moved.Nodes {
+		if err := rehost(&moved.Nodes[i].Settings, host); err != nil {
+			return nil, eris.Wrapf(err, "move %s", moved.Nodes[i].Node.Name)
+		}
+	}
+	return moved, nil
+}
+
+func rehost(node *settings.Settings, host string) error {
+	platform, err := url.Parse(node.Platform.URL)
+	if err != nil {
+		return err
+	}
+	addresses := []*string{
+		&platform.Host, &node.Peers.Listen, &node.Peers.Advertise, &node.Outbound.Listen,
+		&node.Inbound.Listen, &node.Inbound.Advertise, &node.Inbound.Backend, &node.Admin.Listen,
+	}
+	for _, address := range addresses {
+		if *address == "" {
+			continue
+		}
+		_, port, err := net.SplitHostPort(*address)
+		if err != nil {
+			return err
+		}
+		*address = net.JoinHostPort(host, port)
+	}
+	node.Platform.URL = platform.String()
+	return nil
+}
--- /dev/null
+++ b/internal/bench/load/record.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The range and precision of latency histograms, in microseconds.
+const (
+	minLatencyMicroseconds = 1
+	maxLatencyMicroseconds = 120_000_000
+	significantDigits      = 3
+)
+
+// Result is what became of one call.
+type Result struct {
+	Call  Call
+	Class Class
+	// Status is the HTTP status, or 0 when no answer began.
+	Status int
+	// Reason is the system's reason, or the error, of a call not answered.
+	Reason string
+	// Latency is measured from the intended send time to the end of the answer.
+	Latency time.Duration
+	// Ended is when the call ended.
+	Ended time.Time
+}
+
+// Record collects the results of a run.
+type Record struct {
+	lock     sync.Mutex
+	classes  [classCount]int64
+	skipped  int64
+	reasons  map[string]int64
+	latency  *hdrhistogram.Histogram
+	results  []Result
+	duration time.Duration
+}
+
+func newRecord() *Record {
+	return &Record{
+		reasons: map[string]int64{},
+		latency: hdrhistogram.New(minLatencyMicroseconds, maxLatencyMicroseconds, significantDigits),
+	}
+}
+
+func (r *Record) add(result Result) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.classes[result.Class]++
+	r.results = append(r.results, result)
+	if result.Class != Answered && result.Class != Late {
+		r.reasons[result.Class.String()+": "+result.Reason]++
+		return
+	}
+	// Values above the range are clamped: they count as the longest latency.
+	microseconds := min(max(result.Latency.Microseconds(), minLatencyMicroseconds), maxLatencyMicroseconds)
+	_ = r.latency.RecordValue(microseconds) // within the range, so it cannot fail
+}
+
+func (r *Record) skip() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.skipped++
+}
+
+func (r *Record) seal(duration time.Duration) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.duration = duration
+}
+
+// Results returns all results in the order of their ends. It must not be called
+// while Run goes on.
+func (r *Record) Results() []Result { return r.results }
+
+// Count returns how many calls ended in a class.
+func (r *Record) Count(class Class) int64 {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.classes[class]
+}
+
+// Latencies are quantiles of answered calls in milliseconds, from the intended
+// send time.
+type Latencies struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Summary is the result of one run in the form of a report.
+type Summary struct {
+	Sent     int64 `json:"sent"`
+	Answered int64 `json:"answered"`
+	Late     int64 `json:"late"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+	Cut      int64 `json:"cut"`
+	Rejected int64 `json:"rejected"`
+	Wrong    int64 `json:"wrong"`
+	// Skipped calls were never sent: the generator's own bound was reached.
+	Skipped int64 `json:"skipped"`
+	// Goodput is the answered calls per second of the run, late ones left out.
+	Goodput   float64          `json:"goodput_per_second"`
+	LatencyMS Latencies        `json:"latency_ms"`
+	Reasons   map[string]int64 `json:"reasons,omitempty"`
+}
+
+// Summary returns the counts and quantiles so far.
+func (r *Record) Summary() Summary {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	summary := Summary{
+		Answered: r.classes[Answered], Late: r.classes[Late],
+		NotRun: r.classes[NotRun], Unknown: r.classes[Unknown],
+		Cut: r.classes[Cut], Rejected: r.classes[Rejected],
+		Wrong: r.classes[Wrong], Skipped: r.skipped,
+		LatencyMS: Latencies{
+			P50: r.quantile(50), P90: r.quantile(90), P99: r.quantile(99),
+			Max: milliseconds(r.latency.Max()),
+		},
+		Reasons: make(map[string]int64, len(r.reasons)),
+	}
+	for _, count := range r.classes {
+		summary.Sent += count
+	}
+	for reason, count := range r.reasons {
+		summary.Reasons[reason] = count
+	}
+	if r.duration > 0 {
+		summary.Goodput = float64(summary.Answered) / r.duration.Seconds()
+	}
+	return summary
+}
+
+func (r *Record) quantile(percent float64) float64 {
+	return milliseconds(r.latency.ValueAtQuantile(percent))
+}
+
+func milliseconds(microseconds int64) float64 { return float64(microseconds) / 1000 }
