--- /dev/null
+++ b/internal/policy/match.go
@@ -0,0 +1,173 @@
+package policy
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"go.starlark.net/starlark"
+
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const (
+	maxHostBytes   = 253
+	maxPathBytes   = 256
+	maxHeaderBytes = 256
+	maxPrefixBytes = 64
+)
+
+// knownMethods are the methods a route can take. CONNECT and TRACE are left out,
+// as they concern proxies themselves.
+var knownMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost,
+	http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+// framingHeaders describe the connection or the body; the proxy sets or removes
+// them, so that no policy can match or set them.
+var framingHeaders = []string{
+	"Connection", "Content-Length", "Expect", "Host", "Keep-Alive",
+	"Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Via",
+	outcome.HeaderTimeout, outcome.HeaderIdempotencyKey,
+}
+
+// callerHeaders belong to the caller and its request; a secret must not take
+// their place.
+var callerHeaders = []string{
+	"Accept", "Accept-Encoding", "Content-Encoding", "Content-Language",
+	"Content-Location", "Content-Range", "Content-Type", "Cookie", "Date",
+	"Forwarded", "If-Match", "If-Modified-Since", "If-None-Match", "If-Range",
+	"If-Unmodified-Since", "Origin", "Range", "Referer", "Set-Cookie",
+	"User-Agent", "X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto",
+}
+
+// checkSecretHeader returns the canonical name of a header that may carry a
+// secret.
+func checkSecretHeader(name string) (string, error) {
+	canonical, err := checkHeaderName(name)
+	if err != nil {
+		return "", err
+	}
+	if slices.Contains(callerHeaders, canonical) {
+		return "", problemf(`use a header such as "Authorization" or "X-Api-Key"`, "header %s belongs to the caller's request and cannot carry a secret", canonical)
+	}
+	return canonical, nil
+}
+
+// checkHeaderName returns the canonical name of a header that policies may name.
+func checkHeaderName(name string) (string, error) {
+	if !isToken(name) || len(name) > snapshot.MaxNameBytes {
+		return "", problemf("a header's name has letters, digits and '-'", "%q is not the name of a header", shorten(name))
+	}
+	canonical := textproto.CanonicalMIMEHeaderKey(name)
+	if strings.HasPrefix(canonical, outcome.InternalPrefix) || slices.Contains(framingHeaders, canonical) {
+		return "", problemf("choose another header", "header %s is kept for the proxy itself", canonical)
+	}
+	return canonical, nil
+}
+
+func isToken(name string) bool {
+	const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	return name != "" && strings.Trim(name, tokenBytes) == ""
+}
+
+// isHeaderText reports whether text holds only bytes that are safe in a header.
+func isHeaderText(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// checkHost returns the host in lower case.
+func checkHost(host string) (string, error) {
+	if host == "" {
+		return "", nil
+	}
+	const allowed = "abcdefghijklmnopqrstuvwxyz0123456789-."
+	lower := strings.ToLower(host)
+	if len(lower) > maxHostBytes || strings.Trim(lower, allowed) != "" || strings.HasSuffix(lower, ".") {
+		return "", problemf(`write a full name without a port, such as "reservas.mesh"; leave host= out to take any`, "%q is not the name of a host", shorten(host))
+	}
+	return lower, nil
+}
+
+// checkPath checks a path prefix.
+func checkPath(path string) error {
+	if path == "" {
+		return nil
+	}
+	if path[0] != '/' {
+		return problemf(`write "/`+shorten(path)+`"`, "path %q does not start with a slash", shorten(path))
+	}
+	if len(path) > maxPathBytes || !isHeaderText(path) || strings.ContainsAny(path, " ?#%*\\\"<>{}|^`") {
+		return problemf("write the plain start of the path, without wildcards, query or escapes", "path %q cannot be matched", shorten(path))
+	}
+	trimmed := strings.Trim(path, "/")
+	parts := strings.Split(trimmed, "/")
+	if len(parts) > snapshot.MaxPathSegments {
+		return problemf("shorten it", "path %q has more than %d segments", shorten(path), snapshot.MaxPathSegments)
+	}
+	for _, part := range parts {
+		if part == "." || part == ".." || (part == "" && trimmed != "") {
+			return problemf("write the path without it", "path %q has an empty or a dot segment", shorten(path))
+		}
+	}
+	return nil
+}
+
+// checkMethods reads a list of methods; None and a missing list are empty.
+func checkMethods(argument string, value starlark.Value) ([]string, error) {
+	if value == nil || value == starlark.None {
+		return nil, nil
+	}
+	list, ok := value.(*starlark.List)
+	if !ok {
+		return nil, problemf(`write `+argument+`=["GET"]`, "%s= does not take a value of type %s", argument, value.Type())
+	}
+	var methods []string
+	for element := range list.Elements() {
+		method, _ := starlark.AsString(element)
+		if !slices.Contains(knownMethods, method) {
+			return nil, problemf("the methods are "+strings.Join(knownMethods, ", "), "%s= has something that is not a method in upper case", argument)
+		}
+		if slices.Contains(methods, method) {
+			return nil, problemf("leave one out", "%s= has %s twice", argument, method)
+		}
+		methods = append(methods, method)
+	}
+	return methods, nil
+}
+
+// checkMatchHeaders reads a dict of header names and exact values.
+func checkMatchHeaders(dict *starlark.Dict) (map[string]string, error) {
+	if dict == nil || dict.Len() == 0 {
+		return nil, nil
+	}
+	if dict.Len() > maxHeaders {
+		return nil, problemf("match fewer", "a route matches more than %d headers", maxHeaders)
+	}
+	headers := make(map[string]string, dict.Len())
+	for key, element := range dict.Entries() {
+		name, _ := starlark.AsString(key)
+		canonical, err := checkHeaderName(name)
+		if err != nil {
+			return nil, err
+		}
+		value, ok := starlark.AsString(element)
+		if !ok || !isHeaderText(value) || len(value) > maxHeaderBytes {
+			return nil, problemf(`write headers={"X-Kind": "urgent"}`, "the value of header %s is not a printable string of at most %d bytes", canonical, maxHeaderBytes)
+		}
+		if _, twice := headers[canonical]; twice {
+			return nil, problemf("leave one out", "header %s is matched twice", canonical)
+		}
+		headers[canonical] = value
+	}
+	return headers, nil
+}
--- /dev/null
+++ b/internal/policy/restrict.go
@@ -0,0 +1,213 @@
+package policy
+
+import (
+	"fmt"
+	"math/big"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// The limits of a program's text.
+const (
+	// maxDepth bounds how deep expressions and statements are nested.
+	maxDepth = 64
+	// maxFunctionNodes bounds the expressions in one function, and so the memory
+	// that one call of it takes.
+	maxFunctionNodes = 1000
+	// maxStringBytes bounds each string.
+	maxStringBytes = 1024
+)
+
+// restrict checks that the file keeps to the language of policies and replaces
+// operators by calls of guarded ones (operators.go). What is left of Starlark
+// takes a bounded amount of memory and work in each step, except in the guarded
+// operators and builtins, which charge it to the budget.
+func restrict(file *syntax.File) error {
+	restricter := &restricter{}
+	restricter.statements(file.Stmts, scopeFile)
+	return restricter.fault
+}
+
+// restricter walks the syntax tree. It keeps the first fault and then walks on
+// without harm.
+type restricter struct {
+	fault error
+	depth int
+	nodes int
+}
+
+// scope tells where a statement stands.
+type scope uint8
+
+const (
+	scopeFile scope = iota
+	scopeBlock
+	scopeFunction
+)
+
+func (r *restricter) refuse(position syntax.Position, hint, format string, arguments ...any) {
+	if r.fault != nil {
+		return
+	}
+	r.fault = &positioned{problem: problem{text: fmt.Sprintf(format, arguments...), hint: hint}, position: position}
+}
+
+// enter counts one level of nesting and one node; it reports whether to go on.
+func (r *restricter) enter(position syntax.Position) bool {
+	r.depth++
+	r.nodes++
+	if r.depth > maxDepth {
+		r.refuse(position, "use variables or functions for the inner parts", "this is nested more than %d levels deep", maxDepth)
+	}
+	return r.fault == nil
+}
+
+func (r *restricter) leave() { r.depth-- }
+
+func (r *restricter) statements(statements []syntax.Stmt, within scope) {
+	for _, statement := range statements {
+		r.statement(statement, within)
+	}
+}
+
+func (r *restricter) statement(statement syntax.Stmt, within scope) {
+	start := syntax.Start(statement)
+	defer r.leave()
+	if !r.enter(start) {
+		return
+	}
+	inner := max(within, scopeBlock)
+	switch statement := statement.(type) {
+	case *syntax.AssignStmt:
+		r.assignment(statement)
+	case *syntax.BranchStmt:
+	case *syntax.DefStmt:
+		r.function(statement, within)
+	case *syntax.ExprStmt:
+		statement.X = r.expression(statement.X)
+	case *syntax.ForStmt:
+		r.target(statement.Vars)
+		statement.X = r.expression(statement.X)
+		r.statements(statement.Body, inner)
+	case *syntax.IfStmt:
+		statement.Cond = r.expression(statement.Cond)
+		r.statements(statement.True, inner)
+		r.statements(statement.False, inner)
+	case *syntax.ReturnStmt:
+		if statement.Result != nil {
+			statement.Result = r.expression(statement.Result)
+		}
+	case *syntax.LoadStmt:
+		r.refuse(start, "copy what you need into this policy", "a policy cannot load other files")
+	case *syntax.WhileStmt:
+		r.refuse(start, "use a for loop over a list or range()", "policies have no while loop")
+	default:
+		r.refuse(start, "see "+referencePage, "policies have no such statement")
+	}
+}
+
+func (r *restricter) assignment(statement *syntax.AssignStmt) {
+	if statement.Op != syntax.EQ {
+		r.refuse(statement.OpPos, "write it out, such as x = x + 1", "policies have no operator %s", statement.Op)
+		return
+	}
+	r.target(statement.LHS)
+	statement.RHS = r.expression(statement.RHS)
+}
+
+// target checks what a value is assigned to.
+func (r *restricter) target(target syntax.Expr) {
+	start := syntax.Start(target)
+	defer r.leave()
+	if !r.enter(start) {
+		return
+	}
+	switch target := target.(type) {
+	case *syntax.Ident:
+		r.name(target)
+	case *syntax.IndexExpr:
+		target.X = r.expression(target.X)
+		target.Y = r.guardKey(target.Y)
+	case *syntax.ParenExpr:
+		r.target(target.X)
+	case *syntax.TupleExpr:
+		r.targets(target.List)
+	case *syntax.ListExpr:
+		r.targets(target.List)
+	default:
+		r.refuse(start, "assign to a name", "a value cannot be assigned to this")
+	}
+}
+
+func (r *restricter) targets(targets []syntax.Expr) {
+	for _, target := range targets {
+		r.target(target)
+	}
+}
+
+// function checks a definition. Functions stand at the top level and have plain
+// parameters, so that they close over nothing and their number is bounded by the
+// text.
+func (r *restricter) function(function *syntax.DefStmt, within scope) {
+	if within != scopeFile {
+		r.refuse(function.Def, "move it to the top level", "a function is defined inside of another statement")
+		return
+	}
+	r.name(function.Name)
+	before := r.nodes
+	for _, parameter := range function.Params {
+		r.parameter(parameter)
+	}
+	r.statements(function.Body, scopeFunction)
+	if r.nodes-before > maxFunctionNodes {
+		r.refuse(function.Def, "split it", "function %s is longer than %d expressions", function.Name.Name, maxFunctionNodes)
+	}
+}
+
+func (r *restricter) parameter(parameter syntax.Expr) {
+	r.nodes++
+	switch parameter := parameter.(type) {
+	case *syntax.Ident:
+		r.name(parameter)
+		return
+	case *syntax.BinaryExpr:
+		name, named := parameter.X.(*syntax.Ident)
+		value, literal := parameter.Y.(*syntax.Literal)
+		if named && literal {
+			r.name(name)
+			r.literal(value)
+			return
+		}
+		if constant, ok := parameter.Y.(*syntax.Ident); named && ok && isConstant(constant.Name) {
+			r.name(name)
+			return
+		}
+	}
+	r.refuse(syntax.Start(parameter), "use plain parameters with literals as defaults", "policies have no such parameter")
+}
+
+func isConstant(name string) bool {
+	return name == "None" || name == "True" || name == "False"
+}
+
+// name refuses names of Starlark that are not in the language of policies.
+func (r *restricter) name(identifier *syntax.Ident) {
+	if starlark.Universe.Has(identifier.Name) && !predeclared.Has(identifier.Name) && !isConstant(identifier.Name) {
+		r.refuse(identifier.NamePos, "the names a policy can use are in "+referencePage, "policies cannot use the name %s", identifier.Name)
+	}
+}
+
+func (r *restricter) literal(literal *syntax.Literal) {
+	switch value := literal.Value.(type) {
+	case string:
+		if literal.Token == syntax.BYTES {
+			r.refuse(literal.TokenPos, "write it without the b", "policies have no byte strings")
+		}
+		if len(value) > maxStringBytes {
+			r.refuse(literal.TokenPos, "shorten it", "a string has more than %d bytes", maxStringBytes)
+		}
+	case *big.Int:
+		r.refuse(literal.TokenPos, "use a smaller number", "a number has more than 64 bits")
+	}
+}
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -1,5 +1,13 @@
 package snapshot
 
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
 // Service is a named set of back-end instances that routes may point at.
 type Service struct {
 	// Name is unique within a document.
@@ -92,12 +100,104 @@
 	Removed []Key
 }
 
-// Contract of the functions beside this type (document.go, delta.go):
-//
-//	func NewDocument(content Content) (*Document, error)
-//	    checks names, sizes and duplicates and computes the version.
-//	func Diff(base, target *Document) Delta
-//	    base may be nil: the result then carries all of target.
-//	func (d Delta) Apply(base *Document) (*Document, error)
-//	    base may be nil when d.Base is zero. Verifies that the result has
-//	    exactly the version d.Target and otherwise returns an error and no document.
+// NewDocument checks the content and computes the version that names it. The
+// order of the services, policies and secrets does not matter.
+func NewDocument(content Content) (*Document, error) {
+	resources, err := encodeContent(content)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(resources, compareResources)
+	if err := checkResources(content.Revision, resources); err != nil {
+		return nil, err
+	}
+	return &Document{
+		version:   Version{Revision: content.Revision, Hash: hashResources(resources)},
+		content:   sortedContent(content),
+		resources: resources,
+	}, nil
+}
+
+func encodeContent(content Content) ([]Resource, error) {
+	resources := make([]Resource, 0, len(content.Services)+len(content.Policies)+len(content.Secrets))
+	for _, service := range content.Services {
+		resource, err := checkedResource(KindService, service.Name, service, checkService)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
+	for _, policy := range content.Policies {
+		resource, err := checkedResource(KindPolicy, policy.Name, policy, checkPolicy)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
+	for _, secret := range content.Secrets {
+		resource, err := checkedResource(KindSecret, secret.Name, secret, checkSecret)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
+	return resources, nil
+}
+
+// sortedContent copies the content, each list sorted by name.
+func sortedContent(content Content) Content {
+	return Content{
+		Revision: content.Revision,
+		Services: sortedByName(content.Services, serviceName),
+		Policies: sortedByName(content.Policies, policyName),
+		Secrets:  sortedByName(content.Secrets, secretName),
+	}
+}
+
+// checkResources checks what concerns the whole: the revision, duplicates,
+// counts and the size. The resources are sorted.
+func checkResources(revision Revision, resources []Resource) error {
+	if revision == 0 {
+		return eris.New("the revision is 0; revisions start at 1")
+	}
+	counts := map[Kind]int{}
+	total := 0
+	for i, resource := range resources {
+		if i > 0 && resources[i-1].Key == resource.Key {
+			return eris.Errorf("%s is there twice", resource.Key)
+		}
+		counts[resource.Key.Kind]++
+		if counts[resource.Key.Kind] > MaxResourcesPerKind {
+			return eris.Errorf("more than %d resources of the kind %s", MaxResourcesPerKind, resource.Key.Kind)
+		}
+		total += len(resource.Key.Name) + len(resource.Body)
+	}
+	if total > MaxDocumentBytes {
+		return eris.Errorf("the document has %d bytes, at most %d are allowed", total, MaxDocumentBytes)
+	}
+	return nil
+}
+
+// hashResources covers kind, name and body of each resource, each with its
+// length, so that no two lists of resources share an input.
+func hashResources(resources []Resource) ContentHash {
+	digest := sha256.New()
+	var lengths []byte
+	for _, resource := range resources {
+		lengths = append(lengths[:0], byte(resource.Key.Kind))
+		lengths = binary.AppendUvarint(lengths, uint64(len(resource.Key.Name)))
+		lengths = binary.AppendUvarint(lengths, uint64(len(resource.Body)))
+		digest.Write(lengths)
+		digest.Write([]byte(resource.Key.Name))
+		digest.Write(resource.Body)
+	}
+	var hash ContentHash
+	copy(hash[:], digest.Sum(nil))
+	return hash
+}
+
+// String names the version only, as the content holds secrets.
+func (d *Document) String() string { return "document " + d.version.String() }
+
+// GoString hides the content from the %#v verb.
+func (d *Document) GoString() string { return d.String() }
--- /dev/null
+++ b/internal/snapshot/resource.go
@@ -0,0 +1,125 @@
+package snapshot
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	switch k {
+	case KindService:
+		return "service"
+	case KindPolicy:
+		return "policy"
+	case KindSecret:
+		return "secret"
+	default:
+		return "resource of unknown kind"
+	}
+}
+
+// String returns the kind and the name.
+func (k Key) String() string { return k.Kind.String() + " " + k.Name }
+
+// String names the resource without its body, which may hold a secret.
+func (r Resource) String() string { return r.Key.String() }
+
+// GoString hides the body from the %#v verb.
+func (r Resource) GoString() string { return r.String() }
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name))
+}
+
+func compareResources(a, b Resource) int { return compareKeys(a.Key, b.Key) }
+
+// encode returns the canonical form of a checked resource.
+func encode(kind Kind, name string, value any) (Resource, error) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return Resource{}, eris.Wrapf(err, "encode %s %q", kind, name)
+	}
+	return Resource{Key: Key{Kind: kind, Name: name}, Body: body}, nil
+}
+
+// decode reads a body and refuses one that is not in canonical form, so that a
+// content has one encoding and one hash. Errors never show the body.
+func decode[T any](resource Resource) (T, error) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(resource.Body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return value, eris.Errorf("%s: the body cannot be decoded", resource.Key)
+	}
+	canonical, err := json.Marshal(value)
+	if err != nil || !bytes.Equal(canonical, resource.Body) {
+		return value, eris.Errorf("%s: the body is not in canonical form", resource.Key)
+	}
+	return value, nil
+}
+
+// checkedResource encodes a value after its check passed.
+func checkedResource[T any](kind Kind, name string, value T, check func(T) error) (Resource, error) {
+	if err := check(value); err != nil {
+		return Resource{}, err
+	}
+	return encode(kind, name, value)
+}
+
+// appendDecoded checks a received resource and appends its value to the content.
+func appendDecoded(content *Content, resource Resource) error {
+	switch resource.Key.Kind {
+	case KindService:
+		return appendValue(&content.Services, resource, serviceName, checkService)
+	case KindPolicy:
+		return appendValue(&content.Policies, resource, policyName, checkPolicy)
+	case KindSecret:
+		return appendValue(&content.Secrets, resource, secretName, checkSecret)
+	default:
+		return eris.Errorf("resource %.64q has the unknown kind %d", resource.Key.Name, resource.Key.Kind)
+	}
+}
+
+func appendValue[T any](values *[]T, resource Resource, name func(T) string, check func(T) error) error {
+	value, err := decode[T](resource)
+	if err != nil {
+		return err
+	}
+	if name(value) != resource.Key.Name {
+		return eris.Errorf("%s: the body has another name than the key", resource.Key)
+	}
+	if err := check(value); err != nil {
+		return err
+	}
+	*values = append(*values, value)
+	return nil
+}
+
+func serviceName(service Service) string { return service.Name }
+
+func policyName(policy Policy) string { return policy.Name }
+
+func secretName(secret Secret) string { return secret.Name }
+
+func sortedByName[T any](values []T, name func(T) string) []T {
+	sorted := slices.Clone(values)
+	slices.SortFunc(sorted, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return sorted
+}
+
+func findByName[T any](sorted []T, wanted string, name func(T) string) (T, bool) {
+	index, found := slices.BinarySearchFunc(sorted, wanted, func(value T, wanted string) int {
+		return strings.Compare(name(value), wanted)
+	})
+	if !found {
+		var none T
+		return none, false
+	}
+	return sorted[index], true
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -118,19 +118,3 @@
 func (s *Snapshot) Lookup(method, host, path string, header http.Header) *Route {
 	return s.table.lookup(method, host, path, header)
 }
-
-// Contract of the functions beside these types (build.go, store.go):
-//
-//	func New(version Version, routes []Route, services []Service, secrets []Secret) (*Snapshot, error)
-//	    calls Consistent and returns no snapshot when it fails.
-//	func (s *Snapshot) Consistent() error
-//	    the closure check: each target and secret of each route is held.
-//	func (s *Snapshot) SameRoutes(other *Snapshot) bool
-//
-//	type Store                         // zero value is empty and ready for use
-//	func (s *Store) Current() *Snapshot    // nil until the first is adopted; one atomic load
-//	func (s *Store) HighWater() Version
-//	func (s *Store) Adopt(next *Snapshot) (Adoption, error)
-//	    Adoption is a value: Adopted, Unchanged, RefusedOlder, RefusedConflict.
-//	    Equal version with other routes (a fleet change) raises the generation.
-//	    Never goes below the high-water mark.
--- /dev/null
+++ b/internal/snapshot/store.go
@@ -0,0 +1,102 @@
+package snapshot
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Adoption tells what became of a snapshot that was offered to a Store.
+type Adoption uint8
+
+// The outcomes of Store.Adopt.
+const (
+	// Adopted means that the snapshot is now in force.
+	Adopted Adoption = 1
+	// Unchanged means that the version in force has the same routes.
+	Unchanged Adoption = 2
+	// RefusedOlder means that a newer revision is or was in force.
+	RefusedOlder Adoption = 3
+	// RefusedConflict means that the revision is in force with other content.
+	RefusedConflict Adoption = 4
+)
+
+// String returns the outcome in words.
+func (a Adoption) String() string {
+	switch a {
+	case Adopted:
+		return "adopted"
+	case Unchanged:
+		return "unchanged"
+	case RefusedOlder:
+		return "refused: older than the version in force"
+	case RefusedConflict:
+		return "refused: same revision with other content"
+	default:
+		return "refused"
+	}
+}
+
+// Store holds the snapshot in force. Its high-water mark only rises, so that no
+// version older than one held is ever put in force. The zero value is empty and
+// ready for use; a Store must not be copied.
+type Store struct {
+	current atomic.Pointer[Snapshot]
+	adopt   sync.Mutex
+}
+
+// Current returns the snapshot in force, or nil before the first. It is one
+// atomic load.
+func (s *Store) Current() *Snapshot { return s.current.Load() }
+
+// HighWater returns the newest version that was ever in force, or zero.
+func (s *Store) HighWater() Version {
+	current := s.current.Load()
+	if current == nil {
+		return Version{}
+	}
+	return current.version
+}
+
+// Adopt puts next in force in one step, if it is consistent and not below the
+// high-water mark. An equal version with other routes, as after a change of the
+// fleet, is put in force with a higher generation. The error is set only when
+// next is not consistent.
+func (s *Store) Adopt(next *Snapshot) (Adoption, error) {
+	if next == nil {
+		return 0, eris.New("no snapshot was offered")
+	}
+	if err := next.Consistent(); err != nil {
+		return 0, eris.Wrapf(err, "snapshot %s is not consistent", next.version)
+	}
+	s.adopt.Lock()
+	defer s.adopt.Unlock()
+	current := s.current.Load()
+	if refused, ok := decideAdoption(current, next); !ok {
+		return refused, nil
+	}
+	adopted := *next
+	adopted.generation = 1
+	if current != nil {
+		adopted.generation = current.generation + 1
+	}
+	s.current.Store(&adopted)
+	return Adopted, nil
+}
+
+// decideAdoption tells whether next may follow current, and otherwise the outcome.
+func decideAdoption(current, next *Snapshot) (Adoption, bool) {
+	switch {
+	case current == nil, next.version.Newer(current.version):
+		return Adopted, true
+	case next.version.Conflicts(current.version):
+		return RefusedConflict, false
+	case current.version.Newer(next.version):
+		return RefusedOlder, false
+	case current.SameRoutes(next):
+		return Unchanged, false
+	default:
+		return Adopted, true
+	}
+}
--- a/internal/snapshot/table.go
+++ b/internal/snapshot/table.go
@@ -1,8 +1,170 @@
 package snapshot
 
-import "net/http"
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
 
-// routeTable finds the route of a request.
-type routeTable struct{}
+// routeTable finds the route of a request: by host, then by path segments, then
+// in declared order. A lookup allocates nothing.
+//
+// Routes for the request's host go before routes for any host. Among those, the
+// longest path prefix wins, and among equal prefixes the first declared whose
+// methods and headers match.
+type routeTable struct {
+	hosts   map[string]*pathNode
+	anyHost *pathNode
+}
 
-func (routeTable) lookup(method, host, path string, header http.Header) *Route { return nil }
+// pathNode is one segment of the path prefixes of a host.
+type pathNode struct {
+	children map[string]*pathNode
+	entries  []tableEntry
+}
+
+// tableEntry is a route with its headers in an order fixed at build time.
+type tableEntry struct {
+	route   *Route
+	headers []headerValue
+}
+
+type headerValue struct{ name, value string }
+
+// newRouteTable indexes the routes, which must stay where they are.
+func newRouteTable(routes []Route) routeTable {
+	table := routeTable{hosts: map[string]*pathNode{}, anyHost: &pathNode{}}
+	for i := range routes {
+		route := &routes[i]
+		node := table.root(route.Match.Host).descend(route.Match.PathPrefix)
+		node.entries = append(node.entries, newTableEntry(route))
+	}
+	return table
+}
+
+func newTableEntry(route *Route) tableEntry {
+	entry := tableEntry{route: route}
+	for name, value := range route.Match.Headers {
+		entry.headers = append(entry.headers, headerValue{name: name, value: value})
+	}
+	slices.SortFunc(entry.headers, func(a, b headerValue) int { return strings.Compare(a.name, b.name) })
+	return entry
+}
+
+// root returns the tree of a host and makes it if need be.
+func (t *routeTable) root(host string) *pathNode {
+	if host == "" {
+		return t.anyHost
+	}
+	host = strings.ToLower(host)
+	node, ok := t.hosts[host]
+	if !ok {
+		node = &pathNode{}
+		t.hosts[host] = node
+	}
+	return node
+}
+
+// descend returns the node of a path prefix and makes it if need be.
+func (n *pathNode) descend(prefix string) *pathNode {
+	rest := strings.Trim(prefix, "/")
+	for rest != "" {
+		var segment string
+		segment, rest, _ = strings.Cut(rest, "/")
+		child, ok := n.children[segment]
+		if !ok {
+			child = &pathNode{}
+			if n.children == nil {
+				n.children = map[string]*pathNode{}
+			}
+			n.children[segment] = child
+		}
+		n = child
+	}
+	return n
+}
+
+func (t *routeTable) lookup(method, host, path string, header http.Header) *Route {
+	rest, rooted := strings.CutPrefix(path, "/")
+	if !rooted {
+		// Such as "*" of OPTIONS: only routes without a path take it.
+		rest = ""
+	}
+	if tree := t.treeOf(host); tree != nil {
+		if route := tree.find(method, rest, header); route != nil {
+			return route
+		}
+	}
+	if t.anyHost == nil {
+		return nil
+	}
+	return t.anyHost.find(method, rest, header)
+}
+
+// treeOf returns the tree for the host of a request, or nil.
+func (t *routeTable) treeOf(host string) *pathNode {
+	host = hostName(host)
+	if !hasUpper(host) {
+		return t.hosts[host]
+	}
+	var buffer [maxHostBytes]byte
+	if len(host) > len(buffer) {
+		return nil
+	}
+	lower := buffer[:0]
+	for i := range len(host) {
+		lower = append(lower, lowerByte(host[i]))
+	}
+	return t.hosts[string(lower)] // the compiler makes no copy for a map lookup
+}
+
+// find returns the route of the longest matching prefix. Its recursion is as
+// deep as the deepest prefix, at most MaxPathSegments.
+func (n *pathNode) find(method, rest string, header http.Header) *Route {
+	if len(n.children) > 0 && rest != "" {
+		segment, next, _ := strings.Cut(rest, "/")
+		if child, ok := n.children[segment]; ok {
+			if route := child.find(method, next, header); route != nil {
+				return route
+			}
+		}
+	}
+	for i := range n.entries {
+		if n.entries[i].takes(method, header) {
+			return n.entries[i].route
+		}
+	}
+	return nil
+}
+
+func (e *tableEntry) takes(method string, header http.Header) bool {
+	if !takesMethod(e.route.Match.Methods, method) {
+		return false
+	}
+	for _, wanted := range e.headers {
+		if !takesHeader(header, wanted.name, wanted.value) {
+			return false
+		}
+	}
+	return true
+}
+
+// takesMethod reports whether the methods of a match accept the method.
+func takesMethod(methods []string, method string) bool {
+	if len(methods) == 0 {
+		return true
+	}
+	for _, accepted := range methods {
+		if accepted == method {
+			return true
+		}
+	}
+	return false
+}
+
+// takesHeader reports whether the header is there once with exactly the value. A
+// header sent twice matches nothing, as a back end might read the other value.
+func takesHeader(header http.Header, name, value string) bool {
+	values := header[name]
+	return len(values) == 1 && values[0] == value
+}
