Add the operators' HTTP, its client and the operators' commands

A flag for each setting is generated from the settings, as optional strings in a struct built by reflection: go-flags' AddOption was tried first and ruled out, as it dereferences the type of a struct field that such options lack.

The commands were run by hand against no node: exit codes 0, 2 and 3 as documented.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,77 @@
+// Package cli owns the command line of winchhead: one file a subcommand, the
+// output for people and programs, and the exit codes.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// environment is what a subcommand gets from the process.
+type environment struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// subcommand describes one subcommand to the parser.
+type subcommand struct {
+	name    string
+	short   string
+	long    string
+	command flags.Commander
+}
+
+// Run parses the arguments (without the program's name), runs the subcommand and
+// returns the exit code. Cancelling ctx stops a node in the planned way.
+func Run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	env := environment{ctx: ctx, stdout: stdout, stderr: stderr}
+	parser, err := newParser(env)
+	if err != nil {
+		panic(err)
+	}
+	_, err = parser.ParseArgs(arguments)
+	return report(env, err)
+}
+
+func newParser(env environment) (*flags.Parser, error) {
+	parser := flags.NewNamedParser("winchhead", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Winchhead distributes configuration to the proxies of a service mesh."
+	effective := &settingsCommand{environment: env}
+	subcommands := []subcommand{
+		{"explain", "Show where a node would send a request", explainHelp, &explainCommand{environment: env}},
+		{"status", "Show which version each node holds", statusHelp, &statusCommand{environment: env}},
+		{"watch", "Wait until a revision is in force everywhere", watchHelp, &watchCommand{environment: env}},
+		{"settings", "Show the effective settings and their origin", settingsHelp, effective},
+		{"version", "Show the build", "Prints the version of the program and of Go.", &versionCommand{environment: env}},
+	}
+	added := map[string]*flags.Command{}
+	for _, description := range subcommands {
+		command, err := parser.AddCommand(description.name, description.short, description.long, description.command)
+		if err != nil {
+			return nil, err
+		}
+		added[description.name] = command
+	}
+	return parser, addSettingsFlags(added["settings"], &effective.settingsFlags)
+}
+
+// report prints err and returns the exit code.
+func report(env environment, err error) int {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(env.stdout, usage.Message)
+		return ExitOK
+	}
+	if err != nil && err.Error() != "" {
+		_, _ = fmt.Fprintln(env.stderr, "winchhead:", err)
+		if next := advice(err); next != "" {
+			_, _ = fmt.Fprintln(env.stderr, next)
+		}
+	}
+	return exitCode(err)
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// outputFlags picks the form of a command's output.
+type outputFlags struct {
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+}
+
+// adminFlags names the node that a command asks.
+type adminFlags struct {
+	Admin string `long:"admin" value-name:"IP:PORT" default:"127.0.0.1:7900" description:"operators' HTTP of the node to ask (its admin.listen)"`
+}
+
+// print writes value as JSON, or calls text to write it for people.
+func (o outputFlags) print(out io.Writer, value any, text func(out io.Writer)) error {
+	if o.Output == "json" {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	text(out)
+	return nil
+}
+
+// table writes rows in aligned columns.
+type table struct{ writer *tabwriter.Writer }
+
+const columnPadding = 2
+
+func newTable(out io.Writer, columns ...string) *table {
+	t := &table{writer: tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)}
+	t.row(columns...)
+	return t
+}
+
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		if cell == "" {
+			cells[i] = "-"
+		}
+	}
+	_, _ = fmt.Fprintln(t.writer, strings.Join(cells, "\t"))
+}
+
+func (t *table) flush() { _ = t.writer.Flush() }
--- /dev/null
+++ b/internal/cli/progress.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// progress tells how far a revision has come in a fleet.
+type progress string
+
+// The values of progress.
+const (
+	progressInForce progress = "in-force" // on every live member
+	progressPending progress = "pending"  // not yet on every live member
+	progressRefused progress = "refused"  // refused, and in force nowhere
+)
+
+// exitCode returns the exit code that tells of the progress.
+func (p progress) exitCode() int {
+	switch p {
+	case progressInForce:
+		return ExitOK
+	case progressRefused:
+		return ExitRefused
+	default:
+		return ExitPending
+	}
+}
+
+// revisionReport tells which members hold a revision, and why others don't.
+type revisionReport struct {
+	Revision snapshot.Revision `json:"revision"`
+	Progress progress          `json:"progress"`
+	Holding  int               `json:"holding"`
+	Missing  []missingMember   `json:"missing"`
+}
+
+// missingMember is a member that does not hold the revision, and why.
+type missingMember struct {
+	Node  string           `json:"node"`
+	Holds snapshot.Version `json:"holds"`
+	Why   string           `json:"why"`
+}
+
+// assess tells how far revision has come. A member that holds a higher revision
+// counts as holding it.
+func assess(fleet admin.FleetStatus, revision snapshot.Revision) revisionReport {
+	assessed := revisionReport{Revision: revision, Progress: progressPending, Missing: []missingMember{}}
+	refused := false
+	for _, member := range fleet.Members {
+		if member.Status != nil && member.Status.Held.Revision >= revision {
+			assessed.Holding++
+			continue
+		}
+		missing := missingMember{Node: string(member.Node), Why: "gave no answer: " + member.Error}
+		if member.Status != nil {
+			missing.Holds = member.Status.Held
+			missing.Why = whyMissing(*member.Status, revision)
+			refused = refused || refuses(*member.Status, revision)
+		}
+		assessed.Missing = append(assessed.Missing, missing)
+	}
+	switch {
+	case len(assessed.Missing) == 0 && assessed.Holding > 0:
+		assessed.Progress = progressInForce
+	case refused && assessed.Holding == 0:
+		assessed.Progress = progressRefused
+	}
+	return assessed
+}
+
+func refuses(status admin.NodeStatus, revision snapshot.Revision) bool {
+	return status.Refused != nil && status.Refused.Version.Revision == revision
+}
+
+func whyMissing(status admin.NodeStatus, revision snapshot.Revision) string {
+	switch {
+	case refuses(status, revision):
+		return "refused it: " + status.Refused.Reason
+	case status.Held.IsZero():
+		return fmt.Sprintf("holds no version yet (%s)", status.State)
+	default:
+		return fmt.Sprintf("still holds %s (%s)", status.Held, status.State)
+	}
+}
+
+// newestRevision returns the highest revision that any member holds or refused.
+func newestRevision(fleet admin.FleetStatus) snapshot.Revision {
+	var newest snapshot.Revision
+	for _, member := range fleet.Members {
+		if member.Status == nil {
+			continue
+		}
+		newest = max(newest, member.Status.Held.Revision)
+		if member.Status.Refused != nil {
+			newest = max(newest, member.Status.Refused.Version.Revision)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/winchhead/winchhead/internal/admin"
+)
+
+const statusHelp = `Asks one node, which asks every live member, and prints which version each holds. Exit codes: 0 all live members hold the newest revision, 1 the newest revision was refused, 3 the node gave no answer, 4 some members do not hold the newest revision or gave no answer.`
+
+type statusCommand struct {
+	environment
+	adminFlags
+	outputFlags
+}
+
+// statusAnswer is the output of status.
+type statusAnswer struct {
+	Newest  revisionReport       `json:"newest"`
+	Members []admin.MemberStatus `json:"members"`
+}
+
+// Execute prints the version that each member holds.
+func (c *statusCommand) Execute([]string) error {
+	fleet, err := admin.NewClient(c.Admin).Fleet(c.ctx)
+	if err != nil {
+		return err
+	}
+	answer := statusAnswer{Newest: assess(fleet, newestRevision(fleet)), Members: fleet.Members}
+	if err := c.print(c.stdout, answer, answer.write); err != nil {
+		return err
+	}
+	if code := answer.Newest.Progress.exitCode(); code != ExitOK {
+		return &result{code: code}
+	}
+	return nil
+}
+
+func (a statusAnswer) write(out io.Writer) {
+	lines := newTable(out, "NODE", "ZONE", "STATE", "VERSION", "GENERATION", "READER", "SOURCE AGE", "REMARK")
+	for _, member := range a.Members {
+		if member.Status == nil {
+			lines.row(string(member.Node), "", "", "", "", "", "", "gave no answer: "+member.Error)
+			continue
+		}
+		status := *member.Status
+		lines.row(string(status.Node), status.Zone, status.State, status.Held.String(),
+			strconv.FormatUint(status.Generation, 10), yesOrNo(status.Reader), sourceAge(status), remark(status))
+	}
+	lines.flush()
+	_, _ = fmt.Fprintf(out, "\nRevision %d is %s: %d of %d live members hold it.\n",
+		a.Newest.Revision, a.Newest.Progress, a.Newest.Holding, len(a.Members))
+}
+
+func yesOrNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
+func sourceAge(status admin.NodeStatus) string {
+	if status.SourceAge < 0 {
+		return "never"
+	}
+	return status.SourceAge.String()
+}
+
+func remark(status admin.NodeStatus) string {
+	if status.Refused == nil {
+		return ""
+	}
+	return fmt.Sprintf("refused %s: %s", status.Refused.Version, status.Refused.Reason)
+}
--- /dev/null
+++ b/internal/cli/watch.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const watchHelp = `Waits until a revision, or a later one, is in force on every live member, and otherwise says which members don't hold it and why. Exit codes: 0 in force everywhere, 1 refused, 3 the node gave no answer, 4 the time was over first.`
+
+// watchInterval is the time between two questions to the fleet.
+const watchInterval = 500 * time.Millisecond
+
+type watchCommand struct {
+	environment
+	adminFlags
+	outputFlags
+	Revision uint64        `long:"revision" value-name:"N" required:"yes" description:"revision to wait for, as the platform numbered it"`
+	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"30s" description:"longest time to wait"`
+}
+
+// Execute waits for the revision.
+func (c *watchCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	last, err := c.wait(ctx, admin.NewClient(c.Admin))
+	if err != nil {
+		return err
+	}
+	if err := c.print(c.stdout, last, last.write); err != nil {
+		return err
+	}
+	if code := last.Progress.exitCode(); code != ExitOK {
+		return &result{code: code}
+	}
+	return nil
+}
+
+// wait asks until the progress is final or ctx ends. A node that has answered
+// once may fail to answer later, as when it is restarted; the first question
+// must succeed.
+func (c *watchCommand) wait(ctx context.Context, client *admin.Client) (revisionReport, error) {
+	var last revisionReport
+	answered := false
+	for {
+		fleet, err := client.Fleet(ctx)
+		var unreachable *admin.UnreachableError
+		switch {
+		case err == nil:
+			next := assess(fleet, snapshot.Revision(c.Revision))
+			c.showProgress(last, next)
+			last, answered = next, true
+		case !answered || !errors.As(err, &unreachable):
+			return last, err
+		}
+		if last.Progress != progressPending {
+			return last, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, nil
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func (c *watchCommand) showProgress(last, next revisionReport) {
+	if last.Progress == "" || last.Holding != next.Holding {
+		_, _ = fmt.Fprintf(c.stderr, "%d of %d live members hold revision %d\n",
+			next.Holding, next.Holding+len(next.Missing), next.Revision)
+	}
+}
+
+func (r revisionReport) write(out io.Writer) {
+	switch r.Progress {
+	case progressInForce:
+		_, _ = fmt.Fprintf(out, "Revision %d is in force on all %d live members.\n", r.Revision, r.Holding)
+		return
+	case progressRefused:
+		_, _ = fmt.Fprintf(out, "Revision %d was refused and is in force nowhere. Mend it and submit a new revision.\n", r.Revision)
+	default:
+		_, _ = fmt.Fprintf(out, "Revision %d is not in force everywhere: %d of %d live members hold it.\n",
+			r.Revision, r.Holding, r.Holding+len(r.Missing))
+	}
+	lines := newTable(out, "NODE", "HOLDS", "WHY")
+	for _, member := range r.Missing {
+		lines.row(member.Node, member.Holds.String(), member.Why)
+	}
+	lines.flush()
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,3 +116,25 @@
 		c.Assert(again.Origin(field.Key).Flag, qt.IsTrue)
 	}
 }
+
+// TestExamplesAreRight loads the settings of the example deployments and checks
+// that no two nodes of one take the same name or port.
+func TestExamplesAreRight(t *testing.T) {
+	c := qt.New(t)
+	for deployment, nodes := range map[string]int{"montevideo": 16, "kerlann": 13} {
+		files, err := filepath.Glob(filepath.Join("..", "..", "examples", deployment, "settings", "*.yaml"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(files, qt.HasLen, nodes)
+		users := map[string]string{}
+		for _, file := range files {
+			loaded, err := settings.Load(file, nil)
+			c.Assert(err, qt.IsNil)
+			for _, claimed := range []string{loaded.Node.Name, loaded.Peers.Listen, loaded.Outbound.Listen,
+				loaded.Inbound.Listen, loaded.Inbound.Backend, loaded.Admin.Listen} {
+				c.Assert(users[claimed] == "" || claimed == "", qt.IsTrue, qt.Commentf("%s: %s is taken by %s", file, claimed, users[claimed]))
+				users[claimed] = file
+			}
+			c.Assert(loaded.Node.Name+".yaml", qt.Equals, filepath.Base(file))
+		}
+	}
+}
