Merge records, list and suspicions into one view

Cause: package membership had types and a contract, no Table. Ruled out: keeping in the records what follows from the list or from a reused address; tables would then differ by the order in which they heard things and repair would never settle. These are worked out beside the records. Members leaves out ended nodes.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -87,74 +87,12 @@
 	State       ListedState `json:"state"`
 }
 
-// Observation is a neighbour's report that it cannot reach a node. The subject
-// refutes it by publishing a record with a higher Sequence.
+// Observation is a neighbour's report that it cannot reach a node. It counts only
+// for the exact (Incarnation, Sequence) it names; the subject refutes it by
+// publishing a record with a higher Sequence.
 type Observation struct {
 	Subject     NodeID      `json:"subject"`
 	Incarnation Incarnation `json:"incarnation"`
 	Sequence    uint64      `json:"sequence"`
 	Observer    NodeID      `json:"observer"`
 }
-
-// Endpoint is one instance of a service that may take new work.
-type Endpoint struct {
-	Node        NodeID
-	Incarnation Incarnation
-	Region      string
-	Zone        string
-	DataAddress string
-	Slots       int
-	// Suspected is set while an unrefuted observation says that the node cannot
-	// be reached. It is a hint: the caller's own requests decide.
-	Suspected bool
-}
-
-// View is an immutable picture of the fleet.
-type View struct {
-	members   []Member
-	endpoints map[string][]Endpoint
-	ready     map[zoneKey]int
-}
-
-type zoneKey struct{ service, zone string }
-
-// Member is one instance as merged from all reports.
-type Member struct {
-	Record Record
-	// Listed tells whether the platform's list names the node now.
-	Listed bool
-	// Leaving is set once the list or the owner says that the node is leaving.
-	Leaving bool
-	// Suspected is set while an observation stands unrefuted.
-	Suspected bool
-}
-
-// Members returns all known instances, sorted by NodeID. The caller must not
-// change the slice.
-func (v *View) Members() []Member { return v.members }
-
-// Endpoints returns the instances of a service that may take new work, sorted
-// by NodeID. The caller must not change the slice.
-func (v *View) Endpoints(service string) []Endpoint { return v.endpoints[service] }
-
-// ReadyInstances counts the instances of a service that may take new work, in
-// one zone, or in all zones when zone is empty.
-func (v *View) ReadyInstances(service, zone string) int { return v.ready[zoneKey{service, zone}] }
-
-// Contract of Table (table.go), the mutable merge behind View. One goroutine
-// (the distribution engine) owns it; now is passed in:
-//
-//	func NewTable(self Record) *Table
-//	func (t *Table) Self() Record
-//	func (t *Table) SetSelfState(state State) (Record, bool)   // raises Sequence when it changes
-//	func (t *Table) MergeRecords(records []Record, now time.Time) (news []Record)
-//	    returns those that were new, for passing on; a record about self with a
-//	    higher incarnation raises our own above it.
-//	func (t *Table) MergeList(list []ListedMember, now time.Time) (changed bool)
-//	func (t *Table) Observe(observations []Observation, now time.Time) (news []Observation)
-//	    an observation about self is refuted by raising the own Sequence.
-//	func (t *Table) Expire(now time.Time) (changed bool)   // tombstones, list lag
-//	func (t *Table) Digest() uint64                          // order-independent, over all records
-//	func (t *Table) BucketDigests() [Buckets]uint64
-//	func (t *Table) RecordsIn(buckets []int) []Record
-//	func (t *Table) View() *View                             // cached until something changes
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Endpoint is one instance of a service that may take new work.
+type Endpoint struct {
+	Node        NodeID
+	Incarnation Incarnation
+	Region      string
+	Zone        string
+	DataAddress string
+	Slots       int
+	// Suspected is set while an unrefuted observation says that the node cannot
+	// be reached. It is a hint: the caller's own requests decide.
+	Suspected bool
+}
+
+// Member is one instance as merged from all reports.
+type Member struct {
+	// Record is what the owner published. Incarnation 0 marks a member that only
+	// the platform's list names: its address can be dialled, nothing else is known.
+	Record Record
+	// Listed tells whether the platform's list names the node at its address now.
+	Listed bool
+	// Leaving is set while the list or the owner says that the node is leaving.
+	Leaving bool
+	// Suspected is set while an observation stands unrefuted.
+	Suspected bool
+	// ListedAddress is the peer address in the platform's list where it differs
+	// from the record's, as a second address to dial; otherwise empty.
+	ListedAddress string
+}
+
+// MayTakeWork reports whether new requests may be sent to the member.
+func (m *Member) MayTakeWork() bool {
+	return m.Record.State == StateReady && !m.Leaving &&
+		m.Record.Service != "" && m.Record.DataAddress != ""
+}
+
+func (m *Member) endpoint() Endpoint {
+	return Endpoint{
+		Node:        m.Record.Node,
+		Incarnation: m.Record.Incarnation,
+		Region:      m.Record.Region,
+		Zone:        m.Record.Zone,
+		DataAddress: m.Record.DataAddress,
+		Slots:       m.Record.Slots,
+		Suspected:   m.Suspected,
+	}
+}
+
+// View is an immutable picture of the fleet. It is safe for concurrent use.
+type View struct {
+	members  []Member
+	services map[string]*serviceView
+}
+
+// serviceView is the part of a View about one service; views share it while
+// nothing in it changes.
+type serviceView struct {
+	endpoints []Endpoint
+	ready     int
+	zones     map[string]int
+}
+
+// NewView builds a view of the given members, in any order, each node at most
+// once.
+func NewView(members []Member) *View {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.Record.Node, b.Record.Node) })
+	affected := make(map[string]bool)
+	for i := range sorted {
+		affected[sorted[i].Record.Service] = true
+	}
+	return &View{members: sorted, services: buildServices(nil, sorted, affected)}
+}
+
+// Members returns all known instances that have not ended, the own one included,
+// sorted by NodeID. The caller must not change the slice.
+func (v *View) Members() []Member { return v.members }
+
+// Member returns the member of that name, if it is known and has not ended.
+func (v *View) Member(node NodeID) (Member, bool) {
+	index, found := slices.BinarySearchFunc(v.members, node, compareToNode)
+	if !found {
+		return Member{}, false
+	}
+	return v.members[index], true
+}
+
+// Endpoints returns the instances of a service that may take new work, suspected
+// ones included, sorted by NodeID. The caller must not change the slice.
+func (v *View) Endpoints(service string) []Endpoint {
+	if part := v.services[service]; part != nil {
+		return part.endpoints
+	}
+	return nil
+}
+
+// ReadyInstances counts the instances of a service that may take new work and
+// are not suspected, in one zone, or in all zones when zone is empty.
+func (v *View) ReadyInstances(service, zone string) int {
+	part := v.services[service]
+	switch {
+	case part == nil:
+		return 0
+	case zone == "":
+		return part.ready
+	default:
+		return part.zones[zone]
+	}
+}
+
+// SameEndpoints reports whether both views give the same endpoints for every
+// service, so that nothing that depends on endpoints alone needs another look.
+// It may report false for views that were not built one from the other.
+func (v *View) SameEndpoints(other *View) bool {
+	return maps.EqualFunc(v.services, other.services, func(a, b *serviceView) bool {
+		return a == b || slices.Equal(a.endpoints, b.endpoints)
+	})
+}
+
+func compareToNode(member Member, node NodeID) int {
+	return strings.Compare(string(member.Record.Node), string(node))
+}
+
+// buildServices returns old with the affected services built anew from members.
+func buildServices(old map[string]*serviceView, members []Member, affected map[string]bool) map[string]*serviceView {
+	delete(affected, "")
+	if len(affected) == 0 && old != nil {
+		return old
+	}
+	services := make(map[string]*serviceView, len(old)+1)
+	for name, part := range old {
+		if !affected[name] {
+			services[name] = part
+		}
+	}
+	for i := range members {
+		member := &members[i]
+		if affected[member.Record.Service] && member.MayTakeWork() {
+			addEndpoint(services, member)
+		}
+	}
+	return services
+}
+
+func addEndpoint(services map[string]*serviceView, member *Member) {
+	part := services[member.Record.Service]
+	if part == nil {
+		part = &serviceView{zones: make(map[string]int)}
+		services[member.Record.Service] = part
+	}
+	part.endpoints = append(part.endpoints, member.endpoint())
+	if !member.Suspected {
+		part.ready++
+		part.zones[member.Record.Zone]++
+	}
+}
+
+// next returns the view that follows v when the members in changed replace those
+// of the same name, and the names in removed are no longer members. changed is
+// sorted by NodeID.
+func (v *View) next(changed []Member, removed map[NodeID]bool) *View {
+	affected := make(map[string]bool)
+	members := make([]Member, 0, len(v.members)+len(changed))
+	rest := changed
+	for _, member := range v.members {
+		for len(rest) > 0 && rest[0].Record.Node < member.Record.Node {
+			members = append(members, rest[0])
+			noteAffected(affected, Member{}, rest[0])
+			rest = rest[1:]
+		}
+		switch {
+		case len(rest) > 0 && rest[0].Record.Node == member.Record.Node:
+			members = append(members, rest[0])
+			noteAffected(affected, member, rest[0])
+			rest = rest[1:]
+		case removed[member.Record.Node]:
+			noteAffected(affected, member, Member{})
+		default:
+			members = append(members, member)
+		}
+	}
+	for _, member := range rest {
+		members = append(members, member)
+		noteAffected(affected, Member{}, member)
+	}
+	return &View{members: members, services: buildServices(v.services, members, affected)}
+}
+
+// noteAffected names the services whose endpoints differ between two states of
+// one member.
+func noteAffected(affected map[string]bool, before, after Member) {
+	hadWork, hasWork := before.MayTakeWork(), after.MayTakeWork()
+	sameService := before.Record.Service == after.Record.Service
+	if hadWork && hasWork && sameService && before.endpoint() == after.endpoint() {
+		return
+	}
+	if hadWork {
+		affected[before.Record.Service] = true
+	}
+	if hasWork {
+		affected[after.Record.Service] = true
+	}
+}
