Encode the messages between nodes

Cause: the protocol had types but no encoding. Ruled out: hamba/avro's reflection over schemas. Its array decoder grows a slice to the declared count (and to a negative length when the count overflows) before it reads an item, and Unmarshal takes a body that ends early as complete. The library's primitives are used instead, with every length checked against the body; a test has the library read each body by protocol.avsc. Change: varint frame length, codec, limits, tests, a fuzz target. Messages gained what repair and reading need: heartbeat interval and reading state, probe purpose, digest request, list entries ordered one by one. Conclusion: a malformed frame is an error that wraps ErrFrame.

--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,205 @@
+package wire
+
+import (
+	"github.com/hamba/avro/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// encodeBufferBytes holds most messages without growing.
+const encodeBufferBytes = 128
+
+// The least encoded sizes of array items, in bytes: one for each variable field.
+const (
+	minRecordBytes      = 10
+	minObservationBytes = 4
+	minListedBytes      = 8
+	minResourceBytes    = 3
+	minKeyBytes         = 2
+	digestBytes         = 8
+)
+
+// Encode returns a whole frame, ready to be written to many links.
+func Encode(message Message) ([]byte, error) {
+	e := encoder{avro.NewWriter(nil, encodeBufferBytes)}
+	if !e.message(message) {
+		return nil, eris.Errorf("no encoding for message type %d", message.Type())
+	}
+	if e.Error != nil {
+		return nil, eris.Wrapf(e.Error, "encode message type %d", message.Type())
+	}
+	return appendFrame(message.Type(), e.Buffer()), nil
+}
+
+// Decode returns the message in a frame's body. Errors wrap ErrFrame.
+func Decode(messageType Type, body []byte) (Message, error) {
+	reader := avro.NewReader(nil, 0)
+	d := decoder{Reader: reader.Reset(body), bodyBytes: len(body)}
+	message := d.message(messageType)
+	if message == nil {
+		return nil, eris.Wrapf(ErrFrame, "unknown message type %d", messageType)
+	}
+	if err := d.finish(); err != nil {
+		return nil, eris.Wrapf(err, "message type %d", messageType)
+	}
+	return message, nil
+}
+
+func (e encoder) message(message Message) bool {
+	switch m := message.(type) {
+	case *Hello:
+		e.hello(m)
+	case *Heartbeat:
+		e.long(m.Interval)
+		e.small(uint8(m.Reading))
+		e.long(m.SourceAge)
+	case *Announce:
+		e.version(m.Version)
+	case *Pull:
+		e.version(m.Want)
+		e.version(m.Held)
+	case *Update:
+		e.update(m)
+	case *Digest:
+		e.version(m.Held)
+		e.fixed64(m.FleetDigest)
+		e.long(m.SourceAge)
+		e.small(uint8(m.Request))
+	case *Records:
+		encodeArray(e, m.Records, e.record)
+		encodeArray(e, m.Observations, e.observation)
+		encodeArray(e, m.Listed, e.listedEntry)
+	case *RecordPull:
+		encodeArray(e, m.Buckets, e.fixed64)
+		encodeArray(e, m.ListBuckets, e.fixed64)
+		e.boolean(m.Reply)
+	case *Refusal:
+		e.version(m.Version)
+		e.text(m.Reason)
+		e.text(string(m.By))
+	case *StatusRequest:
+	case *StatusReply:
+		e.statusReply(m)
+	case *Goodbye:
+		e.text(m.Reason)
+	default:
+		return false
+	}
+	return true
+}
+
+func (e encoder) hello(m *Hello) {
+	e.long(int64(m.Protocol))
+	e.record(m.Self)
+	e.version(m.Held)
+	e.fixed64(m.FleetDigest)
+	e.small(uint8(m.Purpose))
+	e.long(m.Interval)
+	e.boolean(m.Group)
+}
+
+func (e encoder) update(m *Update) {
+	e.version(m.Delta.Base)
+	e.version(m.Delta.Target)
+	encodeArray(e, m.Delta.Changed, e.resource)
+	encodeArray(e, m.Delta.Removed, e.key)
+}
+
+func (e encoder) statusReply(m *StatusReply) {
+	e.text(string(m.Node))
+	e.unsigned(uint64(m.Incarnation))
+	e.text(m.Zone)
+	e.small(uint8(m.State))
+	e.version(m.Held)
+	e.unsigned(m.Generation)
+	e.version(m.Refused)
+	e.text(m.Reason)
+	e.version(m.Conflict)
+	e.boolean(m.Reader)
+	e.long(m.SourceAge)
+}
+
+// message reads the fields in the order in which encoder.message writes them;
+// Go evaluates the elements of a composite literal from left to right.
+func (d decoder) message(messageType Type) Message {
+	switch messageType {
+	case TypeHello:
+		return d.hello()
+	case TypeHeartbeat:
+		return &Heartbeat{Interval: d.long(), Reading: Reading(d.small()), SourceAge: d.long()}
+	case TypeAnnounce:
+		return &Announce{Version: d.version()}
+	case TypePull:
+		return &Pull{Want: d.version(), Held: d.version()}
+	case TypeUpdate:
+		return d.update()
+	case TypeDigest:
+		return &Digest{
+			Held:        d.version(),
+			FleetDigest: d.fixed64(),
+			SourceAge:   d.long(),
+			Request:     DigestRequest(d.small()),
+		}
+	case TypeRecords:
+		return &Records{
+			Records:      decodeArray(d, minRecordBytes, d.record),
+			Observations: decodeArray(d, minObservationBytes, d.observation),
+			Listed:       decodeArray(d, minListedBytes, d.listedEntry),
+		}
+	case TypeRecordPull:
+		return &RecordPull{
+			Buckets:     decodeArray(d, digestBytes, d.fixed64),
+			ListBuckets: decodeArray(d, digestBytes, d.fixed64),
+			Reply:       d.boolean(),
+		}
+	case TypeRefusal:
+		return &Refusal{Version: d.version(), Reason: d.text(), By: membership.NodeID(d.text())}
+	case TypeStatusRequest:
+		return &StatusRequest{}
+	case TypeStatusReply:
+		return d.statusReply()
+	case TypeGoodbye:
+		return &Goodbye{Reason: d.text()}
+	default:
+		return nil
+	}
+}
+
+func (d decoder) hello() *Hello {
+	return &Hello{
+		Protocol:    int(d.long()),
+		Self:        d.record(),
+		Held:        d.version(),
+		FleetDigest: d.fixed64(),
+		Purpose:     Purpose(d.small()),
+		Interval:    d.long(),
+		Group:       d.boolean(),
+	}
+}
+
+func (d decoder) update() *Update {
+	return &Update{Delta: snapshot.Delta{
+		Base:    d.version(),
+		Target:  d.version(),
+		Changed: decodeArray(d, minResourceBytes, d.resource),
+		Removed: decodeArray(d, minKeyBytes, d.key),
+	}}
+}
+
+func (d decoder) statusReply() *StatusReply {
+	return &StatusReply{
+		Node:        membership.NodeID(d.text()),
+		Incarnation: membership.Incarnation(d.unsigned()),
+		Zone:        d.text(),
+		State:       membership.State(d.small()),
+		Held:        d.version(),
+		Generation:  d.unsigned(),
+		Refused:     d.version(),
+		Reason:      d.text(),
+		Conflict:    d.version(),
+		Reader:      d.boolean(),
+		SourceAge:   d.long(),
+	}
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -2,8 +2,9 @@
 // schemas, the framing and its size limits. It knows nothing of what a message
 // leads to (package distribution).
 //
-// A frame is a 4-byte big-endian length of what follows, a 1-byte Type and the
-// Avro encoding of the message.
+// A frame is the length of what follows as an unsigned variable-length integer
+// (as in protocol buffers, at most 4 bytes), a 1-byte Type and the Avro encoding
+// of the message. protocol.avsc holds the schemas.
 package wire
 
 import (
@@ -45,6 +46,11 @@
 	FleetDigest uint64
 	// Purpose tells a lasting link from a short query.
 	Purpose Purpose
+	// Interval is as in Heartbeat.
+	Interval int64
+	// Group asks for a link between nodes that may read the source; such links
+	// are taken beyond the bound of ordinary links.
+	Group bool
 }
 
 // Purpose tells why a connection was opened.
@@ -54,10 +60,28 @@
 const (
 	PurposeLink   Purpose = 1 // a lasting overlay link
 	PurposeStatus Purpose = 2 // one StatusRequest, then closed
+	PurposeProbe  Purpose = 3 // learns what the peer holds, may pull it, then closes
+)
+
+// Reading tells what a node does about the source.
+type Reading uint8
+
+// The states of reading.
+const (
+	ReadingIdle     Reading = 0 // leaves it to others
+	ReadingActive   Reading = 1 // reads, and its last read succeeded
+	ReadingResigned Reading = 2 // its reads fail: the next in rank reads
 )
 
 // Heartbeat keeps a quiet link known to be alive.
-type Heartbeat struct{}
+type Heartbeat struct {
+	// Interval is the longest time, in milliseconds, that the sender lets pass
+	// without a frame on this link from now on.
+	Interval int64
+	Reading  Reading
+	// SourceAge is as in Digest.
+	SourceAge int64
+}
 
 // Announce tells that the sender has put a version in force.
 type Announce struct{ Version snapshot.Version }
@@ -76,26 +100,44 @@
 	Held        snapshot.Version
 	FleetDigest uint64
 	// SourceAge is how many milliseconds ago, by the sender's knowledge, any
-	// reader last confirmed the revision with the source.
+	// reader last confirmed the revision with the source; negative: never.
 	SourceAge int64
+	Request   DigestRequest
 }
 
+// DigestRequest tells an unsolicited Digest from a question and its answer.
+type DigestRequest uint8
+
+// The kinds of Digest.
+const (
+	DigestPlain  DigestRequest = 0
+	DigestAsk    DigestRequest = 1 // wants a Digest in return
+	DigestAnswer DigestRequest = 2
+)
+
 // Records carries endpoint records, observations and platform list changes.
 type Records struct {
 	Records      []membership.Record
 	Observations []membership.Observation
-	// Listed and Unlisted carry changes of the platform's list.
-	Listed   []membership.ListedMember
-	Unlisted []membership.NodeID
-	// ListVersion orders the list changes: the time of the reader's read in Unix
-	// milliseconds. Zero when the message carries none.
-	ListVersion int64
+	// Listed carries changes of the platform's list.
+	Listed []ListedEntry
+}
+
+// ListedEntry is what a reader found of one machine in the platform's list.
+type ListedEntry struct {
+	Member membership.ListedMember
+	// Unlisted is set when the list no longer names the machine.
+	Unlisted bool
+	// ReadAt is the reader's clock in Unix milliseconds; the highest wins.
+	ReadAt int64
 }
 
 // RecordPull carries the digest of each bucket of the sender's records; the
 // receiver answers with its records of the buckets that differ.
 type RecordPull struct {
 	Buckets []uint64
+	// ListBuckets is the same for the entries of the platform's list.
+	ListBuckets []uint64
 	// Reply asks for a RecordPull in return, so that both sides are repaired.
 	Reply bool
 }
@@ -121,7 +163,9 @@
 	Generation  uint64
 	Refused     snapshot.Version
 	Reason      string
-	Reader      bool
+	// Conflict is a version seen with the revision of Held and other content.
+	Conflict snapshot.Version
+	Reader   bool
 	// SourceAge is as in Digest.
 	SourceAge int64
 }
@@ -165,11 +209,3 @@
 
 // Type returns TypeGoodbye.
 func (*Goodbye) Type() Type { return TypeGoodbye }
-
-// Contract of the functions beside these types (codec.go, frame.go):
-//
-//	func Encode(message Message) ([]byte, error)            // a whole frame, ready to write to many links
-//	func Decode(messageType Type, body []byte) (Message, error)
-//	type Reader; func NewReader(r io.Reader, limits Limits) *Reader
-//	func (r *Reader) Next() (message Message, frameBytes int, err error)
-//	type Limits struct{ MaxFrameBytes int }                 // checked before anything is allocated
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,260 @@
+package wire_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math"
+	"os"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hamba/avro/v2"
+	"pgregory.net/rapid"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// headerBytes is the size of length and type of a frame below 128 bytes.
+const headerBytes = 2
+
+// messages draws any message, with nil for empty slices as Decode returns them.
+func messages() *rapid.Generator[wire.Message] {
+	number := rapid.Uint64Range(0, math.MaxInt64)
+	version := rapid.Custom(func(t *rapid.T) snapshot.Version {
+		hash := rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "hash")
+		return snapshot.Version{Revision: snapshot.Revision(number.Draw(t, "revision")), Hash: [16]byte(hash)}
+	})
+	var (
+		node        = rapid.Make[membership.NodeID]()
+		positive    = rapid.Int64Range(0, math.MaxInt64)
+		small       = rapid.Byte()
+		body        = rapid.SliceOfN(rapid.Byte(), 1, 40)
+		anyNumber   = rapid.Int64()
+		text        = rapid.String()
+		fixed64s    = orNil(rapid.Uint64())
+		incarnation = rapid.Custom(func(t *rapid.T) membership.Incarnation {
+			return membership.Incarnation(number.Draw(t, "incarnation"))
+		})
+	)
+	record := rapid.Custom(func(t *rapid.T) membership.Record {
+		return membership.Record{
+			Node: node.Draw(t, "node"), Incarnation: incarnation.Draw(t, "i"), Sequence: number.Draw(t, "s"),
+			State: membership.State(small.Draw(t, "state")), Region: text.Draw(t, "region"), Zone: text.Draw(t, "zone"),
+			PeerAddress: text.Draw(t, "peer"), DataAddress: text.Draw(t, "data"), Service: text.Draw(t, "service"),
+			Slots: int(anyNumber.Draw(t, "slots")),
+		}
+	})
+	observation := rapid.Custom(func(t *rapid.T) membership.Observation {
+		return membership.Observation{Subject: node.Draw(t, "subject"), Incarnation: incarnation.Draw(t, "i"),
+			Sequence: number.Draw(t, "s"), Observer: node.Draw(t, "observer")}
+	})
+	key := rapid.Custom(func(t *rapid.T) snapshot.Key {
+		return snapshot.Key{Kind: snapshot.Kind(small.Draw(t, "kind")), Name: text.Draw(t, "name")}
+	})
+	resource := rapid.Custom(func(t *rapid.T) snapshot.Resource {
+		return snapshot.Resource{Key: key.Draw(t, "key"), Body: body.Draw(t, "body")}
+	})
+	return rapid.Custom(func(t *rapid.T) wire.Message {
+		switch wire.Type(rapid.IntRange(1, 12).Draw(t, "type")) {
+		case wire.TypeHello:
+			return &wire.Hello{Protocol: int(positive.Draw(t, "p")), Self: record.Draw(t, "self"),
+				Held: version.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
+				Purpose: wire.Purpose(small.Draw(t, "purpose")), Interval: anyNumber.Draw(t, "interval"),
+				Group: rapid.Bool().Draw(t, "group")}
+		case wire.TypeHeartbeat:
+			return &wire.Heartbeat{Interval: anyNumber.Draw(t, "interval"),
+				Reading: wire.Reading(small.Draw(t, "reading")), SourceAge: anyNumber.Draw(t, "age")}
+		case wire.TypeAnnounce:
+			return &wire.Announce{Version: version.Draw(t, "version")}
+		case wire.TypePull:
+			return &wire.Pull{Want: version.Draw(t, "want"), Held: version.Draw(t, "held")}
+		case wire.TypeUpdate:
+			return &wire.Update{Delta: snapshot.Delta{Base: version.Draw(t, "base"), Target: version.Draw(t, "target"),
+				Changed: orNil(resource).Draw(t, "changed"), Removed: orNil(key).Draw(t, "removed")}}
+		case wire.TypeDigest:
+			return &wire.Digest{Held: version.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
+				SourceAge: anyNumber.Draw(t, "age"), Request: wire.DigestRequest(small.Draw(t, "request"))}
+		case wire.TypeRecords:
+			listed := rapid.Custom(func(t *rapid.T) wire.ListedEntry {
+				return wire.ListedEntry{Unlisted: rapid.Bool().Draw(t, "unlisted"), ReadAt: anyNumber.Draw(t, "at"),
+					Member: membership.ListedMember{Node: node.Draw(t, "node"), PeerAddress: text.Draw(t, "peer"),
+						Region: text.Draw(t, "region"), Zone: text.Draw(t, "zone"), Service: text.Draw(t, "service"),
+						State: membership.ListedState(text.Draw(t, "state"))}}
+			})
+			return &wire.Records{Records: orNil(record).Draw(t, "records"),
+				Observations: orNil(observation).Draw(t, "observations"), Listed: orNil(listed).Draw(t, "listed")}
+		case wire.TypeRecordPull:
+			return &wire.RecordPull{Buckets: fixed64s.Draw(t, "buckets"), ListBuckets: fixed64s.Draw(t, "list"),
+				Reply: rapid.Bool().Draw(t, "reply")}
+		case wire.TypeRefusal:
+			return &wire.Refusal{Version: version.Draw(t, "version"), Reason: text.Draw(t, "reason"), By: node.Draw(t, "by")}
+		case wire.TypeStatusReply:
+			return &wire.StatusReply{Node: node.Draw(t, "node"), Incarnation: incarnation.Draw(t, "i"),
+				Zone: text.Draw(t, "zone"), State: membership.State(small.Draw(t, "state")), Held: version.Draw(t, "held"),
+				Generation: number.Draw(t, "generation"), Refused: version.Draw(t, "refused"),
+				Reason: text.Draw(t, "reason"), Conflict: version.Draw(t, "conflict"),
+				Reader: rapid.Bool().Draw(t, "reader"), SourceAge: anyNumber.Draw(t, "age")}
+		case wire.TypeGoodbye:
+			return &wire.Goodbye{Reason: text.Draw(t, "reason")}
+		default:
+			return &wire.StatusRequest{}
+		}
+	})
+}
+
+func orNil[T any](item *rapid.Generator[T]) *rapid.Generator[[]T] {
+	return rapid.Custom(func(t *rapid.T) []T {
+		return append([]T(nil), rapid.SliceOfN(item, 0, 4).Draw(t, "items")...)
+	})
+}
+
+func TestMessagesSurviveEncodingAndFraming(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := rapid.SliceOfN(messages(), 1, 4).Draw(t, "messages")
+		var stream bytes.Buffer
+		for _, message := range sent {
+			frame, err := wire.Encode(message)
+			check(t, err, qt.IsNil)
+			stream.Write(frame)
+		}
+		total := stream.Len()
+		reader := wire.NewReader(&stream, wire.Limits{})
+		for _, message := range sent {
+			received, frameBytes, err := reader.Next()
+			check(t, err, qt.IsNil)
+			check(t, received, qt.DeepEquals, message)
+			total -= frameBytes
+		}
+		check(t, total, qt.Equals, 0)
+		_, _, err := reader.Next()
+		check(t, err, qt.Equals, io.EOF)
+	})
+}
+
+// TestEncodingFollowsSchemas has the library read each body by its schema and
+// write it again: the same bytes show that protocol.avsc tells the truth.
+func TestEncodingFollowsSchemas(t *testing.T) {
+	text, err := os.ReadFile("protocol.avsc")
+	qt.Assert(t, err, qt.IsNil)
+	cache := &avro.SchemaCache{}
+	_, err = avro.ParseBytesWithCache(text, "", cache)
+	qt.Assert(t, err, qt.IsNil)
+	api := avro.Config{DisableBlockSizeHeader: true}.Freeze()
+	rapid.Check(t, func(t *rapid.T) {
+		message := messages().Draw(t, "message")
+		frame, err := wire.Encode(message)
+		check(t, err, qt.IsNil)
+		body := bodyOf(frame)
+		schema := cache.Get("Message" + strconv.Itoa(int(message.Type())))
+		check(t, schema, qt.IsNotNil)
+		var generic map[string]any
+		check(t, api.Unmarshal(schema, body, &generic), qt.IsNil)
+		again, err := api.Marshal(schema, generic)
+		check(t, err, qt.IsNil)
+		check(t, again, qt.DeepEquals, body)
+	})
+}
+
+// check is qt.Assert for a rapid.T, which is no testing.TB.
+func check(t *rapid.T, got any, checker qt.Checker, args ...any) {
+	if err := checker.Check(got, args, func(string, any) {}); err != nil {
+		t.Fatalf("%v: got %#v, want %v", err, got, args)
+	}
+}
+
+func bodyOf(frame []byte) []byte {
+	for i, b := range frame {
+		if b < 0x80 {
+			return append([]byte{}, frame[i+2:]...)
+		}
+	}
+	return nil
+}
+
+// long is the Avro encoding of a long.
+func long(value int64) []byte {
+	writer := avro.NewWriter(nil, 16)
+	writer.WriteLong(value)
+	return append([]byte{}, writer.Buffer()...)
+}
+
+func frameOf(messageType wire.Type, parts ...[]byte) []byte {
+	body := bytes.Join(parts, nil)
+	return append([]byte{byte(len(body) + 1), byte(messageType)}, body...)
+}
+
+func TestMalformedFrames(t *testing.T) {
+	version := make([]byte, 17)
+	cases := []struct {
+		name  string
+		frame []byte
+		cut   bool // the connection ended: no fault of the frame
+	}{
+		{name: "empty frame", frame: []byte{0}},
+		{name: "length never ends", frame: []byte{0xff, 0xff, 0xff, 0xff, 0xff}},
+		{name: "length above the limit", frame: []byte{0xff, 0xff, 0x7f, 1}},
+		{name: "length cut", frame: []byte{0x80}, cut: true},
+		{name: "body cut", frame: []byte{9, byte(wire.TypeGoodbye), 2}, cut: true},
+		{name: "long body cut", frame: []byte{0xa0, 0x8d, 0x06, byte(wire.TypeUpdate), 2}, cut: true},
+		{name: "unknown type", frame: []byte{1, 99}},
+		{name: "type zero", frame: []byte{1, 0}},
+		{name: "body ends early", frame: frameOf(wire.TypeAnnounce, version[:9])},
+		{name: "bytes after the message", frame: frameOf(wire.TypeAnnounce, version, []byte{0})},
+		{name: "negative revision", frame: frameOf(wire.TypeAnnounce, long(-2), version[1:])},
+		{name: "number too long", frame: frameOf(wire.TypeAnnounce, bytes.Repeat([]byte{0xff}, 12), version)},
+		{name: "string beyond the frame", frame: frameOf(wire.TypeGoodbye, long(1<<40))},
+		{name: "string of negative length", frame: frameOf(wire.TypeGoodbye, long(-1))},
+		{name: "array beyond the frame", frame: frameOf(wire.TypeRecordPull, long(1<<50))},
+		{name: "array count overflows", frame: frameOf(wire.TypeRecordPull, long(math.MinInt64), long(0))},
+		{name: "array of two blocks beyond the frame", frame: frameOf(wire.TypeUpdate, version, version,
+			long(1), make([]byte, 3), long(math.MaxInt64))},
+		{name: "boolean of two", frame: frameOf(wire.TypeRecordPull, long(0), long(0), []byte{2})},
+		{name: "state out of range", frame: frameOf(wire.TypeHeartbeat, long(1), long(256), long(1))},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			reader := wire.NewReader(bytes.NewReader(test.frame), wire.Limits{MaxFrameBytes: 1 << 20})
+			_, _, err := reader.Next()
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, errors.Is(err, wire.ErrFrame), qt.Equals, !test.cut, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestQuietMessagesAreSmall(t *testing.T) {
+	heartbeat, err := wire.Encode(&wire.Heartbeat{Interval: 5000, SourceAge: 2000})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(heartbeat) <= headerBytes+5, qt.IsTrue)
+}
+
+func FuzzDecode(f *testing.F) {
+	seeds := []wire.Message{
+		&wire.Hello{Self: membership.Record{Node: "a", Zone: "z"}}, &wire.Heartbeat{Interval: 700},
+		&wire.Announce{}, &wire.Pull{}, &wire.Digest{SourceAge: -1}, &wire.Refusal{Reason: "r"},
+		&wire.Update{Delta: snapshot.Delta{Changed: []snapshot.Resource{{Key: snapshot.Key{Kind: 1, Name: "s"}, Body: []byte("{}")}}}},
+		&wire.Records{Records: []membership.Record{{Node: "a"}}, Observations: []membership.Observation{{Subject: "b"}},
+			Listed: []wire.ListedEntry{{ReadAt: 5}}},
+		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
+	}
+	for _, message := range seeds {
+		frame, err := wire.Encode(message)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(uint8(message.Type()), bodyOf(frame))
+	}
+	f.Fuzz(func(t *testing.T, messageType uint8, body []byte) {
+		message, err := wire.Decode(wire.Type(messageType), body)
+		if err != nil {
+			qt.Assert(t, errors.Is(err, wire.ErrFrame), qt.IsTrue)
+			return
+		}
+		frame, err := wire.Encode(message)
+		qt.Assert(t, err, qt.IsNil)
+		again, _, err := wire.NewReader(bytes.NewReader(frame), wire.Limits{}).Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again, qt.DeepEquals, message)
+	})
+}
