--- a/internal/bench/command/platform.go
+++ b/internal/bench/command/platform.go
@@ -24,6 +24,7 @@
 	Operators  string        `long:"operators" value-name:"IP:PORT" description:"where operators write; none if left out"`
 	Content    string        `long:"content" value-name:"PATH" description:"first content: a YAML file, or a directory with content.yaml and policies/*.star"`
 	Members    string        `long:"members" value-name:"PATTERN" description:"settings files of the members, such as 'examples/montevideo/settings/*.yaml'"`
+	Host       string        `long:"host" value-name:"IP" description:"IP that the members run on instead of the one in their settings"`
 	MemberLag  time.Duration `long:"member-lag" description:"how late changes of the members show"`
 	MaxReaders int           `long:"max-readers" description:"clients that may read the configuration at one time; 0: any number"`
 }
@@ -56,19 +57,26 @@
 		}
 	}
 	if c.Members != "" {
-		if options.Members, err = members(c.Members); err != nil {
+		if options.Members, err = members(c.Members, c.Host); err != nil {
 			return nil, err
 		}
 	}
 	return platform.New(options)
 }
 
-func members(pattern string) ([]membership.ListedMember, error) {
+// members returns the list of the nodes whose settings match the pattern.
+func members(pattern, host string) ([]membership.ListedMember, error) {
 	nodes, err := deployment.LoadNodes(pattern)
 	if err != nil {
 		return nil, err
 	}
-	return (&deployment.Deployment{Nodes: nodes}).Members(), nil
+	plan := &deployment.Deployment{Nodes: nodes}
+	if host != "" {
+		if plan, err = plan.On(host); err != nil {
+			return nil, err
+		}
+	}
+	return plan.Members(), nil
 }
 
 func (c *platformCommand) serve(ctx context.Context, group *errgroup.Group, address string, serve func(context.Context, net.Listener) error) error {
--- a/internal/bench/deployment/deployment.go
+++ b/internal/bench/deployment/deployment.go
@@ -8,11 +8,9 @@
 
 import (
 	"bytes"
-	"net"
-	"net/url"
+	"maps"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -36,6 +34,20 @@
 	settings.Settings
 	// File is the path of its settings file.
 	File string
+	// Overrides are what differs from the file, by dotted key.
+	Overrides settings.Overrides
+}
+
+// With returns the node with some settings overridden, by dotted key.
+func (n Node) With(overrides settings.Overrides) (Node, error) {
+	merged := settings.Overrides{}
+	maps.Copy(merged, n.Overrides)
+	maps.Copy(merged, overrides)
+	loaded, err := settings.Load(n.File, merged)
+	if err != nil {
+		return Node{}, eris.Wrapf(err, "settings %s", n.File)
+	}
+	return Node{Settings: loaded.Settings, File: n.File, Overrides: merged}, nil
 }
 
 // Edge reports whether the node stands alone, for callers.
@@ -86,11 +98,11 @@
 	}
 	nodes := make([]Node, 0, len(files))
 	for _, file := range files {
-		loaded, err := settings.Load(file, nil)
+		node, err := Node{File: file}.With(nil)
 		if err != nil {
-			return nil, eris.Wrapf(err, "settings %s", file)
+			return nil, err
 		}
-		nodes = append(nodes, Node{Settings: loaded.Settings, File: file})
+		nodes = append(nodes, node)
 	}
 	return nodes, nil
 }
@@ -155,38 +167,3 @@
 	}
 	return members
 }
-
-// Rehost returns the deployment with the IP of every address replaced, so that
-// several can run on one machine. The ports stay.
-func (d *Deployment) Rehost(host string) (*Deployment, error) {
-	moved := &Deployment{Name: d.Name, Content: d.Content, Nodes: slices.Clone(d.Nodes)}
-	for i := range moved.Nodes {
-		if err := rehost(&moved.Nodes[i].Settings, host); err != nil {
-			return nil, eris.Wrapf(err, "move %s", moved.Nodes[i].Node.Name)
-		}
-	}
-	return moved, nil
-}
-
-func rehost(node *settings.Settings, host string) error {
-	platform, err := url.Parse(node.Platform.URL)
-	if err != nil {
-		return err
-	}
-	addresses := []*string{
-		&platform.Host, &node.Peers.Listen, &node.Peers.Advertise, &node.Outbound.Listen,
-		&node.Inbound.Listen, &node.Inbound.Advertise, &node.Inbound.Backend, &node.Admin.Listen,
-	}
-	for _, address := range addresses {
-		if *address == "" {
-			continue
-		}
-		_, port, err := net.SplitHostPort(*address)
-		if err != nil {
-			return err
-		}
-		*address = net.JoinHostPort(host, port)
-	}
-	node.Platform.URL = platform.String()
-	return nil
-}
--- /dev/null
+++ b/internal/bench/mesh/mesh.go
@@ -0,0 +1,181 @@
+// Package mesh runs a whole deployment on one machine: the emulated platform,
+// the emulated back ends and the nodes, in this process or as processes of the
+// winchhead binary, with fault proxies on the hops between them. The demo, the
+// soak and the integration tests stand on it. It judges nothing.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/bench/load"
+	"github.com/winchhead/winchhead/internal/emulator/backend"
+	"github.com/winchhead/winchhead/internal/emulator/platform"
+	"github.com/winchhead/winchhead/internal/settings"
+)
+
+// Options sets up a Mesh.
+type Options struct {
+	Deployment *deployment.Deployment
+	// Host is the loopback IP of all addresses; empty picks one that no other
+	// mesh uses.
+	Host string
+	// Binary is the path of the winchhead binary; empty runs the nodes in this
+	// process, where they cannot be killed or paused.
+	Binary string
+	// Logs takes what the nodes log; nil drops it.
+	Logs io.Writer
+	// Overrides are settings of every node, by dotted key.
+	Overrides settings.Overrides
+	// Hops lists where fault proxies stand; none by default.
+	Hops []Hop
+	// Platform sets the emulated platform; Content and Members are filled in.
+	Platform platform.Options
+	// Backend sets every emulated back end; Name, Slots, Connections and Outbound
+	// are filled in.
+	Backend backend.Options
+}
+
+// Mesh is a running deployment.
+type Mesh struct {
+	// Platform is the emulated platform with its operators' side.
+	Platform *Platform
+	// Entries are the outbound addresses of the edges that run.
+	Entries *load.Entries
+
+	options  Options
+	nodes    []*Node
+	backends []*Backend
+	hops     hopTable
+}
+
+// Start starts the platform, all back ends and all nodes. It doesn't wait until
+// they are ready.
+func Start(ctx context.Context, options Options) (*Mesh, error) {
+	m := &Mesh{options: options, hops: hopTable{}, Entries: load.NewEntries()}
+	if err := m.start(ctx); err != nil {
+		return nil, errors.Join(err, m.Close())
+	}
+	return m, nil
+}
+
+func (m *Mesh) start(ctx context.Context) error {
+	plan, err := m.plan()
+	if err != nil {
+		return err
+	}
+	if m.Platform, err = startPlatform(m.options.Platform, plan); err != nil {
+		return err
+	}
+	for _, node := range plan.Nodes {
+		if err := m.add(ctx, node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plan moves the deployment to the mesh's own addresses.
+func (m *Mesh) plan() (*deployment.Deployment, error) {
+	host := m.options.Host
+	if host == "" {
+		host = NextHost()
+	}
+	moved, err := m.options.Deployment.On(host)
+	if err != nil {
+		return nil, err
+	}
+	return moved.Map(func(deployment.Node) (settings.Overrides, error) { return m.options.Overrides, nil })
+}
+
+// add starts a node and the back end beside it.
+func (m *Mesh) add(ctx context.Context, plan deployment.Node) error {
+	if !plan.Edge() {
+		instance, err := startBackend(m.options.Backend, plan)
+		if err != nil {
+			return err
+		}
+		m.backends = append(m.backends, instance)
+	}
+	proxied, err := m.hops.install(m.options.Hops, plan)
+	if err != nil {
+		return err
+	}
+	node := &Node{mesh: m, plan: proxied, runner: m.newRunner(proxied)}
+	m.nodes = append(m.nodes, node)
+	return node.Start(ctx)
+}
+
+func (m *Mesh) newRunner(plan deployment.Node) runner {
+	if m.options.Binary == "" {
+		return newEmbedded(plan, m.options.Logs)
+	}
+	return newProcess(m.options.Binary, plan, m.options.Logs)
+}
+
+// Nodes returns all nodes.
+func (m *Mesh) Nodes() []*Node { return slices.Clone(m.nodes) }
+
+// Node returns the node of that name; it panics when the deployment has none.
+func (m *Mesh) Node(name string) *Node {
+	for _, node := range m.nodes {
+		if node.Name() == name {
+			return node
+		}
+	}
+	panic("the deployment has no node " + name)
+}
+
+// Edges returns the nodes for callers.
+func (m *Mesh) Edges() []*Node {
+	return slices.DeleteFunc(m.Nodes(), func(node *Node) bool { return !node.plan.Edge() })
+}
+
+// Beside returns the nodes beside back ends.
+func (m *Mesh) Beside() []*Node {
+	return slices.DeleteFunc(m.Nodes(), func(node *Node) bool { return node.plan.Edge() })
+}
+
+// Backends returns all back ends.
+func (m *Mesh) Backends() []*Backend { return slices.Clone(m.backends) }
+
+// Backend returns the back end beside the node of that name; it panics when
+// there is none.
+func (m *Mesh) Backend(node string) *Backend {
+	for _, instance := range m.backends {
+		if instance.Node == node {
+			return instance
+		}
+	}
+	panic("no back end stands beside " + node)
+}
+
+// Journal returns what all back ends ran so far.
+func (m *Mesh) Journal() load.Journal {
+	records := make([]backend.JournalRecord, 0, len(m.backends))
+	for _, instance := range m.backends {
+		records = append(records, instance.Journal().Record())
+	}
+	return load.MergeJournals(records...)
+}
+
+// Close ends everything at once, without a planned stop.
+func (m *Mesh) Close() error {
+	var failures []error
+	for _, node := range m.nodes {
+		failures = append(failures, node.end())
+	}
+	m.hops.close()
+	for _, instance := range m.backends {
+		instance.Kill()
+	}
+	if m.Platform != nil {
+		failures = append(failures, m.Platform.close())
+	}
+	return eris.Wrap(errors.Join(failures...), "end the mesh")
+}
--- /dev/null
+++ b/internal/bench/mesh/node.go
@@ -0,0 +1,95 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/membership"
+)
+
+// ErrUnsupported tells that nodes in this process cannot be killed or paused.
+var ErrUnsupported = errors.New("only nodes that are processes can do that")
+
+// runner runs one node: as a process or in this one.
+type runner interface {
+	// start begins a run; there must be none.
+	start() error
+	// stop makes a planned stop and waits for its end.
+	stop(ctx context.Context) error
+	// kill ends the run at once and waits; without a run it does nothing.
+	kill() error
+	pause() error
+	resume() error
+	// ended is closed when the run is over.
+	ended() <-chan struct{}
+}
+
+// Node is one node of a mesh. Its methods must not be called at the same time.
+type Node struct {
+	mesh   *Mesh
+	plan   deployment.Node
+	runner runner
+}
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.plan.Node.Name }
+
+// Zone returns the node's zone.
+func (n *Node) Zone() string { return n.plan.Node.Zone }
+
+// Service returns the service of the back end beside it, or "".
+func (n *Node) Service() string { return n.plan.Inbound.Service }
+
+// Outbound returns where callers reach the node (IP:port).
+func (n *Node) Outbound() string { return n.plan.Outbound.Listen }
+
+// AdminAddress returns where operators reach the node (IP:port).
+func (n *Node) AdminAddress() string { return n.plan.Admin.Listen }
+
+// Admin returns a client of its operators' HTTP.
+func (n *Node) Admin() *admin.Client { return admin.NewClient(n.plan.Admin.Listen) }
+
+// Start starts the node, puts it in the platform's list and, if it is an edge,
+// in the entries.
+func (n *Node) Start(context.Context) error {
+	if err := n.runner.start(); err != nil {
+		return eris.Wrapf(err, "start %s", n.Name())
+	}
+	n.mesh.Platform.PutMember(n.plan.Member())
+	if n.plan.Edge() {
+		n.mesh.Entries.Add(n.Outbound())
+	}
+	return nil
+}
+
+// Stop makes a planned stop: callers and the platform's list are told, then the
+// node is asked to end. It returns when it has ended.
+func (n *Node) Stop(ctx context.Context) error {
+	n.mesh.Entries.Remove(n.Outbound())
+	leaving := n.plan.Member()
+	leaving.State = membership.ListedLeaving
+	n.mesh.Platform.PutMember(leaving)
+	if err := n.runner.stop(ctx); err != nil {
+		return eris.Wrapf(err, "stop %s", n.Name())
+	}
+	n.mesh.Platform.RemoveMember(leaving.Node)
+	return nil
+}
+
+// Kill ends the node at once. Neither callers nor the platform's list are told.
+func (n *Node) Kill() error { return eris.Wrapf(n.runner.kill(), "kill %s", n.Name()) }
+
+// Pause stops the node's process without ending it (SIGSTOP).
+func (n *Node) Pause() error { return eris.Wrapf(n.runner.pause(), "pause %s", n.Name()) }
+
+// Resume wakes a paused node (SIGCONT).
+func (n *Node) Resume() error { return eris.Wrapf(n.runner.resume(), "resume %s", n.Name()) }
+
+// Ended is closed when the node's current run is over.
+func (n *Node) Ended() <-chan struct{} { return n.runner.ended() }
+
+func (n *Node) end() error { return n.runner.kill() }
--- /dev/null
+++ b/internal/bench/mesh/platform.go
@@ -0,0 +1,60 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/emulator/platform"
+)
+
+// Platform is the emulated platform, served over TCP.
+type Platform struct {
+	*platform.Platform
+	address string
+	cancel  context.CancelFunc
+	served  chan error
+}
+
+// startPlatform serves where the nodes' settings point.
+func startPlatform(options platform.Options, plan *deployment.Deployment) (*Platform, error) {
+	options.Content = plan.Content
+	emulated, err := platform.New(options)
+	if err != nil {
+		return nil, err
+	}
+	target, err := url.Parse(plan.Nodes[0].Platform.URL)
+	if err != nil {
+		return nil, eris.Wrap(err, "address of the platform")
+	}
+	p := &Platform{Platform: emulated, address: target.Host}
+	return p, p.Return()
+}
+
+// Return serves again after Outage.
+func (p *Platform) Return() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return eris.Wrap(err, "serve the platform")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	p.cancel, p.served = cancel, served
+	go func() { served <- p.Serve(ctx, listener) }()
+	return nil
+}
+
+// Outage refuses and closes all connections until Return.
+func (p *Platform) Outage() error {
+	if p.cancel == nil {
+		return nil
+	}
+	p.cancel()
+	p.cancel = nil
+	return <-p.served
+}
+
+func (p *Platform) close() error { return p.Outage() }
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,77 @@
+// Package integration proves the promises of the brief with real node processes:
+// the winchhead binary, started by the tests and ended by its id, between the
+// emulated platform and back ends.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The binaries under test, built once by TestMain.
+var winchheadBinary, benchBinary string
+
+// testTimeout ends a test that waits for something that never comes. It is far
+// above what any test needs, so that a loaded machine gives the same verdict.
+const testTimeout = 2 * time.Minute
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "winchhead-integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	build := exec.Command("go", "build", "-o", directory, "../../cmd/winchhead", "../../cmd/winchhead-bench")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	winchheadBinary = filepath.Join(directory, "winchhead")
+	benchBinary = filepath.Join(directory, "winchhead-bench")
+	return m.Run()
+}
+
+// testContext ends with the test, or after testTimeout.
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// testLog collects output for the test's log, which shows when it fails.
+type testLog struct{ t testing.TB }
+
+// Write logs one piece of output.
+func (l testLog) Write(text []byte) (int, error) {
+	l.t.Log(string(text))
+	return len(text), nil
+}
+
+// startProgram starts a binary and ends it with the test. It returns once the
+// program has printed its first line, which says that it serves.
+func startProgram(t testing.TB, binary string, arguments ...string) {
+	command := exec.Command(binary, arguments...)
+	command.Stderr = os.Stderr
+	output, err := command.StdoutPipe()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, command.Start(), qt.IsNil)
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	var first [1]byte
+	_, err = output.Read(first[:])
+	qt.Assert(t, err, qt.IsNil)
+}
