Add the problem documents of the system's own answers

Cause: nodes and callers need one way to tell refused from unknown. Ruled out: reading the document to learn the outcome; the headers suffice and leave the body to be passed on. Change: Problem with New, Write, FromResponse; StripInternal, IsInternal; a reason repeat-lost for keys whose instance is gone. Conclusion: the inbound and the outbound proxy can build on it.

--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -64,13 +64,6 @@
 	ReasonTooLarge         Reason = "too-large"          // 413 or 431
 	ReasonRepeatInProgress Reason = "repeat-in-progress" // 409: the first with this key still runs
 	ReasonRepeatConflict   Reason = "repeat-conflict"    // 422: the key came with another request
+	ReasonRepeatLost       Reason = "repeat-lost"        // 409: the instance that took the first with this key is gone
 	ReasonWrongInstance    Reason = "wrong-instance"     // 421: the address has another process now
 )
-
-// Contract of the functions beside these names (problem.go):
-//
-//	type Problem struct{ Type, Title string; Status int; Detail string; Outcome Outcome; Reason Reason; RetryAfter time.Duration }
-//	func New(reason Reason, outcome Outcome, detail string) Problem
-//	func (p Problem) Write(w http.ResponseWriter)      // sets the headers, Retry-After (whole seconds, rounded up) and the document
-//	func FromResponse(response *http.Response) (Problem, bool) // reads what another node wrote
-//	func StripInternal(header http.Header)              // removes InternalPrefix headers
