Add a thin outbound proxy: route, pick, forward, answer

Cause: callers need a way to the back ends. Ruled out: trusting http.Transport not to replay; its connections are tracked and write for one send only.

--- /dev/null
+++ b/internal/proxy/outbound/attempt.go
@@ -0,0 +1,162 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+)
+
+const (
+	schemeHTTP = "http"
+	// discardLimit is how much of a refusal's document is read to keep the
+	// connection in use.
+	discardLimit = 4 << 10
+	// stallTime is how long an attempt must have lasted for its missed deadline
+	// to count against the instance: below, the caller may just be in a hurry.
+	stallTime = 500 * time.Millisecond
+)
+
+// attemptResult is either the answer of a back end or a failure.
+type attemptResult struct {
+	response *http.Response // nil on failure
+	problem  outcome.Problem
+}
+
+// attempt sends the request once. On an answer the choice stays open until the
+// answer was passed on; on a failure it is done.
+func (e *exchange) attempt(choice *balance.Choice) attemptResult {
+	e.attempts++
+	e.tried = append(e.tried, balance.KeyOf(choice.Endpoint))
+	started := time.Now()
+	current := &send{deadline: e.deadline}
+	response, err := e.proxy.transport.RoundTrip(e.outgoing(current, choice.Endpoint))
+	now := time.Now()
+	if err != nil {
+		problem := e.classify(err, current.seal())
+		e.finish(choice, observationOf(problem, now.Sub(started)), now)
+		return attemptResult{problem: problem}
+	}
+	e.readHints(response.Header, choice, now)
+	problem, bySystem := outcome.FromResponse(response)
+	if !bySystem {
+		return attemptResult{response: response}
+	}
+	_, _ = io.CopyN(io.Discard, response.Body, discardLimit)
+	_ = response.Body.Close()
+	problem.Detail = "told by the proxy of instance " + string(choice.Endpoint.Node)
+	e.finish(choice, observationOf(problem, now.Sub(started)), now)
+	return attemptResult{problem: problem}
+}
+
+// finish ends a choice with what it told about the instance.
+func (e *exchange) finish(choice *balance.Choice, observed balance.Observation, now time.Time) {
+	if !choice.Done(observed, now) {
+		return
+	}
+	e.proxy.metrics.ejections.Inc()
+	e.proxy.logger.WithField("instance", choice.Endpoint.Node).Warn("instance ejected after failures in a row")
+}
+
+// outgoing is the request as sent to one instance.
+func (e *exchange) outgoing(current *send, endpoint membership.Endpoint) *http.Request {
+	header := make(http.Header, len(e.header)+addedHeaders)
+	for name, values := range e.header {
+		header[name] = values
+	}
+	remaining := []string{""}
+	header[outcome.HeaderRemaining] = remaining
+	header[outcome.HeaderTarget] = []string{TargetOf(endpoint.Node, endpoint.Incarnation)}
+
+	target := *e.request.URL
+	target.Scheme, target.Host, target.User = schemeHTTP, endpoint.DataAddress, nil
+	target.Fragment, target.RawFragment = "", ""
+	request := &http.Request{
+		Method: e.request.Method, URL: &target, Host: e.request.Host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if e.body != nil {
+		request.Body = e.body.open()
+		request.ContentLength = e.request.ContentLength
+		request.Trailer = e.body.trailers
+	}
+	trace := &httptrace.ClientTrace{
+		// The header is written after this call: the time left is then exact,
+		// however long the connection took.
+		GotConn: func(info httptrace.GotConnInfo) {
+			remaining[0] = remainingText(e.deadline)
+			info.Conn.(*trackedConn).current.Store(current)
+		},
+		Got1xxResponse: e.informed.pass,
+	}
+	return request.WithContext(httptrace.WithClientTrace(e.ctx, trace))
+}
+
+// TargetOf is the value of outcome.HeaderTarget for one process.
+func TargetOf(node membership.NodeID, incarnation membership.Incarnation) string {
+	return string(node) + "/" + strconv.FormatUint(uint64(incarnation), 10)
+}
+
+// remainingText is the time left in whole milliseconds, rounded down.
+func remainingText(deadline time.Time) string {
+	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 0), 10)
+}
+
+// readHints takes over what an answer tells about its instance.
+func (e *exchange) readHints(header http.Header, choice *balance.Choice, now time.Time) {
+	if load, err := strconv.ParseFloat(header.Get(outcome.HeaderLoad), 64); err == nil {
+		choice.Report(load, now)
+	}
+	if header.Get(outcome.HeaderState) != "" {
+		choice.Leave(now)
+	}
+}
+
+// classify tells why there is no answer, and whether the request may have run.
+func (e *exchange) classify(err error, mayHaveRun bool) outcome.Problem {
+	result := outcome.NotRun
+	if mayHaveRun {
+		result = outcome.Unknown
+	}
+	if e.body != nil {
+		switch failed := e.body.failure(); {
+		case errors.Is(failed, errBodyTooLarge):
+			return outcome.New(outcome.ReasonTooLarge, result, "the body is too large")
+		case failed != nil:
+			return outcome.New(outcome.ReasonBadRequest, result, "the body broke off")
+		}
+	}
+	timeOver := errors.Is(context.Cause(e.ctx), errDeadline) || time.Until(e.deadline) <= 0
+	switch {
+	case timeOver:
+		return outcome.New(outcome.ReasonDeadline, result, "")
+	case mayHaveRun:
+		return outcome.New(outcome.ReasonBroken, result, "")
+	default:
+		return outcome.New(outcome.ReasonConnect, result, "")
+	}
+}
+
+// observationOf is what a failed attempt tells about the instance.
+func observationOf(problem outcome.Problem, lasted time.Duration) balance.Observation {
+	switch problem.Reason {
+	case outcome.ReasonConnect, outcome.ReasonBroken:
+		return balance.Failed
+	case outcome.ReasonDraining, outcome.ReasonWrongInstance:
+		return balance.Leaving
+	case outcome.ReasonDeadline:
+		if problem.Outcome == outcome.Unknown && lasted >= stallTime {
+			return balance.Failed
+		}
+		return balance.Cancelled
+	default:
+		return balance.Refused
+	}
+}
--- /dev/null
+++ b/internal/proxy/outbound/server.go
@@ -0,0 +1,168 @@
+package outbound
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// callerIdleTimeout ends unused connections of callers.
+	callerIdleTimeout = 2 * time.Minute
+	// defaultHeaderTimeout is used when the settings give none.
+	defaultHeaderTimeout = 10 * time.Second
+	// headerSlack is by how much net/http's own limit exceeds the proxy's, so
+	// that the proxy's answer, which states the outcome, comes first.
+	headerSlack = 64 << 10
+	// quietGrace is how long no request must have begun before a planned stop
+	// closes idle connections; longestQuiet bounds the wait for that.
+	quietGrace   = time.Second
+	longestQuiet = 5 * time.Second
+)
+
+// Server returns the HTTP server of the proxy, with its limits. The caller
+// serves a listener with it; Drain and Close end it.
+func (p *Proxy) Server() *http.Server { return p.server }
+
+func (p *Proxy) newServer() *http.Server {
+	headerTimeout := p.settings.HeaderTimeout
+	if headerTimeout <= 0 {
+		headerTimeout = defaultHeaderTimeout
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           p,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    p.settings.MaxHeaderBytes + headerSlack,
+		// The library's reports are about single broken connections of callers.
+		ErrorLog:    log.New(io.Discard, "", 0),
+		BaseContext: func(net.Listener) context.Context { return p.base },
+	}
+}
+
+// Drain is a planned stop. Answers tell callers to close their connections;
+// once no request began for a while, the listeners and idle connections are
+// closed. It returns when all requests and sessions have ended, or with an error
+// when ctx ends first; Close then cuts the rest.
+func (p *Proxy) Drain(ctx context.Context) error {
+	p.draining.Store(true)
+	if err := p.activity.waitQuiet(ctx); err != nil {
+		return eris.Wrap(err, "outbound proxy: drain")
+	}
+	if err := p.server.Shutdown(ctx); err != nil {
+		return eris.Wrap(err, "outbound proxy: drain")
+	}
+	if err := p.activity.waitIdle(ctx); err != nil {
+		return eris.Wrap(err, "outbound proxy: drain")
+	}
+	return nil
+}
+
+// Close cuts all requests and sessions and closes all connections. It waits
+// until the last handler has returned.
+func (p *Proxy) Close() error {
+	p.draining.Store(true)
+	p.cancel()
+	err := p.server.Close()
+	_ = p.activity.waitIdle(context.Background())
+	p.transport.CloseIdleConnections()
+	return eris.Wrap(err, "outbound proxy: close")
+}
+
+// activity counts the requests and sessions in progress.
+type activity struct {
+	mu        sync.Mutex
+	active    int
+	lastBegin time.Time
+	idle      chan struct{} // closed while active is 0
+}
+
+func newActivity() *activity {
+	created := &activity{idle: make(chan struct{})}
+	close(created.idle)
+	return created
+}
+
+func (a *activity) begin(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.active == 0 {
+		a.idle = make(chan struct{})
+	}
+	a.active++
+	a.lastBegin = now
+}
+
+func (a *activity) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+	if a.active == 0 {
+		close(a.idle)
+	}
+}
+
+// waitIdle returns once nothing is in progress.
+func (a *activity) waitIdle(ctx context.Context) error {
+	a.mu.Lock()
+	idle := a.idle
+	a.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// waitQuiet returns once no request began for quietGrace, or after longestQuiet.
+func (a *activity) waitQuiet(ctx context.Context) error {
+	start := time.Now()
+	limit := start.Add(longestQuiet)
+	for {
+		quietAt := later(start, a.lastBeginning()).Add(quietGrace)
+		if quietAt.After(limit) {
+			quietAt = limit
+		}
+		remaining := time.Until(quietAt)
+		if remaining <= 0 {
+			return nil
+		}
+		if err := wait(ctx, remaining); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *activity) lastBeginning() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lastBegin
+}
+
+func later(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
+}
+
+func wait(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
