Order list changes one node at a time

Cause: the platform's list may name a node at two addresses, and changes from two readers must merge entry by entry. Goodbye's reason decides what the peer does next, so that it is an enumeration. Ruled out: one order number for a whole message, which loses a change that a node missed. Conclusion: an entry carries all that the list says of one node.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -15,7 +15,8 @@
 const (
 	minRecordBytes      = 10
 	minObservationBytes = 4
-	minListedBytes      = 8
+	minListedEntryBytes = 3
+	minListedBytes      = 5
 	minResourceBytes    = 3
 	minKeyBytes         = 2
 	digestBytes         = 8
@@ -83,7 +84,7 @@
 	case *StatusReply:
 		e.statusReply(m)
 	case *Goodbye:
-		e.text(m.Reason)
+		e.small(uint8(m.Reason))
 	default:
 		return false
 	}
@@ -146,7 +147,7 @@
 		return &Records{
 			Records:      decodeArray(d, minRecordBytes, d.record),
 			Observations: decodeArray(d, minObservationBytes, d.observation),
-			Listed:       decodeArray(d, minListedBytes, d.listedEntry),
+			Listed:       decodeArray(d, minListedEntryBytes, d.listedEntry),
 		}
 	case TypeRecordPull:
 		return &RecordPull{
@@ -161,7 +162,7 @@
 	case TypeStatusReply:
 		return d.statusReply()
 	case TypeGoodbye:
-		return &Goodbye{Reason: d.text()}
+		return &Goodbye{Reason: GoodbyeReason(d.small())}
 	default:
 		return nil
 	}
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -55,14 +55,18 @@
 }
 
 func (e encoder) listedEntry(entry ListedEntry) {
-	e.text(string(entry.Member.Node))
-	e.text(entry.Member.PeerAddress)
-	e.text(entry.Member.Region)
-	e.text(entry.Member.Zone)
-	e.text(entry.Member.Service)
-	e.text(string(entry.Member.State))
-	e.boolean(entry.Unlisted)
+	e.text(string(entry.Node))
 	e.long(entry.ReadAt)
+	encodeArray(e, entry.Members, e.listedMember)
+}
+
+// listedMember leaves out the node, which the entry names.
+func (e encoder) listedMember(member membership.ListedMember) {
+	e.text(member.PeerAddress)
+	e.text(member.Region)
+	e.text(member.Zone)
+	e.text(member.Service)
+	e.text(string(member.State))
 }
 
 func (e encoder) key(key snapshot.Key) {
@@ -168,17 +172,24 @@
 }
 
 func (d decoder) listedEntry() ListedEntry {
-	return ListedEntry{
-		Member: membership.ListedMember{
-			Node:        membership.NodeID(d.text()),
-			PeerAddress: d.text(),
-			Region:      d.text(),
-			Zone:        d.text(),
-			Service:     d.text(),
-			State:       membership.ListedState(d.text()),
-		},
-		Unlisted: d.boolean(),
-		ReadAt:   d.long(),
+	entry := ListedEntry{
+		Node:    membership.NodeID(d.text()),
+		ReadAt:  d.long(),
+		Members: decodeArray(d, minListedBytes, d.listedMember),
+	}
+	for i := range entry.Members {
+		entry.Members[i].Node = entry.Node
+	}
+	return entry
+}
+
+func (d decoder) listedMember() membership.ListedMember {
+	return membership.ListedMember{
+		PeerAddress: d.text(),
+		Region:      d.text(),
+		Zone:        d.text(),
+		Service:     d.text(),
+		State:       membership.ListedState(d.text()),
 	}
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -123,13 +123,13 @@
 	Listed []ListedEntry
 }
 
-// ListedEntry is what a reader found of one machine in the platform's list.
+// ListedEntry is what a reader found of one node in the platform's list.
 type ListedEntry struct {
-	Member membership.ListedMember
-	// Unlisted is set when the list no longer names the machine.
-	Unlisted bool
+	Node membership.NodeID
 	// ReadAt is the reader's clock in Unix milliseconds; the highest wins.
 	ReadAt int64
+	// Members holds the entries that name the node; empty: not in the list.
+	Members []membership.ListedMember
 }
 
 // RecordPull carries the digest of each bucket of the sender's records; the
@@ -172,7 +172,20 @@
 
 // Goodbye announces that the sender closes the link on purpose, so that no one
 // reports it as unreachable.
-type Goodbye struct{ Reason string }
+type Goodbye struct{ Reason GoodbyeReason }
+
+// GoodbyeReason tells why a link is closed on purpose.
+type GoodbyeReason uint8
+
+// The reasons of a Goodbye.
+const (
+	GoodbyeLeaving   GoodbyeReason = 1 // the process ends
+	GoodbyeFull      GoodbyeReason = 2 // the sender has enough links
+	GoodbyeDuplicate GoodbyeReason = 3 // the two nodes have another link
+	GoodbyeUnneeded  GoodbyeReason = 4 // the sender prefers other links
+	GoodbyeDone      GoodbyeReason = 5 // a probe has its answer
+	GoodbyeProtocol  GoodbyeReason = 6 // the sender speaks another protocol
+)
 
 // Type returns TypeHello.
 func (*Hello) Type() Type { return TypeHello }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -80,10 +80,13 @@
 				SourceAge: anyNumber.Draw(t, "age"), Request: wire.DigestRequest(small.Draw(t, "request"))}
 		case wire.TypeRecords:
 			listed := rapid.Custom(func(t *rapid.T) wire.ListedEntry {
-				return wire.ListedEntry{Unlisted: rapid.Bool().Draw(t, "unlisted"), ReadAt: anyNumber.Draw(t, "at"),
-					Member: membership.ListedMember{Node: node.Draw(t, "node"), PeerAddress: text.Draw(t, "peer"),
-						Region: text.Draw(t, "region"), Zone: text.Draw(t, "zone"), Service: text.Draw(t, "service"),
-						State: membership.ListedState(text.Draw(t, "state"))}}
+				entry := wire.ListedEntry{Node: node.Draw(t, "node"), ReadAt: anyNumber.Draw(t, "at")}
+				for range rapid.IntRange(0, 2).Draw(t, "members") {
+					entry.Members = append(entry.Members, membership.ListedMember{Node: entry.Node,
+						PeerAddress: text.Draw(t, "peer"), Region: text.Draw(t, "region"), Zone: text.Draw(t, "zone"),
+						Service: text.Draw(t, "service"), State: membership.ListedState(text.Draw(t, "state"))})
+				}
+				return entry
 			})
 			return &wire.Records{Records: orNil(record).Draw(t, "records"),
 				Observations: orNil(observation).Draw(t, "observations"), Listed: orNil(listed).Draw(t, "listed")}
@@ -99,7 +102,7 @@
 				Reason: text.Draw(t, "reason"), Conflict: version.Draw(t, "conflict"),
 				Reader: rapid.Bool().Draw(t, "reader"), SourceAge: anyNumber.Draw(t, "age")}
 		case wire.TypeGoodbye:
-			return &wire.Goodbye{Reason: text.Draw(t, "reason")}
+			return &wire.Goodbye{Reason: wire.GoodbyeReason(small.Draw(t, "reason"))}
 		default:
 			return &wire.StatusRequest{}
 		}
@@ -198,7 +201,7 @@
 		{name: "length never ends", frame: []byte{0xff, 0xff, 0xff, 0xff, 0xff}},
 		{name: "length above the limit", frame: []byte{0xff, 0xff, 0x7f, 1}},
 		{name: "length cut", frame: []byte{0x80}, cut: true},
-		{name: "body cut", frame: []byte{9, byte(wire.TypeGoodbye), 2}, cut: true},
+		{name: "body cut", frame: []byte{9, byte(wire.TypeRefusal), 2}, cut: true},
 		{name: "long body cut", frame: []byte{0xa0, 0x8d, 0x06, byte(wire.TypeUpdate), 2}, cut: true},
 		{name: "unknown type", frame: []byte{1, 99}},
 		{name: "type zero", frame: []byte{1, 0}},
@@ -206,8 +209,8 @@
 		{name: "bytes after the message", frame: frameOf(wire.TypeAnnounce, version, []byte{0})},
 		{name: "negative revision", frame: frameOf(wire.TypeAnnounce, long(-2), version[1:])},
 		{name: "number too long", frame: frameOf(wire.TypeAnnounce, bytes.Repeat([]byte{0xff}, 12), version)},
-		{name: "string beyond the frame", frame: frameOf(wire.TypeGoodbye, long(1<<40))},
-		{name: "string of negative length", frame: frameOf(wire.TypeGoodbye, long(-1))},
+		{name: "string beyond the frame", frame: frameOf(wire.TypeRefusal, version, long(1<<40))},
+		{name: "string of negative length", frame: frameOf(wire.TypeRefusal, version, long(-1))},
 		{name: "array beyond the frame", frame: frameOf(wire.TypeRecordPull, long(1<<50))},
 		{name: "array count overflows", frame: frameOf(wire.TypeRecordPull, long(math.MinInt64), long(0))},
 		{name: "array of two blocks beyond the frame", frame: frameOf(wire.TypeUpdate, version, version,
