--- /dev/null
+++ b/internal/bench/demo/policies/submitted.star
@@ -0,0 +1,4 @@
+# Clinics and families read trips; dispatchers book journeys.
+route(name="read-trips", path="/trips", methods=["GET"], to="seguimiento")
+route(name="book", path="/bookings", methods=["POST"], to="reservas",
+      secrets=[secret_header(header="Authorization", secret="demo-token", prefix="Bearer ")])
