--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// run runs one command and returns its exit code and output.
+func run(c *qt.C, arguments ...string) (code int, stdout, stderr string) {
+	var out, faults bytes.Buffer
+	code = Run(c.Context(), arguments, &out, &faults)
+	return code, out.String(), faults.String()
+}
+
+// member returns what a member holds; refused may be zero.
+func member(held, refused snapshot.Revision) admin.MemberStatus {
+	status := &admin.NodeStatus{Node: "centro-edge", Zone: "centro", State: "ready", Held: snapshot.Version{Revision: held}}
+	if refused > 0 {
+		status.Refused = &admin.Refusal{Version: snapshot.Version{Revision: refused}, Reason: "trips:3: no such service"}
+	}
+	return admin.MemberStatus{Node: status.Node, Status: status}
+}
+
+var silent = admin.MemberStatus{Node: "cerro-edge", Error: "no route to host"}
+
+func TestProgressOfARevision(t *testing.T) {
+	rows := []struct {
+		name    string
+		members []admin.MemberStatus
+		want    progress
+		code    int
+		says    string
+	}{
+		{"all hold it", []admin.MemberStatus{member(7, 0), member(7, 0)}, progressInForce, ExitOK, "in force on all 2"},
+		{"one is further", []admin.MemberStatus{member(7, 0), member(8, 0)}, progressInForce, ExitOK, "in force on all 2"},
+		{"one is behind", []admin.MemberStatus{member(7, 0), member(6, 0)}, progressPending, ExitPending, "still holds 6/"},
+		{"one holds nothing", []admin.MemberStatus{member(7, 0), member(0, 0)}, progressPending, ExitPending, "holds no version"},
+		{"one is silent", []admin.MemberStatus{member(7, 0), silent}, progressPending, ExitPending, "no route to host"},
+		{"refused at the first", []admin.MemberStatus{member(6, 7), member(6, 0)}, progressRefused, ExitRefused, "no such service"},
+		{"refused by one only", []admin.MemberStatus{member(7, 0), member(6, 7)}, progressPending, ExitPending, "no such service"},
+		{"another one refused", []admin.MemberStatus{member(6, 5), member(6, 5)}, progressPending, ExitPending, "still holds 6/"},
+		{"no members", nil, progressPending, ExitPending, "0 of 0"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			assessed := assess(admin.FleetStatus{Members: row.members}, 7)
+			c.Assert(assessed.Progress, qt.Equals, row.want)
+			c.Assert(assessed.Progress.exitCode(), qt.Equals, row.code)
+			var out bytes.Buffer
+			assessed.write(&out)
+			c.Assert(out.String(), qt.Contains, row.says)
+		})
+	}
+}
+
+// fleetServer answers /v1/fleet with one fleet after the other, then the last.
+func fleetServer(c *qt.C, fleets ...admin.FleetStatus) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.URL.Path, qt.Equals, "/v1/fleet")
+		c.Check(json.NewEncoder(w).Encode(fleets[0]), qt.IsNil)
+		if len(fleets) > 1 {
+			fleets = fleets[1:]
+		}
+	}))
+	c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func TestWatchEndsWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	before := admin.FleetStatus{Members: []admin.MemberStatus{member(6, 0)}}
+	refused := admin.FleetStatus{Members: []admin.MemberStatus{member(6, 7)}}
+	after := admin.FleetStatus{Members: []admin.MemberStatus{member(7, 0)}}
+
+	code, stdout, _ := run(c, "watch", "--revision", "7", "--admin", fleetServer(c, before, after))
+	c.Assert(code, qt.Equals, ExitOK)
+	c.Assert(stdout, qt.Equals, "Revision 7 is in force on all 1 live members.\n")
+	code, stdout, _ = run(c, "watch", "--revision", "7", "--admin", fleetServer(c, before, refused))
+	c.Assert(code, qt.Equals, ExitRefused)
+	c.Assert(stdout, qt.Contains, "trips:3: no such service")
+	code, stdout, _ = run(c, "watch", "--revision", "7", "--timeout", "1ms", "--output", "json", "--admin", fleetServer(c, before))
+	c.Assert(code, qt.Equals, ExitPending)
+	var report revisionReport
+	c.Assert(json.Unmarshal([]byte(stdout), &report), qt.IsNil)
+	c.Assert(report.Progress, qt.Equals, progressPending)
+	c.Assert(report.Missing, qt.HasLen, 1)
+}
+
+func TestStatusExitCodeTellsOfTheNewestRevision(t *testing.T) {
+	c := qt.New(t)
+	for code, fleet := range map[int]admin.FleetStatus{
+		ExitOK:      {Members: []admin.MemberStatus{member(7, 0), member(7, 0)}},
+		ExitPending: {Members: []admin.MemberStatus{member(7, 0), silent}},
+		ExitRefused: {Members: []admin.MemberStatus{member(7, 8), member(7, 0)}},
+	} {
+		got, stdout, _ := run(c, "status", "--admin", fleetServer(c, fleet))
+		c.Assert(got, qt.Equals, code)
+		c.Assert(stdout, qt.Contains, "centro-edge")
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	const example = "../../examples/montevideo/settings/centro-reservas.yaml"
+	rows := []struct {
+		name      string
+		arguments string
+		code      int
+		stdout    string
+		stderr    string
+	}{
+		{"help", "--help", ExitOK, "Available commands", ""},
+		{"no command", "", ExitUsage, "", "specify one command"},
+		{"unknown command", "begin", ExitUsage, "", "Unknown command"},
+		{"missing flag", "watch", ExitUsage, "", "--revision"},
+		{"no node there", "status --admin 127.0.0.1:1", ExitUnreachable, "", "Check that the node runs"},
+		{"settings", "settings --settings " + example + " --log.level debug", ExitOK, "debug", ""},
+		{"wrong settings", "settings --settings " + example + " --node.zone=", ExitUsage, "", "flag --node.zone: missing"},
+		{"no settings file", "settings --settings nowhere.yaml", ExitUsage, "", "cannot read the settings file"},
+		{"bad header", "explain --header nonsense", ExitUsage, "", "write NAME:VALUE"},
+		{"version", "version --output json", ExitOK, `"protocol": 1`, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			code, stdout, stderr := run(c, strings.Fields(row.arguments)...)
+			c.Assert(code, qt.Equals, row.code, qt.Commentf(stderr))
+			c.Assert(stdout, qt.Contains, row.stdout)
+			c.Assert(stderr, qt.Contains, row.stderr)
+		})
+	}
+}
