--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -52,6 +52,8 @@
 func subcommands(env environment) []subcommand {
 	return []subcommand{
 		{"platform", "Run the emulated platform", platformHelp, &platformCommand{environment: env}},
+		{"demo", "Show the main job on Montevideo", demoHelp, &demoCommand{environment: env}},
+		{"soak", "Run random faults against the examples", soakHelp, &soakCommand{environment: env}},
 		{"backend", "Run an emulated back end", backendHelp, &backendCommand{environment: env}},
 	}
 }
--- /dev/null
+++ b/internal/bench/mesh/embedded.go
@@ -0,0 +1,82 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/app"
+	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/logging"
+)
+
+// embedded runs a node in this process.
+type embedded struct {
+	plan deployment.Node
+	logs io.Writer
+
+	lock    sync.Mutex
+	cancel  context.CancelFunc
+	done    chan struct{} // closed when the run is over
+	failure error         // how it ended; read after done
+}
+
+func newEmbedded(plan deployment.Node, logs io.Writer) *embedded {
+	done := make(chan struct{})
+	close(done)
+	if logs == nil {
+		logs = io.Discard
+	}
+	return &embedded{plan: plan, logs: logs, done: done, cancel: func() {}}
+}
+
+func (e *embedded) start() error {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if running(e.done) {
+		return eris.New("the node runs already")
+	}
+	logger, err := logging.New(e.logs, e.plan.Log.Level, e.plan.Log.Format)
+	if err != nil {
+		return err
+	}
+	node, err := app.New(e.plan.Settings, app.Options{Logger: logger.WithField("node", e.plan.Node.Name)})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	e.cancel, e.done = cancel, done
+	go func() {
+		defer close(done)
+		e.failure = node.Run(ctx)
+	}()
+	return nil
+}
+
+func (e *embedded) stop(ctx context.Context) error {
+	e.lock.Lock()
+	e.cancel()
+	done := e.done
+	e.lock.Unlock()
+	select {
+	case <-done:
+		return eris.Wrap(e.failure, "the planned stop ended badly")
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "the planned stop goes on")
+	}
+}
+
+// kill is a planned stop: a part of this process cannot be ended otherwise.
+func (e *embedded) kill() error { return e.stop(context.Background()) }
+
+func (*embedded) pause() error  { return ErrUnsupported }
+func (*embedded) resume() error { return ErrUnsupported }
+
+func (e *embedded) ended() <-chan struct{} {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	return e.done
+}
--- a/internal/bench/mesh/mesh.go
+++ b/internal/bench/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/winchhead/winchhead/internal/bench/deployment"
 	"github.com/winchhead/winchhead/internal/bench/load"
@@ -26,7 +27,7 @@
 	// mesh uses.
 	Host string
 	// Binary is the path of the winchhead binary; empty runs the nodes in this
-	// process, where they cannot be killed or paused.
+	// process, where they cannot be paused and Kill is a planned stop.
 	Binary string
 	// Logs takes what the nodes log; nil drops it.
 	Logs io.Writer
@@ -166,10 +167,11 @@
 
 // Close ends everything at once, without a planned stop.
 func (m *Mesh) Close() error {
-	var failures []error
+	var group errgroup.Group
 	for _, node := range m.nodes {
-		failures = append(failures, node.end())
+		group.Go(node.end)
 	}
+	failures := []error{group.Wait()}
 	m.hops.close()
 	for _, instance := range m.backends {
 		instance.Kill()
--- a/internal/bench/mesh/node.go
+++ b/internal/bench/mesh/node.go
@@ -11,8 +11,8 @@
 	"github.com/winchhead/winchhead/internal/membership"
 )
 
-// ErrUnsupported tells that nodes in this process cannot be killed or paused.
-var ErrUnsupported = errors.New("only nodes that are processes can do that")
+// ErrUnsupported tells that nodes in this process cannot be paused.
+var ErrUnsupported = errors.New("only nodes that are processes can be paused")
 
 // runner runs one node: as a process or in this one.
 type runner interface {
@@ -20,7 +20,8 @@
 	start() error
 	// stop makes a planned stop and waits for its end.
 	stop(ctx context.Context) error
-	// kill ends the run at once and waits; without a run it does nothing.
+	// kill ends the run, at once if it is a process, and waits; without a run it
+	// does nothing.
 	kill() error
 	pause() error
 	resume() error
--- a/internal/bench/mesh/process.go
+++ b/internal/bench/mesh/process.go
@@ -34,6 +34,9 @@
 func (p *process) start() error {
 	p.lock.Lock()
 	defer p.lock.Unlock()
+	if running(p.done) {
+		return eris.New("the node runs already")
+	}
 	arguments := []string{"node", "--settings", p.plan.File}
 	for key, value := range p.plan.Overrides {
 		arguments = append(arguments, "--"+key+"="+value)
@@ -52,6 +55,16 @@
 	return nil
 }
 
+// running reports whether a run that closes done at its end goes on.
+func running(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal reaches the process by its id, and nothing once it has ended.
 func (p *process) signal(signal os.Signal) error {
 	p.lock.Lock()
