--- /dev/null
+++ b/internal/configuration/configuration.go
@@ -0,0 +1,256 @@
+// Package configuration puts documents in force on one node: it compiles them
+// with package policy, keeps the answers to their conditions steady while the
+// fleet changes, and swaps the snapshot that the proxies read. It does not move
+// documents between nodes (package distribution).
+package configuration
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/policy"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// The reasons, besides faults in policies, why Adopt refuses a document; test
+// with errors.Is.
+var (
+	// ErrOlder means that a newer revision is in force.
+	ErrOlder = eris.New("the revision is older than the one in force")
+	// ErrConflict means that the revision is in force with other content.
+	ErrConflict = eris.New("the revision is in force with other content")
+)
+
+// Refusal tells which document was last refused and why. It is dropped once a
+// newer revision is in force.
+type Refusal struct {
+	Version snapshot.Version `json:"version"`
+	Reason  string           `json:"reason"`
+	At      time.Time        `json:"at"`
+}
+
+// Options are what an Applier needs.
+type Options struct {
+	// Store takes the snapshots. The Applier is its only writer.
+	Store *snapshot.Store
+	// Logger is required.
+	Logger logrus.FieldLogger
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
+	// Hold is how long a new answer to a condition must hold; zero takes
+	// DefaultHold.
+	Hold time.Duration
+}
+
+// Applier puts documents in force. It implements distribution.Adopter, and its
+// methods can be called at once from several goroutines.
+type Applier struct {
+	store    *snapshot.Store
+	logger   logrus.FieldLogger
+	metrics  *metrics
+	watchers watchers
+
+	fleet        atomic.Pointer[membership.View]
+	fleetChanged chan struct{}
+
+	mutex      sync.Mutex
+	plan       *policy.Plan
+	conditions Hysteresis
+	refusal    *Refusal
+	refusedFor error
+}
+
+// NewApplier returns an Applier that holds nothing yet.
+func NewApplier(options Options) (*Applier, error) {
+	if options.Hold == 0 {
+		options.Hold = DefaultHold
+	}
+	metrics, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, eris.Wrap(err, "register the metrics of the configuration")
+	}
+	applier := &Applier{
+		store:        options.Store,
+		logger:       logging.Part(options.Logger, "configuration"),
+		metrics:      metrics,
+		fleetChanged: make(chan struct{}, 1),
+		conditions:   NewHysteresis(options.Hold),
+	}
+	applier.fleet.Store(&membership.View{})
+	return applier, nil
+}
+
+// Current returns the snapshot in force, or nil before the first.
+func (a *Applier) Current() *snapshot.Snapshot { return a.store.Current() }
+
+// Document returns the document in force, or nil before the first.
+func (a *Applier) Document() *snapshot.Document {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.plan == nil {
+		return nil
+	}
+	return a.plan.Document()
+}
+
+// Refusal returns the last refusal of a revision that is not below the one in
+// force, if there is one.
+func (a *Applier) Refusal() (Refusal, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.refusal == nil {
+		return Refusal{}, false
+	}
+	return *a.refusal, true
+}
+
+// Adopt compiles the document and puts it in force as a whole, or returns why it
+// refuses it as a whole: ErrOlder, ErrConflict or *policy.Errors. The refusal of
+// a document is remembered, so that offering it again costs no compilation.
+func (a *Applier) Adopt(document *snapshot.Document) error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	version := document.Version()
+	held := a.store.HighWater()
+	switch {
+	case version == held:
+		return nil
+	case version.Conflicts(held):
+		return a.refuse(version, eris.Wrapf(ErrConflict, "%s is offered, %s is in force", version, held))
+	case held.Newer(version):
+		return eris.Wrapf(ErrOlder, "%s is offered, %s is in force", version, held)
+	case a.refusal != nil && a.refusal.Version == version:
+		return a.refusedFor
+	}
+	plan, err := a.compile(document)
+	if err != nil {
+		return a.refuse(version, err)
+	}
+	conditions := a.conditions.Tracking(plan.Conditions(), a.fleet.Load())
+	if err := a.putInForce(plan, conditions); err != nil {
+		return a.refuse(version, err)
+	}
+	return nil
+}
+
+// FleetChanged tells that the view of the fleet changed. It does not block.
+func (a *Applier) FleetChanged(view *membership.View) {
+	a.fleet.Store(view)
+	select {
+	case a.fleetChanged <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// Run evaluates the conditions when the fleet changes and when an answer has
+// held long enough. It returns nil after the context ends.
+func (a *Applier) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.fleetChanged:
+		case <-timer.C:
+		}
+		if deadline, pending := a.evaluate(time.Now()); pending {
+			timer.Reset(time.Until(deadline))
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+// evaluate puts the routes in force that the fleet asks for now, and returns when
+// to come back if the fleet stays as it is.
+func (a *Applier) evaluate(now time.Time) (deadline time.Time, pending bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	next, changed := a.conditions.Observe(a.fleet.Load(), now)
+	if !changed {
+		a.conditions = next
+		return next.Deadline()
+	}
+	if err := a.putInForce(a.plan, next); err != nil {
+		// The routes of every answer were checked before the plan was adopted.
+		a.logger.WithError(err).Error("Routes for the changed fleet are not consistent.")
+	}
+	a.conditions = next
+	return next.Deadline()
+}
+
+func (a *Applier) compile(document *snapshot.Document) (*policy.Plan, error) {
+	start := time.Now()
+	plan, err := policy.NewPlan(document)
+	a.metrics.compilation.Observe(time.Since(start).Seconds())
+	return plan, err
+}
+
+// putInForce builds the snapshot of a plan and swaps it in. The mutex is held.
+func (a *Applier) putInForce(plan *policy.Plan, conditions Hysteresis) error {
+	built, err := plan.Snapshot(conditions)
+	if err != nil {
+		return err
+	}
+	adoption, err := a.store.Adopt(built)
+	if err != nil {
+		return err
+	}
+	switch adoption {
+	case snapshot.RefusedOlder:
+		return ErrOlder
+	case snapshot.RefusedConflict:
+		return ErrConflict
+	}
+	a.plan, a.conditions = plan, conditions
+	if adoption == snapshot.Adopted {
+		a.announce()
+	}
+	return nil
+}
+
+// announce tells logs, metrics and watchers what is in force now.
+func (a *Applier) announce() {
+	current := a.store.Current()
+	if a.refusal != nil && current.Version().Newer(a.refusal.Version) {
+		a.refusal, a.refusedFor = nil, nil
+	}
+	a.metrics.revision.Set(float64(current.Version().Revision))
+	a.metrics.generation.Set(float64(current.Generation()))
+	a.logger.WithFields(logrus.Fields{
+		"version":    current.Version().String(),
+		"generation": current.Generation(),
+		"routes":     len(current.Routes()),
+	}).Info("Configuration in force.")
+	a.watchers.notify(Change{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
+}
+
+// refuse records why a document is refused and returns the reason. The mutex is
+// held.
+func (a *Applier) refuse(version snapshot.Version, reason error) error {
+	if a.refusal != nil && a.refusal.Version == version {
+		return reason
+	}
+	a.metrics.refusals.Inc()
+	a.logger.WithField("version", version.String()).WithField("reason", reason.Error()).Warn("Configuration refused.")
+	if a.refusal != nil && a.refusal.Version.Newer(version) {
+		return reason
+	}
+	a.refusal = &Refusal{Version: version, Reason: reason.Error(), At: time.Now()}
+	a.refusedFor = reason
+	change := Change{Refusal: a.refusal}
+	if current := a.store.Current(); current != nil {
+		change.InForce, change.Generation = current.Version(), current.Generation()
+	}
+	a.watchers.notify(change)
+	return reason
+}
--- a/internal/policy/errors.go
+++ b/internal/policy/errors.go
@@ -41,15 +41,18 @@
 	return text + "; " + e.Hint
 }
 
-// Errors holds one Error for each policy that cannot be compiled.
-type Errors []*Error
+// Errors tells of each policy that cannot be compiled; errors.As finds *Errors.
+type Errors struct {
+	// Faults holds one Error for each policy at fault, at least one.
+	Faults []*Error
+}
 
 // Error returns one line for each error.
-func (e Errors) Error() string {
+func (e *Errors) Error() string {
 	var lines []string
-	for i, fault := range e {
+	for i, fault := range e.Faults {
 		if i == maxShownErrors {
-			lines = append(lines, fmt.Sprintf("and %d more policies at fault", len(e)-i))
+			lines = append(lines, fmt.Sprintf("and %d more policies at fault", len(e.Faults)-i))
 			break
 		}
 		lines = append(lines, fault.Error())
@@ -115,7 +118,7 @@
 // innermost returns where the program was when the error arose, not the builtin.
 func innermost(stack starlark.CallStack) syntax.Position {
 	for i := len(stack) - 1; i >= 0; i-- {
-		if position := stack[i].Pos; position.IsValid() {
+		if position := stack[i].Pos; position.Line > 0 {
 			return position
 		}
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -54,7 +54,7 @@
 }
 
 // Compile returns the routes of a document for a fleet as it is now. All
-// policies compile, or the error, an Errors, tells what is wrong with each.
+// policies compile, or the error, an *Errors, tells what is wrong with each.
 func Compile(document *snapshot.Document, fleet FleetView) (*snapshot.Snapshot, error) {
 	plan, err := NewPlan(document)
 	if err != nil {
@@ -63,13 +63,13 @@
 	return plan.Snapshot(CountsOf(fleet))
 }
 
-// NewPlan runs the policies of a document. The error is an Errors when a policy
+// NewPlan runs the policies of a document. The error is an *Errors when a policy
 // is at fault. Whether NewPlan succeeds depends on the document alone.
 func NewPlan(document *snapshot.Document) (*Plan, error) {
 	content := document.Content()
 	compiler := newCompiler(content)
 	plan := &Plan{document: document}
-	var faults Errors
+	var faults []*Error
 	for _, source := range content.Policies {
 		program, fault := compiler.compile(source)
 		if fault != nil {
@@ -79,7 +79,7 @@
 		plan.programs = append(plan.programs, program)
 	}
 	if len(faults) > 0 {
-		return nil, faults
+		return nil, &Errors{Faults: faults}
 	}
 	plan.conditions = conditionsOf(plan.programs)
 	return plan, nil
