Test the outbound proxy's refusals and the faults of instances

Ruled out: none. Change: a rig on loopback, tables of refusals and instance faults, no replay on reused connections, budget, deadline, cancellation, keys. Conclusion: green with -race.

--- a/internal/proxy/outbound/affinity.go
+++ b/internal/proxy/outbound/affinity.go
@@ -120,18 +120,15 @@
 			return endpoint, true
 		}
 	}
-	for _, member := range view.Members() {
-		record := member.Record
-		if record.Node != key.Node {
-			continue
-		}
-		present := record.Incarnation == key.Incarnation && record.State != membership.StateGone && record.DataAddress != ""
-		return membership.Endpoint{
-			Node: record.Node, Incarnation: record.Incarnation, Region: record.Region,
-			Zone: record.Zone, DataAddress: record.DataAddress, Slots: record.Slots,
-		}, present
+	member, known := view.Member(key.Node)
+	record := member.Record
+	if !known || record.Incarnation != key.Incarnation || record.DataAddress == "" {
+		return membership.Endpoint{}, false
 	}
-	return membership.Endpoint{}, false
+	return membership.Endpoint{
+		Node: record.Node, Incarnation: record.Incarnation, Region: record.Region,
+		Zone: record.Zone, DataAddress: record.DataAddress, Slots: record.Slots,
+	}, true
 }
 
 // keyMemory remembers which process each key was sent to. It is bounded in time
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -37,22 +37,24 @@
 	}
 	e.beginAnswer()
 	e.writeHeader(response)
-	writeFailed, err := e.copyBody(response)
-	now := time.Now()
-	switch {
-	case errors.Is(context.Cause(e.ctx), errDeadline):
-		e.finish(choice, balance.Cancelled, now)
-		return cut
-	case writeFailed || (err != nil && e.request.Context().Err() != nil):
-		e.finish(choice, balance.Cancelled, now)
-		return callerGone
-	case err != nil:
-		e.finish(choice, balance.Failed, now)
-		return cut
+	end := e.copyBody(response)
+	e.finish(choice, observationOfEnd(end), time.Now())
+	if end == answered {
+		e.writeTrailer(response)
+	}
+	return end
+}
+
+// observationOfEnd is what the end of an answer tells about the instance.
+func observationOfEnd(end ending) balance.Observation {
+	switch end {
+	case answered:
+		return balance.Answered
+	case cut:
+		return balance.Failed
+	default:
+		return balance.Cancelled
 	}
-	e.finish(choice, balance.Answered, now)
-	e.writeTrailer(response)
-	return answered
 }
 
 func isEventStream(header http.Header) bool {
@@ -92,28 +94,39 @@
 
 // copyBody passes the body on. Of an answer without a known length each piece
 // is sent at once.
-func (e *exchange) copyBody(response *http.Response) (writeFailed bool, err error) {
+func (e *exchange) copyBody(response *http.Response) ending {
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
-		count, readErr := response.Body.Read(buffer[:])
+		count, err := response.Body.Read(buffer[:])
 		if count > 0 {
 			if _, err := e.writer.Write(buffer[:count]); err != nil {
-				return true, err
+				return e.endOfBroken(callerGone)
 			}
-			if response.ContentLength == unknownLength && !errors.Is(readErr, io.EOF) {
-				e.flush()
-			}
-		}
-		if errors.Is(readErr, io.EOF) {
-			return false, nil
 		}
-		if readErr != nil {
-			return false, readErr
+		switch {
+		case errors.Is(err, io.EOF):
+			return answered
+		case err != nil:
+			return e.endOfBroken(cut)
+		case response.ContentLength == unknownLength:
+			e.flush()
 		}
 	}
 }
 
+// endOfBroken tells who ended an answer that did not come to its end.
+func (e *exchange) endOfBroken(otherwise ending) ending {
+	switch {
+	case errors.Is(context.Cause(e.ctx), errDeadline):
+		return late
+	case e.request.Context().Err() != nil:
+		return callerGone
+	default:
+		return otherwise
+	}
+}
+
 func (e *exchange) flush() { _ = http.NewResponseController(e.writer).Flush() }
 
 // writeTrailer passes on the trailer fields, those not announced too.
--- /dev/null
+++ b/internal/proxy/outbound/fault_test.go
@@ -0,0 +1,295 @@
+package outbound_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// What the proxy refuses by itself never reaches an instance.
+func TestRefusedBeforeSending(t *testing.T) {
+	headers := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	for _, test := range []struct {
+		fault  string
+		change func(*http.Request)
+		status int
+		reason outcome.Reason
+	}{
+		{"unknown host", func(r *http.Request) { r.Host = "other.test" }, 404, outcome.ReasonNoRoute},
+		{"TRACE", func(r *http.Request) { r.Method = http.MethodTrace }, 405, outcome.ReasonBadRequest},
+		{"dot segment", func(r *http.Request) { r.URL.Opaque = "/trips/../admin" }, 400, outcome.ReasonBadRequest},
+		{"encoded dot segment", func(r *http.Request) { r.URL.Opaque = "/trips/%2e%2E/admin" }, 400, outcome.ReasonBadRequest},
+		{"other scheme", func(r *http.Request) { r.URL.Opaque = "ftp://booking.test/" }, 400, outcome.ReasonBadRequest},
+		{"large header", headers("X-Large", strings.Repeat("x", headerLimit)), 431, outcome.ReasonTooLarge},
+		{"large body", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("")), bodyLimit+1
+			r.Header.Set("Expect", "100-continue")
+		}, 413, outcome.ReasonTooLarge},
+		{"timeout is no number", headers(outcome.HeaderTimeout, "soon"), 400, outcome.ReasonBadRequest},
+		{"timeout below zero", headers(outcome.HeaderTimeout, "-1"), 400, outcome.ReasonBadRequest},
+		{"time already over", headers(outcome.HeaderTimeout, "0"), 504, outcome.ReasonDeadline},
+	} {
+		t.Run(test.fault, func(t *testing.T) {
+			r := newRig(t)
+			r.client.Transport.(*http.Transport).ExpectContinueTimeout = time.Minute
+			r.configure(nil)
+			r.instance("a", func(http.ResponseWriter, *http.Request) { t.Error("reached an instance") })
+			request := r.request("POST", "/trips", nil)
+			test.change(request)
+			response, _ := r.do(request)
+			r.checkProblem(response, test.status, outcome.NotRun, test.reason)
+		})
+	}
+}
+
+func (r *rig) checkProblem(response *http.Response, status int, want outcome.Outcome, reason outcome.Reason) {
+	r.t.Helper()
+	problem, ok := outcome.FromResponse(response)
+	r.Assert(ok, qt.IsTrue, qt.Commentf("status %d", response.StatusCode))
+	r.Check(problem.Status, qt.Equals, status)
+	r.Check(problem.Outcome, qt.Equals, want)
+	r.Check(problem.Reason, qt.Equals, reason)
+	r.Check(response.Header.Get("Content-Type"), qt.Equals, outcome.ContentType)
+}
+
+func TestRefusedWithoutConfigurationOrInstance(t *testing.T) {
+	r := newRig(t)
+	response, _ := r.do(r.request("GET", "/", nil))
+	r.checkProblem(response, 503, outcome.NotRun, outcome.ReasonNoConfiguration)
+	r.Check(response.Header.Get("Retry-After"), qt.Equals, "1")
+
+	r.configure(nil)
+	r.member("draining", "127.0.0.1:1", membership.StateDraining)
+	response, _ = r.do(r.request("GET", "/", nil))
+	r.checkProblem(response, 503, outcome.NotRun, outcome.ReasonNoInstance)
+}
+
+// refuse answers as an inbound proxy does, with or without reading the body.
+func refuse(reason outcome.Reason, result outcome.Outcome, readBody bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if readBody {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		outcome.New(reason, result, "").Write(w)
+	}
+}
+
+// The faulty instance fails in one way, the other is sound. Sent counts the
+// requests that arrived at either.
+func TestFaultsOfAnInstance(t *testing.T) {
+	overloaded := refuse(outcome.ReasonOverloaded, outcome.NotRun, true)
+	lost := refuse(outcome.ReasonBroken, outcome.Unknown, true)
+	ownError := func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) }
+	for _, test := range []struct {
+		fault   string
+		faulty  http.HandlerFunc // nil: nothing listens
+		method  string
+		body    io.Reader
+		status  int
+		outcome outcome.Outcome
+		reason  outcome.Reason
+		sent    int32
+	}{
+		{"refuses connections, POST", nil, "POST", nil, 200, "", "", 1},
+		{"closes after the request, POST", breakOff(""), "POST", nil, 502, outcome.Unknown, outcome.ReasonBroken, 1},
+		{"closes after the request, DELETE", breakOff(""), "DELETE", nil, 502, outcome.Unknown, outcome.ReasonBroken, 1},
+		{"closes after the request, GET", breakOff(""), "GET", nil, 200, "", "", 2},
+		{"answers no HTTP, POST", breakOff("nonsense\r\n\r\n"), "POST", nil, 502, outcome.Unknown, outcome.ReasonBroken, 1},
+		{"sheds, POST", overloaded, "POST", strings.NewReader("booking"), 200, "", "", 2},
+		{"sheds unread, POST", refuse(outcome.ReasonOverloaded, outcome.NotRun, false), "POST", strings.NewReader("booking"), 200, "", "", 2},
+		{"drains, POST", refuse(outcome.ReasonDraining, outcome.NotRun, true), "POST", nil, 200, "", "", 2},
+		{"is another process, POST", refuse(outcome.ReasonWrongInstance, outcome.NotRun, true), "POST", nil, 200, "", "", 2},
+		{"sheds after a long body, POST", overloaded, "POST", longBody(), 503, outcome.NotRun, outcome.ReasonOverloaded, 1},
+		{"lost its back end, POST", lost, "POST", nil, 502, outcome.Unknown, outcome.ReasonBroken, 1},
+		{"lost its back end, PUT", lost, "PUT", strings.NewReader("booking"), 200, "", "", 2},
+		{"sees time over, GET", refuse(outcome.ReasonDeadline, outcome.NotRun, true), "GET", nil, 504, outcome.NotRun, outcome.ReasonDeadline, 1},
+		{"back end says 503 itself, GET", ownError, "GET", nil, 503, "", "", 1},
+	} {
+		t.Run(test.fault, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(nil)
+			var sent atomic.Int32
+			count := func(next http.HandlerFunc) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					sent.Add(1)
+					next(w, r)
+				}
+			}
+			if test.faulty == nil {
+				r.member("faulty", closedAddress(r), membership.StateReady)
+			} else {
+				r.instance("faulty", count(test.faulty))
+			}
+			// Suspected instances are the last choice, so the faulty one comes first.
+			r.instance("sound", count(answer("done")))
+			r.members[1].Suspected = true
+			r.view.Store(membership.NewView(r.members))
+
+			response, body := r.do(r.request(test.method, "/", test.body))
+			r.Check(sent.Load(), qt.Equals, test.sent)
+			if test.outcome != "" {
+				r.checkProblem(response, test.status, test.outcome, test.reason)
+				return
+			}
+			r.Check(response.StatusCode, qt.Equals, test.status)
+			r.Check(response.Header.Get(outcome.HeaderOutcome), qt.Equals, "")
+			if test.status == 200 {
+				r.Check(body, qt.Equals, "done")
+			}
+		})
+	}
+}
+
+func closedAddress(r *rig) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.Assert(err, qt.IsNil)
+	r.Assert(listener.Close(), qt.IsNil)
+	return listener.Addr().String()
+}
+
+// http.Transport repeats such requests by itself when a reused connection
+// breaks; the promise is that they are sent once.
+func TestNoRepeatOnAReusedConnection(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		method string
+		key    string
+		body   io.Reader
+	}{
+		{"GET that may not be repeated", "GET", "", nil},
+		{"POST with a key", "POST", "booking-1", nil},
+		{"POST with a key and a body", "POST", "booking-1", strings.NewReader("body")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(func(route *snapshot.Route) { route.RepeatMethods = nil })
+			var sent atomic.Int32
+			connections := make(map[string]bool) // one request at a time
+			r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+				if request.URL.Path == "/warm" {
+					connections[request.RemoteAddr] = true
+					return
+				}
+				if !connections[request.RemoteAddr] {
+					t.Error("not a reused connection")
+				}
+				sent.Add(1)
+				breakOff("")(w, request)
+			})
+			r.do(r.request("GET", "/warm", nil))
+			request := r.request(test.method, "/", test.body)
+			if test.key != "" {
+				request.Header.Set(outcome.HeaderIdempotencyKey, test.key)
+			}
+			response, _ := r.do(request)
+			r.checkProblem(response, 502, outcome.Unknown, outcome.ReasonBroken)
+			r.Check(sent.Load(), qt.Equals, int32(1))
+		})
+	}
+}
+
+// A refusing service costs the retries that the budget allows, no more.
+func TestRetryBudgetBoundsTheSends(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	var sent atomic.Int32
+	for _, name := range []string{"a", "b", "c"} {
+		r.instance(name, func(w http.ResponseWriter, request *http.Request) {
+			sent.Add(1)
+			refuse(outcome.ReasonOverloaded, outcome.NotRun, true)(w, request)
+		})
+	}
+	const requests = 100
+	for range requests {
+		response, _ := r.do(r.request("GET", "/", nil))
+		r.checkProblem(response, 503, outcome.NotRun, outcome.ReasonOverloaded)
+		r.Check(response.Header.Get("Retry-After"), qt.Equals, "1")
+	}
+	// 10 saved up and a tenth of the requests, less the share lost to the cap.
+	r.Check(sent.Load() <= requests+10+requests/10, qt.IsTrue, qt.Commentf("sent %d", sent.Load()))
+	r.Check(sent.Load() > requests+10, qt.IsTrue, qt.Commentf("sent %d", sent.Load()))
+}
+
+// A stalled instance costs the caller its time, and the answer says whether the
+// request may have run.
+func TestDeadline(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	left := make(chan string, 1)
+	gone := make(chan struct{})
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		left <- request.Header.Get(outcome.HeaderRemaining)
+		<-request.Context().Done()
+		close(gone)
+	})
+	request := r.request("GET", "/", nil)
+	request.Header.Set(outcome.HeaderTimeout, "200")
+	response, _ := r.do(request)
+	r.checkProblem(response, 504, outcome.Unknown, outcome.ReasonDeadline)
+	r.Check(<-left, qt.Matches, "1?[0-9]?[0-9]")
+	<-gone
+}
+
+// A caller that goes away cancels the work; nobody else gets its answer.
+func TestCallerGoesAway(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	arrived, gone := make(chan struct{}), make(chan struct{})
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		close(arrived)
+		<-request.Context().Done()
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := r.client.Do(r.request("POST", "/", nil).WithContext(ctx))
+	r.Check(errors.Is(err, context.Canceled), qt.IsTrue)
+	<-gone
+}
+
+// Keyed requests that may run once go to the instance that remembers the key,
+// draining or not, and nowhere else once it has gone.
+func TestKeyStaysWithItsInstance(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		r.instance(name, answer(name))
+	}
+	send := func() (*http.Response, string) {
+		request := r.request("POST", "/", strings.NewReader("booking"))
+		request.Header.Set(outcome.HeaderIdempotencyKey, "booking-1")
+		return r.do(request)
+	}
+	_, first := send()
+	for range 5 {
+		_, again := send()
+		r.Check(again, qt.Equals, first)
+	}
+	owner := int(first[0] - 'a')
+	r.members[owner].Record.State = membership.StateDraining
+	r.view.Store(membership.NewView(r.members))
+	_, again := send()
+	r.Check(again, qt.Equals, first)
+
+	r.members[owner].Record.Incarnation++
+	r.view.Store(membership.NewView(r.members))
+	response, _ := send()
+	r.checkProblem(response, 409, outcome.Unknown, outcome.ReasonRepeatLost)
+}
--- a/internal/proxy/outbound/metrics.go
+++ b/internal/proxy/outbound/metrics.go
@@ -35,7 +35,7 @@
 		budgetEmpty: newCounter("winchhead_outbound_retry_budget_empty_total", "Retries not made because the budget of the service was empty."),
 		ejections:   newCounter("winchhead_outbound_ejections_total", "Instances taken out for a while after failures in a row."),
 	}
-	for _, known := range []ending{answered, cut, callerGone} {
+	for _, known := range []ending{answered, cut, late, callerGone} {
 		result.requests[known] = requests.WithLabelValues(known.outcome, string(known.reason))
 	}
 	for _, reason := range outcome.Reasons() {
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -153,6 +153,7 @@
 var (
 	answered   = ending{"answered", reasonNone}
 	cut        = ending{"cut", reasonNone}
+	late       = ending{"cut", outcome.ReasonDeadline}
 	callerGone = ending{"caller-gone", reasonNone}
 )
 
@@ -161,4 +162,4 @@
 }
 
 // aborts reports whether the caller's connection must be cut.
-func (e ending) aborts() bool { return e == cut || e == callerGone }
+func (e ending) aborts() bool { return e == cut || e == late || e == callerGone }
