--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -13,7 +14,8 @@
 const partField = "part"
 
 // New returns a logger that writes to out. level is a logrus level name; format
-// is "text" or "json".
+// is "text" or "json". Text puts the part before the message; JSON has it in the
+// field "part".
 func New(out io.Writer, level, format string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
@@ -26,7 +28,7 @@
 	case "json":
 		logger.SetFormatter(&logrus.JSONFormatter{})
 	case "text":
-		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+		logger.SetFormatter(&prefixFormatter{inner: &logrus.TextFormatter{DisableColors: true, FullTimestamp: true}})
 	default:
 		return nil, eris.Errorf("log format %q: want text or json", format)
 	}
@@ -44,3 +46,19 @@
 	logger.SetOutput(io.Discard)
 	return logger
 }
+
+// prefixFormatter moves the part from the fields to the start of the message.
+type prefixFormatter struct{ inner logrus.Formatter }
+
+// Format implements logrus.Formatter.
+func (f *prefixFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	part, found := entry.Data[partField]
+	if !found {
+		return f.inner.Format(entry)
+	}
+	moved := entry.Dup()
+	moved.Level, moved.Caller, moved.Buffer = entry.Level, entry.Caller, entry.Buffer
+	moved.Message = fmt.Sprintf("%s: %s", part, entry.Message)
+	delete(moved.Data, partField)
+	return f.inner.Format(moved)
+}
