--- a/internal/bench/mesh/node.go
+++ b/internal/bench/mesh/node.go
@@ -71,16 +71,25 @@
 // node is asked to end. It returns when it has ended.
 func (n *Node) Stop(ctx context.Context) error {
 	n.mesh.Entries.Remove(n.Outbound())
-	leaving := n.plan.Member()
-	leaving.State = membership.ListedLeaving
-	n.mesh.Platform.PutMember(leaving)
+	n.AnnounceLeaving()
 	if err := n.runner.stop(ctx); err != nil {
 		return eris.Wrapf(err, "stop %s", n.Name())
 	}
-	n.mesh.Platform.RemoveMember(leaving.Node)
+	n.mesh.Platform.RemoveMember(n.plan.Member().Node)
 	return nil
 }
 
+// AnnounceLeaving says in the platform's list that the machine is leaving. The
+// node itself is not told.
+func (n *Node) AnnounceLeaving() {
+	leaving := n.plan.Member()
+	leaving.State = membership.ListedLeaving
+	n.mesh.Platform.PutMember(leaving)
+}
+
+// AnnounceStaying takes AnnounceLeaving back.
+func (n *Node) AnnounceStaying() { n.mesh.Platform.PutMember(n.plan.Member()) }
+
 // Kill ends the node at once. Neither callers nor the platform's list are told.
 func (n *Node) Kill() error { return eris.Wrapf(n.runner.kill(), "kill %s", n.Name()) }
 
--- /dev/null
+++ b/test/integration/mesh_test.go
@@ -0,0 +1,224 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/bench/load"
+	"github.com/winchhead/winchhead/internal/bench/mesh"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// service is the only service of testdata/small.
+const service = "booking"
+
+// startMesh starts testdata/small with real processes and fault proxies, waits
+// until it is whole, and ends it with the test.
+func startMesh(t testing.TB) *mesh.Mesh {
+	plan, err := deployment.Load("testdata/small")
+	qt.Assert(t, err, qt.IsNil)
+	running, err := mesh.Start(testContext(t), mesh.Options{
+		Deployment: plan, Binary: winchheadBinary, Logs: nodeLogs(t),
+		Hops: []mesh.Hop{mesh.HopBackend, mesh.HopData},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, running.Close(), qt.IsNil) })
+	qt.Assert(t, running.AwaitWhole(testContext(t)), qt.IsNil)
+	return running
+}
+
+// nodeLogs is a file that the test's log names when the test fails.
+func nodeLogs(t testing.TB) *os.File {
+	file, err := os.CreateTemp("", "winchhead-nodes-*.log")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the nodes' logs are in %s", file.Name())
+		} else {
+			_ = os.Remove(file.Name())
+		}
+		_ = file.Close()
+	})
+	return file
+}
+
+// publishChange publishes a revision that differs in a comment only.
+func publishChange(t testing.TB, running *mesh.Mesh) snapshot.Revision {
+	version, err := running.Platform.Change(func(content *snapshot.Content) error {
+		content.Policies[0].Program += "# changed\n"
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return version.Revision
+}
+
+// Sizes of the callers' work.
+const (
+	workers       = 6
+	workTime      = 4 * time.Millisecond
+	smallBody     = 200
+	largeBody     = 60_000
+	callTimeout   = 10 * time.Second
+	largeBodyOnce = 5 // one call in so many has a large body
+)
+
+// lastNumber numbers the calls of all tests, as journals outlive one.
+var lastNumber atomic.Uint64
+
+// callers send numbered calls without pause, each checked byte by byte, and keep
+// all results. One in two may not be repeated.
+type callers struct {
+	running   *mesh.Mesh
+	transport *http.Transport
+	timeout   time.Duration
+	stopping  chan struct{}
+	workers   sync.WaitGroup
+
+	lock    sync.Mutex
+	results []load.Result
+	changed chan struct{} // closed and replaced at each result
+}
+
+func startCallers(t testing.TB, running *mesh.Mesh, timeout time.Duration) *callers {
+	c := &callers{
+		running: running, transport: load.NewTransport(), timeout: timeout,
+		stopping: make(chan struct{}), changed: make(chan struct{}),
+	}
+	for range workers {
+		c.workers.Go(c.work)
+	}
+	t.Cleanup(func() { c.stop() })
+	return c
+}
+
+func (c *callers) work() {
+	for {
+		select {
+		case <-c.stopping:
+			return
+		default:
+		}
+		number := lastNumber.Add(1)
+		c.add(load.Send(c.transport, c.running.Entries.Pick(number/2), c.call(number), time.Now()))
+	}
+}
+
+func (c *callers) call(number uint64) load.Call {
+	call := load.Call{
+		ID: fmt.Sprintf("call-%d", number), Host: service, Path: "/echo",
+		Method: http.MethodPost, BodyBytes: smallBody, Work: workTime, Timeout: c.timeout,
+	}
+	if number%largeBodyOnce == 0 {
+		call.BodyBytes = largeBody
+	}
+	if number%2 == 0 {
+		call.Method, call.MayRepeat = http.MethodGet, true
+		call.AnswerBytes, call.BodyBytes = call.BodyBytes, 0
+	}
+	return call
+}
+
+func (c *callers) add(result load.Result) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.results = append(c.results, result)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// mark returns how many calls have ended, for awaitSince.
+func (c *callers) mark() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.results)
+}
+
+// awaitMore waits until count more calls that match have ended; nil matches all.
+func (c *callers) awaitMore(ctx context.Context, t testing.TB, count int, match func(load.Result) bool) {
+	c.awaitSince(ctx, t, c.mark(), count, match)
+}
+
+// awaitSince waits until count calls that match have ended since a mark.
+func (c *callers) awaitSince(ctx context.Context, t testing.TB, mark, count int, match func(load.Result) bool) {
+	for {
+		seen, changed := c.countSince(mark, match)
+		if seen >= count {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%d of %d calls ended as awaited: %v", seen, count, ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+func (c *callers) countSince(mark int, match func(load.Result) bool) (int, <-chan struct{}) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	seen := 0
+	for _, result := range c.results[mark:] {
+		if match == nil || match(result) {
+			seen++
+		}
+	}
+	return seen, c.changed
+}
+
+// stop ends the calls and returns all results. It may be called again.
+func (c *callers) stop() []load.Result {
+	select {
+	case <-c.stopping:
+	default:
+		close(c.stopping)
+	}
+	c.workers.Wait()
+	c.transport.CloseIdleConnections()
+	return c.results
+}
+
+// answered matches calls that got their whole answer.
+func answered(result load.Result) bool { return result.Class == load.Answered }
+
+// classes counts results by class.
+func classes(results []load.Result) map[load.Class]int {
+	counts := map[load.Class]int{}
+	for _, result := range results {
+		counts[result.Class]++
+	}
+	return counts
+}
+
+// assertOnly checks that every result has one of the allowed classes.
+func assertOnly(t testing.TB, results []load.Result, allowed ...load.Class) {
+	permitted := map[load.Class]bool{}
+	for _, class := range allowed {
+		permitted[class] = true
+	}
+	for _, result := range results {
+		if !permitted[result.Class] {
+			t.Fatalf("%s %s ended %s (status %d, %s), allowed %v; all: %v", result.Call.Method, result.Call.ID,
+				result.Class, result.Status, result.Reason, allowed, classes(results))
+		}
+	}
+}
+
+// assertKept audits results against the back ends' journals.
+func assertKept(t testing.TB, running *mesh.Mesh, results []load.Result) {
+	audit := load.Check(results, running.Journal())
+	qt.Assert(t, audit.Kept(), qt.IsTrue, qt.Commentf("%+v", audit))
+	for _, instance := range running.Backends() {
+		statistics := instance.Statistics()
+		qt.Assert(t, statistics.SlotViolations, qt.Equals, int64(0))
+		qt.Assert(t, statistics.ConnectionViolations, qt.Equals, int64(0))
+	}
+}
