--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -53,6 +53,8 @@
 	return []subcommand{
 		{"platform", "Run the emulated platform", platformHelp, &platformCommand{environment: env}},
 		{"demo", "Show the main job on Montevideo", demoHelp, &demoCommand{environment: env}},
+		{"overhead", "Measure what the two hops add", overheadHelp, &overheadCommand{environment: env}},
+		{"load", "Measure goodput around the capacity", loadHelp, &loadCommand{environment: env}},
 		{"soak", "Run random faults against the examples", soakHelp, &soakCommand{environment: env}},
 		{"backend", "Run an emulated back end", backendHelp, &backendCommand{environment: env}},
 	}
--- /dev/null
+++ b/internal/bench/command/load.go
@@ -0,0 +1,98 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/bench/chart"
+	"github.com/winchhead/winchhead/internal/bench/goodput"
+)
+
+const loadHelp = "Offers load below and above the capacity of an example and reports what is answered in time, " +
+	"for the nodes as they are and with retries, balance and shedding each switched to a plain baseline."
+
+// loadCommand measures goodput.
+type loadCommand struct {
+	environment
+	exampleFlags
+	binaryFlags
+	Deployment string        `long:"deployment" default:"montevideo" description:"example to run"`
+	Factors    []float64     `long:"factor" default:"0.5" default:"1" default:"2" default:"4" description:"offered load as a share of the capacity; may be repeated"`
+	Duration   time.Duration `long:"duration" default:"10s" description:"how long each load is offered"`
+	Depth      int           `long:"depth" default:"1" description:"back ends that one call passes"`
+	Work       time.Duration `long:"work" default:"100ms" description:"time that each back end works on a call"`
+	Timeout    time.Duration `long:"timeout" default:"1s" description:"time that callers give"`
+	Only       bool          `long:"no-baselines" description:"measure the nodes as they are only"`
+	JSON       bool          `long:"json" description:"print the report as JSON"`
+	Plot       string        `long:"plot" value-name:"FILE" description:"draw goodput over offered load (.png, .svg, .pdf)"`
+}
+
+// Execute runs the measurement.
+func (c *loadCommand) Execute([]string) error {
+	plan, err := c.load(c.Deployment)
+	if err != nil {
+		return err
+	}
+	binary, release, err := c.binary(c.environment)
+	if err != nil {
+		return err
+	}
+	defer release()
+	variants := goodput.Variants
+	if c.Only {
+		variants = variants[:1]
+	}
+	report, err := goodput.Run(c.ctx, goodput.Options{
+		Deployment: plan, Binary: binary, Variants: variants, Factors: c.Factors, Duration: c.Duration,
+		Depth: c.Depth, Work: c.Work, Timeout: c.Timeout,
+		Progress: func(variant string, point goodput.Point) {
+			_, _ = fmt.Fprintf(c.stderr, "%s at %g times capacity: %.0f of %.0f calls a second in time\n", variant, point.Factor, point.Calls.Goodput, point.Offered)
+		},
+	})
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := goodputChart(report).Save(c.Plot); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return printJSON(c.stdout, report)
+	}
+	c.printTable(report)
+	return nil
+}
+
+func (c *loadCommand) printTable(report goodput.Report) {
+	_, _ = fmt.Fprintf(c.stdout, "%s: capacity %.0f calls/s at depth %d, deadline %.0f ms\n", report.Deployment, report.Capacity, report.Depth, report.TimeoutMS)
+	table := newTable(c.stdout, "NODES", "TIMES CAPACITY", "OFFERED/S", "GOODPUT/S", "P99 MS", "NOT RUN", "UNKNOWN", "LATE", "REJECTED", "SKIPPED")
+	for _, curve := range report.Curves {
+		for _, point := range curve.Points {
+			calls := point.Calls
+			table.row(curve.Variant, point.Factor, fmt.Sprintf("%.0f", point.Offered), fmt.Sprintf("%.0f", calls.Goodput),
+				fmt.Sprintf("%.1f", calls.LatencyMS.P99), calls.NotRun, calls.Unknown, calls.Late, calls.Rejected, calls.Skipped)
+		}
+	}
+	table.flush()
+	for _, curve := range report.Curves {
+		_, _ = fmt.Fprintf(c.stdout, "%s: the last load has %.0f %% of the peak goodput\n", curve.Variant, 100*curve.LastShare)
+	}
+}
+
+// goodputChart returns the chart of a report.
+func goodputChart(report goodput.Report) chart.Lines {
+	lines := chart.Lines{
+		Title:  fmt.Sprintf("Goodput of %s, depth %d", report.Deployment, report.Depth),
+		XLabel: "offered load (times capacity)", YLabel: "answered in time (calls/s)",
+	}
+	for _, curve := range report.Curves {
+		series := chart.Series{Name: curve.Variant}
+		for _, point := range curve.Points {
+			series.X = append(series.X, point.Factor)
+			series.Y = append(series.Y, point.Calls.Goodput)
+		}
+		lines.Series = append(lines.Series, series)
+	}
+	return lines
+}
--- a/internal/bench/load/generator.go
+++ b/internal/bench/load/generator.go
@@ -47,7 +47,7 @@
 	}
 	run := generator{
 		options: options,
-		record:  newRecord(),
+		record:  NewRecord(),
 		slots:   make(chan struct{}, options.MaxInFlight),
 	}
 	run.loop(ctx)
--- a/internal/bench/load/record.go
+++ b/internal/bench/load/record.go
@@ -39,7 +39,8 @@
 	duration time.Duration
 }
 
-func newRecord() *Record {
+// NewRecord returns an empty record.
+func NewRecord() *Record {
 	return &Record{
 		reasons: map[string]int64{},
 		latency: hdrhistogram.New(minLatencyMicroseconds, maxLatencyMicroseconds, significantDigits),
@@ -72,6 +73,22 @@
 	r.duration = duration
 }
 
+// Merge adds the results and the duration of another record that is sealed.
+func (r *Record) Merge(other *Record) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	for class, count := range other.classes {
+		r.classes[class] += count
+	}
+	for reason, count := range other.reasons {
+		r.reasons[reason] += count
+	}
+	r.latency.Merge(other.latency)
+	r.results = append(r.results, other.results...)
+	r.skipped += other.skipped
+	r.duration += other.duration
+}
+
 // Results returns all results in the order of their ends. It must not be called
 // while Run goes on.
 func (r *Record) Results() []Result { return r.results }
