--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,6 +43,7 @@
 	parser.LongDescription = "Winchhead distributes configuration to the proxies of a service mesh."
 	effective := &settingsCommand{environment: env}
 	subcommands := []subcommand{
+		{"check", "Compile policies without a node", checkHelp, &checkCommand{environment: env}},
 		{"explain", "Show where a node would send a request", explainHelp, &explainCommand{environment: env}},
 		{"status", "Show which version each node holds", statusHelp, &statusCommand{environment: env}},
 		{"watch", "Wait until a revision is in force everywhere", watchHelp, &watchCommand{environment: env}},
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -139,3 +141,35 @@
 		})
 	}
 }
+
+func TestCheckPointsAtTheFault(t *testing.T) {
+	c := qt.New(t)
+	for _, example := range []string{"montevideo", "kerlann"} {
+		code, stdout, _ := run(c, "check", "../../examples/"+example+"/content.yaml")
+		c.Assert(code, qt.Equals, ExitOK)
+		c.Assert(stdout, qt.Contains, "accepted")
+	}
+	directory := c.TempDir()
+	content := filepath.Join(directory, "content.yaml")
+	c.Assert(os.WriteFile(content, []byte("services:\n  - name: reservas\npolicies:\n  - bad.star\n"), 0o600), qt.IsNil)
+	bad := "route(name=\"a\", to=\"reservas\")\nroute(name=\"b\", to=\"nowhere\")\n"
+	c.Assert(os.WriteFile(filepath.Join(directory, "bad.star"), []byte(bad), 0o600), qt.IsNil)
+	code, stdout, _ := run(c, "check", content)
+	c.Assert(code, qt.Equals, ExitRefused)
+	c.Assert(stdout, qt.Contains, `bad.star:2:`)
+	c.Assert(stdout, qt.Contains, `there is no service "nowhere" in this revision`)
+
+	code, stdout, _ = run(c, "check", "--output", "json", filepath.Join(directory, "absent.yaml"), content)
+	c.Assert(code, qt.Equals, ExitRefused)
+	var reports []checkReport
+	c.Assert(json.Unmarshal([]byte(stdout), &reports), qt.IsNil)
+	c.Assert(reports, qt.HasLen, 2)
+	c.Assert(reports[0].Problem, qt.Contains, "absent.yaml")
+	c.Assert(reports[1].Faults[0].Line, qt.Equals, 2)
+
+	code, _, _ = run(c, "check")
+	c.Assert(code, qt.Equals, ExitUsage)
+	code, _, stderr := run(c, "check", "--settings", content)
+	c.Assert(code, qt.Equals, ExitUsage)
+	c.Assert(stderr, qt.Contains, "content.yaml:1: services: unknown section")
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -138,3 +138,18 @@
 		}
 	}
 }
+
+// TestOperationsPageListsEverySetting keeps the page and the code together.
+func TestOperationsPageListsEverySetting(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	c.Assert(err, qt.IsNil)
+	for _, field := range settings.Fields() {
+		value := ""
+		if field.Default != "" {
+			value = "`" + field.Default + "`"
+		}
+		row := "| `" + field.Key + "` | " + value + " | " + field.Help + " |"
+		c.Assert(strings.Contains(string(page), row), qt.IsTrue, qt.Commentf("docs/OPERATIONS.md lacks: %s", row))
+	}
+}
