End the wait of the watch test by an event

It ended by a timeout of 1 ms, which could be over before the first question was answered: seen failing with exit code 3 in place of 4.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -90,10 +91,27 @@
 	code, stdout, _ = run(c, "watch", "--revision", "7", "--admin", fleetServer(c, before, refused))
 	c.Assert(code, qt.Equals, ExitRefused)
 	c.Assert(stdout, qt.Contains, "trips:3: no such service")
-	code, stdout, _ = run(c, "watch", "--revision", "7", "--timeout", "1ms", "--output", "json", "--admin", fleetServer(c, before))
+}
+
+// TestWatchThatEndsFirstTellsWhatIsMissing ends the wait at the second question.
+func TestWatchThatEndsFirstTellsWhatIsMissing(t *testing.T) {
+	c := qt.New(t)
+	ctx, end := context.WithCancel(c.Context())
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		if asked > 1 {
+			end()
+			return
+		}
+		c.Check(json.NewEncoder(w).Encode(admin.FleetStatus{Members: []admin.MemberStatus{member(6, 0)}}), qt.IsNil)
+	}))
+	c.Cleanup(server.Close)
+	var stdout, stderr bytes.Buffer
+	code := Run(ctx, []string{"watch", "--revision", "7", "--output", "json", "--admin", server.Listener.Addr().String()}, &stdout, &stderr)
 	c.Assert(code, qt.Equals, ExitPending)
 	var report revisionReport
-	c.Assert(json.Unmarshal([]byte(stdout), &report), qt.IsNil)
+	c.Assert(json.Unmarshal(stdout.Bytes(), &report), qt.IsNil)
 	c.Assert(report.Progress, qt.Equals, progressPending)
 	c.Assert(report.Missing, qt.HasLen, 1)
 }
