--- a/internal/proxy/admission/queue.go
+++ b/internal/proxy/admission/queue.go
@@ -342,3 +342,15 @@
 		delete(q.routes, r.name)
 	}
 }
+
+// String returns the cause for metrics.
+func (c Cause) String() string {
+	names := [...]string{
+		CauseNone: "none", CauseQueueFull: "queue-full", CauseWait: "wait", CauseExpired: "expired",
+		CauseRouteLimit: "route-limit", CauseSessions: "sessions", CauseEvicted: "evicted", CauseCancelled: "cancelled",
+	}
+	if int(c) >= len(names) {
+		return "invalid"
+	}
+	return names[c]
+}
--- /dev/null
+++ b/internal/proxy/forward/session.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Duplex is a connection whose sending direction can end by itself.
+type Duplex interface {
+	io.ReadWriteCloser
+	CloseWrite() error
+}
+
+// TakeOver takes the caller's connection from net/http and answers the upgrade
+// with the header of a 101 answer and the headers set on w.
+func TakeOver(w http.ResponseWriter, response *http.Response) (Duplex, error) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, eris.Wrap(err, "take over the caller's connection")
+	}
+	_ = conn.SetDeadline(time.Time{})
+	protocol := response.Header.Get(HeaderUpgrade)
+	header := w.Header().Clone()
+	PassAnswerHeader(header, response.Header)
+	header.Set(HeaderConnection, HeaderUpgrade)
+	header.Set(HeaderUpgrade, protocol)
+	head := &http.Response{
+		StatusCode: http.StatusSwitchingProtocols, ProtoMajor: 1, ProtoMinor: 1, Header: header,
+	}
+	if err := head.Write(conn); err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrap(err, "answer the upgrade")
+	}
+	return &hijackedConn{Conn: conn, buffered: buffered.Reader}, nil
+}
+
+// hijackedConn is a hijacked connection, with what net/http had read ahead.
+type hijackedConn struct {
+	net.Conn
+	buffered *bufio.Reader
+}
+
+// Read returns what was read ahead first.
+func (c *hijackedConn) Read(data []byte) (int, error) { return c.buffered.Read(data) }
+
+// CloseWrite ends the direction to the caller.
+func (c *hijackedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+func closeWrite(conn net.Conn) error {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok {
+		return eris.New("the connection cannot end one direction")
+	}
+	return half.CloseWrite()
+}
+
+// Relay copies both ways until both directions have ended. The end of one is
+// passed on and leaves the other open; an error closes both.
+func Relay(one, other Duplex) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		copyDirection(other, one)
+	}()
+	copyDirection(one, other)
+	<-done
+}
+
+func copyDirection(target, source Duplex) {
+	_, err := io.Copy(onlyWriter{target}, onlyReader{source})
+	if err == nil {
+		err = target.CloseWrite()
+	}
+	if err != nil {
+		_ = target.Close()
+		_ = source.Close()
+	}
+}
+
+// onlyWriter and onlyReader hide faster ways of copying, which would bypass the
+// read-ahead of a hijackedConn and the checks of a Conn.
+type onlyWriter struct{ io.Writer }
+
+type onlyReader struct{ io.Reader }
--- /dev/null
+++ b/internal/proxy/inbound/body.go
@@ -0,0 +1,89 @@
+package inbound
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+)
+
+// requestBody is the body of a request as the back end reads it.
+type requestBody struct {
+	source io.ReadCloser
+	mu     sync.Mutex
+	// reading is set while a read waits for the sender.
+	reading bool
+	failed  error // error of source, io.EOF included
+	ahead   bytes.Reader
+}
+
+func newRequestBody(source io.ReadCloser) *requestBody { return &requestBody{source: source} }
+
+// readAhead reads up to limit bytes, which the next reads return again, and
+// reports whether that was the whole body.
+func (b *requestBody) readAhead(limit int64) (start []byte, whole bool, err error) {
+	start, err = io.ReadAll(io.LimitReader(onlySource{b}, limit))
+	if err != nil {
+		return nil, false, err
+	}
+	b.ahead.Reset(start)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return start, errors.Is(b.failed, io.EOF), nil
+}
+
+// onlySource reads past what was read ahead.
+type onlySource struct{ body *requestBody }
+
+func (s onlySource) Read(data []byte) (int, error) { return s.body.fill(data) }
+
+// Read returns what was read ahead first.
+func (b *requestBody) Read(data []byte) (int, error) {
+	if b.ahead.Len() > 0 {
+		return b.ahead.Read(data)
+	}
+	return b.fill(data)
+}
+
+func (b *requestBody) fill(data []byte) (int, error) {
+	if err := b.begin(); err != nil {
+		return 0, err
+	}
+	count, err := b.source.Read(data)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = false
+	b.failed = err
+	return count, err
+}
+
+func (b *requestBody) begin() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed != nil {
+		return b.failed
+	}
+	b.reading = true
+	return nil
+}
+
+// Close is called by the transport. The source stays open: net/http reads what is
+// left of it after the answer.
+func (b *requestBody) Close() error { return nil }
+
+// waiting reports whether a read waits for the sender.
+func (b *requestBody) waiting() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reading
+}
+
+// failure returns the error that ended reading, if it was not the end of the body.
+func (b *requestBody) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if errors.Is(b.failed, io.EOF) {
+		return nil
+	}
+	return b.failed
+}
--- /dev/null
+++ b/internal/proxy/inbound/fault_test.go
@@ -0,0 +1,161 @@
+package inbound
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/emulator/backend"
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+	"github.com/winchhead/winchhead/internal/settings"
+)
+
+// TestFaults is the table of faults of one request, what the sender is told, and
+// what the journal of the back end shows. Each row guards a promise: "not run"
+// never ran, and a cut answer is never whole.
+func TestFaults(t *testing.T) {
+	finished := backend.Runs{Started: 1, Finished: 1}
+	none := backend.Runs{}
+	for _, test := range []struct {
+		name    string
+		arrange func(r *rig)
+		header  []string
+		status  int // zero: the answer is cut
+		outcome outcome.Outcome
+		reason  outcome.Reason
+		journal backend.Runs
+	}{
+		{"none", nil, nil, 200, "", "", finished},
+		{"error of the back end", nil, []string{backend.HeaderStatus, "500"}, 500, "", "", finished},
+		{"no time given", nil, []string{outcome.HeaderRemaining, ""}, 200, "", "", finished},
+		{"no time left", nil, []string{outcome.HeaderRemaining, "0"}, 504, outcome.NotRun, outcome.ReasonDeadline, none},
+		{"time unreadable", nil, []string{outcome.HeaderRemaining, "soon"}, 400, outcome.NotRun, outcome.ReasonBadRequest, none},
+		{"meant for the predecessor", nil, []string{outcome.HeaderTarget, "reservas-1/6"}, 421, outcome.NotRun, outcome.ReasonWrongInstance, none},
+		{"not from a node", nil, []string{outcome.HeaderTarget, ""}, 400, outcome.NotRun, outcome.ReasonBadRequest, none},
+		{"back end down", func(r *rig) { r.backend.Kill() }, nil, 502, outcome.NotRun, outcome.ReasonConnect, none},
+		{"back end sheds", func(r *rig) { r.backend.Configure(backend.Behavior{Shed: true}) }, nil,
+			503, outcome.NotRun, outcome.ReasonOverloaded, none},
+		{"stopping", func(r *rig) { r.proxy.refusing.Store(true) }, nil, 503, outcome.NotRun, outcome.ReasonDraining, none},
+		{"reset before the body is read", nil, fault(backend.FaultResetBeforeRead), 502, outcome.Unknown, outcome.ReasonBroken, none},
+		{"reset after the work", nil, fault(backend.FaultResetAfterRead), 502, outcome.Unknown, outcome.ReasonBroken, finished},
+		{"reset in the answer", nil, fault(backend.FaultResetMidAnswer), 0, "", "", finished},
+		{"closed in the answer", nil, fault(backend.FaultCloseMidAnswer), 0, "", "", finished},
+		{"wrong length", nil, fault(backend.FaultWrongLength), 0, "", "", finished},
+		{"stalled", nil, append(fault(backend.FaultStall), outcome.HeaderRemaining, "300"),
+			504, outcome.Unknown, outcome.ReasonDeadline, backend.Runs{Started: 1, Expired: 1}},
+		{"stalled in the answer", nil, append(fault(backend.FaultStallMidAnswer), outcome.HeaderRemaining, "300"),
+			0, "", "", finished},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, backend.Options{}, plainSettings())
+			if test.arrange != nil {
+				test.arrange(r)
+			}
+			got := r.send(test.header...)
+			switch {
+			case test.status == 0:
+				r.Check(got.err, qt.Not(qt.IsNil))
+			case test.outcome == "":
+				r.Assert(got.err, qt.IsNil)
+				r.Check(got.StatusCode, qt.Equals, test.status)
+				r.Check(got.body, qt.Equals, "a booking")
+				r.Check(got.Header.Get(outcome.HeaderOutcome), qt.Equals, "")
+			default:
+				r.checkProblem(got, test.status, test.outcome, test.reason)
+			}
+			r.eventually(func() bool { return r.proxy.admission.Usage().InFlight == 0 })
+			r.eventually(func() bool { return endedRuns(r.backend.Journal().Request("1")) })
+			runs := r.backend.Journal().Request("1")
+			if test.journal.Expired > 0 && runs.Cancelled > 0 {
+				// The proxy gave up a moment before the back end did.
+				runs.Expired, runs.Cancelled = runs.Cancelled, 0
+			}
+			r.Check(runs, qt.Equals, test.journal)
+		})
+	}
+}
+
+func fault(fault backend.Fault) []string { return []string{backend.HeaderFault, string(fault)} }
+
+func endedRuns(runs backend.Runs) bool {
+	return runs.Started == runs.Finished+runs.Cancelled+runs.Expired
+}
+
+// TestNothingIsSentTwice has a reused connection reset under a request that
+// http.Transport would send again by itself.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			r := newRig(t, backend.Options{}, plainSettings())
+			r.Assert(r.do(r.request(t.Context(), method, backend.PathEcho, "")).err, qt.IsNil)
+			r.backend.Configure(backend.Behavior{Fault: backend.FaultResetBeforeRead, FaultCount: 1})
+			got := r.do(r.request(t.Context(), method, backend.PathEcho, "", outcome.HeaderIdempotencyKey, "k"))
+			r.checkProblem(got, 502, outcome.Unknown, outcome.ReasonBroken)
+			r.Check(r.backend.Journal().Total().Started, qt.Equals, 1)
+		})
+	}
+}
+
+// TestPausedProcessForwardsNothingLate has a request read right after a pause in
+// which it may have waited longer than its time.
+func TestPausedProcessForwardsNothingLate(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		remaining string
+		status    int
+	}{
+		{"time over during the pause", "5000", 504},
+		{"time left after the pause", "60000", 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, backend.Options{}, plainSettings())
+			r.proxy.pauses.start(time.Now().Add(-10 * time.Second))
+			got := r.send(outcome.HeaderRemaining, test.remaining)
+			r.Check(got.StatusCode, qt.Equals, test.status)
+			if test.status != 200 {
+				r.checkProblem(got, 504, outcome.NotRun, outcome.ReasonDeadline)
+				r.Check(r.backend.Journal().Total().Started, qt.Equals, 0)
+			}
+		})
+	}
+}
+
+// TestSenderGoneIsNotForwarded has a sender that gave its request up while it
+// waited unread, as while the process was paused.
+func TestSenderGoneIsNotForwarded(t *testing.T) {
+	r := newRig(t, backend.Options{}, settings.Inbound{
+		Service: testService, Slots: 1, Connections: 10, MaxQueued: 10, RepeatMemory: time.Minute,
+	})
+	near, far := tcpPair(r.C)
+	request := r.request(r.Context(), http.MethodGet, backend.PathEcho, "")
+	request = request.WithContext(withConn(request.Context(), near))
+	r.Assert(far.Close(), qt.IsNil)
+	r.eventually(func() bool { return senderGone(request) })
+	created := r.proxy.newExchange(discardWriter{}, request, nil, time.Now().Add(time.Minute))
+	r.Assert(created.acquire(bookRoute), qt.IsNil)
+	r.Check(created.run().name, qt.Equals, endedCallerGone.name)
+	created.end()
+	r.Check(r.backend.Journal().Total().Started, qt.Equals, 0)
+	r.Check(r.proxy.admission.Usage().InFlight, qt.Equals, 0)
+}
+
+func tcpPair(c *qt.C) (near, far net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	far, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	near, err = listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = near.Close() })
+	return near, far
+}
+
+type discardWriter struct{}
+
+func (discardWriter) Header() http.Header            { return http.Header{} }
+func (discardWriter) Write(data []byte) (int, error) { return len(data), nil }
+func (discardWriter) WriteHeader(int)                {}
--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -63,7 +63,8 @@
 	ReasonBadRequest       Reason = "bad-request"        // 400
 	ReasonTooLarge         Reason = "too-large"          // 413 or 431
 	ReasonRepeatInProgress Reason = "repeat-in-progress" // 409: the first with this key still runs
+	ReasonRepeatDone       Reason = "repeat-done"        // 409: the first with this key is done, its answer isn't kept
 	ReasonRepeatConflict   Reason = "repeat-conflict"    // 422: the key came with another request
-	ReasonRepeatLost       Reason = "repeat-lost"        // 409: the instance that took the first with this key is gone
+	ReasonRepeatLost       Reason = "repeat-lost"        // 409: nobody knows whether the first with this key ran
 	ReasonWrongInstance    Reason = "wrong-instance"     // 421: the address has another process now
 )
--- a/internal/proxy/outcome/problem.go
+++ b/internal/proxy/outcome/problem.go
@@ -71,8 +71,9 @@
 	ReasonBadRequest:       {http.StatusBadRequest, "The request is malformed", false},
 	ReasonTooLarge:         {http.StatusRequestEntityTooLarge, "The request is too large", false},
 	ReasonRepeatInProgress: {http.StatusConflict, "The first request with this key still runs", true},
+	ReasonRepeatDone:       {http.StatusConflict, "The first request with this key is done and its answer is not kept", false},
 	ReasonRepeatConflict:   {http.StatusUnprocessableEntity, "The key came with another request", false},
-	ReasonRepeatLost:       {http.StatusConflict, "The instance that took the first request with this key is gone", false},
+	ReasonRepeatLost:       {http.StatusConflict, "It is not known whether the first request with this key ran", false},
 	ReasonWrongInstance:    {http.StatusMisdirectedRequest, "The address belongs to another process", true},
 }
 
