--- a/test/integration/whole_path_test.go
+++ b/test/integration/whole_path_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/winchhead/winchhead/internal/admin"
 	"github.com/winchhead/winchhead/internal/bench/deployment"
 	"github.com/winchhead/winchhead/internal/bench/load"
 	"github.com/winchhead/winchhead/internal/bench/mesh"
@@ -31,21 +32,22 @@
 
 	startProgram(t, benchBinary, "platform", "--listen", at("22000"), "--operators", at("22001"),
 		"--content", "testdata/small/empty.yaml", "--members", "testdata/small/settings/*.yaml", "--host", host)
-	var admin, entry string
+	var operators, entry string
 	var controls []string
 	for _, node := range plan.Nodes {
 		startNode(t, node)
 		if node.Edge() {
-			admin, entry = node.Admin.Listen, node.Outbound.Listen
+			operators, entry = node.Admin.Listen, node.Outbound.Listen
 			continue
 		}
-		control := at("2204" + node.Node.Name[len(node.Node.Name)-1:])
+		control := at("2205" + node.Node.Name[len(node.Node.Name)-1:])
 		startProgram(t, benchBinary, "backend", "--name", node.Node.Name, "--listen", node.Inbound.Backend, "--control", control)
 		controls = append(controls, control)
 	}
 
+	awaitAnswer(t, operators)
 	version := submit(t, at("22001"), plan.Content.Policies[0])
-	watch := exec.Command(winchheadBinary, "watch", "--admin", admin, "--revision", "2", "--timeout", testTimeout.String())
+	watch := exec.Command(winchheadBinary, "watch", "--admin", operators, "--revision", "2", "--timeout", testTimeout.String())
 	output, err := watch.CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
 	qt.Assert(t, version.Revision, qt.Equals, snapshot.Revision(2))
@@ -71,6 +73,19 @@
 	})
 }
 
+// awaitAnswer waits until the operators' HTTP of a node answers.
+func awaitAnswer(t testing.TB, address string) {
+	ctx := testContext(t)
+	client := admin.NewClient(address)
+	for {
+		_, err := client.Status(ctx)
+		if err == nil {
+			return
+		}
+		qt.Assert(t, ctx.Err(), qt.IsNil, qt.Commentf("last answer: %v", err))
+	}
+}
+
 // submit gives the platform a policy, as an operator does.
 func submit(t testing.TB, operators string, policy snapshot.Policy) snapshot.Version {
 	body, err := json.Marshal(policy)
