--- a/internal/policy/errors.go
+++ b/internal/policy/errors.go
@@ -15,7 +15,9 @@
 	maxProblemBytes = 500
 	// maxShownErrors bounds the errors in the text of Errors.
 	maxShownErrors = 10
-	referencePage  = "docs/POLICIES.md"
+	// maxShownAnswers bounds the assumed answers in the text of an Error.
+	maxShownAnswers = 4
+	referencePage   = "docs/POLICIES.md"
 )
 
 // Error is what is wrong with one policy, and where. It never holds the value of
@@ -36,7 +38,12 @@
 func (e *Error) Error() string {
 	text := fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Problem)
 	if len(e.Assumed) > 0 {
-		text += " (when " + strings.Join(e.Assumed, " and ") + ")"
+		shown := e.Assumed[:min(len(e.Assumed), maxShownAnswers)]
+		text += " (when " + strings.Join(shown, " and ")
+		if hidden := len(e.Assumed) - len(shown); hidden > 0 {
+			text += fmt.Sprintf(" and %d more conditions", hidden)
+		}
+		text += ")"
 	}
 	return text + "; " + e.Hint
 }
--- a/internal/policy/operators.go
+++ b/internal/policy/operators.go
@@ -128,12 +128,9 @@
 	return starlark.Binary(syntax.PERCENT, pattern, values)
 }
 
-// makeTuple bounds tuples: few elements and no tuple within a tuple, so that
-// hashing and freezing one takes little work.
+// makeTuple refuses a tuple within a tuple; restrict bounds the elements. So
+// hashing and freezing a tuple takes little work.
 func makeTuple(thread *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple, _ []starlark.Tuple) (starlark.Value, error) {
-	if len(args) > maxTuple {
-		return nil, problemf("use a list", "a tuple has more than %d elements", maxTuple)
-	}
 	for _, element := range args {
 		if _, nested := element.(starlark.Tuple); nested {
 			return nil, problemf("use a list for the inner one", "a tuple is inside of a tuple")
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -22,7 +22,7 @@
 	// MaxRoutes bounds the routes that are in force at once.
 	MaxRoutes = 2000
 	// MaxSteps bounds the computation steps, all variants of all programs together.
-	MaxSteps = 1_000_000
+	MaxSteps = 500_000
 	// MaxMemoryBytes bounds what the programs build with operators and routes,
 	// counted as if nothing were ever freed.
 	MaxMemoryBytes = 16 << 20
--- a/internal/policy/restrict.go
+++ b/internal/policy/restrict.go
@@ -54,11 +54,11 @@
 }
 
 // enter counts one level of nesting and one node; it reports whether to go on.
-func (r *restricter) enter(position syntax.Position) bool {
+func (r *restricter) enter(node syntax.Node) bool {
 	r.depth++
 	r.nodes++
 	if r.depth > maxDepth {
-		r.refuse(position, "use variables or functions for the inner parts", "this is nested more than %d levels deep", maxDepth)
+		r.refuse(syntax.Start(node), "use variables or functions for the inner parts", "this is nested more than %d levels deep", maxDepth)
 	}
 	return r.fault == nil
 }
@@ -72,9 +72,8 @@
 }
 
 func (r *restricter) statement(statement syntax.Stmt, within scope) {
-	start := syntax.Start(statement)
 	defer r.leave()
-	if !r.enter(start) {
+	if !r.enter(statement) {
 		return
 	}
 	inner := max(within, scopeBlock)
@@ -99,11 +98,11 @@
 			statement.Result = r.expression(statement.Result)
 		}
 	case *syntax.LoadStmt:
-		r.refuse(start, "copy what you need into this policy", "a policy cannot load other files")
+		r.refuse(statement.Load, "copy what you need into this policy", "a policy cannot load other files")
 	case *syntax.WhileStmt:
-		r.refuse(start, "use a for loop over a list or range()", "policies have no while loop")
+		r.refuse(statement.While, "use a for loop over a list or range()", "policies have no while loop")
 	default:
-		r.refuse(start, "see "+referencePage, "policies have no such statement")
+		r.refuse(syntax.Start(statement), "see "+referencePage, "policies have no such statement")
 	}
 }
 
@@ -118,9 +117,8 @@
 
 // target checks what a value is assigned to.
 func (r *restricter) target(target syntax.Expr) {
-	start := syntax.Start(target)
 	defer r.leave()
-	if !r.enter(start) {
+	if !r.enter(target) {
 		return
 	}
 	switch target := target.(type) {
@@ -136,7 +134,7 @@
 	case *syntax.ListExpr:
 		r.targets(target.List)
 	default:
-		r.refuse(start, "assign to a name", "a value cannot be assigned to this")
+		r.refuse(syntax.Start(target), "assign to a name", "a value cannot be assigned to this")
 	}
 }
 
--- a/internal/policy/restrict_expression.go
+++ b/internal/policy/restrict_expression.go
@@ -13,9 +13,8 @@
 
 // expression checks an expression and returns what stands in its place.
 func (r *restricter) expression(expression syntax.Expr) syntax.Expr {
-	start := syntax.Start(expression)
 	defer r.leave()
-	if !r.enter(start) {
+	if !r.enter(expression) {
 		return expression
 	}
 	switch expression := expression.(type) {
@@ -52,6 +51,9 @@
 	case *syntax.ListExpr:
 		r.expressions(expression.List)
 	case *syntax.TupleExpr:
+		if len(expression.List) > maxTuple {
+			r.refuse(syntax.Start(expression), "use a list", "a tuple has more than %d elements", maxTuple)
+		}
 		r.expressions(expression.List)
 		return guardedCall(guardTuple, syntax.Start(expression), expression.List...)
 	case *syntax.DictExpr:
@@ -137,10 +139,6 @@
 		r.entry(entry)
 		return
 	}
-	if comprehension.Curly {
-		r.refuse(comprehension.Lbrack, "use a list", "policies have no sets")
-		return
-	}
 	comprehension.Body = r.expression(comprehension.Body)
 }
 
