--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -210,3 +211,18 @@
 		qt.Assert(t, err, qt.ErrorMatches, `a.star:3:10: there is no service "none" in this revision \(when ready\("reservas", at_least=2\) is False\); .*`)
 	}
 }
+
+// TestReferencePage compiles the programs of the page, so that it stays true.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/POLICIES.md")
+	qt.Assert(t, err, qt.IsNil)
+	blocks := strings.Split(string(page), "```")
+	programs := 0
+	for _, block := range blocks {
+		if program, ok := strings.CutPrefix(block, "python\n"); ok {
+			programs++
+			qt.Check(t, compile(t, 0, program).Routes(), qt.HasLen, 2)
+		}
+	}
+	qt.Assert(t, programs, qt.Equals, 1)
+}
--- a/internal/snapshot/store_test.go
+++ b/internal/snapshot/store_test.go
@@ -175,7 +175,7 @@
 	var store snapshot.Store
 	var writers, readers sync.WaitGroup
 	done := make(chan struct{})
-	faults := make(chan string, 8)
+	faults := make(chan string, 4*revisions+2)
 	for range 2 {
 		readers.Go(func() {
 			var last snapshot.Version
