--- /dev/null
+++ b/internal/distribution/connection.go
@@ -0,0 +1,205 @@
+package distribution
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+const (
+	// maxQueuedBytes bounds what waits to be written on one link. A single frame
+	// may be larger when nothing else waits.
+	maxQueuedBytes = 1 << 20
+	// writeTimeout is how long a peer may take to accept one frame.
+	writeTimeout = 10 * time.Second
+	// closeTimeout is how long a link that is closed on purpose may take to write
+	// what is queued.
+	closeTimeout = time.Second
+	// greetingFrameBytes bounds the first frame of a peer that is not known yet.
+	greetingFrameBytes = 4 << 10
+)
+
+// errSlow tells that a peer does not take what is sent to it.
+var errSlow = errors.New("the peer does not take what is sent")
+
+// connection carries frames over one net.Conn: one goroutine reads and one
+// writes.
+type connection struct {
+	id       LinkID
+	counters *counters
+	raw      *countingConn
+	conn     net.Conn // raw, or TLS over it
+	reader   *wire.Reader
+	readRaw  int64
+
+	mutex   sync.Mutex
+	queue   []queuedFrame
+	queued  int
+	closing bool
+	closeBy time.Time
+	wake    chan struct{}
+}
+
+type queuedFrame struct {
+	messageType wire.Type
+	frame       []byte
+}
+
+// newConnection wraps an open socket. A nil config leaves it plain.
+func newConnection(socket net.Conn, config *tls.Config, client bool, counters *counters) *connection {
+	raw := &countingConn{Conn: socket}
+	c := &connection{counters: counters, raw: raw, conn: raw, wake: make(chan struct{}, 1)}
+	if config != nil && client {
+		c.conn = tls.Client(raw, config)
+	} else if config != nil {
+		c.conn = tls.Server(raw, config)
+	}
+	c.reader = wire.NewReader(c.conn, wire.Limits{MaxFrameBytes: greetingFrameBytes})
+	return c
+}
+
+// handshake completes TLS, if it is used.
+func (c *connection) handshake(ctx context.Context) error {
+	if secure, ok := c.conn.(*tls.Conn); ok {
+		return secure.HandshakeContext(ctx)
+	}
+	return nil
+}
+
+// next reads one message and counts its bytes at the socket.
+func (c *connection) next() (wire.Message, error) {
+	message, _, err := c.reader.Next()
+	if err != nil {
+		return nil, err
+	}
+	read := c.raw.read.Load()
+	c.counters.received[message.Type()].add(read - c.readRaw)
+	c.readRaw = read
+	return message, nil
+}
+
+// write sends one frame now.
+func (c *connection) write(messageType wire.Type, frame []byte) error {
+	before := c.raw.written.Load()
+	if err := c.raw.SetWriteDeadline(c.writeBy()); err != nil {
+		return err
+	}
+	_, err := c.conn.Write(frame)
+	c.counters.sent[messageType].add(c.raw.written.Load() - before)
+	return err
+}
+
+// writeBy is when a write that begins now must be over.
+func (c *connection) writeBy() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing {
+		return c.closeBy
+	}
+	return time.Now().Add(writeTimeout)
+}
+
+// writeMessage encodes and sends one message now.
+func (c *connection) writeMessage(message wire.Message) error {
+	frame, err := wire.Encode(message)
+	if err != nil {
+		return err
+	}
+	return c.write(message.Type(), frame)
+}
+
+// enqueue leaves a frame to the writing goroutine. It fails with errSlow when too
+// much is waiting already.
+func (c *connection) enqueue(messageType wire.Type, frame []byte) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing {
+		return nil
+	}
+	if c.queued > 0 && c.queued+len(frame) > maxQueuedBytes {
+		return errSlow
+	}
+	c.queue = append(c.queue, queuedFrame{messageType, frame})
+	c.queued += len(frame)
+	c.signal()
+	return nil
+}
+
+func (c *connection) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// finish closes the connection once what is queued is written and the peer closed
+// its side, or soon anyway.
+func (c *connection) finish() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing {
+		return
+	}
+	c.closing = true
+	c.closeBy = time.Now().Add(closeTimeout)
+	_ = c.raw.SetDeadline(c.closeBy)
+	c.signal()
+}
+
+// closeWrite tells the peer that nothing follows. Closing at once instead could
+// lose the last frame, if something of the peer's is still unread.
+func (c *connection) closeWrite() {
+	type writeCloser interface{ CloseWrite() error }
+	if half, ok := c.raw.Conn.(writeCloser); ok {
+		_ = half.CloseWrite()
+		return
+	}
+	_ = c.raw.Close()
+}
+
+func (c *connection) take() (frames []queuedFrame, closing bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	frames = c.queue
+	c.queue = nil
+	return frames, c.closing
+}
+
+func (c *connection) written(frame []byte) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.queued -= len(frame)
+}
+
+// writeQueued writes what is enqueued until the connection ends, which closes
+// ended.
+func (c *connection) writeQueued(ended <-chan struct{}) {
+	defer c.raw.Close()
+	for {
+		frames, closing := c.take()
+		for _, queued := range frames {
+			if c.write(queued.messageType, queued.frame) != nil {
+				return
+			}
+			c.written(queued.frame)
+		}
+		if len(frames) > 0 {
+			continue
+		}
+		if closing {
+			c.closeWrite()
+			<-ended
+			return
+		}
+		select {
+		case <-c.wake:
+		case <-ended:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/distribution/dispatch.go
@@ -0,0 +1,76 @@
+package distribution
+
+import (
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+func (event Message) apply(e *Engine) {
+	l := e.overlay.links[event.Link]
+	if l == nil {
+		return
+	}
+	if l.phase == phaseUp {
+		l.lastReceived = e.now
+		e.dispatch(l, event.Message)
+		return
+	}
+	switch m := event.Message.(type) {
+	case *wire.Hello:
+		e.helloReturned(l, m)
+	case *wire.Goodbye:
+		e.goodbye(l, m.Reason)
+	default:
+		e.faulty(l, "it did not send its hello first")
+	}
+}
+
+// helloReturned completes a link that this node dialled.
+func (e *Engine) helloReturned(l *link, hello *wire.Hello) {
+	node := hello.Self.Node
+	switch {
+	case hello.Protocol != wire.ProtocolVersion:
+		e.closeLink(l, wire.GoodbyeProtocol)
+		e.overlay.peer(l.node).retryAt = e.now.Add(e.jittered(e.timing.RefusedWait))
+		return
+	case node == e.options.Self.Node:
+		// The list gives the own address under another name, or the own name to
+		// another process, which the table has to know.
+		e.closeLink(l, wire.GoodbyeDuplicate)
+		e.overlay.peer(l.node).retryAt = e.now.Add(e.jittered(e.timing.RefusedWait))
+		e.mergeRecords([]membership.Record{hello.Self}, l.id)
+		return
+	case node != l.node && !l.probe && e.overlay.linkTo(node) != nil:
+		e.closeLink(l, wire.GoodbyeDuplicate)
+		return
+	}
+	e.linkUp(l, hello)
+}
+
+func (e *Engine) dispatch(l *link, message wire.Message) {
+	switch m := message.(type) {
+	case *wire.Heartbeat:
+		e.onHeartbeat(l, m)
+	case *wire.Announce:
+		e.onAnnounce(l, m)
+	case *wire.Pull:
+		e.onPull(l, m)
+	case *wire.Update:
+		e.onUpdate(l, m)
+	case *wire.Digest:
+		e.onDigest(l, m)
+	case *wire.Records:
+		e.onRecords(l, m)
+	case *wire.RecordPull:
+		e.onRecordPull(l, m)
+	case *wire.Refusal:
+		e.onRefusal(l, m)
+	case *wire.Goodbye:
+		e.goodbye(l, m.Reason)
+	default:
+		e.faulty(l, "it sent a message that has no place on a link")
+	}
+	if e.overlay.links[l.id] == l {
+		e.finishProbe(l)
+	}
+}
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -46,18 +46,8 @@
 	Error string            `json:"error,omitempty"`
 }
 
-// Contract of Node (node.go):
-//
-//	type Options struct {
-//	    Self membership.Record; ListenAddress string; Listener net.Listener (optional, wins over ListenAddress)
-//	    TLS *tls.Config (nil: plain; one config for both directions, from package keys)
-//	    Configuration source.ConfigurationReader; Members source.MemberReader
-//	    Adopter Adopter; Logger logrus.FieldLogger; Seed uint64
-//	    Timing Timing        // all intervals; DefaultTiming() for production
-//	    Dial func(ctx, address) (net.Conn, error) (optional: tests and the bench inject delays and cuts)
-//	    ReadersPerZone int; MaxLinks int
-//	}
-//	func NewNode(options Options) (*Node, error)
-//	func (n *Node) Run(ctx context.Context) error    // returns nil after ctx ends; says Goodbye on links
-//	*Node implements Fleet and StatusSource.
-//	func (n *Node) Stats() Stats                     // bytes in and out by wire.Type, source bytes, links, pushes
+// Node fills these roles for the rest of the process.
+var (
+	_ Fleet        = (*Node)(nil)
+	_ StatusSource = (*Node)(nil)
+)
--- /dev/null
+++ b/internal/distribution/list.go
@@ -0,0 +1,160 @@
+package distribution
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// listBuckets is the number of parts the list is split into by node, to find
+// differences between two nodes.
+const listBuckets = 16
+
+// listBook holds the platform's list as it is passed on between nodes: per node
+// the entry that was read last.
+type listBook struct {
+	entries map[membership.NodeID]wire.ListedEntry
+	buckets [listBuckets]uint64
+	// read is the list as the own process last read it, nil if it never did.
+	read map[membership.NodeID][]membership.ListedMember
+}
+
+func newListBook() listBook {
+	return listBook{entries: make(map[membership.NodeID]wire.ListedEntry)}
+}
+
+func listBucket(node membership.NodeID) int {
+	return int(xxhash.Sum64String(string(node)) % listBuckets)
+}
+
+// entryDigest covers what an entry says, not when it was read. A node that is not
+// listed counts nothing.
+func entryDigest(entry wire.ListedEntry) uint64 {
+	if len(entry.Members) == 0 {
+		return 0
+	}
+	var buffer []byte
+	for _, member := range entry.Members {
+		for _, text := range [...]string{
+			string(entry.Node), member.PeerAddress, member.Region, member.Zone, member.Service, string(member.State),
+		} {
+			buffer = binary.AppendUvarint(buffer, uint64(len(text)))
+			buffer = append(buffer, text...)
+		}
+	}
+	return xxhash.Sum64(buffer)
+}
+
+// merge takes an entry if it says something else than the one held and was read
+// later, and reports whether it did.
+func (b *listBook) merge(entry wire.ListedEntry) bool {
+	held, known := b.entries[entry.Node]
+	if slices.Equal(held.Members, entry.Members) || known && entry.ReadAt <= held.ReadAt {
+		return false
+	}
+	b.entries[entry.Node] = entry
+	b.buckets[listBucket(entry.Node)] += entryDigest(entry) - entryDigest(held)
+	return true
+}
+
+// digest covers the whole list.
+func (b *listBook) digest() uint64 {
+	var sum uint64
+	for _, bucket := range b.buckets {
+		sum += bucket
+	}
+	return sum
+}
+
+// in returns the entries of the buckets that differ from a peer's.
+func (b *listBook) in(theirs []uint64) []wire.ListedEntry {
+	var differs [listBuckets]bool
+	for i := range differs {
+		differs[i] = i >= len(theirs) || theirs[i] != b.buckets[i]
+	}
+	var entries []wire.ListedEntry
+	for _, entry := range b.entries {
+		if differs[listBucket(entry.Node)] {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b wire.ListedEntry) int { return cmp.Compare(a.Node, b.Node) })
+	return entries
+}
+
+// changes compares a list that was just read with the one read before, or with
+// what is held if there is none, and returns the entries that are news. An entry
+// that stayed the same is none: another reader may have read a later one.
+func (b *listBook) changes(list []membership.ListedMember, readAt int64) []wire.ListedEntry {
+	read := make(map[membership.NodeID][]membership.ListedMember, len(list))
+	for _, member := range list {
+		read[member.Node] = append(read[member.Node], member)
+	}
+	before := b.read
+	if before == nil {
+		before = make(map[membership.NodeID][]membership.ListedMember, len(b.entries))
+		for node, entry := range b.entries {
+			before[node] = entry.Members
+		}
+	}
+	b.read = read
+	var changes []wire.ListedEntry
+	for _, node := range allNodes(read, before) {
+		if slices.Equal(read[node], before[node]) {
+			continue
+		}
+		entry := wire.ListedEntry{Node: node, Members: read[node]}
+		entry.ReadAt = max(readAt, b.entries[node].ReadAt+1)
+		changes = append(changes, entry)
+	}
+	return changes
+}
+
+func allNodes(a, b map[membership.NodeID][]membership.ListedMember) []membership.NodeID {
+	nodes := slices.Collect(maps.Keys(a))
+	for node := range b {
+		if _, both := a[node]; !both {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+// mergeListed takes list entries from a link, or the own ones from link 0, and
+// passes on those that are new.
+func (e *Engine) mergeListed(entries []wire.ListedEntry, from LinkID) {
+	var listed []membership.ListedMember
+	var unlisted []membership.NodeID
+	urgent, news := false, false
+	for _, entry := range entries {
+		if !e.list.merge(entry) {
+			e.outbox.listed.heard(entry.Node, func(held wire.ListedEntry) bool {
+				return slices.Equal(held.Members, entry.Members)
+			}, from)
+			continue
+		}
+		news = true
+		e.outbox.listed.put(entry.Node, entry, from)
+		listed = append(listed, entry.Members...)
+		if len(entry.Members) == 0 {
+			unlisted = append(unlisted, entry.Node)
+		}
+		urgent = urgent || slices.ContainsFunc(entry.Members, isLeaving)
+	}
+	if !news {
+		return
+	}
+	if e.table.MergeListChanges(listed, unlisted, e.now) {
+		e.publishSelf()
+	}
+	e.recordsChanged(urgent)
+}
+
+func isLeaving(member membership.ListedMember) bool { return member.State == membership.ListedLeaving }
--- /dev/null
+++ b/internal/distribution/node_test.go
@@ -0,0 +1,222 @@
+package distribution_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakePlatform is a configuration source and a membership list in memory.
+type fakePlatform struct {
+	mutex    sync.Mutex
+	document *snapshot.Document
+	members  []membership.ListedMember
+	changed  chan struct{}
+}
+
+func newFakePlatform() *fakePlatform { return &fakePlatform{changed: make(chan struct{})} }
+
+func (p *fakePlatform) update(change func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) state() (*snapshot.Document, []membership.ListedMember, chan struct{}) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.document, p.members, p.changed
+}
+
+func (p *fakePlatform) AwaitRevision(ctx context.Context, after snapshot.Revision, wait time.Duration) (snapshot.Version, source.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		document, _, changed := p.state()
+		if document != nil && document.Version().Revision > after {
+			return document.Version(), source.Outcome{Status: source.StatusFresh}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return snapshot.Version{Revision: after}, source.Outcome{Status: source.StatusNotModified}
+		}
+	}
+}
+
+func (p *fakePlatform) Fetch(_ context.Context, held snapshot.Version) (*snapshot.Document, source.Outcome) {
+	document, _, _ := p.state()
+	if document == nil || document.Version() == held {
+		return nil, source.Outcome{Status: source.StatusNotModified}
+	}
+	return document, source.Outcome{Status: source.StatusFresh}
+}
+
+func (p *fakePlatform) Members(ctx context.Context, etag string, wait time.Duration) ([]membership.ListedMember, string, source.Outcome) {
+	for {
+		_, members, changed := p.state()
+		if tag := fmt.Sprint(members); tag != etag {
+			return members, tag, source.Outcome{Status: source.StatusFresh}
+		}
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, etag, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
+		case <-timer.C:
+			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+		}
+	}
+}
+
+var errRefused = errors.New("policy broken: does not compile")
+
+// recorder is an Adopter that reports what is put in force. It refuses documents
+// that hold a policy named "broken".
+type recorder struct {
+	adopted chan snapshot.Version
+	views   chan *membership.View
+}
+
+func (r *recorder) Adopt(document *snapshot.Document) error {
+	for _, policy := range document.Content().Policies {
+		if policy.Name == "broken" {
+			return errRefused
+		}
+	}
+	r.adopted <- document.Version()
+	return nil
+}
+
+// FleetChanged keeps the latest view for a test to take.
+func (r *recorder) FleetChanged(view *membership.View) {
+	select {
+	case <-r.views:
+	default:
+	}
+	r.views <- view
+}
+
+// document returns revision number with one service and further policies.
+func document(revision snapshot.Revision, policies ...string) *snapshot.Document {
+	content := snapshot.Content{
+		Revision: revision,
+		Services: []snapshot.Service{{Name: "reservas", Slots: int(revision)}},
+	}
+	for _, name := range policies {
+		content.Policies = append(content.Policies, snapshot.Policy{Name: name, Program: "program"})
+	}
+	result, err := snapshot.NewDocument(content)
+	if err != nil {
+		panic(err)
+	}
+	return result
+}
+
+type testNode struct {
+	*distribution.Node
+	recorder *recorder
+	stop     func()
+}
+
+// startNode runs a node until the test ends or stop is called.
+func startNode(c *qt.C, platform *fakePlatform, name, zone string, incarnation membership.Incarnation) *testNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	recorder := &recorder{adopted: make(chan snapshot.Version, 64), views: make(chan *membership.View, 1)}
+	self := membership.Record{
+		Node: membership.NodeID(name), Incarnation: incarnation, State: membership.StateReady,
+		Region: "south", Zone: zone, PeerAddress: listener.Addr().String(),
+	}
+	node, err := distribution.NewNode(distribution.Options{
+		Self: self, Listener: listener, Configuration: platform, Members: platform,
+		Adopter: recorder, Logger: logging.Discard(),
+	})
+	c.Assert(err, qt.IsNil)
+	platform.update(func() {
+		platform.members = append(slices.Clone(platform.members), membership.ListedMember{
+			Node: self.Node, PeerAddress: self.PeerAddress, Region: self.Region, Zone: zone, State: membership.ListedLive,
+		})
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- node.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+	c.Cleanup(stop)
+	return &testNode{Node: node, recorder: recorder, stop: stop}
+}
+
+func (n *testNode) awaitVersion(c *qt.C, version snapshot.Version) {
+	for adopted := range n.recorder.adopted {
+		if adopted == version {
+			return
+		}
+		c.Assert(version.Newer(adopted), qt.IsTrue)
+	}
+}
+
+func (n *testNode) awaitView(accept func(*membership.View) bool) {
+	for view := range n.recorder.views {
+		if accept(view) {
+			return
+		}
+	}
+}
+
+func TestNodesAdoptOverTCP(t *testing.T) {
+	c := qt.New(t)
+	platform := newFakePlatform()
+	platform.document = document(1)
+	var nodes []*testNode
+	for i := range 5 {
+		nodes = append(nodes, startNode(c, platform, fmt.Sprintf("node-%d", i), fmt.Sprintf("zone-%d", i%2), 1))
+	}
+	for _, node := range nodes {
+		node.awaitVersion(c, document(1).Version())
+	}
+	platform.update(func() { platform.document = document(2, "routes") })
+	for _, node := range nodes {
+		node.awaitVersion(c, document(2, "routes").Version())
+	}
+
+	nodes[0].SetState(membership.StateDraining)
+	for _, node := range nodes {
+		node.awaitView(func(view *membership.View) bool {
+			member, known := view.Member("node-0")
+			return known && member.Leaving && len(view.Members()) == len(nodes)
+		})
+	}
+	reports := nodes[1].AskAll(context.Background())
+	c.Assert(reports, qt.HasLen, len(nodes))
+	for _, report := range reports {
+		c.Assert(report.Error, qt.Equals, "")
+		c.Assert(report.Reply.Held, qt.Equals, document(2, "routes").Version())
+	}
+	nodes[0].stop()
+	nodes[1].awaitView(func(view *membership.View) bool {
+		_, known := view.Member("node-0")
+		return !known
+	})
+}
--- /dev/null
+++ b/internal/distribution/platform.go
@@ -0,0 +1,58 @@
+package distribution
+
+import (
+	"context"
+	"time"
+)
+
+// request runs one read of the platform in its own goroutine. It ends when the
+// engine cancels it or a little after wait.
+func (n *Node) request(ctx context.Context, id RequestID, wait time.Duration, read func(context.Context) Event) {
+	timeout := wait + n.options.Timing.SourceGrace
+	requestContext, cancel := context.WithTimeout(ctx, timeout)
+	n.requests[id] = cancel
+	n.running.Go(func() {
+		defer cancel()
+		event := read(requestContext)
+		n.post(ctx, requestEnded{request: id, event: event})
+	})
+}
+
+// requestEnded brings an answer and lets go of the request.
+type requestEnded struct {
+	request RequestID
+	event   Event
+}
+
+func (event requestEnded) apply(e *Engine) { event.event.apply(e) }
+
+func (n *Node) cancelRequest(id RequestID) {
+	if cancel := n.requests[id]; cancel != nil {
+		cancel()
+	}
+	delete(n.requests, id)
+}
+
+func (n *Node) awaitSource(ctx context.Context, action AwaitSource) {
+	n.request(ctx, action.Request, action.Wait, func(ctx context.Context) Event {
+		version, outcome := n.options.Configuration.AwaitRevision(ctx, action.After, action.Wait)
+		n.counters.countSource(outcome)
+		return SourceRevision{Request: action.Request, Version: version, Outcome: outcome}
+	})
+}
+
+func (n *Node) fetchSource(ctx context.Context, action FetchSource) {
+	n.request(ctx, action.Request, n.options.Timing.FetchTimeout, func(ctx context.Context) Event {
+		document, outcome := n.options.Configuration.Fetch(ctx, action.Held)
+		n.counters.countSource(outcome)
+		return SourceDocument{Request: action.Request, Document: document, Outcome: outcome}
+	})
+}
+
+func (n *Node) fetchMembers(ctx context.Context, action FetchMembers) {
+	n.request(ctx, action.Request, action.Wait+n.options.Timing.FetchTimeout, func(ctx context.Context) Event {
+		members, etag, outcome := n.options.Members.Members(ctx, action.ETag, action.Wait)
+		n.counters.countList(outcome)
+		return MembersListed{Request: action.Request, Members: members, ETag: etag, Outcome: outcome}
+	})
+}
--- /dev/null
+++ b/internal/distribution/push.go
@@ -0,0 +1,351 @@
+package distribution
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+const (
+	// keptDocuments is how many of the last documents are kept as bases of deltas.
+	keptDocuments = 4
+	// lowerPullDelay is how long a pull of a newer version keeps one of an older
+	// version from being sent. A peer that claims a version and does not deliver
+	// it must not hold up what others offer.
+	lowerPullDelay = 300 * time.Millisecond
+	// maxFailedPulls is how many pulls a peer may leave unanswered.
+	maxFailedPulls = 3
+)
+
+// pushState is what a node holds and what it is getting.
+type pushState struct {
+	// held is in force. recent holds the last documents in force, held included.
+	held   *snapshot.Document
+	recent []*snapshot.Document
+	// adopting is with the Adopter; waiting, verified and newer, comes next.
+	adopting *snapshot.Document
+	waiting  *snapshot.Document
+	pulls    map[snapshot.Version]pull
+	refusals refusals
+	// conflict is a version that has the revision of one held and other content.
+	conflict snapshot.Version
+	// updates holds the encoded Update from each base to held.
+	updates map[snapshot.Version][]byte
+}
+
+// pull is an unanswered request for a version.
+type pull struct {
+	version snapshot.Version
+	// base is what the peer was told is held here; the answer starts from it.
+	base   *snapshot.Document
+	link   LinkID
+	sentAt time.Time
+}
+
+func newPushState() pushState {
+	return pushState{
+		pulls:    make(map[snapshot.Version]pull),
+		updates:  make(map[snapshot.Version][]byte),
+		refusals: newRefusals(),
+	}
+}
+
+func (p *pushState) heldVersion() snapshot.Version {
+	if p.held == nil {
+		return snapshot.Version{}
+	}
+	return p.held.Version()
+}
+
+// newest returns the newest document that is verified: in force, with the
+// Adopter or waiting for it. It is nil when there is none.
+func (p *pushState) newest() *snapshot.Document {
+	switch {
+	case p.waiting != nil:
+		return p.waiting
+	case p.adopting != nil:
+		return p.adopting
+	default:
+		return p.held
+	}
+}
+
+func (p *pushState) newestVersion() snapshot.Version {
+	if newest := p.newest(); newest != nil {
+		return newest.Version()
+	}
+	return snapshot.Version{}
+}
+
+// document returns a verified document by its version.
+func (p *pushState) document(version snapshot.Version) *snapshot.Document {
+	for _, document := range append([]*snapshot.Document{p.waiting, p.adopting}, p.recent...) {
+		if document != nil && document.Version() == version {
+			return document
+		}
+	}
+	return nil
+}
+
+func (p *pushState) deadlines(e *Engine, earlier func(time.Time)) {
+	for _, pull := range p.pulls {
+		earlier(pull.sentAt.Add(e.timing.PullTimeout))
+		if p.lowerWaits(e, pull) {
+			earlier(pull.sentAt.Add(lowerPullDelay))
+		}
+	}
+}
+
+// lowerWaits reports whether a pull still keeps those of older versions back.
+func (p *pushState) lowerWaits(e *Engine, pull pull) bool {
+	return e.now.Before(pull.sentAt.Add(lowerPullDelay))
+}
+
+func (e *Engine) runPushTimers() {
+	for _, pull := range e.push.sortedPulls() {
+		if e.passed(pull.sentAt.Add(e.timing.PullTimeout)) {
+			e.pullTimedOut(pull)
+		}
+	}
+	if len(e.push.pulls) > 0 {
+		e.startPulls()
+	}
+}
+
+// sortedPulls returns the pulls, the newest version first.
+func (p *pushState) sortedPulls() []pull {
+	if len(p.pulls) == 0 {
+		return nil
+	}
+	pulls := make([]pull, 0, len(p.pulls))
+	for _, pull := range p.pulls {
+		pulls = append(pulls, pull)
+	}
+	slices.SortFunc(pulls, func(a, b pull) int {
+		return cmp.Or(-cmp.Compare(a.version.Revision, b.version.Revision), cmp.Compare(a.link, b.link))
+	})
+	return pulls
+}
+
+// pullTimedOut gives up a pull, so that another peer is asked.
+func (e *Engine) pullTimedOut(pull pull) {
+	delete(e.push.pulls, pull.version)
+	l := e.overlay.links[pull.link]
+	if l == nil {
+		return
+	}
+	l.held = snapshot.Version{}
+	l.failedPulls++
+	if l.failedPulls >= maxFailedPulls {
+		e.faulty(l, "it does not deliver the versions that it announces")
+	}
+	e.startPulls()
+}
+
+func (e *Engine) cancelPullsOn(l *link) {
+	cancelled := false
+	for version, pull := range e.push.pulls {
+		if pull.link == l.id {
+			delete(e.push.pulls, version)
+			cancelled = true
+		}
+	}
+	if cancelled {
+		e.startPulls()
+	}
+}
+
+// versionSeen looks at the version that a peer says it holds.
+func (e *Engine) versionSeen(l *link) {
+	if e.push.document(l.held) == nil {
+		e.noteConflict(l.held, "peer "+string(l.node))
+	}
+	e.startPulls()
+}
+
+// noteConflict reports a version with the revision of the one held and other
+// content. The one held stays.
+func (e *Engine) noteConflict(version snapshot.Version, from string) {
+	held := e.push.heldVersion()
+	if held.IsZero() || !version.Conflicts(held) || version == e.push.conflict {
+		return
+	}
+	e.push.conflict = version
+	e.log(LogWarning, "%s has %s, which conflicts with %s in force; it stays in force", from, version, held)
+}
+
+// startPulls asks peers for versions that are newer than all that is verified:
+// the newest first, each from the first peer that offers it.
+func (e *Engine) startPulls() {
+	for _, l := range e.offers() {
+		if _, running := e.push.pulls[l.held]; running {
+			continue
+		}
+		if e.heldBack(l.held) || e.pulling(l) {
+			continue
+		}
+		e.push.pulls[l.held] = pull{version: l.held, base: e.push.newest(), link: l.id, sentAt: e.now}
+		e.send(&wire.Pull{Want: l.held, Held: e.push.newestVersion()}, l.id)
+	}
+}
+
+// offers returns the links whose peers hold something newer, the newest first.
+func (e *Engine) offers() []*link {
+	newest := e.push.newestVersion()
+	var offers []*link
+	for _, l := range e.overlay.order {
+		if l.phase == phaseUp && l.held.Newer(newest) && !e.push.refusals.has(l.held) {
+			offers = append(offers, l)
+		}
+	}
+	slices.SortStableFunc(offers, func(a, b *link) int {
+		return -cmp.Compare(a.held.Revision, b.held.Revision)
+	})
+	return offers
+}
+
+// heldBack reports whether a pull of a newer version is so young that one of
+// this version would most likely be wasted.
+func (e *Engine) heldBack(version snapshot.Version) bool {
+	for _, pull := range e.push.pulls {
+		if pull.version.Newer(version) && e.push.lowerWaits(e, pull) {
+			return true
+		}
+	}
+	return false
+}
+
+// pulling reports whether a pull on the link is unanswered.
+func (e *Engine) pulling(l *link) bool {
+	for _, pull := range e.push.pulls {
+		if pull.link == l.id {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) onAnnounce(l *link, m *wire.Announce) {
+	l.held = m.Version
+	for version, pull := range e.push.pulls {
+		if pull.link == l.id && version.Newer(m.Version) {
+			delete(e.push.pulls, version) // the peer does not hold it after all
+		}
+	}
+	e.versionSeen(l)
+}
+
+// onPull answers with the version in force: as a delta where the base is kept.
+func (e *Engine) onPull(l *link, m *wire.Pull) {
+	held := e.push.heldVersion()
+	if held.Revision < m.Want.Revision || held == m.Held {
+		e.send(&wire.Announce{Version: held}, l.id)
+		return
+	}
+	e.sendFrame(wire.TypeUpdate, e.updateFrom(m.Held), l.id)
+	l.held = held
+}
+
+// updateFrom returns the encoded Update from a base to the version in force.
+func (e *Engine) updateFrom(base snapshot.Version) []byte {
+	document := e.push.document(base)
+	if document == nil || base.IsZero() {
+		base, document = snapshot.Version{}, nil
+	}
+	if frame, encoded := e.push.updates[base]; encoded {
+		return frame
+	}
+	frame, err := wire.Encode(&wire.Update{Delta: snapshot.Diff(document, e.push.held)})
+	if err != nil {
+		panic(err) // a document that was adopted has an encoding
+	}
+	e.push.updates[base] = frame
+	return frame
+}
+
+// onUpdate checks what a peer delivered. Nothing of it counts unless the whole
+// has the hash that was promised.
+func (e *Engine) onUpdate(l *link, m *wire.Update) {
+	base, answered := e.endPulls(l)
+	if !answered {
+		return // late, or never asked for
+	}
+	target := m.Delta.Target
+	if !target.Newer(e.push.newestVersion()) {
+		l.held = target
+		return
+	}
+	document, err := m.Delta.Apply(base)
+	if err != nil {
+		e.faulty(l, "it sent a wrong update: "+err.Error())
+		return
+	}
+	l.held = target
+	l.failedPulls = 0
+	e.offer(document)
+}
+
+// endPulls ends the pulls that a link was asked for. It returns the base that the
+// peer was told of, and whether there was a pull.
+func (e *Engine) endPulls(l *link) (base *snapshot.Document, answered bool) {
+	for version, pull := range e.push.pulls {
+		if pull.link == l.id {
+			delete(e.push.pulls, version)
+			base, answered = pull.base, true
+		}
+	}
+	return base, answered
+}
+
+// offer takes a verified document on its way into force, unless it is not newer
+// or was refused before.
+func (e *Engine) offer(document *snapshot.Document) {
+	version := document.Version()
+	if !version.Newer(e.push.newestVersion()) || e.push.refusals.has(version) {
+		return
+	}
+	e.push.waiting = document
+	e.adoptNext()
+}
+
+func (e *Engine) adoptNext() {
+	if e.push.adopting != nil || e.push.waiting == nil {
+		return
+	}
+	e.push.adopting, e.push.waiting = e.push.waiting, nil
+	e.act(Adopt{Document: e.push.adopting})
+}
+
+func (event AdoptResult) apply(e *Engine) {
+	document := e.push.adopting
+	if document == nil || document.Version() != event.Version {
+		return
+	}
+	e.push.adopting = nil
+	if event.Err != nil {
+		e.refused(event.Version, event.Err.Error())
+	} else {
+		e.adopted(document)
+	}
+	e.adoptNext()
+	e.startPulls()
+}
+
+// adopted puts a document in force and announces it to the peers that are not
+// known to hold it.
+func (e *Engine) adopted(document *snapshot.Document) {
+	version := document.Version()
+	e.push.held = document
+	e.push.recent = append(e.push.recent, document)
+	if len(e.push.recent) > keptDocuments {
+		e.push.recent = slices.Delete(e.push.recent, 0, 1)
+	}
+	clear(e.push.updates)
+	e.push.refusals.forgetPassedOn(version)
+	e.log(LogInfo, "version %s is in force", version)
+	behind := e.overlay.lastingIDs(func(l *link) bool { return version.Newer(l.held) })
+	e.send(&wire.Announce{Version: version}, behind...)
+}
--- /dev/null
+++ b/internal/distribution/ranking.go
@@ -0,0 +1,114 @@
+package distribution
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/winchhead/winchhead/internal/membership"
+)
+
+// groupSize is how many nodes of a zone keep direct links to each other and may
+// read the source, one taking over from the other.
+const groupSize = 5
+
+// gatewaysPerZone is how many nodes of a zone keep a link to another region.
+const gatewaysPerZone = 4
+
+// Salts tell the rendezvous hashes of different purposes apart.
+const (
+	saltReader  = "reader\x00"
+	saltGateway = "gateway\x00"
+)
+
+// ranking orders nodes by rendezvous hash over one view of the fleet. All nodes
+// with the same view get the same order.
+type ranking struct {
+	view *membership.View
+	// group holds the first nodes of the own zone in reader rank.
+	group []membership.NodeID
+	// readers holds the first ReadersPerZone nodes of each zone in global rank.
+	readers []membership.NodeID
+	// gateway is set when the own node is one of its zone's gateways.
+	gateway bool
+}
+
+type rankedNode struct {
+	node membership.NodeID
+	zone string
+	rank uint64
+}
+
+// rank is a node's place in an order: lower comes first.
+func rank(salt string, node membership.NodeID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(salt)
+	_, _ = digest.WriteString(string(node))
+	return digest.Sum64()
+}
+
+// mayRank reports whether a member counts when readers are chosen.
+func mayRank(member *membership.Member) bool {
+	return !member.Leaving && !member.Suspected && member.Record.State != membership.StateGone
+}
+
+// currentRanking returns the ranking over the current view.
+func (e *Engine) currentRanking() *ranking {
+	if e.ranking.view != e.view {
+		e.ranking = rankView(e.view, e.table.Self(), e.options.ReadersPerZone)
+	}
+	return &e.ranking
+}
+
+func rankView(view *membership.View, self membership.Record, readersPerZone int) ranking {
+	var readers, gateways []rankedNode
+	members := view.Members()
+	for i := range members {
+		member := &members[i]
+		if !mayRank(member) {
+			continue
+		}
+		node, zone := member.Record.Node, member.Record.Zone
+		readers = append(readers, rankedNode{node, zone, rank(saltReader, node)})
+		if zone == self.Zone {
+			gateways = append(gateways, rankedNode{node, zone, rank(saltGateway, node)})
+		}
+	}
+	sortRanked(readers)
+	result := ranking{view: view}
+	perZone := make(map[string]int)
+	for _, ranked := range readers {
+		if perZone[ranked.zone] < readersPerZone {
+			result.readers = append(result.readers, ranked.node)
+		}
+		if ranked.zone == self.Zone && perZone[ranked.zone] < max(groupSize, readersPerZone) {
+			result.group = append(result.group, ranked.node)
+		}
+		perZone[ranked.zone]++
+	}
+	sortRanked(gateways)
+	for _, ranked := range gateways[:min(len(gateways), gatewaysPerZone)] {
+		result.gateway = result.gateway || ranked.node == self.Node
+	}
+	return result
+}
+
+func sortRanked(nodes []rankedNode) {
+	slices.SortFunc(nodes, func(a, b rankedNode) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.node, b.node))
+	})
+}
+
+// inGroup reports whether a node is in the reader group of the own zone.
+func (r *ranking) inGroup(node membership.NodeID) bool { return slices.Contains(r.group, node) }
+
+// globalRank returns a node's place among all readers; nodes that are not among
+// the first of their zone come after all that are.
+func (r *ranking) globalRank(node membership.NodeID) int {
+	if position := slices.Index(r.readers, node); position >= 0 {
+		return position
+	}
+	return len(r.readers)
+}
--- /dev/null
+++ b/internal/distribution/reading.go
@@ -0,0 +1,313 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// minPollInterval is the least time between two polls that bring news.
+const minPollInterval = 100 * time.Millisecond
+
+// never is the SourceAge of a node that heard of no confirmation.
+const never = -1
+
+// readingState is the own part in reading the source.
+type readingState struct {
+	active   bool
+	resigned bool
+	failures int
+	// poll is the running AwaitSource, pollAt when to send the next one.
+	poll     RequestID
+	polledAt time.Time
+	pollAt   time.Time
+	// head is the newest revision that the source spoke of, fetchAt when to fetch
+	// it unless a peer brings it before.
+	head      snapshot.Version
+	fetch     RequestID
+	fetchAt   time.Time
+	toldStale bool
+	// confirmedAt is when any reader, by this node's knowledge, last heard from
+	// the source.
+	confirmedAt time.Time
+	lastRequest RequestID
+}
+
+func (r *readingState) state() wire.Reading {
+	switch {
+	case r.active && r.resigned:
+		return wire.ReadingResigned
+	case r.active:
+		return wire.ReadingActive
+	default:
+		return wire.ReadingIdle
+	}
+}
+
+func (r *readingState) deadlines(earlier func(time.Time)) {
+	earlier(r.pollAt)
+	earlier(r.fetchAt)
+}
+
+func (e *Engine) newRequest() RequestID {
+	e.reading.lastRequest++
+	return e.reading.lastRequest
+}
+
+// wantsToRead decides whether this node reads the source: while it is one of the
+// first in its zone of those that can.
+func (e *Engine) wantsToRead() bool {
+	current := e.currentRanking()
+	if !current.inGroup(e.options.Self.Node) || !e.start.mayRead(e) {
+		return false
+	}
+	able := 0
+	for _, node := range current.group {
+		if node == e.options.Self.Node {
+			return able < e.options.ReadersPerZone
+		}
+		if e.canRead(node) {
+			able++
+		}
+	}
+	return false
+}
+
+// canRead tells whether a member of the group is believed to read when its turn
+// comes. One whose link broke, or that cannot be dialled, is not.
+func (e *Engine) canRead(node membership.NodeID) bool {
+	if p := e.overlay.peers[node]; p != nil && (p.lost || p.failures > 0) {
+		return false
+	}
+	l := e.overlay.linkTo(node)
+	if l == nil || l.phase != phaseUp {
+		return true
+	}
+	switch l.reading {
+	case wire.ReadingResigned:
+		return false
+	case wire.ReadingActive:
+		return e.now.Sub(latest(l.confirmedAt, l.readingSince)) <= e.timing.FreshnessLimit
+	default:
+		return true
+	}
+}
+
+// runReadingTimers takes up or leaves reading and does what is due.
+func (e *Engine) runReadingTimers() {
+	if wants := e.wantsToRead(); wants != e.reading.active {
+		e.setReading(wants)
+	}
+	if !e.reading.active {
+		return
+	}
+	if e.passed(e.reading.pollAt) && e.reading.poll == 0 {
+		e.pollSource()
+	}
+	if e.passed(e.reading.fetchAt) && e.reading.fetch == 0 {
+		e.fetchSource()
+	}
+}
+
+func (e *Engine) setReading(active bool) {
+	r := &e.reading
+	r.active = active
+	r.resigned = false
+	r.failures = 0
+	if active {
+		r.pollAt = e.now
+		e.log(LogInfo, "reads the source")
+	} else {
+		e.cancelReading()
+		e.log(LogInfo, "leaves the source to others")
+	}
+	e.members.readingChanged(e)
+	e.tellGroup()
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// tellGroup tells the group at once what this node does about the source.
+func (e *Engine) tellGroup() {
+	for _, l := range e.overlay.order {
+		if l.lasting() && e.isGroupLink(l) {
+			e.sendHeartbeat(l)
+		}
+	}
+}
+
+func (e *Engine) cancelReading() {
+	r := &e.reading
+	for _, request := range []RequestID{r.poll, r.fetch} {
+		if request != 0 {
+			e.act(CancelRequest{Request: request})
+		}
+	}
+	r.poll, r.fetch = 0, 0
+	r.pollAt, r.fetchAt = time.Time{}, time.Time{}
+}
+
+// cancelRequests gives up all requests to the platform.
+func (e *Engine) cancelRequests() {
+	e.cancelReading()
+	if e.members.request != 0 {
+		e.act(CancelRequest{Request: e.members.request})
+		e.members.request = 0
+	}
+}
+
+func (e *Engine) pollSource() {
+	r := &e.reading
+	r.poll = e.newRequest()
+	r.polledAt = e.now
+	r.pollAt = time.Time{}
+	after := max(e.push.heldVersion().Revision, r.head.Revision)
+	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.timing.SourceWait})
+}
+
+func (e *Engine) fetchSource() {
+	r := &e.reading
+	r.fetchAt = time.Time{}
+	if !r.head.Newer(e.push.newestVersion()) || e.push.refusals.has(r.head) {
+		return // a peer was faster
+	}
+	r.fetch = e.newRequest()
+	e.act(FetchSource{Request: r.fetch, Held: e.push.heldVersion()})
+}
+
+func (event SourceRevision) apply(e *Engine) {
+	r := &e.reading
+	if event.Request != r.poll || r.poll == 0 {
+		return
+	}
+	r.poll = 0
+	if !e.answered(event.Outcome) {
+		r.pollAt = e.now.Add(e.sourceDelay(event.Outcome))
+		return
+	}
+	news := event.Version.Newer(snapshot.Version{Revision: max(e.push.heldVersion().Revision, r.head.Revision)})
+	least := e.timing.SourceWait / 2
+	if news {
+		least = minPollInterval
+	}
+	r.pollAt = latest(e.now, r.polledAt.Add(least))
+	e.headSeen(event.Version, news)
+}
+
+// headSeen looks at the newest version that the source holds.
+func (e *Engine) headSeen(version snapshot.Version, news bool) {
+	r := &e.reading
+	held := e.push.heldVersion()
+	e.noteConflict(version, "the source")
+	if version.Revision < held.Revision && !r.toldStale {
+		e.log(LogWarning, "the source is stale: it holds %s, in force is %s", version, held)
+	}
+	r.toldStale = version.Revision < held.Revision
+	switch {
+	case news:
+		r.head = version
+		r.fetchAt = e.now.Add(e.fetchDelay())
+	case version.Revision < r.head.Revision:
+		r.head = version // what it spoke of before is not there
+	}
+}
+
+// fetchDelay is how long to let a new revision come over the overlay.
+func (e *Engine) fetchDelay() time.Duration {
+	position := e.currentRanking().globalRank(e.options.Self.Node)
+	if position == 0 {
+		return 0
+	}
+	delay := e.timing.FetchDelay + time.Duration(position)*e.timing.FetchStagger
+	return min(delay, e.timing.FetchDelayMax)
+}
+
+func (event SourceDocument) apply(e *Engine) {
+	r := &e.reading
+	if event.Request != r.fetch || r.fetch == 0 {
+		return
+	}
+	r.fetch = 0
+	if !e.answered(event.Outcome) {
+		r.fetchAt = e.now.Add(e.sourceDelay(event.Outcome))
+		return
+	}
+	if event.Document != nil {
+		e.noteConflict(event.Document.Version(), "the source")
+		e.offer(event.Document)
+	}
+	if r.head.Newer(e.push.newestVersion()) && !e.push.refusals.has(r.head) {
+		r.fetchAt = e.now.Add(e.jittered(e.timing.SourceWait)) // the answer was older than the head
+	}
+}
+
+// answered notes how a read of the source ended. A reader whose reads fail
+// resigns, so that the next in its group reads, and goes on trying.
+func (e *Engine) answered(outcome source.Outcome) bool {
+	r := &e.reading
+	ok := outcome.Status == source.StatusFresh || outcome.Status == source.StatusNotModified
+	was := r.resigned
+	switch {
+	case ok:
+		r.failures = 0
+		r.resigned = false
+		r.confirmedAt = e.now
+	case outcome.Status == source.StatusBusy:
+		r.failures++ // the source lives; another reader would add to its load
+	default:
+		r.failures++
+		r.resigned = true
+	}
+	if r.resigned != was {
+		e.logResigned(outcome)
+		e.tellGroup()
+	}
+	return ok
+}
+
+func (e *Engine) logResigned(outcome source.Outcome) {
+	if e.reading.resigned {
+		e.log(LogWarning, "cannot read the source: %v", outcome.Err)
+		return
+	}
+	e.log(LogInfo, "reads the source again")
+}
+
+// sourceDelay is how long to wait after a failed read.
+func (e *Engine) sourceDelay(outcome source.Outcome) time.Duration {
+	return outcome.RetryAfter + e.backoff(e.reading.failures, e.timing.BackoffMin, e.timing.BackoffMax)
+}
+
+// sourceAge is how many milliseconds ago a reader last heard from the source.
+func (e *Engine) sourceAge() int64 {
+	if e.reading.confirmedAt.IsZero() {
+		return never
+	}
+	return e.now.Sub(e.reading.confirmedAt).Milliseconds()
+}
+
+// sourceConfirmed takes a peer's word for when a reader heard from the source.
+func (e *Engine) sourceConfirmed(l *link, age int64) {
+	if age < 0 {
+		return
+	}
+	l.confirmedAt = e.now.Add(-time.Duration(age) * time.Millisecond)
+	e.reading.confirmedAt = latest(e.reading.confirmedAt, l.confirmedAt)
+}
+
+func (e *Engine) onHeartbeat(l *link, m *wire.Heartbeat) {
+	e.setPeerInterval(l, m.Interval)
+	if m.Reading != l.reading {
+		l.reading = m.Reading
+		l.readingSince = e.now
+	}
+	e.sourceConfirmed(l, m.SourceAge)
+}
--- /dev/null
+++ b/internal/distribution/start.go
@@ -0,0 +1,189 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// probedPeers is how many members a node that holds nothing asks before it takes
+// the source's word that nothing newer exists.
+const probedPeers = 16
+
+// startState decides when a node may trust the source. A node that holds nothing
+// asks peers first, so that a stale source cannot install a revision older than
+// one that a peer holds. A node that slept asks its peers what it missed.
+type startState struct {
+	// startedAt is the time of the first event.
+	startedAt time.Time
+	// answers holds the members that were asked: true once they answered or
+	// proved unreachable.
+	answers map[membership.NodeID]bool
+	askedAt time.Time
+	// recheckUntil is set from waking up until a peer answered or the wait is over.
+	recheckUntil time.Time
+}
+
+// begin notes the first event.
+func (e *Engine) begin() {
+	if e.start.startedAt.IsZero() {
+		e.start.startedAt = e.now
+		e.start.answers = make(map[membership.NodeID]bool)
+		e.fleet.expireAt = e.now.Add(e.jittered(e.timing.ExpireInterval))
+		e.overlay.maintainAt = e.now
+		e.overlay.retrySuspectedAt = e.now.Add(e.jittered(e.timing.SuspectedRetry))
+	}
+}
+
+// noticeSleep handles a process that runs much later than it asked to. What it
+// believed may be outdated: its links count as open only once the peers answer,
+// and it reads the source only after that.
+func (e *Engine) noticeSleep() {
+	if e.wakeAt.IsZero() || e.now.Sub(e.wakeAt) < e.timing.PauseThreshold {
+		return
+	}
+	e.log(LogInfo, "slept for %s; asks its peers first", e.now.Sub(e.wakeAt).Round(time.Millisecond))
+	e.start.recheckUntil = e.now.Add(e.timing.RecheckWait)
+	e.reading.confirmedAt = time.Time{}
+	for version, pull := range e.push.pulls {
+		pull.sentAt = e.now
+		e.push.pulls[version] = pull
+	}
+	for _, l := range e.overlay.order {
+		if l.phase != phaseUp || l.probe {
+			l.openedAt = e.now
+			continue
+		}
+		l.asleep = true
+		l.lastReceived = e.now
+		e.sendDigest(l, wire.DigestAsk)
+	}
+}
+
+// peerConfirmed ends the recheck after sleep.
+func (s *startState) peerConfirmed(*Engine) { s.recheckUntil = time.Time{} }
+
+// endRecheck gives up links whose peers did not answer after the own sleep.
+func (e *Engine) endRecheck() {
+	if !e.passed(e.start.recheckUntil) {
+		return
+	}
+	e.start.recheckUntil = time.Time{}
+	for _, l := range e.overlay.order {
+		if l.asleep {
+			e.dropLink(l)
+			e.linkLost(l)
+		}
+	}
+}
+
+// mayRead reports whether the node may act as a reader.
+func (s *startState) mayRead(e *Engine) bool {
+	if !s.recheckUntil.IsZero() {
+		return false
+	}
+	return !e.push.heldVersion().IsZero() || s.peersHoldNothing(e)
+}
+
+// peersHoldNothing reports whether a node that holds nothing has asked enough
+// peers. It asks them as needed.
+func (s *startState) peersHoldNothing(e *Engine) bool {
+	if len(e.offers()) > 0 || len(e.push.pulls) > 0 || e.push.newest() != nil {
+		return false
+	}
+	listKnown := e.members.answered && e.fleet.tellAt.IsZero()
+	if !listKnown && e.now.Before(s.startedAt.Add(e.timing.StartPeerWait)) {
+		return false
+	}
+	s.askPeers(e)
+	if s.pendingAnswers() && e.now.Before(s.askedAt.Add(e.timing.StartPeerWait)) {
+		return false
+	}
+	return e.overlay.countLasting() == 0 || !e.now.Before(s.startedAt.Add(e.timing.ColdWait))
+}
+
+// deadlines tells when waiting may end.
+func (s *startState) deadlines(e *Engine, earlier func(time.Time)) {
+	earlier(s.recheckUntil)
+	if !e.push.heldVersion().IsZero() {
+		return
+	}
+	waits := [...]time.Time{
+		s.startedAt.Add(e.timing.StartPeerWait), s.startedAt.Add(e.timing.ColdWait), s.askedAt.Add(e.timing.StartPeerWait),
+	}
+	for _, wait := range waits {
+		if wait.After(e.now) {
+			earlier(wait)
+		}
+	}
+}
+
+func (s *startState) pendingAnswers() bool {
+	for _, answered := range s.answers {
+		if !answered {
+			return true
+		}
+	}
+	return false
+}
+
+// askPeers learns what members hold, probedPeers at most: from a link that exists
+// already, or by a probe.
+func (s *startState) askPeers(e *Engine) {
+	if len(s.answers) >= probedPeers {
+		return
+	}
+	for _, candidate := range s.unasked(e) {
+		if len(s.answers) >= probedPeers {
+			return
+		}
+		s.askedAt = e.now
+		s.answers[candidate.node] = s.ask(e, candidate.node)
+	}
+}
+
+// unasked returns the members not asked yet, in the own order.
+func (s *startState) unasked(e *Engine) []rankedNode {
+	var ranked []rankedNode
+	members := e.view.Members()
+	for i := range members {
+		member := &members[i]
+		node := member.Record.Node
+		_, asked := s.answers[node]
+		if asked || node == e.options.Self.Node || member.Leaving || member.Record.PeerAddress == "" {
+			continue
+		}
+		ranked = append(ranked, rankedNode{node: node, rank: rank(string(e.options.Self.Node), node)})
+	}
+	sortRanked(ranked)
+	return ranked
+}
+
+// ask reports whether the answer of a member is known already; otherwise one is
+// on its way.
+func (s *startState) ask(e *Engine, node membership.NodeID) bool {
+	if l := e.overlay.linkTo(node); l != nil {
+		return l.phase == phaseUp
+	}
+	if p := e.overlay.peers[node]; p != nil && p.failures > 0 {
+		return true
+	}
+	member, _ := e.view.Member(node)
+	e.dial(&member, true)
+	return false
+}
+
+// peerAnswered notes that a member told what it holds, or cannot be reached.
+func (s *startState) peerAnswered(_ *Engine, node membership.NodeID) {
+	if _, asked := s.answers[node]; asked {
+		s.answers[node] = true
+	}
+}
+
+// finishProbe closes a probe whose peer has nothing that is wanted here.
+func (e *Engine) finishProbe(l *link) {
+	if l.probe && l.outgoing && !l.held.Newer(e.push.newestVersion()) {
+		e.closeLink(l, wire.GoodbyeDone)
+	}
+}
--- /dev/null
+++ b/internal/distribution/status.go
@@ -0,0 +1,142 @@
+package distribution
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+const (
+	// maxQuestions bounds the members asked at once.
+	maxQuestions = 32
+	// statusTimeout bounds one question to a member, and serving one.
+	statusTimeout = 3 * time.Second
+)
+
+// Status returns what the engine's node holds.
+func (e *Engine) Status() wire.StatusReply {
+	self := e.table.Self()
+	return wire.StatusReply{
+		Node:        self.Node,
+		Incarnation: self.Incarnation,
+		Zone:        self.Zone,
+		State:       self.State,
+		Held:        e.push.heldVersion(),
+		Refused:     e.push.refusals.shown.Version,
+		Reason:      e.push.refusals.shown.Reason,
+		Conflict:    e.push.conflict,
+		Reader:      e.reading.state() == wire.ReadingActive,
+		SourceAge:   e.sourceAge(),
+	}
+}
+
+// engineStatus is what Status answers from. The reply's SourceAge is left out, as
+// it depends on the time of the question.
+type engineStatus struct {
+	reply       wire.StatusReply
+	confirmedAt time.Time
+}
+
+func (n *Node) publishStatus() {
+	n.counters.links.Store(int64(n.engine.overlay.countLasting()))
+	status := engineStatus{reply: n.engine.Status(), confirmedAt: n.engine.reading.confirmedAt}
+	status.reply.SourceAge = never
+	if current := n.status.Load(); current != nil && *current == status {
+		return
+	}
+	published := status
+	n.status.Store(&published)
+}
+
+// Status tells what this node holds.
+func (n *Node) Status() wire.StatusReply {
+	status := n.status.Load()
+	reply := status.reply
+	if !status.confirmedAt.IsZero() {
+		reply.SourceAge = time.Since(status.confirmedAt).Milliseconds()
+	}
+	if n.options.Generation != nil {
+		reply.Generation = n.options.Generation()
+	}
+	return reply
+}
+
+// serveStatus answers one StatusRequest.
+func (n *Node) serveStatus(c *connection) {
+	defer c.conn.Close()
+	if err := c.conn.SetDeadline(time.Now().Add(statusTimeout)); err != nil {
+		return
+	}
+	message, err := c.next()
+	if _, asked := message.(*wire.StatusRequest); err != nil || !asked {
+		return
+	}
+	reply := n.Status()
+	if c.writeMessage(&reply) != nil {
+		return
+	}
+	_, _ = c.next() // lets the peer read the answer before the socket closes
+}
+
+// AskAll asks every known member that has not ended and returns one report each,
+// sorted by node.
+func (n *Node) AskAll(ctx context.Context) []MemberStatus {
+	members := n.View().Members()
+	reports := make([]MemberStatus, len(members))
+	var group errgroup.Group
+	group.SetLimit(maxQuestions)
+	for i := range members {
+		group.Go(func() error {
+			reports[i] = n.ask(ctx, &members[i].Record)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.SortFunc(reports, func(a, b MemberStatus) int { return cmp.Compare(a.Node, b.Node) })
+	return reports
+}
+
+func (n *Node) ask(ctx context.Context, member *membership.Record) MemberStatus {
+	if member.Node == n.options.Self.Node {
+		reply := n.Status()
+		return MemberStatus{Node: member.Node, Reply: &reply}
+	}
+	reply, err := n.askPeer(ctx, member.PeerAddress)
+	if err != nil {
+		return MemberStatus{Node: member.Node, Error: err.Error()}
+	}
+	return MemberStatus{Node: member.Node, Reply: reply}
+}
+
+func (n *Node) askPeer(ctx context.Context, address string) (*wire.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	c, err := n.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer c.conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	defer stop()
+	hello := &wire.Hello{Protocol: wire.ProtocolVersion, Self: n.options.Self, Purpose: wire.PurposeStatus}
+	for _, message := range []wire.Message{hello, &wire.StatusRequest{}} {
+		if err := c.writeMessage(message); err != nil {
+			return nil, err
+		}
+	}
+	message, err := c.next()
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := message.(*wire.StatusReply)
+	if !ok {
+		return nil, wire.ErrFrame
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/distribution/timing.go
@@ -0,0 +1,105 @@
+package distribution
+
+import "time"
+
+// Timing holds all intervals of an Engine and a Node.
+type Timing struct {
+	// HeartbeatInterval is the longest silence on an ordinary link.
+	HeartbeatInterval time.Duration
+	// GroupHeartbeatInterval is the longest silence on a link between nodes of a
+	// zone's reader group.
+	GroupHeartbeatInterval time.Duration
+	// DigestInterval is the mean time between two digests on a link.
+	DigestInterval time.Duration
+	// RecordWindow is how long records are collected before they are sent.
+	RecordWindow time.Duration
+	// ViewWindow is how long changes of the fleet are collected before the
+	// Adopter is told.
+	ViewWindow time.Duration
+	// ViewInterval is the least time between two such changes, except for one
+	// that ends work on an instance.
+	ViewInterval time.Duration
+	// PullTimeout is how long a peer may take to answer a Pull before another one
+	// is asked.
+	PullTimeout time.Duration
+	// DialTimeout bounds dialling and the exchange of Hello.
+	DialTimeout time.Duration
+	// StartPeerWait is how long a node that holds nothing waits for peers to
+	// answer before it takes the source's word.
+	StartPeerWait time.Duration
+	// ColdWait is how long a node that holds nothing and whose peers hold nothing
+	// either waits before it takes the source's word.
+	ColdWait time.Duration
+	// RecheckWait is how long a node that slept waits for its peers to answer
+	// before it reads the source again.
+	RecheckWait time.Duration
+	// SourceWait is how long the source holds a question for a new revision. It
+	// bounds how long a reader that is cut off stays unnoticed.
+	SourceWait time.Duration
+	// SourceGrace is how much longer than SourceWait an answer may take.
+	SourceGrace time.Duration
+	// FetchTimeout bounds a read of the whole document or list.
+	FetchTimeout time.Duration
+	// FreshnessLimit is the age of a reader's last confirmation from which the
+	// next in rank reads as well.
+	FreshnessLimit time.Duration
+	// FetchDelay and FetchStagger set how long a reader lets a new revision come
+	// over the overlay before it fetches it: FetchDelay plus FetchStagger for each
+	// rank, up to FetchDelayMax. The first in rank fetches at once.
+	FetchDelay, FetchStagger, FetchDelayMax time.Duration
+	// MembersWait is how long the platform holds a question for a new list.
+	MembersWait time.Duration
+	// BackoffMin and BackoffMax bound the mean delay before the source or the
+	// list is asked again after a failure.
+	BackoffMin, BackoffMax time.Duration
+	// RedialMin and RedialMax bound the mean delay before a peer is dialled again.
+	RedialMin, RedialMax time.Duration
+	// RefusedWait is how long a peer that has enough links is left alone.
+	RefusedWait time.Duration
+	// FaultWait is how long a peer that broke the protocol is left alone.
+	FaultWait time.Duration
+	// SuspectedRetry is the least time between two dials to suspected members.
+	SuspectedRetry time.Duration
+	// PauseThreshold is how late the engine may run before it takes itself for
+	// having slept.
+	PauseThreshold time.Duration
+	// ExpireInterval is the time between two looks for outdated records.
+	ExpireInterval time.Duration
+	// UnneededLinkAge is how long a link beyond those wanted is kept.
+	UnneededLinkAge time.Duration
+}
+
+// DefaultTiming returns the intervals for production.
+func DefaultTiming() Timing {
+	return Timing{
+		HeartbeatInterval:      5 * time.Second,
+		GroupHeartbeatInterval: 700 * time.Millisecond,
+		DigestInterval:         10 * time.Second,
+		RecordWindow:           50 * time.Millisecond,
+		ViewWindow:             50 * time.Millisecond,
+		ViewInterval:           200 * time.Millisecond,
+		PullTimeout:            time.Second,
+		DialTimeout:            2 * time.Second,
+		StartPeerWait:          2 * time.Second,
+		ColdWait:               time.Second,
+		RecheckWait:            2 * time.Second,
+		SourceWait:             2 * time.Second,
+		SourceGrace:            500 * time.Millisecond,
+		FetchTimeout:           10 * time.Second,
+		FreshnessLimit:         5 * time.Second,
+		FetchDelay:             200 * time.Millisecond,
+		FetchStagger:           100 * time.Millisecond,
+		FetchDelayMax:          3 * time.Second,
+		MembersWait:            20 * time.Second,
+		BackoffMin:             200 * time.Millisecond,
+		BackoffMax:             10 * time.Second,
+		RedialMin:              200 * time.Millisecond,
+		RedialMax:              5 * time.Second,
+		RefusedWait:            30 * time.Second,
+		FaultWait:              30 * time.Second,
+		SuspectedRetry:         3 * time.Second,
+		PauseThreshold:         3 * time.Second,
+		ExpireInterval:         2 * time.Second,
+		UnneededLinkAge:        10 * time.Second,
+	}
+}
