--- a/internal/emulator/backend/backend_test.go
+++ b/internal/emulator/backend/backend_test.go
@@ -60,14 +60,22 @@
 		{"time over on arrival", []string{outcome.HeaderTimeout, "0"}, 504, backend.Runs{}},
 		{"time over in the work", []string{outcome.HeaderTimeout, "1", backend.HeaderWork, "60000"}, 504,
 			backend.Runs{Started: 1, Expired: 1}},
-		{"stalled until its time is over", []string{outcome.HeaderTimeout, "1",
-			backend.HeaderFault, string(backend.FaultStall)}, 504, backend.Runs{Started: 1, Expired: 1}},
+		{"stalled until the caller goes", []string{outcome.HeaderTimeout, "1",
+			backend.HeaderFault, string(backend.FaultStall)}, 0, backend.Runs{Started: 1, Cancelled: 1}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			b, client := start(c, backend.Options{Name: "b1"})
 			header := append([]string{backend.HeaderRequest, "17", outcome.HeaderIdempotencyKey, "k"}, test.header...)
-			response, err := client.Do(newRequest(c, b, backend.PathEcho, "a booking", header...))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if test.expected.Cancelled > 0 {
+				go func() {
+					eventually(c, func() bool { return b.Journal().Request("17").Started > 0 })
+					cancel()
+				}()
+			}
+			response, err := client.Do(newRequest(c, b, backend.PathEcho, "a booking", header...).WithContext(ctx))
 			var body []byte
 			if err == nil {
 				body, err = io.ReadAll(response.Body)
@@ -81,6 +89,7 @@
 				c.Check(string(body), qt.Equals, "a booking")
 				c.Check(response.Header.Get(backend.HeaderChecksum), qt.Equals, backend.Checksum(body))
 			}
+			eventually(c, func() bool { return b.Journal().Request("17").Cancelled == test.expected.Cancelled })
 			c.Check(b.Journal().Request("17"), qt.Equals, test.expected)
 			c.Check(b.Journal().Key("k"), qt.Equals, test.expected)
 		})
--- a/internal/emulator/backend/behavior.go
+++ b/internal/emulator/backend/behavior.go
@@ -23,7 +23,8 @@
 	FaultCloseMidAnswer Fault = "close-mid-answer"
 	// FaultWrongLength announces more bytes than it sends and closes.
 	FaultWrongLength Fault = "wrong-length"
-	// FaultStall never answers. Journal: started, then cancelled or expired.
+	// FaultStall never answers, whatever the deadline, until the caller goes.
+	// Journal: started, cancelled.
 	FaultStall Fault = "stall"
 	// FaultStallMidAnswer sends half of the answer and nothing more.
 	FaultStallMidAnswer Fault = "stall-mid-answer"
--- a/internal/emulator/backend/work.go
+++ b/internal/emulator/backend/work.go
@@ -141,11 +141,12 @@
 
 // work lasts as long as the request asks and reports whether it was done.
 func (j *job) work(r *http.Request) bool {
-	span := j.backend.workTime(r)
 	if j.fault == FaultStall {
-		<-j.ctx.Done()
+		<-r.Context().Done()
+		j.backend.journal.cancelled(j.run)
+		return false
 	}
-	if !pause(j.ctx, span) {
+	if !pause(j.ctx, j.backend.workTime(r)) {
 		j.stopped()
 		return false
 	}
--- /dev/null
+++ b/internal/proxy/forward/forward_test.go
@@ -0,0 +1,112 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/proxy/forward"
+)
+
+// pair returns both ends of a TCP connection.
+func pair(c *qt.C) (near, far net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	far, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	near, err = listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
+
+// TestSend is the table of what may be written, and of what is proved afterwards.
+func TestSend(t *testing.T) {
+	future := time.Now().Add(time.Hour)
+	closePeer := func(near, far net.Conn) {
+		_ = far.Close()
+		_, _ = near.Read(make([]byte, 1)) // returns once the close has arrived
+	}
+	for _, test := range []struct {
+		name    string
+		send    *forward.Send
+		arrange func(near, far net.Conn)
+		allowed bool
+	}{
+		{"in time", forward.NewSend(future, nil), nil, true},
+		{"time over", forward.NewSend(time.Now(), nil), nil, false},
+		{"no longer allowed", forward.NewSend(future, func() bool { return false }), nil, false},
+		{"peer has closed", forward.NewSend(future, nil), closePeer, false},
+		{"none assigned", nil, nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			near, far := pair(c)
+			if test.arrange != nil {
+				test.arrange(near, far)
+			}
+			conn := forward.NewConn(near, true)
+			conn.Assign(test.send)
+			_, err := conn.Write([]byte("a booking"))
+			c.Check(err == nil, qt.Equals, test.allowed)
+			if test.send == nil {
+				return
+			}
+			c.Check(test.send.Seal(), qt.Equals, test.allowed)
+			c.Check(test.send.Used() == conn, qt.Equals, test.allowed)
+		})
+	}
+}
+
+// TestSendUsesOneConnection has two connections and a seal race for one send.
+func TestSendUsesOneConnection(t *testing.T) {
+	c := qt.New(t)
+	for range 100 {
+		send := forward.NewSend(time.Now().Add(time.Hour), nil)
+		wrote := make(chan bool, 2)
+		var group sync.WaitGroup
+		for range 2 {
+			near, _ := net.Pipe()
+			conn := forward.NewConn(sink{near}, true)
+			conn.Assign(send)
+			group.Go(func() {
+				_, err := conn.Write([]byte("a booking"))
+				wrote <- err == nil
+			})
+		}
+		sealed := send.Seal()
+		group.Wait()
+		writes := 0
+		for range 2 {
+			if <-wrote {
+				writes++
+			}
+		}
+		c.Assert(writes <= 1, qt.IsTrue)
+		c.Assert(sealed, qt.Equals, writes == 1)
+	}
+}
+
+// sink is a connection that takes everything.
+type sink struct{ net.Conn }
+
+func (sink) Write(data []byte) (int, error) { return len(data), nil }
+
+func TestRequestHeader(t *testing.T) {
+	c := qt.New(t)
+	got := forward.RequestHeader(http.Header{
+		"Connection": {"X-Hop, upgrade"}, "Upgrade": {"echo"}, "X-Hop": {"1"}, "Te": {"trailers, deflate"},
+		"Transfer-Encoding": {"chunked"}, "Winchhead-Outcome": {"not-run"}, "winchhead-load": {"0"}, "X-End": {"2"},
+	})
+	c.Check(got, qt.DeepEquals, http.Header{
+		"Connection": {"Upgrade"}, "Upgrade": {"echo"}, "Te": {"trailers"}, "User-Agent": {""}, "X-End": {"2"},
+	})
+}
--- a/internal/proxy/inbound/fault_test.go
+++ b/internal/proxy/inbound/fault_test.go
@@ -45,7 +45,7 @@
 		{"closed in the answer", nil, fault(backend.FaultCloseMidAnswer), 0, "", "", finished},
 		{"wrong length", nil, fault(backend.FaultWrongLength), 0, "", "", finished},
 		{"stalled", nil, append(fault(backend.FaultStall), outcome.HeaderRemaining, "300"),
-			504, outcome.Unknown, outcome.ReasonDeadline, backend.Runs{Started: 1, Expired: 1}},
+			504, outcome.Unknown, outcome.ReasonDeadline, backend.Runs{Started: 1, Cancelled: 1}},
 		{"stalled in the answer", nil, append(fault(backend.FaultStallMidAnswer), outcome.HeaderRemaining, "300"),
 			0, "", "", finished},
 	} {
@@ -68,12 +68,7 @@
 			}
 			r.eventually(func() bool { return r.proxy.admission.Usage().InFlight == 0 })
 			r.eventually(func() bool { return endedRuns(r.backend.Journal().Request("1")) })
-			runs := r.backend.Journal().Request("1")
-			if test.journal.Expired > 0 && runs.Cancelled > 0 {
-				// The proxy gave up a moment before the back end did.
-				runs.Expired, runs.Cancelled = runs.Cancelled, 0
-			}
-			r.Check(runs, qt.Equals, test.journal)
+			r.Check(r.backend.Journal().Request("1"), qt.Equals, test.journal)
 		})
 	}
 }
