--- /dev/null
+++ b/internal/socketbytes/socketbytes.go
@@ -0,0 +1,67 @@
+// Package socketbytes counts the bytes that cross connections, below any codec
+// or TLS, so that reports state what the network carried.
+package socketbytes
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Counter counts bytes in both directions. The zero value is ready for use, by
+// several connections at once.
+type Counter struct {
+	read, written atomic.Int64
+}
+
+// Totals returns the bytes read and written so far.
+func (c *Counter) Totals() (read, written int64) {
+	return c.read.Load(), c.written.Load()
+}
+
+// Take returns the bytes read and written since the last Take.
+func (c *Counter) Take() (read, written int64) {
+	return c.read.Swap(0), c.written.Swap(0)
+}
+
+// Conn is a connection whose bytes are counted.
+type Conn struct {
+	net.Conn
+	counter *Counter
+}
+
+// Wrap returns a connection that adds the bytes of inner to counter.
+func Wrap(inner net.Conn, counter *Counter) *Conn {
+	return &Conn{Conn: inner, counter: counter}
+}
+
+// Counter returns the counter that the connection adds to.
+func (c *Conn) Counter() *Counter { return c.counter }
+
+// Read implements net.Conn.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.counter.read.Add(int64(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.counter.written.Add(int64(count))
+	return count, err
+}
+
+// Listener counts the bytes of all connections it accepts in one Counter.
+type Listener struct {
+	net.Listener
+	Counter *Counter
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(accepted, l.Counter), nil
+}
--- /dev/null
+++ b/internal/source/contract_test.go
@@ -0,0 +1,82 @@
+package source_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/winchhead/winchhead/internal/emulator/platform"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+// longWait is far above what any read of these tests needs.
+const longWait = 50 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// emulated serves an emulated platform and returns it with a client of it.
+func emulated(c *qt.C, options platform.Options) (*platform.Platform, *source.Client) {
+	emulator, err := platform.New(options)
+	c.Assert(err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- emulator.Serve(ctx, listener) }()
+	client := source.NewClient(source.Options{BaseURL: "http://" + listener.Addr().String(), Node: "n1"})
+	c.Cleanup(func() {
+		client.Close()
+		cancel()
+		c.Check(<-served, qt.IsNil)
+	})
+	return emulator, client
+}
+
+func TestEmulatedPlatformKeepsTheContract(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	member := membership.ListedMember{Node: "n1", PeerAddress: "127.0.0.1:7000", Zone: "centro", State: membership.ListedLive}
+	emulator, client := emulated(c, platform.Options{
+		Content: snapshot.Content{Secrets: []snapshot.Secret{{Name: "token", Value: "hush"}}},
+		Members: []membership.ListedMember{member},
+	})
+
+	first, outcome := client.Fetch(ctx, snapshot.Version{})
+	c.Assert(outcome.Err, qt.IsNil)
+	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+	c.Assert(first.Version(), qt.Equals, emulator.Version())
+	c.Assert(first.Content().Secrets[0].Value, qt.Equals, "hush")
+	_, outcome = client.Fetch(ctx, first.Version())
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+
+	version, outcome := client.AwaitRevision(ctx, 1, 0)
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+	c.Assert(version, qt.Equals, first.Version())
+
+	type awaited struct {
+		version snapshot.Version
+		outcome source.Outcome
+	}
+	arrival := make(chan awaited, 1)
+	go func() {
+		version, outcome := client.AwaitRevision(ctx, 1, longWait)
+		arrival <- awaited{version, outcome}
+	}()
+	submitted, err := emulator.Submit(snapshot.Policy{Name: "trips", Program: "# none"})
+	c.Assert(err, qt.IsNil)
+	got := <-arrival
+	c.Assert(got.outcome.Status, qt.Equals, source.StatusFresh)
+	c.Assert(got.version, qt.Equals, submitted)
+
+	members, etag, outcome := client.Members(ctx, "", longWait)
+	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+	c.Assert(members, qt.DeepEquals, []membership.ListedMember{member})
+	_, _, outcome = client.Members(ctx, etag, 0)
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+}
--- /dev/null
+++ b/internal/source/decode.go
@@ -0,0 +1,113 @@
+package source
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// memberList is the body of the platform's membership answer.
+type memberList struct {
+	Members []membership.ListedMember `json:"members"`
+}
+
+// decodeHead reads the body of the head: the platform's current version.
+func decodeHead(body []byte) (snapshot.Version, error) {
+	var version snapshot.Version
+	if err := decodeStrict(body, &version); err != nil {
+		return snapshot.Version{}, err
+	}
+	if version.Revision == 0 || version.Hash == (snapshot.ContentHash{}) {
+		return snapshot.Version{}, eris.New("the head names no version")
+	}
+	return version, nil
+}
+
+// decodeDocument reads the body of the configuration and checks that it has the
+// version that the entity tag tells.
+func decodeDocument(body []byte, etag string) (*snapshot.Document, error) {
+	var content snapshot.Content
+	if err := decodeStrict(body, &content); err != nil {
+		return nil, err
+	}
+	if content.Revision == 0 {
+		return nil, eris.New("the document has no revision")
+	}
+	document, err := snapshot.NewDocument(content)
+	if err != nil {
+		return nil, eris.Wrap(err, "the document is not valid")
+	}
+	if etag != ETag(document.Version()) {
+		return nil, eris.Errorf("the ETag does not match the content of version %s", document.Version())
+	}
+	return document, nil
+}
+
+// decodeMembers reads the body of the membership list.
+func decodeMembers(body []byte) ([]membership.ListedMember, error) {
+	var list memberList
+	if err := decodeStrict(body, &list); err != nil {
+		return nil, err
+	}
+	seen := make(map[membership.NodeID]bool, len(list.Members))
+	for index, member := range list.Members {
+		if err := checkMember(member); err != nil {
+			return nil, eris.Wrapf(err, "member %d", index)
+		}
+		if seen[member.Node] {
+			return nil, eris.Errorf("member %d: the node %q is listed twice", index, member.Node)
+		}
+		seen[member.Node] = true
+	}
+	return list.Members, nil
+}
+
+func checkMember(member membership.ListedMember) error {
+	if member.Node == "" {
+		return eris.New("it has no node name")
+	}
+	if member.State != membership.ListedLive && member.State != membership.ListedLeaving {
+		return eris.Errorf("node %q has an unknown state", member.Node)
+	}
+	if _, err := netip.ParseAddrPort(member.PeerAddress); err != nil {
+		return eris.Errorf("node %q: the peer address is not IP:port", member.Node)
+	}
+	return nil
+}
+
+// decodeStrict reads exactly one JSON value without unknown fields. Its errors
+// tell where the fault is but quote nothing of the body, which holds secrets.
+func decodeStrict(body []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return withoutValues(err, decoder.InputOffset())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return eris.Errorf("data follows the JSON value at byte %d", decoder.InputOffset())
+	}
+	return nil
+}
+
+// withoutValues replaces an error of encoding/json, whose text quotes the body.
+func withoutValues(err error, offset int64) error {
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return eris.Errorf("not JSON at byte %d", syntax.Offset)
+	case errors.As(err, &wrongType):
+		return eris.Errorf("field %q has the wrong type at byte %d", wrongType.Field, wrongType.Offset)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return eris.Errorf("the JSON ends early at byte %d", offset)
+	default:
+		return eris.Errorf("unknown field or malformed value before byte %d", offset)
+	}
+}
--- /dev/null
+++ b/internal/source/exchange.go
@@ -0,0 +1,229 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/socketbytes"
+)
+
+// maxRetryAfter bounds what the platform may ask a reader to wait.
+const maxRetryAfter = time.Minute
+
+// jsonMediaType is the only type of body that the protocol knows.
+const jsonMediaType = "application/json"
+
+var (
+	errHeaderTimeout = eris.New("no answer in time")
+	errBodyTimeout   = eris.New("the answer's body did not end in time")
+)
+
+// request is one read of the platform.
+type request struct {
+	path  string
+	query url.Values
+	etag  string        // for If-None-Match; empty sends none
+	wait  time.Duration // how long the platform may hold the answer
+}
+
+// answer is what one read gave; body and etag are set on StatusFresh only.
+type answer struct {
+	outcome Outcome
+	etag    string
+	body    []byte
+}
+
+// invalid returns the outcome of an answer whose body breaks the protocol.
+func (a answer) invalid(err error) Outcome {
+	a.outcome.Status = StatusInvalid
+	a.outcome.Err = err
+	return a.outcome
+}
+
+// get runs one exchange and counts its bytes.
+func (c *Client) get(ctx context.Context, read request) answer {
+	var traffic exchangeTraffic
+	got := c.exchange(traffic.trace(ctx), read)
+	got.outcome.BytesRead, got.outcome.BytesSent = traffic.take()
+	if got.outcome.Err != nil {
+		got.outcome.Err = eris.Wrapf(got.outcome.Err, "read %s", read.path)
+	}
+	return got
+}
+
+// exchange sends the request and reads the answer. Two timers bound it: one
+// until the header has arrived, then one until the body has.
+func (c *Client) exchange(parent context.Context, read request) answer {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	headerTimer := time.AfterFunc(read.wait+c.options.Timeout, func() { cancel(errHeaderTimeout) })
+	defer headerTimer.Stop()
+
+	outgoing, err := c.newRequest(ctx, read)
+	if err != nil {
+		return failure(StatusInvalid, err)
+	}
+	response, err := c.http.Do(outgoing)
+	if err != nil {
+		return failure(StatusUnreachable, cause(ctx, err))
+	}
+	defer response.Body.Close()
+
+	headerTimer.Stop()
+	bodyTimer := time.AfterFunc(c.options.Timeout, func() { cancel(errBodyTimeout) })
+	defer bodyTimer.Stop()
+	return c.judge(ctx, read, response)
+}
+
+func (c *Client) newRequest(ctx context.Context, read request) (*http.Request, error) {
+	address := c.options.BaseURL + read.path
+	if len(read.query) > 0 {
+		address += "?" + read.query.Encode()
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, withoutURL(err)
+	}
+	outgoing.Header.Set("Accept", jsonMediaType)
+	if read.etag != "" {
+		outgoing.Header.Set("If-None-Match", read.etag)
+	}
+	if c.options.Node != "" {
+		outgoing.Header.Set(NodeHeader, string(c.options.Node))
+	}
+	return outgoing, nil
+}
+
+// judge turns the status and header of a response into an outcome and reads the
+// body of a good one.
+func (c *Client) judge(ctx context.Context, read request, response *http.Response) answer {
+	switch status := response.StatusCode; {
+	case status == http.StatusOK:
+		return c.readBody(ctx, response)
+	case status == http.StatusNotModified && read.etag != "":
+		return answer{outcome: Outcome{Status: StatusNotModified}}
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		busy := failure(StatusBusy, nil)
+		busy.outcome.RetryAfter = retryAfter(response.Header, time.Now())
+		return busy
+	case status >= http.StatusInternalServerError:
+		return failure(StatusUnreachable, eris.Errorf("the platform failed with HTTP status %d", status))
+	default:
+		return failure(StatusInvalid, eris.Errorf("unexpected HTTP status %d", status))
+	}
+}
+
+func (c *Client) readBody(ctx context.Context, response *http.Response) answer {
+	if err := checkHeader(response.Header); err != nil {
+		return failure(StatusInvalid, err)
+	}
+	limit := c.options.MaxBodyBytes
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if int64(len(body)) > limit {
+		return failure(StatusInvalid, eris.Errorf("the body is larger than %d bytes", limit))
+	}
+	if err != nil {
+		return failure(StatusUnreachable, cause(ctx, err))
+	}
+	return answer{outcome: Outcome{Status: StatusFresh}, etag: response.Header.Get("ETag"), body: body}
+}
+
+func checkHeader(header http.Header) error {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	if err != nil || mediaType != jsonMediaType {
+		return eris.Errorf("the content type is not %s", jsonMediaType)
+	}
+	if encoding := header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return eris.New("the body has a content encoding that was not asked for")
+	}
+	return nil
+}
+
+// retryAfter reads the header in seconds or as an HTTP date. A date is taken
+// relative to the platform's own Date, so that the clocks need not agree. It
+// returns zero when the header is absent, past or cannot be read.
+func retryAfter(header http.Header, now time.Time) time.Duration {
+	value := header.Get("Retry-After")
+	if seconds, err := strconv.ParseUint(value, 10, 32); err == nil {
+		return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+	}
+	until, err := http.ParseTime(value)
+	if err != nil {
+		return 0
+	}
+	if date, err := http.ParseTime(header.Get("Date")); err == nil {
+		now = date
+	}
+	return min(max(until.Sub(now), 0), maxRetryAfter)
+}
+
+func failure(status Status, err error) answer {
+	return answer{outcome: Outcome{Status: status, Err: err}}
+}
+
+// cause prefers the reason of a cancelled exchange to the error it led to.
+func cause(ctx context.Context, err error) error {
+	if reason := context.Cause(ctx); reason != nil {
+		return reason
+	}
+	return withoutURL(err)
+}
+
+// withoutURL strips the address that net/http puts in front of its errors: it
+// may carry credentials, and the caller names the path.
+func withoutURL(err error) error {
+	var wrapped *url.Error
+	if errors.As(err, &wrapped) {
+		return wrapped.Err
+	}
+	return err
+}
+
+// exchangeTraffic collects the connections that one exchange used. A connection
+// carries one exchange at a time, so what it counted since the last exchange
+// belongs to this one.
+type exchangeTraffic struct {
+	mutex    sync.Mutex
+	counters []*socketbytes.Counter
+}
+
+func (t *exchangeTraffic) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { t.add(info.Conn) },
+	})
+}
+
+func (t *exchangeTraffic) add(connection net.Conn) {
+	if secure, ok := connection.(interface{ NetConn() net.Conn }); ok {
+		connection = secure.NetConn()
+	}
+	counted, ok := connection.(*socketbytes.Conn)
+	if !ok {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.counters = append(t.counters, counted.Counter())
+}
+
+func (t *exchangeTraffic) take() (read, written int64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, counter := range t.counters {
+		taken, sent := counter.Take()
+		read += taken
+		written += sent
+	}
+	return read, written
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -12,7 +12,8 @@
 //	GET /v1/members  (If-None-Match)
 //	    -> 200 {"members":[membership.ListedMember...]} with ETag, or 304
 //	    ?wait=20s holds the answer until the list changes
-//	429 and 503 carry Retry-After in seconds.
+//	429 and 503 carry Retry-After in seconds or as an HTTP date.
+//	Durations are written as in Go. A reader names its node in Winchhead-Node.
 package source
 
 import (
@@ -31,7 +32,7 @@
 	StatusFresh       Status = 1 // the answer carries new data
 	StatusNotModified Status = 2 // the platform holds nothing newer
 	StatusBusy        Status = 3 // 429 or 503: come back after RetryAfter
-	StatusUnreachable Status = 4 // no connection, a time-out or a cut answer
+	StatusUnreachable Status = 4 // no connection, a time-out, a cut answer or a failed server
 	StatusInvalid     Status = 5 // an answer that breaks the protocol or its limits
 )
 
@@ -61,6 +62,3 @@
 	// Members reads the list; etag is that of the last answer, or empty.
 	Members(ctx context.Context, etag string, wait time.Duration) (members []membership.ListedMember, newETag string, outcome Outcome)
 }
-
-// Contract: NewClient(Options{BaseURL, MaxBodyBytes, Timeout, HTTPClient}) returns
-// a *Client that implements both interfaces.
