Test the reader against bad answers and the emulator's faults

Cause: the tables of the contract were missing. Found by them: errors of bodies did not name what was read; the byte of an early end was always 0; net/http's errors for malformed answers quote the answer, which may hold a secret, and counted as unreachable; the emulator answered 304 under faults that spoil bodies. Ruled out: passing net/http's text on after filtering, as its forms are many.

--- a/internal/emulator/platform/faults.go
+++ b/internal/emulator/platform/faults.go
@@ -35,6 +35,12 @@
 	Pause time.Duration
 }
 
+// spoilsBody reports whether the fault concerns bodies. Such a platform answers
+// with a body also where it would answer 304.
+func (f Fault) spoilsBody() bool {
+	return f.Kind == FaultGarbage || f.Kind == FaultTruncated || f.Kind == FaultSlow
+}
+
 // Service is one of the platform's two read services.
 type Service uint8
 
--- a/internal/emulator/platform/members.go
+++ b/internal/emulator/platform/members.go
@@ -110,7 +110,7 @@
 	if l.served != nil {
 		return l.served, nil
 	}
-	listed := slices.Clone(l.listed)
+	listed := append([]membership.ListedMember{}, l.listed...)
 	for _, missing := range l.distortion.Missing {
 		listed = slices.DeleteFunc(listed, named(memberName, string(missing)))
 	}
--- a/internal/emulator/platform/read.go
+++ b/internal/emulator/platform/read.go
@@ -67,7 +67,7 @@
 	}
 	etag := source.ETag(shown.published.version)
 	w.Header().Set("ETag", etag)
-	if r.Header.Get("If-None-Match") == etag {
+	if r.Header.Get("If-None-Match") == etag && !shown.fault.spoilsBody() {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
@@ -83,7 +83,7 @@
 		return
 	}
 	w.Header().Set("ETag", shown.members.etag)
-	if shown.members.etag == held {
+	if shown.members.etag == held && !shown.fault.spoilsBody() {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -98,7 +98,7 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := options.Dial(ctx, network, address)
 			if err != nil {
-				return nil, err
+				return nil, &errConnect{reason: err}
 			}
 			return socketbytes.Wrap(connection, &socketbytes.Counter{}), nil
 		},
--- a/internal/source/contract_test.go
+++ b/internal/source/contract_test.go
@@ -20,8 +20,8 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// emulated serves an emulated platform and returns it with a client of it.
-func emulated(c *qt.C, options platform.Options) (*platform.Platform, *source.Client) {
+// emulated serves an emulated platform and returns it with its URL.
+func emulated(c *qt.C, options platform.Options) (*platform.Platform, string) {
 	emulator, err := platform.New(options)
 	c.Assert(err, qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -29,33 +29,32 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- emulator.Serve(ctx, listener) }()
-	client := source.NewClient(source.Options{BaseURL: "http://" + listener.Addr().String(), Node: "n1"})
 	c.Cleanup(func() {
-		client.Close()
 		cancel()
 		c.Check(<-served, qt.IsNil)
 	})
-	return emulator, client
+	return emulator, "http://" + listener.Addr().String()
 }
 
 func TestEmulatedPlatformKeepsTheContract(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
 	member := membership.ListedMember{Node: "n1", PeerAddress: "127.0.0.1:7000", Zone: "centro", State: membership.ListedLive}
-	emulator, client := emulated(c, platform.Options{
+	emulator, url := emulated(c, platform.Options{
 		Content: snapshot.Content{Secrets: []snapshot.Secret{{Name: "token", Value: "hush"}}},
 		Members: []membership.ListedMember{member},
 	})
 
-	first, outcome := client.Fetch(ctx, snapshot.Version{})
+	reader := client(c, url, longTimeout)
+	first, outcome := reader.Fetch(ctx, snapshot.Version{})
 	c.Assert(outcome.Err, qt.IsNil)
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
 	c.Assert(first.Version(), qt.Equals, emulator.Version())
 	c.Assert(first.Content().Secrets[0].Value, qt.Equals, "hush")
-	_, outcome = client.Fetch(ctx, first.Version())
+	_, outcome = reader.Fetch(ctx, first.Version())
 	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
 
-	version, outcome := client.AwaitRevision(ctx, 1, 0)
+	version, outcome := reader.AwaitRevision(ctx, 1, 0)
 	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
 	c.Assert(version, qt.Equals, first.Version())
 
@@ -65,7 +64,7 @@
 	}
 	arrival := make(chan awaited, 1)
 	go func() {
-		version, outcome := client.AwaitRevision(ctx, 1, longWait)
+		version, outcome := reader.AwaitRevision(ctx, 1, longWait)
 		arrival <- awaited{version, outcome}
 	}()
 	submitted, err := emulator.Submit(snapshot.Policy{Name: "trips", Program: "# none"})
@@ -74,9 +73,9 @@
 	c.Assert(got.outcome.Status, qt.Equals, source.StatusFresh)
 	c.Assert(got.version, qt.Equals, submitted)
 
-	members, etag, outcome := client.Members(ctx, "", longWait)
+	members, etag, outcome := reader.Members(ctx, "", longWait)
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
 	c.Assert(members, qt.DeepEquals, []membership.ListedMember{member})
-	_, _, outcome = client.Members(ctx, etag, 0)
+	_, _, outcome = reader.Members(ctx, etag, 0)
 	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
 }
--- a/internal/source/decode.go
+++ b/internal/source/decode.go
@@ -33,6 +33,17 @@
 // decodeDocument reads the body of the configuration and checks that it has the
 // version that the entity tag tells.
 func decodeDocument(body []byte, etag string) (*snapshot.Document, error) {
+	document, err := decodeContent(body)
+	if err != nil {
+		return nil, err
+	}
+	if etag != ETag(document.Version()) {
+		return nil, eris.Errorf("the ETag does not match the content of version %s", document.Version())
+	}
+	return document, nil
+}
+
+func decodeContent(body []byte) (*snapshot.Document, error) {
 	var content snapshot.Content
 	if err := decodeStrict(body, &content); err != nil {
 		return nil, err
@@ -44,9 +55,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "the document is not valid")
 	}
-	if etag != ETag(document.Version()) {
-		return nil, eris.Errorf("the ETag does not match the content of version %s", document.Version())
-	}
 	return document, nil
 }
 
@@ -88,7 +96,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return withoutValues(err, decoder.InputOffset())
+		return withoutValues(err, len(body))
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return eris.Errorf("data follows the JSON value at byte %d", decoder.InputOffset())
@@ -97,7 +105,7 @@
 }
 
 // withoutValues replaces an error of encoding/json, whose text quotes the body.
-func withoutValues(err error, offset int64) error {
+func withoutValues(err error, length int) error {
 	var syntax *json.SyntaxError
 	var wrongType *json.UnmarshalTypeError
 	switch {
@@ -106,8 +114,8 @@
 	case errors.As(err, &wrongType):
 		return eris.Errorf("field %q has the wrong type at byte %d", wrongType.Field, wrongType.Offset)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return eris.Errorf("the JSON ends early at byte %d", offset)
+		return eris.Errorf("the JSON ends early at byte %d", length)
 	default:
-		return eris.Errorf("unknown field or malformed value before byte %d", offset)
+		return eris.New("there is an unknown field or a malformed value")
 	}
 }
--- a/internal/source/exchange.go
+++ b/internal/source/exchange.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"mime"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/winchhead/winchhead/internal/socketbytes"
 )
 
 // maxRetryAfter bounds what the platform may ask a reader to wait.
@@ -39,6 +33,7 @@
 
 // answer is what one read gave; body and etag are set on StatusFresh only.
 type answer struct {
+	path    string
 	outcome Outcome
 	etag    string
 	body    []byte
@@ -47,7 +42,7 @@
 // invalid returns the outcome of an answer whose body breaks the protocol.
 func (a answer) invalid(err error) Outcome {
 	a.outcome.Status = StatusInvalid
-	a.outcome.Err = err
+	a.outcome.Err = eris.Wrapf(err, "read %s", a.path)
 	return a.outcome
 }
 
@@ -55,6 +50,7 @@
 func (c *Client) get(ctx context.Context, read request) answer {
 	var traffic exchangeTraffic
 	got := c.exchange(traffic.trace(ctx), read)
+	got.path = read.path
 	got.outcome.BytesRead, got.outcome.BytesSent = traffic.take()
 	if got.outcome.Err != nil {
 		got.outcome.Err = eris.Wrapf(got.outcome.Err, "read %s", read.path)
@@ -76,7 +72,7 @@
 	}
 	response, err := c.http.Do(outgoing)
 	if err != nil {
-		return failure(StatusUnreachable, cause(ctx, err))
+		return transportFailure(ctx, err)
 	}
 	defer response.Body.Close()
 
@@ -93,7 +89,7 @@
 	}
 	outgoing, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return nil, withoutURL(err)
+		return nil, eris.New("the platform's URL is not valid")
 	}
 	outgoing.Header.Set("Accept", jsonMediaType)
 	if read.etag != "" {
@@ -129,16 +125,23 @@
 		return failure(StatusInvalid, err)
 	}
 	limit := c.options.MaxBodyBytes
+	if response.ContentLength > limit {
+		return failure(StatusInvalid, tooLarge(limit))
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if int64(len(body)) > limit {
-		return failure(StatusInvalid, eris.Errorf("the body is larger than %d bytes", limit))
+		return failure(StatusInvalid, tooLarge(limit))
 	}
 	if err != nil {
-		return failure(StatusUnreachable, cause(ctx, err))
+		return transportFailure(ctx, err)
 	}
 	return answer{outcome: Outcome{Status: StatusFresh}, etag: response.Header.Get("ETag"), body: body}
 }
 
+func tooLarge(limit int64) error {
+	return eris.Errorf("the body is larger than %d bytes", limit)
+}
+
 func checkHeader(header http.Header) error {
 	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
 	if err != nil || mediaType != jsonMediaType {
@@ -171,59 +174,3 @@
 func failure(status Status, err error) answer {
 	return answer{outcome: Outcome{Status: status, Err: err}}
 }
-
-// cause prefers the reason of a cancelled exchange to the error it led to.
-func cause(ctx context.Context, err error) error {
-	if reason := context.Cause(ctx); reason != nil {
-		return reason
-	}
-	return withoutURL(err)
-}
-
-// withoutURL strips the address that net/http puts in front of its errors: it
-// may carry credentials, and the caller names the path.
-func withoutURL(err error) error {
-	var wrapped *url.Error
-	if errors.As(err, &wrapped) {
-		return wrapped.Err
-	}
-	return err
-}
-
-// exchangeTraffic collects the connections that one exchange used. A connection
-// carries one exchange at a time, so what it counted since the last exchange
-// belongs to this one.
-type exchangeTraffic struct {
-	mutex    sync.Mutex
-	counters []*socketbytes.Counter
-}
-
-func (t *exchangeTraffic) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.add(info.Conn) },
-	})
-}
-
-func (t *exchangeTraffic) add(connection net.Conn) {
-	if secure, ok := connection.(interface{ NetConn() net.Conn }); ok {
-		connection = secure.NetConn()
-	}
-	counted, ok := connection.(*socketbytes.Conn)
-	if !ok {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.counters = append(t.counters, counted.Counter())
-}
-
-func (t *exchangeTraffic) take() (read, written int64) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for _, counter := range t.counters {
-		taken, sent := counter.Take()
-		read += taken
-		written += sent
-	}
-	return read, written
-}
