Test that the header and the body have a time-out each

Cause: trial mutations of the reader survived: a header timer left running and no look at the announced length. Change: a test under virtual time; the announced oversize row sends no body, so only the early refusal passes it. Ruled out: none.

--- a/internal/source/bad_answers_test.go
+++ b/internal/source/bad_answers_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -87,6 +88,13 @@
 // never sends nothing more until the client goes.
 func never(connection net.Conn) { _, _ = io.Copy(io.Discard, connection) }
 
+func both(first, second func(net.Conn)) func(net.Conn) {
+	return func(connection net.Conn) {
+		first(connection)
+		second(connection)
+	}
+}
+
 // trickle sends a body one byte at a time without end.
 func trickle(connection net.Conn) {
 	_, err := io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{")
@@ -150,7 +158,7 @@
 		{"truncated body", raw(stillOpen + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:len(body)-9])), source.StatusUnreachable, ".*closed before the end.*"},
 		{"truncated chunks", raw(stillOpen + "Transfer-Encoding: chunked\r\n\r\n4\r\n{\"re\r\n"), source.StatusUnreachable, ".*closed before the end.*"},
 		{"truncated, length unknown", raw(stillOpen + "ETag: " + etag + "\r\n\r\n" + body[:len(body)-9]), source.StatusInvalid, ".*ends early at byte [0-9]+"},
-		{"oversized, announced", ok(tooLarge, etag), source.StatusInvalid, ".*larger than 4096 bytes"},
+		{"oversized, announced, not sent", both(raw(stillOpen+"Content-Length: 4097\r\n\r\n"), never), source.StatusInvalid, ".*larger than 4096 bytes"},
 		{"oversized, length unknown", raw(stillOpen + "\r\n" + tooLarge), source.StatusInvalid, ".*larger than 4096 bytes"},
 		{"not JSON", ok("<html>"+secretValue, etag), source.StatusInvalid, ".*not JSON at byte 1"},
 		{"empty body", ok("", etag), source.StatusInvalid, ".*ends early at byte 0"},
@@ -301,6 +309,32 @@
 	c.Assert(outcome.Status, qt.Equals, source.StatusInvalid)
 }
 
+// TestHeaderAndBodyHaveATimeoutEach gives a header and a body that each take
+// most of the time-out of one.
+func TestHeaderAndBodyHaveATimeoutEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		made := document(c, 8, "next")
+		server, connection := net.Pipe()
+		reader := source.NewClient(source.Options{
+			BaseURL: "http://127.0.0.1:1",
+			Timeout: longTimeout,
+			Dial:    func(context.Context, string, string) (net.Conn, error) { return connection, nil },
+		})
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(server))
+			time.Sleep(longTimeout - time.Second)
+			raw("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nETag: " + source.ETag(made.Version()) + "\r\n\r\n")(server)
+			time.Sleep(longTimeout - time.Second)
+			raw(encode(c, made.Content()))(server)
+			_ = server.Close()
+		}()
+		got, outcome := reader.Fetch(context.Background(), snapshot.Version{})
+		c.Assert(outcome.Err, qt.IsNil)
+		c.Assert(got.Version(), qt.Equals, made.Version())
+	})
+}
+
 func TestBytesAreThoseOfTheSocket(t *testing.T) {
 	c := qt.New(t)
 	text := "HTTP/1.1 429 Any\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc"
