Count written bytes before the write, and order a test's wake-up

Cause: two tests failed once in some runs under load. The byte test: a write was counted after it returned, when the answer may have been read already, so an exchange missed its bytes and the next got them (a fault of the product). The list test: the sleeper and the list's timer end at the same virtual time and the test did not wait for the timer (a fault of the test). Ruled out: a retry of the transport using a second connection.

--- a/internal/emulator/platform/platform_test.go
+++ b/internal/emulator/platform/platform_test.go
@@ -168,6 +168,7 @@
 		c.Assert(waiting.waits(), qt.IsFalse)
 		c.Assert(listed(), qt.DeepEquals, []membership.NodeID{"a", "b"})
 		time.Sleep(lag / 2)
+		synctest.Wait() // the list changes at this very time
 		c.Assert(listed(), qt.DeepEquals, []membership.NodeID{"b"})
 
 		emulator.Distort(Distortion{Missing: []membership.NodeID{"b"}, Ghosts: []membership.ListedMember{listing("ghost")}})
--- a/internal/socketbytes/socketbytes.go
+++ b/internal/socketbytes/socketbytes.go
@@ -44,10 +44,12 @@
 	return count, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts before it writes, as the answer may come
+// before the write returns, and then takes off what was not written.
 func (c *Conn) Write(data []byte) (int, error) {
+	c.counter.written.Add(int64(len(data)))
 	count, err := c.Conn.Write(data)
-	c.counter.written.Add(int64(count))
+	c.counter.written.Add(int64(count - len(data)))
 	return count, err
 }
 
