--- a/internal/policy/errors.go
+++ b/internal/policy/errors.go
@@ -15,7 +15,9 @@
 	maxProblemBytes = 500
 	// maxShownErrors bounds the errors in the text of Errors.
 	maxShownErrors = 10
-	referencePage  = "docs/POLICIES.md"
+	// maxShownAnswers bounds the assumed answers in the text of an Error.
+	maxShownAnswers = 4
+	referencePage   = "docs/POLICIES.md"
 )
 
 // Error is what is wrong with one policy, and where. It never holds the value of
@@ -36,20 +38,28 @@
 func (e *Error) Error() string {
 	text := fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Problem)
 	if len(e.Assumed) > 0 {
-		text += " (when " + strings.Join(e.Assumed, " and ") + ")"
+		shown := e.Assumed[:min(len(e.Assumed), maxShownAnswers)]
+		text += " (when " + strings.Join(shown, " and ")
+		if hidden := len(e.Assumed) - len(shown); hidden > 0 {
+			text += fmt.Sprintf(" and %d more conditions", hidden)
+		}
+		text += ")"
 	}
 	return text + "; " + e.Hint
 }
 
-// Errors holds one Error for each policy that cannot be compiled.
-type Errors []*Error
+// Errors tells of each policy that cannot be compiled; errors.As finds *Errors.
+type Errors struct {
+	// Faults holds one Error for each policy at fault, at least one.
+	Faults []*Error
+}
 
 // Error returns one line for each error.
-func (e Errors) Error() string {
+func (e *Errors) Error() string {
 	var lines []string
-	for i, fault := range e {
+	for i, fault := range e.Faults {
 		if i == maxShownErrors {
-			lines = append(lines, fmt.Sprintf("and %d more policies at fault", len(e)-i))
+			lines = append(lines, fmt.Sprintf("and %d more policies at fault", len(e.Faults)-i))
 			break
 		}
 		lines = append(lines, fault.Error())
@@ -115,7 +125,7 @@
 // innermost returns where the program was when the error arose, not the builtin.
 func innermost(stack starlark.CallStack) syntax.Position {
 	for i := len(stack) - 1; i >= 0; i-- {
-		if position := stack[i].Pos; position.IsValid() {
+		if position := stack[i].Pos; position.Line > 0 {
 			return position
 		}
 	}
