Close the connection after an answer that came before its request's body

Cause: with full duplex, net/http may take the rest of a body for the next request once reading was cut short, or panics when it meets the body's end after the handler (invalid concurrent Body.Read call); and it resets a read deadline set by the handler, so a silent caller held the connection for ever. TestAnswerBeforeTheBodyCame hung before. Ruled out: a deadline set in the handler (reset by net/http), leaving out full duplex (answers would wait for the body). Change: forward.CloseAfterAnswer and BoundUnread; refusals do not wait for a body nobody wants; the outbound proxy uses package forward; the rest of the session fix moved there.

--- a/internal/proxy/forward/session.go
+++ b/internal/proxy/forward/session.go
@@ -45,8 +45,15 @@
 	buffered *bufio.Reader
 }
 
-// Read returns what was read ahead first.
-func (c *hijackedConn) Read(data []byte) (int, error) { return c.buffered.Read(data) }
+// Read returns what was read ahead first, then reads from the connection itself:
+// net/http's reader would cancel the request's context at the end of the caller's
+// direction, and with it the other direction.
+func (c *hijackedConn) Read(data []byte) (int, error) {
+	if ahead := c.buffered.Buffered(); ahead > 0 {
+		return c.buffered.Read(data[:min(ahead, len(data))])
+	}
+	return c.Conn.Read(data)
+}
 
 // CloseWrite ends the direction to the caller.
 func (c *hijackedConn) CloseWrite() error { return closeWrite(c.Conn) }
--- a/internal/proxy/outbound/admit.go
+++ b/internal/proxy/outbound/admit.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
@@ -112,7 +113,7 @@
 // requestHeader is the header for the instance, except for what differs between
 // attempts. The secrets of the route replace what the caller sent.
 func requestHeader(r *http.Request, current *snapshot.Snapshot, route *snapshot.Route) (http.Header, *outcome.Problem) {
-	header := forwardedHeader(r)
+	header := forward.RequestHeader(r.Header)
 	delete(header, outcome.HeaderTimeout)
 	for _, wanted := range route.Secrets {
 		secret, held := current.Secret(wanted.Secret)
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -4,20 +4,17 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
-	"mime"
 	"net"
 	"net/http"
-	"net/textproto"
 	"sync"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 )
 
 const (
-	mediaEventStream = "text/event-stream"
 	// unknownLength is the ContentLength of an answer that ends with its chunks
 	// or its connection.
 	unknownLength = -1
@@ -32,10 +29,11 @@
 		return e.switchProtocols(response, choice)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if isEventStream(response.Header) {
+	if forward.IsEventStream(response.Header) {
 		e.becomeSession()
 	}
 	e.beginAnswer()
+	e.boundAnswer()
 	e.writeHeader(response)
 	end := e.copyBody(response)
 	e.finish(choice, observationOfEnd(end), time.Now())
@@ -57,11 +55,6 @@
 	}
 }
 
-func isEventStream(header http.Header) bool {
-	media, _, err := mime.ParseMediaType(header.Get(headerContentType))
-	return err == nil && media == mediaEventStream
-}
-
 // becomeSession lifts the deadline: a session lasts as long as its two ends.
 func (e *exchange) becomeSession() { e.timer.Stop() }
 
@@ -69,29 +62,21 @@
 // connection or only nodes.
 func (e *exchange) writeHeader(response *http.Response) {
 	announced := response.Trailer
-	passHeader(e.writer.Header(), response.Header)
-	if _, present := response.Header[headerContentType]; !present {
-		e.writer.Header()[headerContentType] = nil // keeps net/http from guessing one
+	forward.PassAnswerHeader(e.writer.Header(), response.Header)
+	if _, present := response.Header[forward.HeaderContentType]; !present {
+		e.writer.Header()[forward.HeaderContentType] = nil // keeps net/http from guessing one
 	}
 	for name := range announced {
 		if !outcome.IsInternal(name) {
-			e.writer.Header().Add(headerTrailer, name)
+			e.writer.Header().Add(forward.HeaderTrailer, name)
 		}
 	}
 	e.writer.WriteHeader(response.StatusCode)
-	if len(announced) > 0 || isEventStream(response.Header) {
+	if len(announced) > 0 || forward.IsEventStream(response.Header) {
 		e.flush()
 	}
 }
 
-// passHeader copies an answer's header from one hop to the next. A Connection
-// header of this proxy stays.
-func passHeader(to, from http.Header) {
-	removeHopByHop(from)
-	outcome.StripInternal(from)
-	maps.Copy(to, from)
-}
-
 // copyBody passes the body on. Of an answer without a known length each piece
 // is sent at once.
 func (e *exchange) copyBody(response *http.Response) ending {
@@ -131,11 +116,11 @@
 
 // writeTrailer passes on the trailer fields, those not announced too.
 func (e *exchange) writeTrailer(response *http.Response) {
-	announced := e.writer.Header()[headerTrailer]
+	announced := e.writer.Header()[forward.HeaderTrailer]
 	for name, values := range response.Trailer {
 		switch {
 		case outcome.IsInternal(name):
-		case hasToken(announced, name):
+		case forward.HasToken(announced, name):
 			e.writer.Header()[name] = values
 		default:
 			e.writer.Header()[http.TrailerPrefix+name] = values
@@ -160,34 +145,3 @@
 	}
 	_ = conn.Close()
 }
-
-// informer passes 1xx answers on until the final answer begins. The transport
-// calls it from its own goroutine.
-type informer struct {
-	mu      sync.Mutex
-	stopped bool
-	writer  http.ResponseWriter
-}
-
-// pass sends one 1xx answer on. "100 Continue" is not passed: net/http sends it
-// when the instance has asked for the body.
-func (i *informer) pass(status int, from textproto.MIMEHeader) error {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.stopped || status == http.StatusContinue {
-		return nil
-	}
-	header := i.writer.Header()
-	before := maps.Clone(header)
-	passHeader(header, http.Header(from))
-	i.writer.WriteHeader(status)
-	clear(header)
-	maps.Copy(header, before)
-	return nil
-}
-
-func (i *informer) stop() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.stopped = true
-}
--- a/internal/proxy/outbound/answer_test.go
+++ b/internal/proxy/outbound/answer_test.go
@@ -288,6 +288,63 @@
 	r.Check(string(echoed), qt.Equals, "early late")
 }
 
+// Close cuts a session that would go on.
+func TestCloseCutsSessions(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	_, reader := r.raw("GET / HTTP/1.1\r\nHost: booking.test\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n")
+	_, err := http.ReadResponse(reader, nil)
+	r.Assert(err, qt.IsNil)
+	r.Assert(r.proxy.Close(), qt.IsNil)
+	_, err = reader.ReadByte()
+	r.Check(err, qt.IsNotNil)
+}
+
+// The instance answers while the caller still sends.
+func TestBothDirectionsAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.configure(nil)
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		piece := make([]byte, 4)
+		for {
+			if _, err := io.ReadFull(request.Body, piece); err != nil {
+				return
+			}
+			_, _ = w.Write(piece)
+			_ = control.Flush()
+		}
+	})
+	body, caller := io.Pipe()
+	go func() { _, _ = io.WriteString(caller, "one ") }()
+	response, err := r.client.Do(r.request("POST", "/", body))
+	r.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	piece := make([]byte, 4)
+	for _, next := range []string{"two ", "six ", ""} {
+		_, err := io.ReadFull(response.Body, piece)
+		r.Assert(err, qt.IsNil)
+		if next != "" {
+			_, err = io.WriteString(caller, next)
+			r.Assert(err, qt.IsNil)
+		}
+	}
+	r.Check(string(piece), qt.Equals, "six ")
+	r.Assert(caller.Close(), qt.IsNil)
+	_, err = response.Body.Read(piece)
+	r.Check(err, qt.Equals, io.EOF)
+}
+
 // A planned stop tells callers to close, lets a request and an upgraded session
 // end, and then has nothing left.
 func TestDrain(t *testing.T) {
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 )
 
@@ -36,11 +38,11 @@
 	e.attempts++
 	e.tried = append(e.tried, balance.KeyOf(choice.Endpoint))
 	started := time.Now()
-	current := &send{deadline: e.deadline}
+	current := forward.NewSend(e.deadline, nil)
 	response, err := e.proxy.transport.RoundTrip(e.outgoing(current, choice.Endpoint))
 	now := time.Now()
 	if err != nil {
-		problem := e.classify(err, current.seal())
+		problem := e.classify(err, current.Seal())
 		e.finish(choice, observationOf(problem, now.Sub(started)), now)
 		return attemptResult{problem: problem}
 	}
@@ -66,10 +68,10 @@
 }
 
 // outgoing is the request as sent to one instance.
-func (e *exchange) outgoing(current *send, endpoint membership.Endpoint) *http.Request {
-	header := make(http.Header, len(e.header)+addedHeaders)
-	for name, values := range e.header {
-		header[name] = values
+func (e *exchange) outgoing(current *forward.Send, endpoint membership.Endpoint) *http.Request {
+	header := e.header
+	if e.attempts > 1 {
+		header = maps.Clone(header) // the attempt before may still read its own
 	}
 	remaining := []string{""}
 	header[outcome.HeaderRemaining] = remaining
@@ -92,9 +94,9 @@
 		// however long the connection took.
 		GotConn: func(info httptrace.GotConnInfo) {
 			remaining[0] = remainingText(e.deadline)
-			info.Conn.(*trackedConn).current.Store(current)
+			info.Conn.(*forward.Conn).Assign(current)
 		},
-		Got1xxResponse: e.informed.pass,
+		Got1xxResponse: e.informer.Pass,
 	}
 	return request.WithContext(httptrace.WithClientTrace(e.ctx, trace))
 }
--- a/internal/proxy/outbound/body.go
+++ b/internal/proxy/outbound/body.go
@@ -35,7 +35,7 @@
 	state    sync.Mutex // guards the fields below; never held while reading
 	current  *bodyReader
 	overflow bool // more was read than is kept
-	reading  bool
+	ended    bool // read to its end, trailers included
 }
 
 func newReplayBody(source io.Reader, limit int64) *replayBody {
@@ -77,17 +77,17 @@
 	return b.failed
 }
 
-// waiting reports whether a read waits for the caller.
-func (b *replayBody) waiting() bool {
+func (b *replayBody) isCurrent(reader *bodyReader) bool {
 	b.state.Lock()
 	defer b.state.Unlock()
-	return b.reading
+	return b.current == reader
 }
 
-func (b *replayBody) isCurrent(reader *bodyReader) bool {
+// unread reports whether the body was not, or not yet, read to its end.
+func (b *replayBody) unread() bool {
 	b.state.Lock()
 	defer b.state.Unlock()
-	return b.current == reader
+	return !b.ended
 }
 
 // fill reads once from the caller and keeps what came.
@@ -95,9 +95,7 @@
 	if b.failed != nil {
 		return 0, b.failed
 	}
-	b.setReading(true)
 	count, err := b.source.Read(data)
-	b.setReading(false)
 	b.total += int64(count)
 	if b.limit > 0 && b.total > b.limit {
 		b.failed = errBodyTooLarge
@@ -107,21 +105,16 @@
 	if errors.Is(err, io.EOF) {
 		b.copyTrailers()
 	}
-	b.keep(reader, data[:count])
+	b.keep(reader, data[:count], errors.Is(err, io.EOF))
 	return count, err
 }
 
-func (b *replayBody) setReading(reading bool) {
-	b.state.Lock()
-	defer b.state.Unlock()
-	b.reading = reading
-}
-
 // keep stores data unless that exceeds replayLimit. Data read for a detached
 // reader is always stored, as the next reader has not seen it.
-func (b *replayBody) keep(reader *bodyReader, data []byte) {
+func (b *replayBody) keep(reader *bodyReader, data []byte, ended bool) {
 	b.state.Lock()
 	defer b.state.Unlock()
+	b.ended = ended
 	if b.overflow {
 		return
 	}
--- a/internal/proxy/outbound/body_test.go
+++ b/internal/proxy/outbound/body_test.go
@@ -75,7 +75,7 @@
 		late <- err
 	}()
 	<-source.entered
-	c.Check(body.waiting(), qt.IsTrue)
+	c.Check(body.unread(), qt.IsTrue)
 	c.Assert(body.rewind(), qt.IsTrue)
 	second := body.open()
 	c.Assert(first.Close(), qt.IsNil)
@@ -91,7 +91,7 @@
 	<-source.entered
 	close(source.pieces)
 	c.Check(<-read, qt.Equals, "booking")
-	c.Check(body.waiting(), qt.IsFalse)
+	c.Check(body.unread(), qt.IsFalse)
 }
 
 func TestBodyLimit(t *testing.T) {
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/proxy/retry"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -33,14 +34,14 @@
 	upgrade  string      // protocol the caller asks to switch to, or ""
 	pin      *pin        // nil unless one instance must run the request
 	deadline time.Time
-	informed *informer
+	informer *forward.Informer
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 
 	mu        sync.Mutex // guards the two below against the timer
-	answering bool       // the answer's header was passed on
+	answering bool       // the answer of a back end is being passed on
 	ended     bool
 
 	attempts int
@@ -52,9 +53,9 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	created := &exchange{
 		proxy: p, writer: w, request: r, route: route, header: header,
-		upgrade: upgradeProtocol(r.Header), deadline: deadline,
+		upgrade: forward.UpgradeProtocol(r.Header), deadline: deadline,
 		ctx: ctx, cancel: cancel,
-		informed: &informer{writer: w, stopped: !r.ProtoAtLeast(1, 1)},
+		informer: forward.NewInformer(w, r),
 	}
 	created.timer = time.AfterFunc(time.Until(deadline), created.expire)
 	key := r.Header.Get(outcome.HeaderIdempotencyKey)
@@ -95,22 +96,31 @@
 	}
 }
 
-// end releases what the exchange holds. A read that still waits for the caller's
-// body is ended, as the answer is complete without it.
+// end releases what the exchange holds. What is left of the caller's body is not
+// waited for, as the answer is complete without it.
 func (e *exchange) end() {
 	e.timer.Stop()
 	e.cancel(context.Canceled)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ended = true
-	if e.body != nil && e.body.waiting() {
-		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
+	if e.body != nil && e.body.unread() {
+		e.body.rewind() // a read that has not begun takes nothing any more
+		forward.BoundUnread(e.writer)
 	}
 }
 
-// beginAnswer is called before the answer's header is passed on.
+// beginAnswer is called before the header of any answer is written.
 func (e *exchange) beginAnswer() {
-	e.informed.stop()
+	e.informer.Stop()
+	if e.body != nil && e.body.unread() {
+		forward.CloseAfterAnswer(e.writer)
+	}
+}
+
+// boundAnswer makes the end of the request's time end the passing on of an
+// answer too.
+func (e *exchange) boundAnswer() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answering = true
@@ -193,7 +203,7 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
-	e.informed.stop()
+	e.beginAnswer()
 	problem.Write(e.writer)
 	return failure(problem)
 }
--- a/internal/proxy/outbound/fault_test.go
+++ b/internal/proxy/outbound/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -264,32 +265,85 @@
 	<-gone
 }
 
-// Keyed requests that may run once go to the instance that remembers the key,
-// draining or not, and nowhere else once it has gone.
-func TestKeyStaysWithItsInstance(t *testing.T) {
+// What an answer tells about its instance counts from the next request on.
+func TestHintsOnAnswers(t *testing.T) {
+	for _, test := range []struct{ name, value string }{
+		{outcome.HeaderState, "draining"},
+		{outcome.HeaderLoad, "0.9"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(nil)
+			for _, name := range []string{"a", "b"} {
+				r.instance(name, func(w http.ResponseWriter, request *http.Request) {
+					if name == "a" {
+						w.Header().Set(test.name, test.value)
+					}
+					_, _ = io.WriteString(w, name)
+				})
+			}
+			met := false
+			for range 30 {
+				_, name := r.do(r.request("GET", "/", nil))
+				r.Assert(met && name == "a", qt.IsFalse)
+				met = met || name == "a"
+			}
+			r.Check(met, qt.IsTrue)
+		})
+	}
+}
+
+// An answer that needs nothing more of a caller's body ends the request, though
+// the caller neither goes on nor closes.
+func TestAnswerBeforeTheBodyCame(t *testing.T) {
 	r := newRig(t)
 	r.configure(nil)
-	for _, name := range []string{"a", "b", "c", "d"} {
-		r.instance(name, answer(name))
-	}
-	send := func() (*http.Response, string) {
-		request := r.request("POST", "/", strings.NewReader("booking"))
-		request.Header.Set(outcome.HeaderIdempotencyKey, "booking-1")
-		return r.do(request)
-	}
-	_, first := send()
-	for range 5 {
-		_, again := send()
-		r.Check(again, qt.Equals, first)
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(417)
+	})
+	_, reader := r.raw("POST / HTTP/1.1\r\nHost: booking.test\r\nContent-Length: 10\r\n\r\nhalf")
+	response, err := http.ReadResponse(reader, nil)
+	r.Assert(err, qt.IsNil)
+	r.Check(response.StatusCode, qt.Equals, 417)
+	_, err = io.ReadAll(reader)
+	r.Check(err, qt.IsNil) // the proxy has closed the connection
+}
+
+// What is left of a body after an answer is never taken for a request.
+func TestRestOfABodyIsNoRequest(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: booking.test\r\n\r\n"
+	for _, host := range []string{"booking.test", "other.test"} {
+		t.Run(host, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(nil)
+			r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+				if request.URL.Path == "/smuggled" {
+					t.Error("the rest of a body ran as a request")
+				}
+				answerUnread("HTTP/1.1 417 Expectation Failed\r\nContent-Length: 0\r\n\r\n")(w, request)
+			})
+			conn, reader := r.raw(fmt.Sprintf("POST / HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", host, 1000+len(smuggled)))
+			_, _ = io.WriteString(conn, strings.Repeat("x", 1000))
+			response, err := http.ReadResponse(reader, nil)
+			r.Assert(err, qt.IsNil)
+			r.Check(response.Close, qt.IsTrue)
+			_, _ = io.WriteString(conn, smuggled)
+			_, _ = io.Copy(io.Discard, reader) // until the proxy has closed the connection
+		})
 	}
-	owner := int(first[0] - 'a')
-	r.members[owner].Record.State = membership.StateDraining
-	r.view.Store(membership.NewView(r.members))
-	_, again := send()
-	r.Check(again, qt.Equals, first)
+}
 
-	r.members[owner].Record.Incarnation++
-	r.view.Store(membership.NewView(r.members))
-	response, _ := send()
-	r.checkProblem(response, 409, outcome.Unknown, outcome.ReasonRepeatLost)
+// A caller that does not read its answer holds nothing after the route's time.
+func TestCallerDoesNotRead(t *testing.T) {
+	r := newRig(t)
+	r.configure(func(route *snapshot.Route) { route.Timeout = 100 * time.Millisecond })
+	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(w, endless{})
+	})
+	_, reader := r.raw("GET / HTTP/1.1\r\nHost: booking.test\r\n\r\n")
+	_, err := reader.ReadByte()
+	r.Assert(err, qt.IsNil)
+	r.Check(r.proxy.Drain(context.Background()), qt.IsNil)
 }
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/proxy/retry"
 	"github.com/winchhead/winchhead/internal/settings"
@@ -61,7 +62,7 @@
 	transport *http.Transport
 	keys      *keyMemory
 	budgets   budgets
-	activity  *activity
+	activity  activity
 	draining  atomic.Bool
 
 	base   context.Context // ends with Close
@@ -95,7 +96,6 @@
 		transport: newTransport(options.TLS),
 		keys:      newKeyMemory(),
 		budgets:   budgets{ratio: options.Settings.RetryRatio},
-		activity:  newActivity(),
 		base:      base,
 		cancel:    cancel,
 	}
@@ -108,9 +108,9 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	p.activity.begin(started)
-	defer p.activity.end()
+	defer p.activity.End()
 	if p.draining.Load() {
-		w.Header().Set(headerConnection, "close")
+		w.Header().Set(forward.HeaderConnection, "close")
 	}
 	ended := cut
 	defer func() { p.metrics.observe(ended, time.Since(started)) }()
@@ -118,7 +118,7 @@
 	exchange, problem := p.admit(w, r, started)
 	if problem != nil {
 		ended = failure(*problem)
-		problem.Write(w)
+		refuseUnread(w, r, *problem)
 		return
 	}
 	defer exchange.end()
@@ -128,6 +128,17 @@
 	}
 }
 
+// refuseUnread answers a request whose body nobody asked for.
+func refuseUnread(w http.ResponseWriter, r *http.Request, problem outcome.Problem) {
+	if r.Body != nil && r.Body != http.NoBody {
+		// Without this, net/http would wait for the body before it answers.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		forward.CloseAfterAnswer(w)
+		forward.BoundUnread(w)
+	}
+	problem.Write(w)
+}
+
 // budgets holds the retry budget of each service.
 type budgets struct {
 	ratio    float64
--- a/internal/proxy/outbound/rig_test.go
+++ b/internal/proxy/outbound/rig_test.go
@@ -34,7 +34,7 @@
 // rig is a proxy on loopback with stand-ins for the inbound proxies.
 type rig struct {
 	*qt.C
-	t       *testing.T
+	t       testing.TB
 	store   snapshot.Store
 	view    atomic.Pointer[membership.View]
 	members []membership.Member
@@ -47,7 +47,7 @@
 func (r *rig) View() *membership.View      { return r.view.Load() }
 
 // newRig starts a proxy without configuration and without instances.
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{C: qt.New(t), t: t, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	r.view.Store(membership.NewView(nil))
 	proxy, err := outbound.New(outbound.Options{
@@ -166,4 +166,16 @@
 	}
 }
 
+// answerUnread answers without reading the body, then closes the connection.
+func answerUnread(sent string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, sent)
+		_ = conn.Close()
+	}
+}
+
 func longBody() io.Reader { return strings.NewReader(strings.Repeat("x", 200<<10)) }
--- a/internal/proxy/outbound/server.go
+++ b/internal/proxy/outbound/server.go
@@ -6,10 +6,12 @@
 	"log"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
 const (
@@ -61,7 +63,7 @@
 	if err := p.server.Shutdown(ctx); err != nil {
 		return eris.Wrap(err, "outbound proxy: drain")
 	}
-	if err := p.activity.waitIdle(ctx); err != nil {
+	if err := p.activity.WaitIdle(ctx); err != nil {
 		return eris.Wrap(err, "outbound proxy: drain")
 	}
 	return nil
@@ -73,55 +75,20 @@
 	p.draining.Store(true)
 	p.cancel()
 	err := p.server.Close()
-	_ = p.activity.waitIdle(context.Background())
+	_ = p.activity.WaitIdle(context.Background())
 	p.transport.CloseIdleConnections()
 	return eris.Wrap(err, "outbound proxy: close")
 }
 
 // activity counts the requests and sessions in progress.
 type activity struct {
-	mu        sync.Mutex
-	active    int
-	lastBegin time.Time
-	idle      chan struct{} // closed while active is 0
-}
-
-func newActivity() *activity {
-	created := &activity{idle: make(chan struct{})}
-	close(created.idle)
-	return created
+	forward.Activity
+	lastBegin atomic.Int64 // Unix time in nanoseconds
 }
 
 func (a *activity) begin(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.active == 0 {
-		a.idle = make(chan struct{})
-	}
-	a.active++
-	a.lastBegin = now
-}
-
-func (a *activity) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.active--
-	if a.active == 0 {
-		close(a.idle)
-	}
-}
-
-// waitIdle returns once nothing is in progress.
-func (a *activity) waitIdle(ctx context.Context) error {
-	a.mu.Lock()
-	idle := a.idle
-	a.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	a.Begin()
+	a.lastBegin.Store(now.UnixNano())
 }
 
 // waitQuiet returns once no request began for quietGrace, or after longestQuiet.
@@ -129,7 +96,7 @@
 	start := time.Now()
 	limit := start.Add(longestQuiet)
 	for {
-		quietAt := later(start, a.lastBeginning()).Add(quietGrace)
+		quietAt := later(start, time.Unix(0, a.lastBegin.Load())).Add(quietGrace)
 		if quietAt.After(limit) {
 			quietAt = limit
 		}
@@ -143,12 +110,6 @@
 	}
 }
 
-func (a *activity) lastBeginning() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.lastBegin
-}
-
 func later(one, other time.Time) time.Time {
 	if other.After(one) {
 		return other
