Run a node: wiring, life cycle and the node command

One dig container builds the parts of a node; ports open first, and many nodes fit in one process. A planned stop publishes draining, drains the inbound, then the outbound proxy, and leaves the fleet with Goodbye last. The node's state is a pure function of version held, back end and stop. A failed part ends the process with its name and exit code 5.

A test takes a policy from the emulated platform to three nodes and a request through two of them while the second one stops. It first hung: the edge was asked before it saw the instance; it now waits for that.

--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,136 @@
+// Package app builds a node from its settings with a dig container and owns its
+// life cycle: ports first, then the parts, readiness, and the planned stop. Many
+// nodes may run in one process; nothing here is global.
+package app
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// Options are what the surroundings of a node give it.
+type Options struct {
+	// Logger is required.
+	Logger logrus.FieldLogger
+	// Registry gets the node's metrics; nil makes a new one that also holds the
+	// metrics of the process.
+	Registry *prometheus.Registry
+	// Seed makes random choices repeatable; zero takes a random one.
+	Seed uint64
+	// Timing replaces the intervals of the distribution; zero is the default.
+	Timing distribution.Timing
+}
+
+// PartError tells which part of a node failed.
+type PartError struct {
+	Part string
+	Err  error
+}
+
+// Error names the part and the cause.
+func (e *PartError) Error() string { return fmt.Sprintf("part %s failed: %v", e.Part, e.Err) }
+
+// Unwrap returns the cause.
+func (e *PartError) Unwrap() error { return e.Err }
+
+// SettingsError tells that the settings name something that cannot be used, such
+// as keys that don't belong together.
+type SettingsError struct{ Err error }
+
+// Error returns the cause.
+func (e *SettingsError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Err }
+
+// App is one node.
+type App struct {
+	listeners *listeners
+	parts     parts
+	ready     *readiness
+	logger    logrus.FieldLogger
+	// inboundServer is nil for a node without a back end.
+	inboundServer *http.Server
+	name          string
+	grace         time.Duration
+}
+
+// New opens the node's ports and builds its parts; nothing runs yet. Call Run or
+// Close on the result. The error is a *SettingsError when other settings help.
+func New(configured settings.Settings, options Options) (*App, error) {
+	opened, err := openListeners(configured)
+	if err != nil {
+		return nil, err
+	}
+	built, err := build(configured, options, opened)
+	if err != nil {
+		opened.close()
+		return nil, err
+	}
+	node := &App{
+		listeners: opened,
+		parts:     built,
+		ready:     built.Readiness,
+		logger:    logging.Part(options.Logger, "node"),
+		name:      configured.Node.Name,
+		grace:     configured.Inbound.DrainGrace,
+	}
+	if built.Inbound != nil {
+		node.inboundServer = built.Inbound.Server()
+	}
+	return node, nil
+}
+
+// Close frees the ports of an App that was never run.
+func (a *App) Close() { a.listeners.close() }
+
+// Addresses returns the bound addresses, also when the settings ask for port 0.
+func (a *App) Addresses() Addresses { return a.listeners.addresses() }
+
+// Ready is closed once the node holds a version and takes new work.
+func (a *App) Ready() <-chan struct{} { return a.ready.done }
+
+// Current returns the configuration in force, or nil.
+func (a *App) Current() *snapshot.Snapshot { return a.parts.Applier.Current() }
+
+// Status tells what the node holds.
+func (a *App) Status() wire.StatusReply { return a.parts.Node.Status() }
+
+// Stats counts the traffic of the distribution.
+func (a *App) Stats() distribution.Stats { return a.parts.Node.Stats() }
+
+// selfRecord is what the node publishes about itself at first.
+func selfRecord(configured settings.Settings, opened *listeners, now time.Time) membership.Record {
+	record := membership.Record{
+		Node:        membership.NodeID(configured.Node.Name),
+		Incarnation: membership.Incarnation(now.UnixMilli()),
+		State:       membership.StateStarting,
+		Region:      configured.Node.Region,
+		Zone:        configured.Node.Zone,
+		PeerAddress: advertised(configured.Peers.Advertise, boundAddress(opened.peers)),
+	}
+	if opened.inbound != nil {
+		record.DataAddress = advertised(configured.Inbound.Advertise, boundAddress(opened.inbound))
+		record.Service = configured.Inbound.Service
+		record.Slots = configured.Inbound.Slots
+	}
+	return record
+}
+
+func advertised(configured, bound string) string {
+	if configured != "" {
+		return configured
+	}
+	return bound
+}
--- /dev/null
+++ b/internal/app/app_test.go
@@ -0,0 +1,175 @@
+package app
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/winchhead/winchhead/internal/emulator/platform"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const (
+	policyProgram = `
+route(name="all", to="reservas", timeout="30s",
+      secrets=[secret_header(header="X-Key", secret="key")])
+`
+	secretValue = "value-of-the-key"
+)
+
+// rig is a platform, a back end and nodes in this process.
+type rig struct {
+	c        *qt.C
+	platform *platform.Platform
+	url      string
+	backend  *httptest.Server
+	// arrived gets the secret header of each request; hold delays its answer.
+	arrived chan string
+	hold    chan struct{}
+}
+
+func newRig(c *qt.C) *rig {
+	emulated, err := platform.New(platform.Options{Content: snapshot.Content{
+		Services: []snapshot.Service{{Name: "reservas"}},
+		Secrets:  []snapshot.Secret{{Name: "key", Value: secretValue}},
+	}})
+	c.Assert(err, qt.IsNil)
+	source := httptest.NewServer(emulated.Handler())
+	c.Cleanup(source.Close)
+	r := &rig{c: c, platform: emulated, url: source.URL, arrived: make(chan string, 1), hold: make(chan struct{})}
+	r.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.arrived <- request.Header.Get("X-Key")
+		<-r.hold
+		_, _ = io.WriteString(w, "whole answer")
+	}))
+	c.Cleanup(r.backend.Close)
+	return r
+}
+
+func (r *rig) settings(name string) settings.Settings {
+	loaded, err := settings.Load("", settings.Overrides{
+		"node.name": name, "node.region": "montevideo", "node.zone": "centro", "platform.url": r.url,
+		"peers.listen": "127.0.0.1:0", "outbound.listen": "127.0.0.1:0", "admin.listen": "127.0.0.1:0",
+	})
+	r.c.Assert(err, qt.IsNil)
+	return loaded.Settings
+}
+
+// start runs a node, tells the platform's list of it and returns how to stop it.
+func (r *rig) start(configured settings.Settings) (node *App, stop func() error) {
+	node, err := New(configured, Options{Logger: logging.Discard()})
+	r.c.Assert(err, qt.IsNil)
+	r.platform.PutMember(membership.ListedMember{Node: membership.NodeID(configured.Node.Name),
+		PeerAddress: node.Addresses().Peers, Region: "montevideo", Zone: "centro",
+		Service: configured.Inbound.Service, State: membership.ListedLive})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	return node, func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+// TestPolicyToAnsweredRequest takes one policy from the platform to three nodes
+// and a request through two of them, and stops the node that has the request.
+func TestPolicyToAnsweredRequest(t *testing.T) {
+	alreadyRunning := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, alreadyRunning) })
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	c := qt.New(t)
+	r := newRig(c)
+	beside := r.settings("centro-reservas")
+	beside.Inbound.Listen, beside.Inbound.Service = "127.0.0.1:0", "reservas"
+	beside.Inbound.Backend = r.backend.Listener.Addr().String()
+	instance, stopInstance := r.start(beside)
+	edge, stopEdge := r.start(r.settings("centro-edge"))
+	other, stopOther := r.start(r.settings("other-edge"))
+	for _, node := range []*App{instance, edge, other} {
+		<-node.Ready()
+	}
+
+	version, err := r.platform.Submit(snapshot.Policy{Name: "reservas.star", Program: policyProgram})
+	c.Assert(err, qt.IsNil)
+	for _, node := range []*App{instance, edge, other} {
+		awaitVersion(node, version)
+	}
+
+	awaitInstance(edge, "reservas")
+	answered := make(chan string, 1)
+	go func() { answered <- post(edge.Addresses().Outbound) }()
+	c.Assert(<-r.arrived, qt.Equals, secretValue)
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopInstance() }()
+	<-instance.ready.leaving
+	close(r.hold)
+	c.Assert(<-answered, qt.Equals, "200 whole answer")
+	c.Assert(<-stopped, qt.IsNil)
+	c.Assert(stopEdge(), qt.IsNil)
+	c.Assert(stopOther(), qt.IsNil)
+}
+
+// awaitVersion returns once the node holds the version.
+func awaitVersion(node *App, version snapshot.Version) {
+	changes, cancel := node.parts.Applier.Subscribe()
+	defer cancel()
+	for node.Current().Version() != version {
+		<-changes
+	}
+}
+
+// awaitInstance returns once the node sees an instance that takes work; the view
+// has no event to wait for.
+func awaitInstance(node *App, service string) {
+	const pollInterval = time.Millisecond
+	for len(node.parts.Node.View().Endpoints(service)) == 0 {
+		time.Sleep(pollInterval)
+	}
+}
+
+func post(address string) string {
+	response, err := http.Post("http://"+address+"/bookings", "text/plain", nil)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return response.Status[:3] + " " + string(body)
+}
+
+func TestNewFreesItsPortsWhenOneIsTaken(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c)
+	first, err := New(r.settings("first"), Options{Logger: logging.Discard()})
+	c.Assert(err, qt.IsNil)
+	configured := r.settings("second")
+	configured.Admin.Listen = first.Addresses().Admin
+	_, err = New(configured, Options{Logger: logging.Discard()})
+	c.Assert(err, qt.ErrorMatches, `admin.listen: .*address already in use.*`)
+	first.Close()
+	second, err := New(configured, Options{Logger: logging.Discard()})
+	c.Assert(err, qt.IsNil)
+	second.Close()
+}
+
+func TestFailureOfOnePartEndsTheNode(t *testing.T) {
+	c := qt.New(t)
+	node, err := New(newRig(c).settings("centro-edge"), Options{Logger: logging.Discard()})
+	c.Assert(err, qt.IsNil)
+	c.Assert(node.listeners.admin.Close(), qt.IsNil)
+	var failed *PartError
+	c.Assert(node.Run(c.Context()), qt.ErrorAs, &failed)
+	c.Assert(failed.Part, qt.Equals, "admin")
+}
--- /dev/null
+++ b/internal/app/container.go
@@ -0,0 +1,235 @@
+package app
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/configuration"
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/keys"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/inbound"
+	"github.com/winchhead/winchhead/internal/proxy/outbound"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+// parts are what the container builds. Outbound and Inbound are nil when the
+// settings turn them off.
+type parts struct {
+	dig.In
+
+	Keys      *keys.Keys
+	Source    *source.Client
+	Applier   *configuration.Applier
+	Node      *distribution.Node
+	Readiness *readiness
+	Outbound  *outbound.Proxy
+	Inbound   *inbound.Proxy
+	Admin     *admin.Server
+}
+
+// build fills a container with the constructors of all parts and takes the parts
+// from it.
+func build(configured settings.Settings, options Options, opened *listeners) (parts, error) {
+	container := dig.New()
+	constructors := []any{
+		func() settings.Settings { return configured },
+		func() Options { return options },
+		func() *listeners { return opened },
+		func() logrus.FieldLogger { return options.Logger },
+		newRegistry,
+		newSelf,
+		newKeys,
+		newSource,
+		newApplier,
+		newDistribution,
+		newNodeReadiness,
+		newOutbound,
+		newInbound,
+		newAdmin,
+	}
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return parts{}, eris.Wrap(err, "wire the node")
+		}
+	}
+	if err := container.Invoke(registerMetrics); err != nil {
+		return parts{}, dig.RootCause(err)
+	}
+	var built parts
+	err := container.Invoke(func(found parts) { built = found })
+	return built, dig.RootCause(err)
+}
+
+func newRegistry(options Options) (*prometheus.Registry, prometheus.Registerer, error) {
+	if options.Registry != nil {
+		return options.Registry, options.Registry, nil
+	}
+	registry := prometheus.NewRegistry()
+	process := []prometheus.Collector{
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	}
+	for _, collector := range process {
+		if err := registry.Register(collector); err != nil {
+			return nil, nil, eris.Wrap(err, "register the metrics of the process")
+		}
+	}
+	return registry, registry, nil
+}
+
+func newSelf(configured settings.Settings, opened *listeners) membership.Record {
+	return selfRecord(configured, opened, time.Now())
+}
+
+func newKeys(configured settings.Settings) (*keys.Keys, error) {
+	loaded, err := keys.Load(configured.TLS)
+	if err != nil {
+		return nil, &SettingsError{Err: err}
+	}
+	return loaded, nil
+}
+
+func newSource(configured settings.Settings, self membership.Record) *source.Client {
+	return source.NewClient(source.Options{
+		BaseURL:      configured.Platform.URL,
+		MaxBodyBytes: configured.Platform.MaxBodyBytes,
+		Timeout:      configured.Platform.Timeout,
+		Node:         self.Node,
+	})
+}
+
+func newApplier(logger logrus.FieldLogger, registerer prometheus.Registerer) (*configuration.Applier, error) {
+	return configuration.NewApplier(configuration.Options{
+		Store:      &snapshot.Store{},
+		Logger:     logger,
+		Registerer: registerer,
+	})
+}
+
+// distributionInputs are what the distribution is built from.
+type distributionInputs struct {
+	dig.In
+
+	Settings  settings.Settings
+	Options   Options
+	Listeners *listeners
+	Self      membership.Record
+	Keys      *keys.Keys
+	Source    *source.Client
+	Applier   *configuration.Applier
+}
+
+func newDistribution(inputs distributionInputs) (*distribution.Node, error) {
+	timing := inputs.Options.Timing
+	if timing == (distribution.Timing{}) {
+		timing = distribution.DefaultTiming()
+	}
+	seed := inputs.Options.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return distribution.NewNode(distribution.Options{
+		Self:           inputs.Self,
+		Listener:       inputs.Listeners.peers,
+		TLS:            inputs.Keys.NodeConfig(),
+		Configuration:  inputs.Source,
+		Members:        inputs.Source,
+		Adopter:        inputs.Applier,
+		Logger:         logging.Part(inputs.Options.Logger, "distribution"),
+		Seed:           seed,
+		Timing:         timing,
+		Generation:     func() uint64 { return generation(inputs.Applier) },
+		ReadersPerZone: inputs.Settings.Peers.ReadersPerZone,
+		MaxLinks:       inputs.Settings.Peers.MaxLinks,
+	})
+}
+
+// generation returns that of the snapshot in force, or 0.
+func generation(applier *configuration.Applier) uint64 {
+	current := applier.Current()
+	if current == nil {
+		return 0
+	}
+	return current.Generation()
+}
+
+func newNodeReadiness(node *distribution.Node, opened *listeners) *readiness {
+	return newReadiness(node, opened.inbound != nil)
+}
+
+// proxyInputs are what both proxies are built from.
+type proxyInputs struct {
+	dig.In
+
+	Settings   settings.Settings
+	Listeners  *listeners
+	Self       membership.Record
+	Keys       *keys.Keys
+	Applier    *configuration.Applier
+	Node       *distribution.Node
+	Readiness  *readiness
+	Logger     logrus.FieldLogger
+	Registerer prometheus.Registerer
+}
+
+func newOutbound(inputs proxyInputs) (*outbound.Proxy, error) {
+	if inputs.Listeners.outbound == nil {
+		return nil, nil
+	}
+	return outbound.New(outbound.Options{
+		Snapshots:  inputs.Applier,
+		Fleet:      inputs.Node,
+		Self:       inputs.Self,
+		TLS:        inputs.Keys.ClientConfig(),
+		Settings:   inputs.Settings.Outbound,
+		Logger:     logging.Part(inputs.Logger, "outbound"),
+		Registerer: inputs.Registerer,
+	})
+}
+
+func newInbound(inputs proxyInputs) (*inbound.Proxy, error) {
+	if inputs.Listeners.inbound == nil {
+		return nil, nil
+	}
+	return inbound.New(inbound.Options{
+		Snapshots:  inputs.Applier,
+		Self:       inputs.Self,
+		Publisher:  inputs.Readiness,
+		Settings:   inputs.Settings.Inbound,
+		Logger:     logging.Part(inputs.Logger, "inbound"),
+		Registerer: inputs.Registerer,
+	})
+}
+
+// adminInputs are what the operators' HTTP is built from.
+type adminInputs struct {
+	dig.In
+
+	Settings settings.Settings
+	Applier  *configuration.Applier
+	Node     *distribution.Node
+	Registry *prometheus.Registry
+	Logger   logrus.FieldLogger
+}
+
+func newAdmin(inputs adminInputs) *admin.Server {
+	return admin.New(admin.Options{
+		Zone:      inputs.Settings.Node.Zone,
+		Snapshots: inputs.Applier,
+		Fleet:     inputs.Node,
+		Status:    inputs.Node,
+		Gatherer:  inputs.Registry,
+		Logger:    logging.Part(inputs.Logger, "admin"),
+	})
+}
--- /dev/null
+++ b/internal/app/run.go
@@ -0,0 +1,161 @@
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// errPlannedStop ends all parts after a planned stop.
+var errPlannedStop = errors.New("planned stop")
+
+// Run runs the node. When ctx ends it makes a planned stop and returns nil: the
+// node announces that it leaves, finishes what it has and leaves the fleet. When
+// a part fails it ends the others at once and returns a *PartError.
+func (a *App) Run(ctx context.Context) error {
+	defer a.closeAll()
+	a.logStart()
+	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
+	for _, part := range a.runnable() {
+		group.Go(func() error {
+			if err := part.run(running); err != nil {
+				return &PartError{Part: part.name, Err: err}
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		select {
+		case <-running.Done():
+			return nil
+		case <-ctx.Done():
+			a.drain(running)
+			return errPlannedStop
+		}
+	})
+	err := group.Wait()
+	if errors.Is(err, errPlannedStop) {
+		a.logger.Info("stopped")
+		return nil
+	}
+	return err
+}
+
+// part is something that runs until its context ends.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (a *App) runnable() []part {
+	running := []part{
+		{"configuration", a.parts.Applier.Run},
+		{"readiness", a.followConfiguration},
+		{"distribution", a.parts.Node.Run},
+		{"keys", a.reloadKeys},
+		{"admin", func(ctx context.Context) error {
+			return serve(ctx, a.parts.Admin.HTTPServer(), a.listeners.admin)
+		}},
+	}
+	if a.parts.Outbound != nil {
+		running = append(running, part{"outbound", func(ctx context.Context) error {
+			return serve(ctx, a.parts.Outbound.Server(), a.listeners.outbound)
+		}})
+	}
+	if a.parts.Inbound != nil {
+		running = append(running, part{"back end reports", a.readReports})
+		running = append(running, part{"inbound", func(ctx context.Context) error {
+			return serve(ctx, a.inboundServer, secured(a.listeners.inbound, a.parts.Keys.ServerConfig()))
+		}})
+	}
+	return running
+}
+
+// followConfiguration waits for the first version.
+func (a *App) followConfiguration(ctx context.Context) error {
+	changes, cancel := a.parts.Applier.Subscribe()
+	defer cancel()
+	for a.parts.Applier.Current() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+	}
+	a.ready.holdVersion()
+	return nil
+}
+
+func (a *App) readReports(ctx context.Context) error {
+	a.parts.Inbound.Run(ctx)
+	return nil
+}
+
+func (a *App) reloadKeys(ctx context.Context) error {
+	a.parts.Keys.Run(ctx, a.logger)
+	return nil
+}
+
+// drain is the planned stop up to the point where nothing is in progress.
+func (a *App) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.grace)
+	defer cancel()
+	a.logger.WithField("grace", a.grace.String()).Info("leaving: no new work")
+	a.ready.stop()
+	if a.parts.Inbound != nil {
+		a.logDrain("inbound", a.parts.Inbound.Drain(ctx))
+	}
+	if a.parts.Outbound != nil {
+		a.logDrain("outbound", a.parts.Outbound.Drain(ctx))
+	}
+	if a.inboundServer != nil {
+		a.logDrain("inbound", a.inboundServer.Shutdown(ctx))
+	}
+}
+
+func (a *App) logDrain(proxy string, err error) {
+	if err != nil {
+		a.logger.WithError(err).Warnf("the grace is over, cutting what the %s proxy still has", proxy)
+	}
+}
+
+// closeAll frees what the parts hold. Errors of closing say nothing new here.
+func (a *App) closeAll() {
+	if a.parts.Inbound != nil {
+		a.parts.Inbound.Close()
+	}
+	if a.parts.Outbound != nil {
+		_ = a.parts.Outbound.Close()
+	}
+	a.parts.Source.Close()
+	a.listeners.close()
+}
+
+func (a *App) logStart() {
+	addresses := a.Addresses()
+	a.logger.WithField("node", a.name).WithField("peers", addresses.Peers).
+		WithField("outbound", addresses.Outbound).WithField("inbound", addresses.Inbound).
+		WithField("admin", addresses.Admin).Info("started")
+}
+
+// serve answers on the listener until ctx ends or the server is shut down.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	release := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer release()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func secured(listener net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return listener
+	}
+	return tls.NewListener(listener, config)
+}
--- /dev/null
+++ b/internal/app/state_test.go
@@ -0,0 +1,53 @@
+package app
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/membership"
+)
+
+func TestPublishedState(t *testing.T) {
+	rows := []struct {
+		name  string
+		state ownState
+		want  membership.State
+	}{
+		{"edge without version", ownState{backend: membership.StateReady}, membership.StateStarting},
+		{"edge", ownState{holdsVersion: true, backend: membership.StateReady}, membership.StateReady},
+		{"back end not ready", ownState{holdsVersion: true, backend: membership.StateStarting}, membership.StateStarting},
+		{"back end leaves", ownState{holdsVersion: true, backend: membership.StateDraining}, membership.StateDraining},
+		{"back end ready, no version", ownState{backend: membership.StateReady}, membership.StateStarting},
+		{"planned stop", ownState{holdsVersion: true, backend: membership.StateReady, stopping: true}, membership.StateDraining},
+		{"planned stop before the first version", ownState{stopping: true}, membership.StateDraining},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			qt.New(t).Assert(row.state.published(), qt.Equals, row.want)
+		})
+	}
+}
+
+// recorder keeps the states that were published.
+type recorder struct{ states []membership.State }
+
+func (r *recorder) SetState(state membership.State) { r.states = append(r.states, state) }
+
+func TestReadinessIsReachedOnceAndStopStays(t *testing.T) {
+	c := qt.New(t)
+	published := &recorder{}
+	own := newReadiness(published, true)
+	own.SetState(membership.StateReady)
+	select {
+	case <-own.done:
+		c.Fatal("ready without a version")
+	default:
+	}
+	own.holdVersion()
+	<-own.done
+	own.stop()
+	own.SetState(membership.StateReady)
+	c.Assert(published.states, qt.DeepEquals, []membership.State{membership.StateStarting,
+		membership.StateReady, membership.StateDraining, membership.StateDraining})
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,8 +41,10 @@
 func newParser(env environment) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("winchhead", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Winchhead distributes configuration to the proxies of a service mesh."
+	node := &nodeCommand{environment: env}
 	effective := &settingsCommand{environment: env}
 	subcommands := []subcommand{
+		{"node", "Run a node", nodeHelp, node},
 		{"check", "Compile policies without a node", checkHelp, &checkCommand{environment: env}},
 		{"explain", "Show where a node would send a request", explainHelp, &explainCommand{environment: env}},
 		{"status", "Show which version each node holds", statusHelp, &statusCommand{environment: env}},
@@ -58,6 +60,9 @@
 		}
 		added[description.name] = command
 	}
+	if err := addSettingsFlags(added["node"], &node.settingsFlags); err != nil {
+		return nil, err
+	}
 	return parser, addSettingsFlags(added["settings"], &effective.settingsFlags)
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -131,6 +131,7 @@
 
 func TestExitCodes(t *testing.T) {
 	const example = "../../examples/montevideo/settings/centro-reservas.yaml"
+	const freePorts = "--peers.listen 127.0.0.1:0 --outbound.listen 127.0.0.1:0 --inbound.listen 127.0.0.1:0 --admin.listen 127.0.0.1:0"
 	rows := []struct {
 		name      string
 		arguments string
@@ -147,6 +148,9 @@
 		{"wrong settings", "settings --settings " + example + " --node.zone=", ExitUsage, "", "flag --node.zone: missing"},
 		{"no settings file", "settings --settings nowhere.yaml", ExitUsage, "", "cannot read the settings file"},
 		{"bad header", "explain --header nonsense", ExitUsage, "", "write NAME:VALUE"},
+		{"address of another machine", "node --settings " + example + " --peers.listen 192.0.2.1:1", ExitFailed, "", "Free the address"},
+		{"no keys", "node --settings " + example + " --tls.key_file k --tls.certificate_file c --tls.authority_file a " + freePorts,
+			ExitUsage, "", "certificate_file"},
 		{"version", "version --output json", ExitOK, `"protocol": 1`, ""},
 	}
 	for _, row := range rows {
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"net"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/app"
 	"github.com/winchhead/winchhead/internal/settings"
 )
 
@@ -43,6 +45,7 @@
 		ended       *result
 		usage       *flags.Error
 		fault       *settings.Error
+		unusable    *app.SettingsError
 		unreachable *admin.UnreachableError
 		answer      *admin.AnswerError
 	)
@@ -51,7 +54,7 @@
 		return ExitOK
 	case errors.As(err, &ended):
 		return ended.code
-	case errors.As(err, &usage), errors.As(err, &fault):
+	case errors.As(err, &usage), errors.As(err, &fault), errors.As(err, &unusable):
 		return ExitUsage
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
@@ -67,12 +70,15 @@
 	var (
 		usage       *flags.Error
 		unreachable *admin.UnreachableError
+		network     *net.OpError
 	)
 	switch {
 	case errors.As(err, &unreachable):
 		return "Check that the node runs and that --admin is its admin.listen."
 	case errors.As(err, &usage):
 		return "Run the command with --help to see its options."
+	case errors.As(err, &network) && network.Op == "listen":
+		return "Free the address or set another one; 'winchhead settings' shows where it comes from."
 	default:
 		return ""
 	}
--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/app"
+	"github.com/winchhead/winchhead/internal/logging"
+)
+
+const nodeHelp = `Runs a node: beside a back end, as the settings' inbound section says, or alone as an entry for callers. Every setting can be given in the file or as a flag of the same name; flags win. SIGTERM or SIGINT stops the node in the planned way: it takes no new work, finishes what it has and leaves the fleet; a second signal ends it at once. Exit codes: 0 planned stop, 2 wrong settings, 5 a part failed, 6 a planned stop was cut short.`
+
+type nodeCommand struct {
+	environment
+	settingsFlags
+}
+
+// Execute runs the node until it is stopped.
+func (c *nodeCommand) Execute([]string) error {
+	loaded, err := c.load()
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(c.stderr, loaded.Log.Level, loaded.Log.Format)
+	if err != nil {
+		return err
+	}
+	node, err := app.New(loaded.Settings, app.Options{Logger: logger})
+	if err != nil {
+		return err
+	}
+	ctx, release := stopOnSignal(c.ctx, logging.Part(logger, "node"))
+	defer release()
+	return node.Run(ctx)
+}
+
+// stopOnSignal returns a context that ends at the first signal to stop. The
+// second signal ends the process.
+func stopOnSignal(parent context.Context, logger logrus.FieldLogger) (context.Context, func()) {
+	const signalsKept = 2
+	signals := make(chan os.Signal, signalsKept)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		select {
+		case received := <-signals:
+			logger.Infof("received %s, stopping in the planned way", received)
+			cancel()
+		case <-ctx.Done():
+			return
+		}
+		received, open := <-signals
+		if open {
+			logger.Warnf("received %s again, ending at once", received)
+			os.Exit(ExitCutShort)
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(signals)
+		cancel()
+	}
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/winchhead/winchhead/internal/admin"
+	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
 const statusHelp = `Asks one node, which asks every live member, and prints which version each holds. Exit codes: 0 all live members hold the newest revision, 1 the newest revision was refused, 3 the node gave no answer, 4 some members do not hold the newest revision or gave no answer.`
@@ -46,7 +47,7 @@
 			continue
 		}
 		status := *member.Status
-		lines.row(string(status.Node), status.Zone, status.State, status.Held.String(),
+		lines.row(string(status.Node), status.Zone, status.State, shownVersion(status.Held),
 			strconv.FormatUint(status.Generation, 10), yesOrNo(status.Reader), sourceAge(status), remark(status))
 	}
 	lines.flush()
@@ -54,6 +55,14 @@
 		a.Newest.Revision, a.Newest.Progress, a.Newest.Holding, len(a.Members))
 }
 
+// shownVersion names a version in a table.
+func shownVersion(version snapshot.Version) string {
+	if version.IsZero() {
+		return "none"
+	}
+	return version.String()
+}
+
 func yesOrNo(yes bool) string {
 	if yes {
 		return "yes"
--- a/internal/cli/watch.go
+++ b/internal/cli/watch.go
@@ -89,7 +89,7 @@
 	}
 	lines := newTable(out, "NODE", "HOLDS", "WHY")
 	for _, member := range r.Missing {
-		lines.row(member.Node, member.Holds.String(), member.Why)
+		lines.row(member.Node, shownVersion(member.Holds), member.Why)
 	}
 	lines.flush()
 }
--- /dev/null
+++ b/internal/wire/type_name.go
@@ -0,0 +1,25 @@
+package wire
+
+// typeNames are the labels of the byte counters.
+var typeNames = map[Type]string{
+	TypeHello:         "hello",
+	TypeHeartbeat:     "heartbeat",
+	TypeAnnounce:      "announce",
+	TypePull:          "pull",
+	TypeUpdate:        "update",
+	TypeDigest:        "digest",
+	TypeRecords:       "records",
+	TypeRecordPull:    "record_pull",
+	TypeRefusal:       "refusal",
+	TypeStatusRequest: "status_request",
+	TypeStatusReply:   "status_reply",
+	TypeGoodbye:       "goodbye",
+}
+
+// String returns the name of the type in lower case.
+func (t Type) String() string {
+	if name, known := typeNames[t]; known {
+		return name
+	}
+	return "unknown"
+}
