--- a/internal/bench/mesh/await.go
+++ b/internal/bench/mesh/await.go
@@ -60,13 +60,22 @@
 	return client.Members(ctx)
 }
 
-// AwaitReady waits until the nodes hold a version and take new work; no nodes
-// means all.
+// AwaitReady waits until the nodes hold a version and take new work, and sends
+// callers to each edge that does; no nodes means all.
 func (m *Mesh) AwaitReady(ctx context.Context, nodes ...*Node) error {
 	return awaitAll(ctx, m.orAll(nodes), func(ctx context.Context, node *Node) error {
-		return await(ctx, node, askStatus, func(status admin.NodeStatus) bool {
-			return !status.Held.IsZero() && status.State == readyState
-		})
+		err := m.AwaitState(ctx, node, readyState)
+		if err == nil && node.plan.Edge() {
+			m.Entries.Add(node.Outbound())
+		}
+		return err
+	})
+}
+
+// AwaitState waits until a node holds a version and reports a state.
+func (m *Mesh) AwaitState(ctx context.Context, node *Node, state string) error {
+	return await(ctx, node, askStatus, func(status admin.NodeStatus) bool {
+		return !status.Held.IsZero() && status.State == state
 	})
 }
 
