Offer versions by a short name, announce later where the peer dialled

Cause: a one-service change cost 197 B a node, of which the delta itself is 77 B. Ruled out: a hash prefix of 4 bytes, which a peer could collide with to have a good version taken for a refused one. Change: announcements and pulls carry 8 bytes of the hash, an update names its base by revision; what is delivered is still checked against the whole hash. The announcement waits 30 ms on links that the peer dialled. Ranks are picked in one pass. Bytes are counted by package socketbytes. Probes and list entries bounded.

--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/socketbytes"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 type connection struct {
 	id       LinkID
 	counters *counters
-	raw      *countingConn
+	raw      *socketbytes.Conn
 	conn     net.Conn // raw, or TLS over it
 	reader   *wire.Reader
 	readRaw  int64
@@ -52,7 +53,7 @@
 
 // newConnection wraps an open socket. A nil config leaves it plain.
 func newConnection(socket net.Conn, config *tls.Config, client bool, counters *counters) *connection {
-	raw := &countingConn{Conn: socket}
+	raw := socketbytes.Wrap(socket, &socketbytes.Counter{})
 	c := &connection{counters: counters, raw: raw, conn: raw, wake: make(chan struct{}, 1)}
 	if config != nil && client {
 		c.conn = tls.Client(raw, config)
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	read := c.raw.read.Load()
+	read, _ := c.raw.Counter().Totals()
 	c.counters.received[message.Type()].add(read - c.readRaw)
 	c.readRaw = read
 	return message, nil
@@ -85,12 +86,13 @@
 
 // write sends one frame now.
 func (c *connection) write(messageType wire.Type, frame []byte) error {
-	before := c.raw.written.Load()
+	_, before := c.raw.Counter().Totals()
 	if err := c.raw.SetWriteDeadline(c.writeBy()); err != nil {
 		return err
 	}
 	_, err := c.conn.Write(frame)
-	c.counters.sent[messageType].add(c.raw.written.Load() - before)
+	_, after := c.raw.Counter().Totals()
+	c.counters.sent[messageType].add(after - before)
 	return err
 }
 
--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -173,9 +173,9 @@
 	var lie distribution.Send
 	switch send.Type {
 	case wire.TypeAnnounce, wire.TypeDigest:
-		lie = encoded(&wire.Announce{Version: huge})
+		lie = encoded(&wire.Announce{Version: wire.Short(huge)})
 	case wire.TypeUpdate:
-		lie = encoded(&wire.Update{Delta: snapshot.Delta{Target: huge, Changed: document(1).Resources()}})
+		lie = encoded(&wire.Update{Target: huge, Changed: document(1).Resources()})
 	default:
 		return send
 	}
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/membership"
-	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -53,9 +52,11 @@
 	asleep bool
 
 	// held is the version that the peer has in force, as far as known.
-	held        snapshot.Version
+	held        wire.ShortVersion
 	failedPulls int
-	reading     wire.Reading
+	// announceAt is when to tell the peer of the version in force; zero: told.
+	announceAt time.Time
+	reading    wire.Reading
 	// readingSince is when the peer last said otherwise about its reading.
 	readingSince time.Time
 	// confirmedAt is when the peer's zone last heard from the source.
@@ -85,7 +86,11 @@
 	if l.probe {
 		return l.openedAt.Add(probeLifetime)
 	}
-	return earliest(l.silentAt(), l.heartbeatAt(), l.digestAt)
+	next := earliest(l.silentAt(), l.heartbeatAt(), l.digestAt)
+	if !l.announceAt.IsZero() {
+		next = earliest(next, l.announceAt)
+	}
+	return next
 }
 
 func earliest(first time.Time, others ...time.Time) time.Time {
@@ -116,7 +121,7 @@
 	e.send(&wire.Hello{
 		Protocol:    wire.ProtocolVersion,
 		Self:        e.table.Self(),
-		Held:        e.push.heldVersion(),
+		Held:        wire.Short(e.push.heldVersion()),
 		FleetDigest: e.fleetDigest(),
 		Purpose:     purpose,
 		Interval:    l.ownInterval.Milliseconds(),
@@ -173,7 +178,7 @@
 	case hello.Protocol != wire.ProtocolVersion:
 		return wire.GoodbyeProtocol, true
 	case l.probe:
-		return 0, false
+		return wire.GoodbyeFull, e.overlay.countProbes() >= maxProbes
 	case hello.Self.Node == e.options.Self.Node:
 		return wire.GoodbyeDuplicate, true
 	case e.refusesSecond(hello.Self):
@@ -310,6 +315,7 @@
 // runLinkTimers sends heartbeats and digests that are due and gives up links that
 // are silent.
 func (e *Engine) runLinkTimers() {
+	e.runAnnouncements()
 	for _, l := range e.overlay.order {
 		if e.now.Before(l.deadline(e)) || e.overlay.links[l.id] != l {
 			continue
--- a/internal/distribution/list.go
+++ b/internal/distribution/list.go
@@ -12,6 +12,9 @@
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
+// maxListEntries bounds what peers can make the list grow to.
+const maxListEntries = 20_000
+
 // listBuckets is the number of parts the list is split into by node, to find
 // differences between two nodes.
 const listBuckets = 16
@@ -58,6 +61,9 @@
 	if slices.Equal(held.Members, entry.Members) || known && entry.ReadAt <= held.ReadAt {
 		return false
 	}
+	if !known && len(b.entries) >= maxListEntries {
+		return false
+	}
 	b.entries[entry.Node] = entry
 	b.buckets[listBucket(entry.Node)] += entryDigest(entry) - entryDigest(held)
 	return true
--- a/internal/distribution/overlay.go
+++ b/internal/distribution/overlay.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,6 +29,8 @@
 	// suspicionFailures is how many dials in a row must fail before a member to
 	// which there was no link is reported as unreachable.
 	suspicionFailures = 2
+	// maxProbes bounds the peers that ask what this node holds at one time.
+	maxProbes = 32
 	// suspectedDialsInFlight bounds how often the whole fleet dials one suspected
 	// member: as often as this many nodes would alone.
 	suspectedDialsInFlight = 8
@@ -96,6 +99,16 @@
 	return nil
 }
 
+func (o *overlay) countProbes() int {
+	count := 0
+	for _, l := range o.order {
+		if l.probe && !l.outgoing {
+			count++
+		}
+	}
+	return count
+}
+
 func (o *overlay) countLasting() int {
 	count := 0
 	for _, l := range o.order {
@@ -222,7 +235,7 @@
 		lost = append(lost, member)
 	}
 	slices.SortFunc(lost, func(a, b membership.Member) int {
-		return compareNodes(a.Record.Node, b.Record.Node)
+		return cmp.Compare(a.Record.Node, b.Record.Node)
 	})
 	return lost
 }
@@ -336,7 +349,7 @@
 // candidates returns the accepted members that may be dialled, or are linked, in
 // the order of the own rendezvous hash.
 func (e *Engine) candidates(count int, accept func(*membership.Member) bool) []rankedNode {
-	var ranked []rankedNode
+	ranked := firstNodes{limit: count}
 	salt := string(e.options.Self.Node) + "\x00"
 	members := e.view.Members()
 	for i := range members {
@@ -348,20 +361,7 @@
 		if l := e.overlay.linkTo(node); l != nil && l.outgoing && !e.isGroupLink(l) {
 			continue // counted already
 		}
-		ranked = append(ranked, rankedNode{node: node, rank: rank(salt, node)})
-	}
-	sortRanked(ranked)
-	return ranked[:min(count, len(ranked))]
-}
-
-// compareNodes orders NodeIDs.
-func compareNodes(a, b membership.NodeID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
+		ranked.add(rankedNode{node: node, rank: rank(salt, node)})
 	}
+	return ranked.nodes
 }
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -30,19 +30,19 @@
 	// adopting is with the Adopter; waiting, verified and newer, comes next.
 	adopting *snapshot.Document
 	waiting  *snapshot.Document
-	pulls    map[snapshot.Version]pull
+	pulls    map[wire.ShortVersion]pull
 	// attempts counts the pulls of a version that were not answered in time.
-	attempts map[snapshot.Version]int
+	attempts map[wire.ShortVersion]int
 	refusals refusals
 	// conflict is a version that has the revision of one held and other content.
 	conflict snapshot.Version
 	// updates holds the encoded Update from each base to held.
-	updates map[snapshot.Version][]byte
+	updates map[snapshot.Revision][]byte
 }
 
 // pull is an unanswered request for a version.
 type pull struct {
-	version snapshot.Version
+	version wire.ShortVersion
 	timeout time.Duration
 	// base is what the peer was told is held here; the answer starts from it.
 	base   *snapshot.Document
@@ -52,9 +52,9 @@
 
 func newPushState() pushState {
 	return pushState{
-		pulls:    make(map[snapshot.Version]pull),
-		attempts: make(map[snapshot.Version]int),
-		updates:  make(map[snapshot.Version][]byte),
+		pulls:    make(map[wire.ShortVersion]pull),
+		attempts: make(map[wire.ShortVersion]int),
+		updates:  make(map[snapshot.Revision][]byte),
 		refusals: newRefusals(),
 	}
 }
@@ -87,9 +87,17 @@
 }
 
 // document returns a verified document by its version.
-func (p *pushState) document(version snapshot.Version) *snapshot.Document {
+func (p *pushState) document(version wire.ShortVersion) *snapshot.Document {
+	if document := p.documentAt(version.Revision); document != nil && wire.Short(document.Version()) == version {
+		return document
+	}
+	return nil
+}
+
+// documentAt returns a verified document by its revision.
+func (p *pushState) documentAt(revision snapshot.Revision) *snapshot.Document {
 	for _, document := range append([]*snapshot.Document{p.waiting, p.adopting}, p.recent...) {
-		if document != nil && document.Version() == version {
+		if document != nil && document.Version().Revision == revision {
 			return document
 		}
 	}
@@ -144,7 +152,7 @@
 	if l == nil {
 		return
 	}
-	l.held = snapshot.Version{}
+	l.held = wire.ShortVersion{}
 	l.failedPulls++
 	if l.failedPulls >= maxFailedPulls {
 		e.faulty(l, "it does not deliver the versions that it announces")
@@ -168,7 +176,7 @@
 // versionSeen looks at the version that a peer says it holds.
 func (e *Engine) versionSeen(l *link) {
 	if e.push.document(l.held) == nil {
-		e.noteConflict(l.held, "peer "+string(l.node))
+		e.noteConflict(l.held.Padded(), "peer "+string(l.node))
 	}
 	e.startPulls()
 }
@@ -177,7 +185,7 @@
 // content. The one held stays.
 func (e *Engine) noteConflict(version snapshot.Version, from string) {
 	held := e.push.heldVersion()
-	if held.IsZero() || !version.Conflicts(held) || version == e.push.conflict {
+	if held.IsZero() || !version.Conflicts(held) || wire.Short(version) == wire.Short(e.push.conflict) {
 		return
 	}
 	e.push.conflict = version
@@ -201,13 +209,13 @@
 			link:    l.id,
 			sentAt:  e.now,
 		}
-		e.send(&wire.Pull{Want: l.held, Held: e.push.newestVersion()}, l.id)
+		e.send(&wire.Pull{Want: l.held.Revision, Held: wire.Short(e.push.newestVersion())}, l.id)
 	}
 }
 
 // pullTimeout is longer after each pull of a version that was not answered, as the
 // cause may be a document that takes its time.
-func (e *Engine) pullTimeout(version snapshot.Version) time.Duration {
+func (e *Engine) pullTimeout(version wire.ShortVersion) time.Duration {
 	return e.timing.PullTimeout << min(e.push.attempts[version], maxPullDoublings)
 }
 
@@ -228,9 +236,9 @@
 
 // heldBack reports whether a pull of a newer version is so young that one of
 // this version would most likely be wasted.
-func (e *Engine) heldBack(version snapshot.Version) bool {
+func (e *Engine) heldBack(version wire.ShortVersion) bool {
 	for _, pull := range e.push.pulls {
-		if pull.version.Newer(version) && e.push.lowerWaits(e, pull) {
+		if pull.version.Revision > version.Revision && e.push.lowerWaits(e, pull) {
 			return true
 		}
 	}
@@ -250,7 +258,7 @@
 func (e *Engine) onAnnounce(l *link, m *wire.Announce) {
 	l.held = m.Version
 	for version, pull := range e.push.pulls {
-		if pull.link == l.id && version.Newer(m.Version) {
+		if pull.link == l.id && version.Revision > m.Version.Revision {
 			delete(e.push.pulls, version) // the peer does not hold it after all
 		}
 	}
@@ -260,28 +268,33 @@
 // onPull answers with the version in force: as a delta where the base is kept.
 func (e *Engine) onPull(l *link, m *wire.Pull) {
 	held := e.push.heldVersion()
-	if held.Revision < m.Want.Revision || held == m.Held {
-		e.send(&wire.Announce{Version: held}, l.id)
+	short := wire.Short(held)
+	if held.Revision < m.Want || short == m.Held {
+		e.send(&wire.Announce{Version: short}, l.id)
 		return
 	}
-	e.sendFrame(wire.TypeUpdate, e.updateFrom(m.Held), l.id)
-	l.held = held
+	e.sendFrame(wire.TypeUpdate, e.updateFrom(e.push.document(m.Held)), l.id)
+	l.held = short
 }
 
-// updateFrom returns the encoded Update from a base to the version in force.
-func (e *Engine) updateFrom(base snapshot.Version) []byte {
-	document := e.push.document(base)
-	if document == nil || base.IsZero() {
-		base, document = snapshot.Version{}, nil
+// updateFrom returns the encoded Update from a base, nil for none, to the version
+// in force.
+func (e *Engine) updateFrom(base *snapshot.Document) []byte {
+	var revision snapshot.Revision
+	if base != nil {
+		revision = base.Version().Revision
 	}
-	if frame, encoded := e.push.updates[base]; encoded {
+	if frame, encoded := e.push.updates[revision]; encoded {
 		return frame
 	}
-	frame, err := wire.Encode(&wire.Update{Delta: snapshot.Diff(document, e.push.held)})
+	delta := snapshot.Diff(base, e.push.held)
+	frame, err := wire.Encode(&wire.Update{
+		Base: revision, Target: delta.Target, Changed: delta.Changed, Removed: delta.Removed,
+	})
 	if err != nil {
 		panic(err) // a document that was adopted has an encoding
 	}
-	e.push.updates[base] = frame
+	e.push.updates[revision] = frame
 	return frame
 }
 
@@ -289,23 +302,31 @@
 // has the hash that was promised.
 func (e *Engine) onUpdate(l *link, m *wire.Update) {
 	base, answered := e.endPulls(l)
-	target := m.Delta.Target
-	if !target.Newer(e.push.newestVersion()) {
-		l.held = target
+	if !m.Target.Newer(e.push.newestVersion()) {
+		l.held = wire.Short(m.Target)
 		return
 	}
+	delta := snapshot.Delta{Target: m.Target, Changed: m.Changed, Removed: m.Removed}
 	if !answered { // late
-		base = e.push.document(m.Delta.Base)
-		if base == nil && !m.Delta.IsWhole() {
-			return
-		}
+		base = e.push.documentAt(m.Base)
+	}
+	switch {
+	case m.Base == 0:
+		base = nil
+	case base != nil && base.Version().Revision == m.Base:
+		delta.Base = base.Version()
+	case answered:
+		e.faulty(l, "it sent a delta from a revision it was not told of")
+		return
+	default:
+		return
 	}
-	document, err := m.Delta.Apply(base)
+	document, err := delta.Apply(base)
 	if err != nil {
 		e.faulty(l, "it sent a wrong update: "+err.Error())
 		return
 	}
-	l.held = target
+	l.held = wire.Short(m.Target)
 	l.failedPulls = 0
 	e.offer(document)
 }
@@ -326,7 +347,7 @@
 // or was refused before.
 func (e *Engine) offer(document *snapshot.Document) {
 	version := document.Version()
-	if !version.Newer(e.push.newestVersion()) || e.push.refusals.has(version) {
+	if !version.Newer(e.push.newestVersion()) || e.push.refusals.has(wire.Short(version)) {
 		return
 	}
 	e.push.waiting = document
@@ -369,6 +390,5 @@
 	clear(e.push.attempts)
 	e.push.refusals.forgetPassedOn(version)
 	e.log(LogInfo, "version %s is in force", version)
-	behind := e.overlay.lastingIDs(func(l *link) bool { return version.Newer(l.held) })
-	e.send(&wire.Announce{Version: version}, behind...)
+	e.announce()
 }
--- a/internal/distribution/ranking.go
+++ b/internal/distribution/ranking.go
@@ -36,7 +36,6 @@
 
 type rankedNode struct {
 	node membership.NodeID
-	zone string
 	rank uint64
 }
 
@@ -63,7 +62,9 @@
 }
 
 func rankView(view *membership.View, self membership.Record, readersPerZone int) ranking {
-	var readers, gateways []rankedNode
+	inGroup := max(groupSize, readersPerZone)
+	zones := make(map[string]*firstNodes)
+	gateways := firstNodes{limit: gatewaysPerZone}
 	members := view.Members()
 	for i := range members {
 		member := &members[i]
@@ -71,36 +72,57 @@
 			continue
 		}
 		node, zone := member.Record.Node, member.Record.Zone
-		readers = append(readers, rankedNode{node, zone, rank(saltReader, node)})
+		first := zones[zone]
+		if first == nil {
+			first = &firstNodes{limit: inGroup}
+			zones[zone] = first
+		}
+		first.add(rankedNode{node, rank(saltReader, node)})
 		if zone == self.Zone {
-			gateways = append(gateways, rankedNode{node, zone, rank(saltGateway, node)})
+			gateways.add(rankedNode{node, rank(saltGateway, node)})
 		}
 	}
-	sortRanked(readers)
-	result := ranking{view: view}
-	perZone := make(map[string]int)
-	for _, ranked := range readers {
-		if perZone[ranked.zone] < readersPerZone {
-			result.readers = append(result.readers, ranked.node)
-		}
-		if ranked.zone == self.Zone && perZone[ranked.zone] < max(groupSize, readersPerZone) {
-			result.group = append(result.group, ranked.node)
-		}
-		perZone[ranked.zone]++
+	var readers []rankedNode
+	for _, first := range zones {
+		readers = append(readers, first.nodes[:min(readersPerZone, len(first.nodes))]...)
 	}
-	sortRanked(gateways)
-	for _, ranked := range gateways[:min(len(gateways), gatewaysPerZone)] {
-		result.gateway = result.gateway || ranked.node == self.Node
+	sortRanked(readers)
+	result := ranking{view: view, readers: names(readers), gateway: slices.Contains(names(gateways.nodes), self.Node)}
+	if own := zones[self.Zone]; own != nil {
+		result.group = names(own.nodes)
 	}
 	return result
 }
 
-func sortRanked(nodes []rankedNode) {
-	slices.SortFunc(nodes, func(a, b rankedNode) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.node, b.node))
-	})
+// firstNodes keeps the first nodes in rank of those added, in order.
+type firstNodes struct {
+	limit int
+	nodes []rankedNode
+}
+
+func (f *firstNodes) add(ranked rankedNode) {
+	if len(f.nodes) == f.limit && compareRanked(ranked, f.nodes[f.limit-1]) > 0 {
+		return
+	}
+	position, _ := slices.BinarySearchFunc(f.nodes, ranked, compareRanked)
+	f.nodes = slices.Insert(f.nodes, position, ranked)
+	f.nodes = f.nodes[:min(len(f.nodes), f.limit)]
+}
+
+func names(ranked []rankedNode) []membership.NodeID {
+	nodes := make([]membership.NodeID, len(ranked))
+	for i := range ranked {
+		nodes[i] = ranked[i].node
+	}
+	return nodes
 }
 
+func compareRanked(a, b rankedNode) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.node, b.node))
+}
+
+func sortRanked(nodes []rankedNode) { slices.SortFunc(nodes, compareRanked) }
+
 // inGroup reports whether a node is in the reader group of the own zone.
 func (r *ranking) inGroup(node membership.NodeID) bool { return slices.Contains(r.group, node) }
 
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -180,7 +180,7 @@
 func (e *Engine) fetchSource() {
 	r := &e.reading
 	r.fetchAt = time.Time{}
-	if !r.head.Newer(e.push.newestVersion()) || e.push.refusals.has(r.head) {
+	if !r.head.Newer(e.push.newestVersion()) || e.push.refusals.has(wire.Short(r.head)) {
 		return // a peer was faster
 	}
 	r.fetch = e.newRequest()
@@ -248,7 +248,7 @@
 		e.noteConflict(event.Document.Version(), "the source")
 		e.offer(event.Document)
 	}
-	if r.head.Newer(e.push.newestVersion()) && !e.push.refusals.has(r.head) {
+	if r.head.Newer(e.push.newestVersion()) && !e.push.refusals.has(wire.Short(r.head)) {
 		r.fetchAt = e.now.Add(e.jittered(e.timing.SourceWait)) // the answer was older than the head
 	}
 }
--- a/internal/distribution/refusals.go
+++ b/internal/distribution/refusals.go
@@ -27,9 +27,9 @@
 func newRefusals() refusals { return refusals{passedOn: make(map[snapshot.Version]bool)} }
 
 // has reports whether this node refused the version.
-func (r *refusals) has(version snapshot.Version) bool {
+func (r *refusals) has(version wire.ShortVersion) bool {
 	for _, refused := range r.own {
-		if refused == version {
+		if wire.Short(refused) == version {
 			return true
 		}
 	}
@@ -69,7 +69,7 @@
 	if !refusal.Version.Newer(e.push.heldVersion()) || r.passedOn[refusal.Version] {
 		return
 	}
-	if from == 0 || !r.has(r.shown.Version) {
+	if from == 0 || !r.has(wire.Short(r.shown.Version)) {
 		r.shown = refusal
 	}
 	if len(r.passedOn) >= maxPassedOn {
--- a/internal/distribution/repair.go
+++ b/internal/distribution/repair.go
@@ -31,7 +31,7 @@
 func (e *Engine) sendDigest(l *link, request wire.DigestRequest) {
 	l.digestAt = e.now.Add(e.jittered(e.timing.DigestInterval))
 	e.send(&wire.Digest{
-		Held:        e.push.heldVersion(),
+		Held:        wire.Short(e.push.heldVersion()),
 		FleetDigest: e.fleetDigest(),
 		SourceAge:   e.sourceAge(),
 		Request:     request,
@@ -50,7 +50,7 @@
 	}
 	e.versionSeen(l)
 	if m.Held.Revision < e.push.heldVersion().Revision && l.lasting() {
-		e.send(&wire.Announce{Version: e.push.heldVersion()}, l.id)
+		e.send(&wire.Announce{Version: wire.Short(e.push.heldVersion())}, l.id)
 	}
 	if m.FleetDigest != e.fleetDigest() && l.lasting() {
 		e.pullRecords(l)
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -145,7 +145,7 @@
 
 // unasked returns the members not asked yet, in the own order.
 func (s *startState) unasked(e *Engine) []rankedNode {
-	var ranked []rankedNode
+	ranked := firstNodes{limit: probedPeers}
 	members := e.view.Members()
 	for i := range members {
 		member := &members[i]
@@ -154,10 +154,9 @@
 		if asked || node == e.options.Self.Node || member.Leaving || member.Record.PeerAddress == "" {
 			continue
 		}
-		ranked = append(ranked, rankedNode{node: node, rank: rank(string(e.options.Self.Node), node)})
+		ranked.add(rankedNode{node: node, rank: rank(string(e.options.Self.Node), node)})
 	}
-	sortRanked(ranked)
-	return ranked
+	return ranked.nodes
 }
 
 // ask reports whether the answer of a member is known already; otherwise one is
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -19,6 +19,9 @@
 	// ViewInterval is the least time between two such changes, except for one
 	// that ends work on an instance.
 	ViewInterval time.Duration
+	// AnnounceDelay is how long an announcement waits on links that the peer
+	// dialled.
+	AnnounceDelay time.Duration
 	// PullTimeout is how long a peer may take to answer a Pull before another one
 	// is asked. It doubles with each attempt for one version.
 	PullTimeout time.Duration
@@ -80,6 +83,7 @@
 		RecordWindow:           50 * time.Millisecond,
 		ViewWindow:             50 * time.Millisecond,
 		ViewInterval:           200 * time.Millisecond,
+		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            2 * time.Second,
 		StartPeerWait:          2 * time.Second,
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -57,14 +57,14 @@
 		e.small(uint8(m.Reading))
 		e.long(m.SourceAge)
 	case *Announce:
-		e.version(m.Version)
+		e.shortVersion(m.Version)
 	case *Pull:
-		e.version(m.Want)
-		e.version(m.Held)
+		e.unsigned(uint64(m.Want))
+		e.shortVersion(m.Held)
 	case *Update:
 		e.update(m)
 	case *Digest:
-		e.version(m.Held)
+		e.shortVersion(m.Held)
 		e.fixed64(m.FleetDigest)
 		e.long(m.SourceAge)
 		e.small(uint8(m.Request))
@@ -94,7 +94,7 @@
 func (e encoder) hello(m *Hello) {
 	e.long(int64(m.Protocol))
 	e.record(m.Self)
-	e.version(m.Held)
+	e.shortVersion(m.Held)
 	e.fixed64(m.FleetDigest)
 	e.small(uint8(m.Purpose))
 	e.long(m.Interval)
@@ -102,10 +102,10 @@
 }
 
 func (e encoder) update(m *Update) {
-	e.version(m.Delta.Base)
-	e.version(m.Delta.Target)
-	encodeArray(e, m.Delta.Changed, e.resource)
-	encodeArray(e, m.Delta.Removed, e.key)
+	e.unsigned(uint64(m.Base))
+	e.version(m.Target)
+	encodeArray(e, m.Changed, e.resource)
+	encodeArray(e, m.Removed, e.key)
 }
 
 func (e encoder) statusReply(m *StatusReply) {
@@ -131,14 +131,14 @@
 	case TypeHeartbeat:
 		return &Heartbeat{Interval: d.long(), Reading: Reading(d.small()), SourceAge: d.long()}
 	case TypeAnnounce:
-		return &Announce{Version: d.version()}
+		return &Announce{Version: d.shortVersion()}
 	case TypePull:
-		return &Pull{Want: d.version(), Held: d.version()}
+		return &Pull{Want: snapshot.Revision(d.unsigned()), Held: d.shortVersion()}
 	case TypeUpdate:
 		return d.update()
 	case TypeDigest:
 		return &Digest{
-			Held:        d.version(),
+			Held:        d.shortVersion(),
 			FleetDigest: d.fixed64(),
 			SourceAge:   d.long(),
 			Request:     DigestRequest(d.small()),
@@ -172,7 +172,7 @@
 	return &Hello{
 		Protocol:    int(d.long()),
 		Self:        d.record(),
-		Held:        d.version(),
+		Held:        d.shortVersion(),
 		FleetDigest: d.fixed64(),
 		Purpose:     Purpose(d.small()),
 		Interval:    d.long(),
@@ -181,12 +181,12 @@
 }
 
 func (d decoder) update() *Update {
-	return &Update{Delta: snapshot.Delta{
-		Base:    d.version(),
+	return &Update{
+		Base:    snapshot.Revision(d.unsigned()),
 		Target:  d.version(),
 		Changed: decodeArray(d, minResourceBytes, d.resource),
 		Removed: decodeArray(d, minKeyBytes, d.key),
-	}}
+	}
 }
 
 func (d decoder) statusReply() *StatusReply {
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -34,6 +34,11 @@
 	e.fixed(version.Hash[:])
 }
 
+func (e encoder) shortVersion(version ShortVersion) {
+	e.unsigned(uint64(version.Revision))
+	e.fixed(version.Hash[:])
+}
+
 func (e encoder) record(record membership.Record) {
 	e.text(string(record.Node))
 	e.unsigned(uint64(record.Incarnation))
@@ -147,6 +152,12 @@
 	return version
 }
 
+func (d decoder) shortVersion() ShortVersion {
+	version := ShortVersion{Revision: snapshot.Revision(d.unsigned())}
+	d.Read(version.Hash[:])
+	return version
+}
+
 func (d decoder) record() membership.Record {
 	return membership.Record{
 		Node:        membership.NodeID(d.text()),
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -41,7 +41,7 @@
 type Hello struct {
 	Protocol int
 	Self     membership.Record
-	Held     snapshot.Version
+	Held     ShortVersion
 	// FleetDigest is the digest of all records the sender holds.
 	FleetDigest uint64
 	// Purpose tells a lasting link from a short query.
@@ -84,20 +84,57 @@
 }
 
 // Announce tells that the sender has put a version in force.
-type Announce struct{ Version snapshot.Version }
+type Announce struct{ Version ShortVersion }
 
-// Pull asks for a version; Held lets the answer be a delta.
+// Pull asks for a revision or a later one; Held lets the answer be a delta.
 type Pull struct {
-	Want snapshot.Version
-	Held snapshot.Version
+	Want snapshot.Revision
+	Held ShortVersion
 }
 
-// Update carries a delta, or a whole document when Delta.Base is zero.
-type Update struct{ Delta snapshot.Delta }
+// Update carries what leads from a revision that the receiver said it holds to a
+// version; a whole document when Base is zero.
+type Update struct {
+	Base    snapshot.Revision
+	Target  snapshot.Version
+	Changed []snapshot.Resource
+	Removed []snapshot.Key
+}
+
+// shortHashBytes is the size of a ShortHash.
+const shortHashBytes = 8
+
+// ShortHash is the beginning of a snapshot.ContentHash.
+type ShortHash [shortHashBytes]byte
+
+// ShortVersion names a version in messages that offer one or ask for one. What is
+// delivered is checked against the whole hash.
+type ShortVersion struct {
+	Revision snapshot.Revision
+	Hash     ShortHash
+}
+
+// Short returns the short form of a version.
+func Short(version snapshot.Version) ShortVersion {
+	return ShortVersion{Revision: version.Revision, Hash: ShortHash(version.Hash[:shortHashBytes])}
+}
+
+// IsZero reports whether v names no document.
+func (v ShortVersion) IsZero() bool { return v == ShortVersion{} }
+
+// Newer reports whether v has a higher revision than a version.
+func (v ShortVersion) Newer(version snapshot.Version) bool { return v.Revision > version.Revision }
+
+// Padded returns a version for display whose hash ends in zeros.
+func (v ShortVersion) Padded() snapshot.Version {
+	version := snapshot.Version{Revision: v.Revision}
+	copy(version.Hash[:], v.Hash[:])
+	return version
+}
 
 // Digest repairs what was lost: the receiver compares and pulls.
 type Digest struct {
-	Held        snapshot.Version
+	Held        ShortVersion
 	FleetDigest uint64
 	// SourceAge is how many milliseconds ago, by the sender's knowledge, any
 	// reader last confirmed the revision with the source; negative: never.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -28,6 +28,7 @@
 		hash := rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "hash")
 		return snapshot.Version{Revision: snapshot.Revision(number.Draw(t, "revision")), Hash: [16]byte(hash)}
 	})
+	short := rapid.Map(version, wire.Short)
 	var (
 		node        = rapid.Make[membership.NodeID]()
 		positive    = rapid.Int64Range(0, math.MaxInt64)
@@ -62,21 +63,21 @@
 		switch wire.Type(rapid.IntRange(1, 12).Draw(t, "type")) {
 		case wire.TypeHello:
 			return &wire.Hello{Protocol: int(positive.Draw(t, "p")), Self: record.Draw(t, "self"),
-				Held: version.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
+				Held: short.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
 				Purpose: wire.Purpose(small.Draw(t, "purpose")), Interval: anyNumber.Draw(t, "interval"),
 				Group: rapid.Bool().Draw(t, "group")}
 		case wire.TypeHeartbeat:
 			return &wire.Heartbeat{Interval: anyNumber.Draw(t, "interval"),
 				Reading: wire.Reading(small.Draw(t, "reading")), SourceAge: anyNumber.Draw(t, "age")}
 		case wire.TypeAnnounce:
-			return &wire.Announce{Version: version.Draw(t, "version")}
+			return &wire.Announce{Version: short.Draw(t, "version")}
 		case wire.TypePull:
-			return &wire.Pull{Want: version.Draw(t, "want"), Held: version.Draw(t, "held")}
+			return &wire.Pull{Want: version.Draw(t, "want").Revision, Held: short.Draw(t, "held")}
 		case wire.TypeUpdate:
-			return &wire.Update{Delta: snapshot.Delta{Base: version.Draw(t, "base"), Target: version.Draw(t, "target"),
-				Changed: orNil(resource).Draw(t, "changed"), Removed: orNil(key).Draw(t, "removed")}}
+			return &wire.Update{Base: version.Draw(t, "base").Revision, Target: version.Draw(t, "target"),
+				Changed: orNil(resource).Draw(t, "changed"), Removed: orNil(key).Draw(t, "removed")}
 		case wire.TypeDigest:
-			return &wire.Digest{Held: version.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
+			return &wire.Digest{Held: short.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
 				SourceAge: anyNumber.Draw(t, "age"), Request: wire.DigestRequest(small.Draw(t, "request"))}
 		case wire.TypeRecords:
 			listed := rapid.Custom(func(t *rapid.T) wire.ListedEntry {
@@ -191,7 +192,7 @@
 }
 
 func TestMalformedFrames(t *testing.T) {
-	version := make([]byte, 17)
+	version, short := make([]byte, 17), make([]byte, 9)
 	cases := []struct {
 		name  string
 		frame []byte
@@ -205,15 +206,15 @@
 		{name: "long body cut", frame: []byte{0xa0, 0x8d, 0x06, byte(wire.TypeUpdate), 2}, cut: true},
 		{name: "unknown type", frame: []byte{1, 99}},
 		{name: "type zero", frame: []byte{1, 0}},
-		{name: "body ends early", frame: frameOf(wire.TypeAnnounce, version[:9])},
-		{name: "bytes after the message", frame: frameOf(wire.TypeAnnounce, version, []byte{0})},
-		{name: "negative revision", frame: frameOf(wire.TypeAnnounce, long(-2), version[1:])},
+		{name: "body ends early", frame: frameOf(wire.TypeAnnounce, short[:5])},
+		{name: "bytes after the message", frame: frameOf(wire.TypeAnnounce, short, []byte{0})},
+		{name: "negative revision", frame: frameOf(wire.TypeAnnounce, long(-2), short[1:])},
 		{name: "number too long", frame: frameOf(wire.TypeAnnounce, bytes.Repeat([]byte{0xff}, 12), version)},
 		{name: "string beyond the frame", frame: frameOf(wire.TypeRefusal, version, long(1<<40))},
 		{name: "string of negative length", frame: frameOf(wire.TypeRefusal, version, long(-1))},
 		{name: "array beyond the frame", frame: frameOf(wire.TypeRecordPull, long(1<<50))},
 		{name: "array count overflows", frame: frameOf(wire.TypeRecordPull, long(math.MinInt64), long(0))},
-		{name: "array of two blocks beyond the frame", frame: frameOf(wire.TypeUpdate, version, version,
+		{name: "array of two blocks beyond the frame", frame: frameOf(wire.TypeUpdate, long(0), version,
 			long(1), make([]byte, 3), long(math.MaxInt64))},
 		{name: "boolean of two", frame: frameOf(wire.TypeRecordPull, long(0), long(0), []byte{2})},
 		{name: "state out of range", frame: frameOf(wire.TypeHeartbeat, long(1), long(256), long(1))},
@@ -238,7 +239,7 @@
 	seeds := []wire.Message{
 		&wire.Hello{Self: membership.Record{Node: "a", Zone: "z"}}, &wire.Heartbeat{Interval: 700},
 		&wire.Announce{}, &wire.Pull{}, &wire.Digest{SourceAge: -1}, &wire.Refusal{Reason: "r"},
-		&wire.Update{Delta: snapshot.Delta{Changed: []snapshot.Resource{{Key: snapshot.Key{Kind: 1, Name: "s"}, Body: []byte("{}")}}}},
+		&wire.Update{Changed: []snapshot.Resource{{Key: snapshot.Key{Kind: 1, Name: "s"}, Body: []byte("{}")}}},
 		&wire.Records{Records: []membership.Record{{Node: "a"}}, Observations: []membership.Observation{{Subject: "b"}},
 			Listed: []wire.ListedEntry{{ReadAt: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
