--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -32,7 +32,8 @@
 	// wins over it; the Node closes it.
 	ListenAddress string
 	Listener      net.Listener
-	// TLS secures links in both directions; nil leaves them plain.
+	// TLS secures links in both directions; nil leaves them plain. It has to check
+	// peers by itself, as addresses change hands.
 	TLS           *tls.Config
 	Configuration source.ConfigurationReader
 	Members       source.MemberReader
--- a/internal/distribution/node_links.go
+++ b/internal/distribution/node_links.go
@@ -138,12 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	config := n.options.TLS
-	if config != nil && config.ServerName == "" && !config.InsecureSkipVerify {
-		config = config.Clone()
-		config.ServerName, _, _ = net.SplitHostPort(address)
-	}
-	c := newConnection(socket, config, true, &n.counters)
+	c := newConnection(socket, n.options.TLS, true, &n.counters)
 	if err := c.handshake(ctx); err != nil {
 		_ = socket.Close()
 		return nil, err
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -82,7 +82,7 @@
 		DigestInterval:         10 * time.Second,
 		RecordWindow:           50 * time.Millisecond,
 		ViewWindow:             50 * time.Millisecond,
-		ViewInterval:           200 * time.Millisecond,
+		ViewInterval:           300 * time.Millisecond,
 		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            2 * time.Second,
@@ -105,7 +105,7 @@
 		FaultWait:              30 * time.Second,
 		SuspectedRetry:         3 * time.Second,
 		PauseThreshold:         3 * time.Second,
-		ExpireInterval:         2 * time.Second,
+		ExpireInterval:         5 * time.Second,
 		UnneededLinkAge:        10 * time.Second,
 	}
 }
