Draw the waits between dials to suspected members from their whole length

Cause: in a fleet of 120 a node that was restarted while the platform was down stayed alone for 50 s: all nodes learn of a suspicion at once, dialled it while it was dead and then all waited for about the same time. Ruled out: shorter waits, which would dial dead addresses more often. Conclusion: found within 20 s in the new test, which failed before.

--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -395,23 +395,38 @@
 	}
 }
 
-func TestReadersStayFew(t *testing.T) {
-	const (
-		herd      = 160
-		herdZones = 8
-		// maxReaders is the whole reader group of each zone.
-		maxReaders = 5 * herdZones
-	)
-	c := qt.New(t)
+// large returns a fleet of the given size in eight zones that holds revision 1.
+func large(c *qt.C, size int) *simulation.Fleet {
+	const largeZones = 8
 	f := simulation.New(simulation.Options{Seed: 1, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond})
 	f.Platform.Publish(document(1), "")
-	for i := range herd {
-		zone := i % herdZones
+	for i := range size {
+		zone := i % largeZones
 		name := membership.NodeID(fmt.Sprintf("node-%03d", i))
 		f.Start(simulation.Machine{Name: name, Zone: fmt.Sprint("zone-", zone), Region: fmt.Sprint("region-", zone/4)}, nil)
 	}
+	c.Assert(f.RunUntil(10*time.Second, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+	return f
+}
+
+// TestRestartedNodeIsFoundWithoutTheList has the other nodes dial a node that
+// they suspect: it cannot find them, as the platform is down.
+func TestRestartedNodeIsFoundWithoutTheList(t *testing.T) {
+	c := qt.New(t)
+	f := large(c, 120)
+	f.Run(5 * time.Second)
+	f.Platform.SetDown(true)
+	f.Kill("node-000")
+	f.Run(5 * time.Second)
+	f.Restart("node-000")
+	c.Assert(f.RunUntil(20*time.Second, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+}
+
+func TestReadersStayFew(t *testing.T) {
+	const maxReaders = 40 // the whole reader group of each zone
+	c := qt.New(t)
+	f := large(c, 160)
 	converged := func() bool { return f.AllHold(document(1).Version()) }
-	c.Assert(f.RunUntil(10*time.Second, converged), qt.IsTrue)
 	f.Platform.SetDown(true)
 	f.Run(time.Minute)
 	f.Platform.SetDown(false)
@@ -430,6 +445,6 @@
 			readers++
 		}
 	}
-	c.Assert(readers, qt.Equals, 2*herdZones)
+	c.Assert(readers, qt.Equals, 16) // two in each zone
 	c.Assert(f.Broken(), qt.HasLen, 0)
 }
--- a/internal/distribution/upkeep.go
+++ b/internal/distribution/upkeep.go
@@ -59,13 +59,16 @@
 }
 
 // suspectedInterval spreads the dials, so that the fleet as a whole does not dial
-// one dead address more often than a few nodes would.
+// one dead address more often than a few nodes would. All nodes learn of a
+// suspicion at once: the long intervals are drawn from their whole length, or
+// they would all dial at once as well and then all wait.
 func (e *Engine) suspectedInterval(suspected, reachable int) time.Duration {
-	interval := e.timing.SuspectedRetry
-	if suspected > 0 {
-		interval *= time.Duration(max(1, reachable/(suspected*suspectedDialsInFlight)))
+	if suspected == 0 {
+		return e.jittered(e.timing.SuspectedRetry)
 	}
-	return e.jittered(interval)
+	share := time.Duration(max(1, reachable/(suspected*suspectedDialsInFlight)))
+	interval := e.timing.SuspectedRetry * share
+	return e.backoff(1, interval, interval)
 }
 
 // sendSuspicions tells a peer that was suspected of all standing suspicions, so
