--- a/internal/distribution/metrics.go
+++ b/internal/distribution/metrics.go
@@ -1,8 +1,6 @@
 package distribution
 
 import (
-	"strings"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/winchhead/winchhead/internal/wire"
@@ -48,7 +46,7 @@
 	}
 	for direction, byType := range map[string]map[wire.Type]Traffic{"sent": stats.Sent, "received": stats.Received} {
 		for messageType, traffic := range byType {
-			label := strings.ToLower(messageType.String())
+			label := messageType.String()
 			counter(bytesMetric, traffic.Bytes, direction, label)
 			counter(framesMetric, traffic.Frames, direction, label)
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -34,29 +34,6 @@
 	TypeGoodbye       Type = 12
 )
 
-var typeNames = map[Type]string{
-	TypeHello:         "Hello",
-	TypeHeartbeat:     "Heartbeat",
-	TypeAnnounce:      "Announce",
-	TypePull:          "Pull",
-	TypeUpdate:        "Update",
-	TypeDigest:        "Digest",
-	TypeRecords:       "Records",
-	TypeRecordPull:    "RecordPull",
-	TypeRefusal:       "Refusal",
-	TypeStatusRequest: "StatusRequest",
-	TypeStatusReply:   "StatusReply",
-	TypeGoodbye:       "Goodbye",
-}
-
-// String returns the name of the message type.
-func (t Type) String() string {
-	if name, known := typeNames[t]; known {
-		return name
-	}
-	return "unknown"
-}
-
 // Message is one of the types below.
 type Message interface{ Type() Type }
 
