--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -19,6 +19,9 @@
 	// ViewInterval is the least time between two such changes, except for one
 	// that ends work on an instance.
 	ViewInterval time.Duration
+	// AnnounceDelay is how long an announcement waits on links that the peer
+	// dialled.
+	AnnounceDelay time.Duration
 	// PullTimeout is how long a peer may take to answer a Pull before another one
 	// is asked. It doubles with each attempt for one version.
 	PullTimeout time.Duration
@@ -79,7 +82,8 @@
 		DigestInterval:         10 * time.Second,
 		RecordWindow:           50 * time.Millisecond,
 		ViewWindow:             50 * time.Millisecond,
-		ViewInterval:           200 * time.Millisecond,
+		ViewInterval:           300 * time.Millisecond,
+		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            2 * time.Second,
 		StartPeerWait:          2 * time.Second,
@@ -101,7 +105,7 @@
 		FaultWait:              30 * time.Second,
 		SuspectedRetry:         3 * time.Second,
 		PauseThreshold:         3 * time.Second,
-		ExpireInterval:         2 * time.Second,
+		ExpireInterval:         5 * time.Second,
 		UnneededLinkAge:        10 * time.Second,
 	}
 }
