Let the inbound proxy follow a raised incarnation

Cause: a node whose clock was set back between two runs raises its incarnation above its predecessor's when it meets the old record, but the inbound proxy went on comparing with the one it started with: it refused every request as meant for another process, for as long as it ran. Ruled out: a record that never arrived; the edge saw the instance as ready.

Change: the proxy asks for the incarnation on each request.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -26,6 +26,9 @@
 	// Registry gets the node's metrics; nil makes a new one that also holds the
 	// metrics of the process.
 	Registry *prometheus.Registry
+	// Started is the time that the node takes its incarnation from; zero takes the
+	// clock.
+	Started time.Time
 	// Seed makes random choices repeatable; zero takes a random one.
 	Seed uint64
 	// Timing replaces the intervals of the distribution; zero is the default.
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -64,9 +64,17 @@
 	return loaded.Settings
 }
 
+// besideSettings are those of a node beside the back end.
+func (r *rig) besideSettings() settings.Settings {
+	beside := r.settings("centro-reservas")
+	beside.Inbound.Listen, beside.Inbound.Service = "127.0.0.1:0", "reservas"
+	beside.Inbound.Backend = r.backend.Listener.Addr().String()
+	return beside
+}
+
 // start runs a node, tells the platform's list of it and returns how to stop it.
-func (r *rig) start(configured settings.Settings) (node *App, stop func() error) {
-	node, err := New(configured, Options{Logger: logging.Discard()})
+func (r *rig) start(configured settings.Settings, started time.Time) (node *App, stop func() error) {
+	node, err := New(configured, Options{Logger: logging.Discard(), Started: started})
 	r.c.Assert(err, qt.IsNil)
 	r.platform.PutMember(membership.ListedMember{Node: membership.NodeID(configured.Node.Name),
 		PeerAddress: node.Addresses().Peers, Region: "montevideo", Zone: "centro",
@@ -88,12 +96,9 @@
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	c := qt.New(t)
 	r := newRig(c)
-	beside := r.settings("centro-reservas")
-	beside.Inbound.Listen, beside.Inbound.Service = "127.0.0.1:0", "reservas"
-	beside.Inbound.Backend = r.backend.Listener.Addr().String()
-	instance, stopInstance := r.start(beside)
-	edge, stopEdge := r.start(r.settings("centro-edge"))
-	other, stopOther := r.start(r.settings("other-edge"))
+	instance, stopInstance := r.start(r.besideSettings(), time.Time{})
+	edge, stopEdge := r.start(r.settings("centro-edge"), time.Time{})
+	other, stopOther := r.start(r.settings("other-edge"), time.Time{})
 	for _, node := range []*App{instance, edge, other} {
 		<-node.Ready()
 	}
@@ -118,6 +123,31 @@
 	c.Assert(stopOther(), qt.IsNil)
 }
 
+// TestRestartWithTheClockSetBack restarts a node whose predecessor started later,
+// by the clock. The fleet knows it under an incarnation above both.
+func TestRestartWithTheClockSetBack(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c)
+	close(r.hold)
+	_, err := r.platform.Submit(snapshot.Policy{Name: "reservas.star", Program: policyProgram})
+	c.Assert(err, qt.IsNil)
+	now := time.Now()
+	edge, stopEdge := r.start(r.settings("centro-edge"), now)
+	former, stopFormer := r.start(r.besideSettings(), now)
+	<-edge.Ready()
+	<-former.Ready()
+	awaitInstance(edge, "reservas")
+	c.Assert(stopFormer(), qt.IsNil)
+
+	latter, stopLatter := r.start(r.besideSettings(), now.Add(-time.Hour))
+	<-latter.Ready()
+	awaitInstance(edge, "reservas")
+	c.Assert(latter.Status().Incarnation > former.Status().Incarnation, qt.IsTrue)
+	c.Assert(post(edge.Addresses().Outbound), qt.Equals, "200 whole answer")
+	c.Assert(stopLatter(), qt.IsNil)
+	c.Assert(stopEdge(), qt.IsNil)
+}
+
 // awaitVersion returns once the node holds the version.
 func awaitVersion(node *App, version snapshot.Version) {
 	changes, cancel := node.parts.Applier.Subscribe()
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -88,8 +88,12 @@
 	return registry, registry, nil
 }
 
-func newSelf(configured settings.Settings, opened *listeners) membership.Record {
-	return selfRecord(configured, opened, time.Now())
+func newSelf(configured settings.Settings, options Options, opened *listeners) membership.Record {
+	started := options.Started
+	if started.IsZero() {
+		started = time.Now()
+	}
+	return selfRecord(configured, opened, started)
 }
 
 func newKeys(configured settings.Settings) (*keys.Keys, error) {
@@ -203,12 +207,13 @@
 		return nil, nil
 	}
 	return inbound.New(inbound.Options{
-		Snapshots:  inputs.Applier,
-		Self:       inputs.Self,
-		Publisher:  inputs.Readiness,
-		Settings:   inputs.Settings.Inbound,
-		Logger:     logging.Part(inputs.Logger, "inbound"),
-		Registerer: inputs.Registerer,
+		Snapshots:   inputs.Applier,
+		Self:        inputs.Self,
+		Incarnation: func() membership.Incarnation { return inputs.Node.Status().Incarnation },
+		Publisher:   inputs.Readiness,
+		Settings:    inputs.Settings.Inbound,
+		Logger:      logging.Part(inputs.Logger, "inbound"),
+		Registerer:  inputs.Registerer,
 	})
 }
 
--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/admission"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
@@ -23,9 +22,9 @@
 	longestTimeout = snapshot.MaxRouteTimeout
 )
 
-// targetOf is the value of outcome.HeaderTarget for one process.
-func targetOf(self membership.Record) string {
-	return string(self.Node) + "/" + strconv.FormatUint(uint64(self.Incarnation), 10)
+// target is the value of outcome.HeaderTarget for this process.
+func (p *Proxy) target() string {
+	return string(p.self.Node) + "/" + strconv.FormatUint(uint64(p.incarnation()), 10)
 }
 
 // admit checks a request and waits for its slot. Whatever it refuses did not run.
@@ -76,11 +75,12 @@
 // the header; a request without it does not come from one.
 func (p *Proxy) checkTarget(r *http.Request) *outcome.Problem {
 	targets := r.Header.Values(outcome.HeaderTarget)
+	target := p.target()
 	switch {
 	case len(targets) != 1:
 		return refusal(outcome.ReasonBadRequest, "want one "+outcome.HeaderTarget)
-	case targets[0] != p.target:
-		return refusal(outcome.ReasonWrongInstance, "this process is "+p.target)
+	case targets[0] != target:
+		return refusal(outcome.ReasonWrongInstance, "this process is "+target)
 	default:
 		return nil
 	}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -38,11 +38,14 @@
 type Options struct {
 	Snapshots SnapshotSource
 	// Self names the process that requests must be meant for.
-	Self       membership.Record
-	Publisher  StatePublisher
-	Settings   settings.Inbound
-	Logger     logrus.FieldLogger
-	Registerer prometheus.Registerer
+	Self membership.Record
+	// Incarnation tells under which incarnation the fleet knows the process, which
+	// may be above Self's; nil takes Self's.
+	Incarnation func() membership.Incarnation
+	Publisher   StatePublisher
+	Settings    settings.Inbound
+	Logger      logrus.FieldLogger
+	Registerer  prometheus.Registerer
 	// Memory remembers Idempotency-Keys; nil takes one in this process.
 	Memory repeat.Memory
 }
@@ -52,17 +55,19 @@
 type Proxy struct {
 	snapshots SnapshotSource
 	settings  settings.Inbound
-	target    string
-	logger    logrus.FieldLogger
-	metrics   *metrics
-	admission *admission.Controller
-	memory    repeat.Memory
-	backend   *backendClient
-	readiness *readinessPublisher
-	pauses    pauseDetector
-	activity  forward.Activity
-	stopping  atomic.Bool // planned stop announced
-	refusing  atomic.Bool // planned stop: no new work
+	self      membership.Record
+	// incarnation is Options.Incarnation, never nil.
+	incarnation func() membership.Incarnation
+	logger      logrus.FieldLogger
+	metrics     *metrics
+	admission   *admission.Controller
+	memory      repeat.Memory
+	backend     *backendClient
+	readiness   *readinessPublisher
+	pauses      pauseDetector
+	activity    forward.Activity
+	stopping    atomic.Bool // planned stop announced
+	refusing    atomic.Bool // planned stop: no new work
 
 	configured sync.Mutex // guards the application of a snapshot's limits
 	limits     atomic.Pointer[serviceLimits]
@@ -80,16 +85,20 @@
 	if options.Settings.Backend == "" {
 		return nil, eris.New("inbound proxy: needs the address of the back end")
 	}
+	if options.Incarnation == nil {
+		options.Incarnation = func() membership.Incarnation { return options.Self.Incarnation }
+	}
 	base, cancel := context.WithCancel(context.Background())
 	proxy := &Proxy{
-		snapshots: options.Snapshots,
-		settings:  options.Settings,
-		target:    targetOf(options.Self),
-		logger:    options.Logger,
-		memory:    options.Memory,
-		backend:   newBackendClient(options.Settings.Backend, options.Settings.Connections),
-		base:      base,
-		cancel:    cancel,
+		snapshots:   options.Snapshots,
+		settings:    options.Settings,
+		self:        options.Self,
+		incarnation: options.Incarnation,
+		logger:      options.Logger,
+		memory:      options.Memory,
+		backend:     newBackendClient(options.Settings.Backend, options.Settings.Connections),
+		base:        base,
+		cancel:      cancel,
 	}
 	if proxy.memory == nil {
 		proxy.memory = repeat.NewLocal(repeat.DefaultLimits(options.Settings.RepeatMemory))
