--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -101,6 +101,11 @@
 	c.Assert(explanation.Targets[0].Instances, qt.DeepEquals, []admin.TargetInstance{
 		{Node: "a", Zone: "centro", SameZone: true, DataAddress: "127.0.0.1:2", Slots: 20}})
 
+	explanation, err = client.Explain(c.Context(), admin.Question{Method: http.MethodGet, Path: "/other"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(explanation.Route, qt.IsNil)
+	c.Assert(explanation.Considered, qt.DeepEquals, []admin.Consideration{{Route: "trips/read", Verdict: snapshot.VerdictPath}})
+
 	fleet, err := client.Fleet(c.Context())
 	c.Assert(err, qt.IsNil)
 	c.Assert(fleet.Members, qt.HasLen, 2)
--- a/internal/admin/answer.go
+++ b/internal/admin/answer.go
@@ -42,6 +42,8 @@
 	Generation uint64           `json:"generation"`
 	// Refused is the last refused version, if one was refused since Held.
 	Refused *Refusal `json:"refused,omitempty"`
+	// Conflict is a version seen with the revision of Held and other content.
+	Conflict *snapshot.Version `json:"conflict,omitempty"`
 	// Reader is set while the node reads the platform.
 	Reader bool `json:"reader"`
 	// SourceAge is how long ago, by the node's knowledge, a reader last
@@ -110,6 +112,17 @@
 	// MayRepeat tells whether the request's method may run more than once.
 	MayRepeat bool     `json:"may_repeat"`
 	Targets   []Target `json:"targets,omitempty"`
+	// Considered holds each route in matching order and why it takes the request
+	// or not.
+	Considered []Consideration `json:"considered"`
+}
+
+// Consideration is one route by name and why it takes the request or not.
+type Consideration struct {
+	Route   string           `json:"route"`
+	Verdict snapshot.Verdict `json:"verdict"`
+	// Header names the header that differs, if that is the verdict.
+	Header string `json:"header,omitempty"`
 }
 
 // Target is one service of the route and the instances that take work now.
@@ -149,6 +162,9 @@
 	if !reply.Refused.IsZero() {
 		status.Refused = &Refusal{Version: reply.Refused, Reason: reply.Reason}
 	}
+	if !reply.Conflict.IsZero() {
+		status.Conflict = &reply.Conflict
+	}
 	return status
 }
 
--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -42,7 +42,7 @@
 
 // explain tells what a node of the given zone would do with a request.
 func explain(question Question, current *snapshot.Snapshot, view *membership.View, zone string) Explanation {
-	explanation := Explanation{Version: current.Version(), Generation: current.Generation()}
+	explanation := Explanation{Version: current.Version(), Generation: current.Generation(), Considered: consider(question, current)}
 	route := current.Lookup(question.Method, question.Host, question.Path, question.Header)
 	if route == nil {
 		return explanation
@@ -60,6 +60,14 @@
 	return explanation
 }
 
+func consider(question Question, current *snapshot.Snapshot) []Consideration {
+	considered := []Consideration{}
+	for _, found := range current.Explain(question.Method, question.Host, question.Path, question.Header) {
+		considered = append(considered, Consideration{Route: found.Route.Name, Verdict: found.Verdict, Header: found.Header})
+	}
+	return considered
+}
+
 func targetInstances(endpoints []membership.Endpoint, zone string) []TargetInstance {
 	instances := make([]TargetInstance, 0, len(endpoints))
 	for _, endpoint := range endpoints {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -52,6 +52,7 @@
 	route := explanation.Route
 	if route == nil {
 		_, _ = fmt.Fprintln(out, "No route takes this request: it would be answered 404, not run.")
+		writeConsidered(out, explanation.Considered)
 		return
 	}
 	_, _ = fmt.Fprintf(out, "Route     %s\n", route.Name)
@@ -66,6 +67,19 @@
 	lines.flush()
 }
 
+// writeConsidered lists why each route does not take the request.
+func writeConsidered(out io.Writer, considered []admin.Consideration) {
+	lines := newTable(out, "\nROUTE", "WHY NOT")
+	for _, consideration := range considered {
+		reason := string(consideration.Verdict)
+		if consideration.Header != "" {
+			reason += " (" + consideration.Header + ")"
+		}
+		lines.row(consideration.Route, reason)
+	}
+	lines.flush()
+}
+
 func describeRepeat(explanation admin.Explanation) string {
 	if !explanation.MayRepeat {
 		return "no: sent again only when proved not run"
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -39,10 +39,12 @@
 }
 
 // stopOnSignal returns a context that ends at the first signal to stop. The
-// second signal ends the process.
+// second signal ends the process. SIGHUP is ignored: replaced keys are found
+// without it.
 func stopOnSignal(parent context.Context, logger logrus.FieldLogger) (context.Context, func()) {
 	const signalsKept = 2
 	signals := make(chan os.Signal, signalsKept)
+	signal.Ignore(syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(parent)
 	go func() {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/winchhead/winchhead/internal/admin"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -78,8 +79,12 @@
 }
 
 func remark(status admin.NodeStatus) string {
-	if status.Refused == nil {
-		return ""
+	var remarks []string
+	if status.Refused != nil {
+		remarks = append(remarks, fmt.Sprintf("refused %s: %s", status.Refused.Version, status.Refused.Reason))
 	}
-	return fmt.Sprintf("refused %s: %s", status.Refused.Version, status.Refused.Reason)
+	if status.Conflict != nil {
+		remarks = append(remarks, fmt.Sprintf("also saw %s: one revision with two contents", status.Conflict))
+	}
+	return strings.Join(remarks, "; ")
 }
