--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/winchhead/winchhead/internal/emulator/platform"
+	"github.com/winchhead/winchhead/internal/keys/throwaway"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/settings"
@@ -35,6 +36,7 @@
 	// arrived gets the secret header of each request; hold delays its answer.
 	arrived chan string
 	hold    chan struct{}
+	tls     settings.TLS // used by all nodes
 }
 
 func newRig(c *qt.C) *rig {
@@ -61,9 +63,18 @@
 		"peers.listen": "127.0.0.1:0", "outbound.listen": "127.0.0.1:0", "admin.listen": "127.0.0.1:0",
 	})
 	r.c.Assert(err, qt.IsNil)
+	loaded.TLS = r.tls
 	return loaded.Settings
 }
 
+// secure gives all nodes keys of one authority.
+func (r *rig) secure() {
+	authority, err := throwaway.NewAuthority()
+	r.c.Assert(err, qt.IsNil)
+	r.tls, err = authority.WriteNode(r.c.TempDir(), "node")
+	r.c.Assert(err, qt.IsNil)
+}
+
 // besideSettings are those of a node beside the back end.
 func (r *rig) besideSettings() settings.Settings {
 	beside := r.settings("centro-reservas")
@@ -89,13 +100,15 @@
 }
 
 // TestPolicyToAnsweredRequest takes one policy from the platform to three nodes
-// and a request through two of them, and stops the node that has the request.
+// with TLS and a request through two of them, and stops the node that has the
+// request.
 func TestPolicyToAnsweredRequest(t *testing.T) {
 	alreadyRunning := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, alreadyRunning) })
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	c := qt.New(t)
 	r := newRig(c)
+	r.secure()
 	instance, stopInstance := r.start(r.besideSettings(), time.Time{})
 	edge, stopEdge := r.start(r.settings("centro-edge"), time.Time{})
 	other, stopOther := r.start(r.settings("other-edge"), time.Time{})
@@ -110,6 +123,7 @@
 	}
 
 	awaitInstance(edge, "reservas")
+	c.Assert(post(instance.Addresses().Inbound), qt.Matches, "400 .*HTTP request to an HTTPS server.*\n?")
 	answered := make(chan string, 1)
 	go func() { answered <- post(edge.Addresses().Outbound) }()
 	c.Assert(<-r.arrived, qt.Equals, secretValue)
--- a/internal/app/page_test.go
+++ b/internal/app/page_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/winchhead/winchhead/internal/keys/throwaway"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 )
@@ -20,13 +19,10 @@
 	c := qt.New(t)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	c.Assert(err, qt.IsNil)
-	configured := newRig(c).besideSettings()
-	authority, err := throwaway.NewAuthority()
-	c.Assert(err, qt.IsNil)
-	configured.TLS, err = authority.WriteNode(t.TempDir(), "node")
-	c.Assert(err, qt.IsNil)
+	r := newRig(c)
+	r.secure()
 	registry := prometheus.NewRegistry()
-	node, err := New(configured, Options{Logger: logging.Discard(), Registry: registry})
+	node, err := New(r.besideSettings(), Options{Logger: logging.Discard(), Registry: registry})
 	c.Assert(err, qt.IsNil)
 	defer node.Close()
 	families, err := registry.Gather()
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -20,10 +20,10 @@
 	defer a.closeAll()
 	a.logStart()
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
-	for _, part := range a.runnable() {
+	for _, task := range a.tasks() {
 		group.Go(func() error {
-			if err := part.run(running); err != nil {
-				return &PartError{Part: part.name, Err: err}
+			if err := task.run(running); err != nil {
+				return &PartError{Part: task.name, Err: err}
 			}
 			return nil
 		})
@@ -45,14 +45,14 @@
 	return err
 }
 
-// part is something that runs until its context ends.
-type part struct {
+// task is what one part does until its context ends.
+type task struct {
 	name string
 	run  func(ctx context.Context) error
 }
 
-func (a *App) runnable() []part {
-	running := []part{
+func (a *App) tasks() []task {
+	tasks := []task{
 		{"configuration", a.parts.Applier.Run},
 		{"readiness", a.followConfiguration},
 		{"distribution", a.parts.Node.Run},
@@ -62,17 +62,17 @@
 		}},
 	}
 	if a.parts.Outbound != nil {
-		running = append(running, part{"outbound", func(ctx context.Context) error {
+		tasks = append(tasks, task{"outbound", func(ctx context.Context) error {
 			return serve(ctx, a.parts.Outbound.Server(), a.listeners.outbound)
 		}})
 	}
 	if a.parts.Inbound != nil {
-		running = append(running, part{"back end reports", a.readReports})
-		running = append(running, part{"inbound", func(ctx context.Context) error {
+		tasks = append(tasks, task{"back end reports", a.readReports})
+		tasks = append(tasks, task{"inbound", func(ctx context.Context) error {
 			return serve(ctx, a.inboundServer, secured(a.listeners.inbound, a.parts.Keys.ServerConfig()))
 		}})
 	}
-	return running
+	return tasks
 }
 
 // followConfiguration waits for the first version.
