--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -28,6 +29,18 @@
 	stderr io.Writer
 }
 
+// progress prints a line about a long run, if somebody watches a terminal.
+func (e environment) progress(line string) {
+	file, ok := e.stderr.(*os.File)
+	if !ok {
+		return
+	}
+	information, err := file.Stat()
+	if err == nil && information.Mode()&os.ModeCharDevice != 0 {
+		_, _ = fmt.Fprintln(file, line)
+	}
+}
+
 // subcommand describes one subcommand to the parser.
 type subcommand struct {
 	name, short, long string
@@ -51,6 +64,8 @@
 
 func subcommands(env environment) []subcommand {
 	return []subcommand{
+		{"converge", "Measure how fast changes come into force", convergeHelp, &convergeCommand{environment: env}},
+		{"faults", "Run the fault cases of the fleet", faultsHelp, &faultsCommand{environment: env}},
 		{"platform", "Run the emulated platform", platformHelp, &platformCommand{environment: env}},
 		{"demo", "Show the main job on Montevideo", demoHelp, &demoCommand{environment: env}},
 		{"overhead", "Measure what the two hops add", overheadHelp, &overheadCommand{environment: env}},
--- a/internal/bench/command/load.go
+++ b/internal/bench/command/load.go
@@ -46,7 +46,7 @@
 		Deployment: plan, Binary: binary, Variants: variants, Factors: c.Factors, Duration: c.Duration,
 		Depth: c.Depth, Work: c.Work, Timeout: c.Timeout,
 		Progress: func(variant string, point goodput.Point) {
-			_, _ = fmt.Fprintf(c.stderr, "%s at %g times capacity: %.0f of %.0f calls a second in time\n", variant, point.Factor, point.Calls.Goodput, point.Offered)
+			c.progress(fmt.Sprintf("%s at %g times capacity: %.0f of %.0f calls a second in time", variant, point.Factor, point.Calls.Goodput, point.Offered))
 		},
 	})
 	if err != nil {
--- a/internal/bench/command/overhead.go
+++ b/internal/bench/command/overhead.go
@@ -38,7 +38,7 @@
 	report, err := overhead.Run(c.ctx, overhead.Options{
 		Deployment: plan, Binary: binary, Rate: c.Rate, Turn: c.Turn, Turns: c.Turns, Work: c.Work,
 		Progress: func(way string, summary load.Summary) {
-			_, _ = fmt.Fprintf(c.stderr, "%-8s p50 %.3f ms, p99 %.3f ms, %d answered\n", way, summary.LatencyMS.P50, summary.LatencyMS.P99, summary.Answered)
+			c.progress(fmt.Sprintf("%-8s p50 %.3f ms, p99 %.3f ms, %d answered", way, summary.LatencyMS.P50, summary.LatencyMS.P99, summary.Answered))
 		},
 	})
 	if err != nil {
