--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -50,15 +50,6 @@
 	return ctx
 }
 
-// testLog collects output for the test's log, which shows when it fails.
-type testLog struct{ t testing.TB }
-
-// Write logs one piece of output.
-func (l testLog) Write(text []byte) (int, error) {
-	l.t.Log(string(text))
-	return len(text), nil
-}
-
 // startProgram starts a binary and ends it with the test. It returns once the
 // program has printed its first line, which says that it serves.
 func startProgram(t testing.TB, binary string, arguments ...string) {
