--- a/internal/distribution/upkeep.go
+++ b/internal/distribution/upkeep.go
@@ -45,9 +45,7 @@
 }
 
 func (e *Engine) suspectedMembers() (suspected []membership.Member, reachable int) {
-	members := e.view.Members()
-	for i := range members {
-		member := &members[i]
+	for member := range e.view.All() {
 		switch {
 		case !member.Suspected:
 			reachable++
@@ -59,23 +57,25 @@
 }
 
 // suspectedInterval spreads the dials, so that the fleet as a whole does not dial
-// one dead address more often than a few nodes would.
+// one dead address more often than a few nodes would. All nodes learn of a
+// suspicion at once: the long intervals are drawn from their whole length, or
+// they would all dial at once as well and then all wait.
 func (e *Engine) suspectedInterval(suspected, reachable int) time.Duration {
-	interval := e.timing.SuspectedRetry
-	if suspected > 0 {
-		interval *= time.Duration(max(1, reachable/(suspected*suspectedDialsInFlight)))
+	if suspected == 0 {
+		return e.jittered(e.timing.SuspectedRetry)
 	}
-	return e.jittered(interval)
+	share := time.Duration(max(1, reachable/(suspected*suspectedDialsInFlight)))
+	interval := e.timing.SuspectedRetry * share
+	return e.backoff(1, interval, interval)
 }
 
 // sendSuspicions tells a peer that was suspected of all standing suspicions, so
 // that those of its side of a former cut refute them.
 func (e *Engine) sendSuspicions(l *link) {
 	var observations []membership.Observation
-	members := e.view.Members()
-	for i := range members {
-		if members[i].Suspected {
-			observations = append(observations, e.observationOf(&members[i].Record))
+	for member := range e.view.All() {
+		if member.Suspected {
+			observations = append(observations, e.observationOf(&member.Record))
 		}
 	}
 	for chunk := range chunks(observations) {
