Notice a sender that leaves while its request waits with a body

Ruled out: a race between the granted slot and the cancellation (the test now cancels the waiting one first). Change: bodies up to 64 KiB are received before the request asks for a slot; a slow sender then holds no slot either. Longer ones are checked at their turn. Conclusion: longer bodies still keep their place until their turn or deadline.

--- a/internal/emulator/backend/backend_test.go
+++ b/internal/emulator/backend/backend_test.go
@@ -278,6 +278,7 @@
 
 // eventually waits for a state of another goroutine that has no event of its own.
 func eventually(c *qt.C, reached func() bool) {
+	c.Helper()
 	for deadline := time.Now().Add(30 * time.Second); !reached(); {
 		if time.Now().After(deadline) {
 			c.Fatal("state not reached")
--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -19,6 +19,9 @@
 	// defaultTimeout is the time of a request that names none on a route that
 	// this node does not hold.
 	defaultTimeout = 10 * time.Second
+	// shortBodyBytes is the size up to which a body is received before its request
+	// asks for a slot.
+	shortBodyBytes = 64 << 10
 	// longestTimeout bounds what a request may ask for.
 	longestTimeout = snapshot.MaxRouteTimeout
 )
@@ -58,11 +61,16 @@
 		admitted.end()
 		return nil, problem
 	}
-	if admitted.replay == nil {
-		if problem := admitted.acquire(routeName); problem != nil {
-			admitted.end()
-			return nil, problem
-		}
+	if admitted.replay != nil {
+		return admitted, nil
+	}
+	if problem := admitted.receiveShortBody(); problem != nil {
+		admitted.end()
+		return nil, problem
+	}
+	if problem := admitted.acquire(routeName); problem != nil {
+		admitted.end()
+		return nil, problem
 	}
 	return admitted, nil
 }
@@ -105,6 +113,35 @@
 	return time.Duration(max(millis, 0)) * time.Millisecond, nil
 }
 
+// receiveShortBody reads a short body to its end. A slow sender then holds no slot,
+// and net/http notices from then on when the sender leaves, also in the queue; it
+// doesn't while a body is unread. A longer body is checked at its turn (maySend).
+func (e *exchange) receiveShortBody() *outcome.Problem {
+	length := e.request.ContentLength
+	if e.body == nil || e.first != nil { // a first's body was read for its fingerprint
+		return nil
+	}
+	if length < 0 || length > shortBodyBytes || e.request.Header.Get("Expect") != "" {
+		return nil
+	}
+	_, _, problem := e.readAhead(length + 1) // one more, to meet the end
+	return problem
+}
+
+// readAhead reads the start of the body, at most limit bytes, and reports whether
+// that was all.
+func (e *exchange) readAhead(limit int64) (start []byte, whole bool, problem *outcome.Problem) {
+	start, whole, err := e.body.readAhead(limit)
+	switch {
+	case err == nil:
+		return start, whole, nil
+	case e.timeOver():
+		return nil, false, refusal(outcome.ReasonDeadline, "the time was over while the body came")
+	default:
+		return nil, false, refusal(outcome.ReasonBadRequest, "the body broke off")
+	}
+}
+
 // acquire waits for a slot.
 func (e *exchange) acquire(routeName string) *outcome.Problem {
 	slot, refused := e.proxy.admission.Acquire(e.ctx, admission.Request{
--- a/internal/proxy/inbound/body.go
+++ b/internal/proxy/inbound/body.go
@@ -20,7 +20,7 @@
 func newRequestBody(source io.ReadCloser) *requestBody { return &requestBody{source: source} }
 
 // readAhead reads up to limit bytes, which the next reads return again, and
-// reports whether that was the whole body.
+// reports whether that was the whole body. It is called once at the most.
 func (b *requestBody) readAhead(limit int64) (start []byte, whole bool, err error) {
 	start, err = io.ReadAll(io.LimitReader(onlySource{b}, limit))
 	if err != nil {
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -72,9 +72,8 @@
 	length := e.request.ContentLength
 	whole = true
 	if e.body != nil {
-		var err error
-		if start, whole, err = e.body.readAhead(fingerprintBytes); err != nil {
-			return print, false, refusal(outcome.ReasonBadRequest, "the body broke off")
+		if start, whole, problem = e.readAhead(fingerprintBytes); problem != nil {
+			return print, false, problem
 		}
 	}
 	if whole {
--- a/internal/proxy/inbound/limits_test.go
+++ b/internal/proxy/inbound/limits_test.go
@@ -25,6 +25,7 @@
 	r := newRig(t, backend.Options{Slots: slots, Connections: connections}, set)
 	r.adopt(snapshot.Service{Name: testService, Slots: slots, Connections: connections})
 	faults := []backend.Fault{backend.FaultResetAfterRead, backend.FaultCloseMidAnswer, backend.FaultStall}
+	release := r.fillSlots(slots)
 	var next atomic.Int64
 	var group sync.WaitGroup
 	var refused sync.Map // numbers of requests refused as not run
@@ -45,6 +46,7 @@
 			refused.Store(number, true)
 		}
 	}
+	go release() // while the others come
 	for range senders {
 		group.Go(func() {
 			for number := next.Add(1); number <= requests; number = next.Add(1) {
@@ -65,25 +67,45 @@
 	})
 }
 
+// fillSlots starts requests that run until release is called.
+func (r *rig) fillSlots(slots int) (release func()) {
+	ctx, cancel := context.WithCancel(r.Context())
+	var group sync.WaitGroup
+	for range slots {
+		request := r.request(ctx, http.MethodPost, backend.PathEcho, "", backend.HeaderWork, "600000")
+		group.Go(func() { r.do(request) })
+	}
+	r.eventually(func() bool { return r.backend.Statistics().InFlightNow == int64(slots) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // TestCancelledWorkStops has a sender leave while its request runs and another
 // while it waits.
 func TestCancelledWorkStops(t *testing.T) {
 	set := plainSettings()
 	set.Slots = 1
 	r := newRig(t, backend.Options{}, set)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan answer, 2)
-	for number := range 2 {
-		request := r.request(ctx, http.MethodPost, backend.PathEcho, "a booking",
-			backend.HeaderRequest, strconv.Itoa(number), backend.HeaderWork, "600000")
-		go func() { done <- r.do(request) }()
+	leave := func(request int) (context.CancelFunc, <-chan answer) {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan answer, 1)
+		sent := r.request(ctx, http.MethodPost, backend.PathEcho, "a booking",
+			backend.HeaderRequest, strconv.Itoa(request), backend.HeaderWork, "600000")
+		go func() { done <- r.do(sent) }()
+		return cancel, done
 	}
+	stopRunning, running := leave(1)
+	r.eventually(func() bool { return r.backend.Journal().Request("1").Started == 1 })
+	stopWaiting, waiting := leave(2)
 	r.eventually(func() bool { return r.proxy.admission.Usage().Queued == 1 })
-	cancel()
-	r.Check((<-done).err, qt.Not(qt.IsNil))
-	r.Check((<-done).err, qt.Not(qt.IsNil))
-	r.eventually(func() bool { return r.backend.Journal().Total().Cancelled == 1 })
+	stopWaiting()
+	r.Check((<-waiting).err, qt.Not(qt.IsNil))
 	r.eventually(func() bool { return r.proxy.admission.Usage().Queued == 0 })
+	stopRunning()
+	r.Check((<-running).err, qt.Not(qt.IsNil))
+	r.eventually(func() bool { return r.backend.Journal().Request("1").Cancelled == 1 })
 	r.eventually(func() bool { return r.proxy.admission.Usage().InFlight == 0 })
 	r.Check(r.backend.Journal().Total().Started, qt.Equals, 1)
 }
@@ -92,15 +114,9 @@
 	set := plainSettings()
 	set.Slots, set.MaxQueued = 1, 0
 	r := newRig(t, backend.Options{}, set)
-	ctx, cancel := context.WithCancel(t.Context())
-	held := make(chan answer, 1)
-	request := r.request(ctx, http.MethodPost, backend.PathEcho, "", backend.HeaderWork, "600000")
-	go func() { held <- r.do(request) }()
-	r.eventually(func() bool { return r.backend.Statistics().InFlightNow == 1 })
+	defer r.fillSlots(1)()
 	got := r.send()
 	r.checkProblem(got, 503, outcome.NotRun, outcome.ReasonOverloaded)
 	r.Check(got.Header.Get("Retry-After"), qt.Equals, "1")
 	r.Check(got.Header.Get(outcome.HeaderLoad), qt.Equals, "1.000")
-	cancel()
-	<-held
 }
--- a/internal/proxy/inbound/rig_test.go
+++ b/internal/proxy/inbound/rig_test.go
@@ -181,6 +181,7 @@
 
 // eventually waits for a state of another process's stand-in that has no event.
 func (r *rig) eventually(reached func() bool) {
+	r.Helper()
 	for deadline := time.Now().Add(30 * time.Second); !reached(); {
 		if time.Now().After(deadline) {
 			r.Fatal("state not reached")
