--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -88,10 +91,27 @@
 	code, stdout, _ = run(c, "watch", "--revision", "7", "--admin", fleetServer(c, before, refused))
 	c.Assert(code, qt.Equals, ExitRefused)
 	c.Assert(stdout, qt.Contains, "trips:3: no such service")
-	code, stdout, _ = run(c, "watch", "--revision", "7", "--timeout", "1ms", "--output", "json", "--admin", fleetServer(c, before))
+}
+
+// TestWatchThatEndsFirstTellsWhatIsMissing ends the wait at the second question.
+func TestWatchThatEndsFirstTellsWhatIsMissing(t *testing.T) {
+	c := qt.New(t)
+	ctx, end := context.WithCancel(c.Context())
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		if asked > 1 {
+			end()
+			return
+		}
+		c.Check(json.NewEncoder(w).Encode(admin.FleetStatus{Members: []admin.MemberStatus{member(6, 0)}}), qt.IsNil)
+	}))
+	c.Cleanup(server.Close)
+	var stdout, stderr bytes.Buffer
+	code := Run(ctx, []string{"watch", "--revision", "7", "--output", "json", "--admin", server.Listener.Addr().String()}, &stdout, &stderr)
 	c.Assert(code, qt.Equals, ExitPending)
 	var report revisionReport
-	c.Assert(json.Unmarshal([]byte(stdout), &report), qt.IsNil)
+	c.Assert(json.Unmarshal(stdout.Bytes(), &report), qt.IsNil)
 	c.Assert(report.Progress, qt.Equals, progressPending)
 	c.Assert(report.Missing, qt.HasLen, 1)
 }
@@ -111,6 +131,7 @@
 
 func TestExitCodes(t *testing.T) {
 	const example = "../../examples/montevideo/settings/centro-reservas.yaml"
+	const freePorts = "--peers.listen 127.0.0.1:0 --outbound.listen 127.0.0.1:0 --inbound.listen 127.0.0.1:0 --admin.listen 127.0.0.1:0"
 	rows := []struct {
 		name      string
 		arguments string
@@ -127,6 +148,9 @@
 		{"wrong settings", "settings --settings " + example + " --node.zone=", ExitUsage, "", "flag --node.zone: missing"},
 		{"no settings file", "settings --settings nowhere.yaml", ExitUsage, "", "cannot read the settings file"},
 		{"bad header", "explain --header nonsense", ExitUsage, "", "write NAME:VALUE"},
+		{"address of another machine", "node --settings " + example + " --peers.listen 192.0.2.1:1", ExitFailed, "", "Free the address"},
+		{"no keys", "node --settings " + example + " --tls.key_file k --tls.certificate_file c --tls.authority_file a " + freePorts,
+			ExitUsage, "", "certificate_file"},
 		{"version", "version --output json", ExitOK, `"protocol": 1`, ""},
 	}
 	for _, row := range rows {
@@ -139,3 +163,35 @@
 		})
 	}
 }
+
+func TestCheckPointsAtTheFault(t *testing.T) {
+	c := qt.New(t)
+	for _, example := range []string{"montevideo", "kerlann"} {
+		code, stdout, _ := run(c, "check", "../../examples/"+example+"/content.yaml")
+		c.Assert(code, qt.Equals, ExitOK)
+		c.Assert(stdout, qt.Contains, "accepted")
+	}
+	directory := c.TempDir()
+	content := filepath.Join(directory, "content.yaml")
+	c.Assert(os.WriteFile(content, []byte("services:\n  - name: reservas\npolicies:\n  - bad.star\n"), 0o600), qt.IsNil)
+	bad := "route(name=\"a\", to=\"reservas\")\nroute(name=\"b\", to=\"nowhere\")\n"
+	c.Assert(os.WriteFile(filepath.Join(directory, "bad.star"), []byte(bad), 0o600), qt.IsNil)
+	code, stdout, _ := run(c, "check", content)
+	c.Assert(code, qt.Equals, ExitRefused)
+	c.Assert(stdout, qt.Contains, `bad.star:2:`)
+	c.Assert(stdout, qt.Contains, `there is no service "nowhere" in this revision`)
+
+	code, stdout, _ = run(c, "check", "--output", "json", filepath.Join(directory, "absent.yaml"), content)
+	c.Assert(code, qt.Equals, ExitRefused)
+	var reports []checkReport
+	c.Assert(json.Unmarshal([]byte(stdout), &reports), qt.IsNil)
+	c.Assert(reports, qt.HasLen, 2)
+	c.Assert(reports[0].Problem, qt.Contains, "absent.yaml")
+	c.Assert(reports[1].Faults[0].Line, qt.Equals, 2)
+
+	code, _, _ = run(c, "check")
+	c.Assert(code, qt.Equals, ExitUsage)
+	code, _, stderr := run(c, "check", "--settings", content)
+	c.Assert(code, qt.Equals, ExitUsage)
+	c.Assert(stderr, qt.Contains, "content.yaml:1: services: unknown section")
+}
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -4,20 +4,17 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
-	"mime"
 	"net"
 	"net/http"
-	"net/textproto"
 	"sync"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/proxy/balance"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 )
 
 const (
-	mediaEventStream = "text/event-stream"
 	// unknownLength is the ContentLength of an answer that ends with its chunks
 	// or its connection.
 	unknownLength = -1
@@ -32,32 +29,30 @@
 		return e.switchProtocols(response, choice)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if isEventStream(response.Header) {
+	if forward.IsEventStream(response.Header) {
 		e.becomeSession()
 	}
 	e.beginAnswer()
+	e.boundAnswer()
 	e.writeHeader(response)
-	writeFailed, err := e.copyBody(response)
-	now := time.Now()
-	switch {
-	case errors.Is(context.Cause(e.ctx), errDeadline):
-		e.finish(choice, balance.Cancelled, now)
-		return cut
-	case writeFailed || (err != nil && e.request.Context().Err() != nil):
-		e.finish(choice, balance.Cancelled, now)
-		return callerGone
-	case err != nil:
-		e.finish(choice, balance.Failed, now)
-		return cut
+	end := e.copyBody(response)
+	e.finish(choice, observationOfEnd(end), time.Now())
+	if end == answered {
+		e.writeTrailer(response)
 	}
-	e.finish(choice, balance.Answered, now)
-	e.writeTrailer(response)
-	return answered
+	return end
 }
 
-func isEventStream(header http.Header) bool {
-	media, _, err := mime.ParseMediaType(header.Get(headerContentType))
-	return err == nil && media == mediaEventStream
+// observationOfEnd is what the end of an answer tells about the instance.
+func observationOfEnd(end ending) balance.Observation {
+	switch end {
+	case answered:
+		return balance.Answered
+	case cut:
+		return balance.Failed
+	default:
+		return balance.Cancelled
+	}
 }
 
 // becomeSession lifts the deadline: a session lasts as long as its two ends.
@@ -67,62 +62,65 @@
 // connection or only nodes.
 func (e *exchange) writeHeader(response *http.Response) {
 	announced := response.Trailer
-	passHeader(e.writer.Header(), response.Header)
-	if _, present := response.Header[headerContentType]; !present {
-		e.writer.Header()[headerContentType] = nil // keeps net/http from guessing one
+	forward.PassAnswerHeader(e.writer.Header(), response.Header)
+	if _, present := response.Header[forward.HeaderContentType]; !present {
+		e.writer.Header()[forward.HeaderContentType] = nil // keeps net/http from guessing one
 	}
 	for name := range announced {
 		if !outcome.IsInternal(name) {
-			e.writer.Header().Add(headerTrailer, name)
+			e.writer.Header().Add(forward.HeaderTrailer, name)
 		}
 	}
 	e.writer.WriteHeader(response.StatusCode)
-	if len(announced) > 0 || isEventStream(response.Header) {
+	if len(announced) > 0 || forward.IsEventStream(response.Header) {
 		e.flush()
 	}
 }
 
-// passHeader copies an answer's header from one hop to the next. A Connection
-// header of this proxy stays.
-func passHeader(to, from http.Header) {
-	removeHopByHop(from)
-	outcome.StripInternal(from)
-	maps.Copy(to, from)
-}
-
 // copyBody passes the body on. Of an answer without a known length each piece
 // is sent at once.
-func (e *exchange) copyBody(response *http.Response) (writeFailed bool, err error) {
+func (e *exchange) copyBody(response *http.Response) ending {
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
-		count, readErr := response.Body.Read(buffer[:])
+		count, err := response.Body.Read(buffer[:])
 		if count > 0 {
 			if _, err := e.writer.Write(buffer[:count]); err != nil {
-				return true, err
+				return e.endOfBroken(callerGone)
 			}
-			if response.ContentLength == unknownLength && !errors.Is(readErr, io.EOF) {
-				e.flush()
-			}
-		}
-		if errors.Is(readErr, io.EOF) {
-			return false, nil
 		}
-		if readErr != nil {
-			return false, readErr
+		switch {
+		case errors.Is(err, io.EOF):
+			return answered
+		case err != nil:
+			return e.endOfBroken(cut)
+		case response.ContentLength == unknownLength:
+			e.flush()
 		}
 	}
 }
 
+// endOfBroken tells who ended an answer that did not come to its end.
+func (e *exchange) endOfBroken(otherwise ending) ending {
+	switch {
+	case errors.Is(context.Cause(e.ctx), errDeadline):
+		return late
+	case e.request.Context().Err() != nil:
+		return callerGone
+	default:
+		return otherwise
+	}
+}
+
 func (e *exchange) flush() { _ = http.NewResponseController(e.writer).Flush() }
 
 // writeTrailer passes on the trailer fields, those not announced too.
 func (e *exchange) writeTrailer(response *http.Response) {
-	announced := e.writer.Header()[headerTrailer]
+	announced := e.writer.Header()[forward.HeaderTrailer]
 	for name, values := range response.Trailer {
 		switch {
 		case outcome.IsInternal(name):
-		case hasToken(announced, name):
+		case forward.HasToken(announced, name):
 			e.writer.Header()[name] = values
 		default:
 			e.writer.Header()[http.TrailerPrefix+name] = values
@@ -147,34 +145,3 @@
 	}
 	_ = conn.Close()
 }
-
-// informer passes 1xx answers on until the final answer begins. The transport
-// calls it from its own goroutine.
-type informer struct {
-	mu      sync.Mutex
-	stopped bool
-	writer  http.ResponseWriter
-}
-
-// pass sends one 1xx answer on. "100 Continue" is not passed: net/http sends it
-// when the instance has asked for the body.
-func (i *informer) pass(status int, from textproto.MIMEHeader) error {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.stopped || status == http.StatusContinue {
-		return nil
-	}
-	header := i.writer.Header()
-	before := maps.Clone(header)
-	passHeader(header, http.Header(from))
-	i.writer.WriteHeader(status)
-	clear(header)
-	maps.Copy(header, before)
-	return nil
-}
-
-func (i *informer) stop() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.stopped = true
-}
