Close the sender's connection after an answer that came before its body

Cause: net/http waited for ever for the rest of a body nobody wants, and the rest could be read as the next request (TestAnswerBeforeTheBodyCame, seen failing: both rows timed out waiting for the close). Ruled out: a read deadline alone (net/http resets it).

--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -32,7 +32,7 @@
 
 // admit checks a request and waits for its slot. Whatever it refuses did not run.
 // On success the exchange must be ended with end.
-func (p *Proxy) admit(w http.ResponseWriter, r *http.Request) (*exchange, *outcome.Problem) {
+func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, body *requestBody) (*exchange, *outcome.Problem) {
 	now := time.Now()
 	arrival := p.pauses.arrival(now)
 	if problem := p.checkTarget(r); problem != nil {
@@ -51,7 +51,7 @@
 	if problem != nil {
 		return nil, problem
 	}
-	admitted := p.newExchange(w, r, route, arrival.Add(timeout))
+	admitted := p.newExchange(w, r, body, route, arrival.Add(timeout))
 	if !admitted.deadline.After(now) {
 		admitted.end()
 		return nil, refusal(outcome.ReasonDeadline, "the time was over on arrival")
--- a/internal/proxy/inbound/answer.go
+++ b/internal/proxy/inbound/answer.go
@@ -46,13 +46,14 @@
 }
 
 // conclude writes the problem of an ending, or cuts the connection.
-func (p *Proxy) conclude(w http.ResponseWriter, end ending) {
+func (p *Proxy) conclude(w http.ResponseWriter, body *requestBody, end ending) {
 	p.metrics.ended(end)
 	if end.aborts {
 		panic(http.ErrAbortHandler) // the way of net/http to cut an answer
 	}
 	if end.problem != nil {
 		p.mark(w.Header())
+		body.beforeAnswer(w)
 		end.problem.Write(w)
 	}
 }
@@ -158,6 +159,7 @@
 			header.Add(forward.HeaderTrailer, name)
 		}
 	}
+	e.body.beforeAnswer(e.writer)
 	e.writer.WriteHeader(response.StatusCode)
 	if response.ContentLength < 0 || response.ContentLength > heldAnswerBytes {
 		e.flush()
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -49,17 +49,15 @@
 	ended     bool
 }
 
-func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request, route *snapshot.Route, deadline time.Time) *exchange {
+func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request, body *requestBody,
+	route *snapshot.Route, deadline time.Time) *exchange {
 	ctx, cancel := context.WithCancelCause(p.base)
 	created := &exchange{
-		proxy: p, writer: w, request: r, route: route, deadline: deadline,
+		proxy: p, writer: w, request: r, body: body, route: route, deadline: deadline,
 		upgrade:  forward.UpgradeProtocol(r.Header),
 		informer: forward.NewInformer(w, r),
 		ctx:      ctx, cancel: cancel,
 	}
-	if r.Body != nil && r.Body != http.NoBody {
-		created.body = newRequestBody(r.Body)
-	}
 	created.unlink = context.AfterFunc(r.Context(), func() { cancel(context.Canceled) })
 	created.send = forward.NewSend(deadline, created.maySend)
 	created.timer = time.AfterFunc(time.Until(deadline), created.expire)
@@ -81,7 +79,7 @@
 	if e.answering {
 		_ = http.NewResponseController(e.writer).SetWriteDeadline(longAgo)
 	}
-	if e.body != nil && e.body.waiting() {
+	if e.body.waiting() {
 		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
 	}
 }
@@ -90,8 +88,7 @@
 	return errors.Is(context.Cause(e.ctx), errDeadline) || !time.Now().Before(e.deadline)
 }
 
-// end releases what the exchange holds. A read that still waits for the rest of
-// the request's body is ended, as the answer is complete without it.
+// end releases what the exchange holds.
 func (e *exchange) end() {
 	e.timer.Stop()
 	e.unlink()
@@ -101,9 +98,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ended = true
-	if e.body != nil && e.body.waiting() {
-		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
-	}
 }
 
 // releaseSlot gives the slot back at the end of the answer: the back end is done.
@@ -197,7 +191,7 @@
 	switch {
 	case e.timeOver():
 		problem = outcome.New(outcome.ReasonDeadline, result, "")
-	case e.body != nil && e.body.failure() != nil:
+	case e.body.failure() != nil:
 		problem = outcome.New(outcome.ReasonBadRequest, result, "the body broke off")
 	case callerGone:
 		return endedCallerGone
--- a/internal/proxy/inbound/fault_test.go
+++ b/internal/proxy/inbound/fault_test.go
@@ -1,8 +1,12 @@
 package inbound
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -129,7 +133,7 @@
 	request = request.WithContext(withConn(request.Context(), near))
 	r.Assert(far.Close(), qt.IsNil)
 	r.eventually(func() bool { return senderGone(request) })
-	created := r.proxy.newExchange(discardWriter{}, request, nil, time.Now().Add(time.Minute))
+	created := r.proxy.newExchange(discardWriter{}, request, nil, nil, time.Now().Add(time.Minute))
 	r.Assert(created.acquire(bookRoute), qt.IsNil)
 	r.Check(created.run().name, qt.Equals, endedCallerGone.name)
 	created.end()
@@ -154,3 +158,40 @@
 func (discardWriter) Header() http.Header            { return http.Header{} }
 func (discardWriter) Write(data []byte) (int, error) { return len(data), nil }
 func (discardWriter) WriteHeader(int)                {}
+
+// TestAnswerBeforeTheBodyCame has a sender that stops within its body. The answer
+// doesn't wait for the rest, and what may still come is no next request.
+func TestAnswerBeforeTheBodyCame(t *testing.T) {
+	early := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusConflict)
+	}))
+	t.Cleanup(early.Close)
+	for _, test := range []struct {
+		name, target string
+		length       int
+		status       int
+	}{
+		{"refused", "other/1", 100, http.StatusMisdirectedRequest},
+		{"answered early by the back end", testTarget, shortBodyBytes + 1, http.StatusConflict},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRigBefore(t, early.Listener.Addr().String(), plainSettings())
+			conn, err := net.Dial("tcp", r.address)
+			r.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: test\r\n%s: %s\r\nContent-Length: %d\r\n\r\nstart",
+				outcome.HeaderTarget, test.target, test.length)
+			r.Assert(err, qt.IsNil)
+			r.Assert(conn.SetReadDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			r.Assert(err, qt.IsNil)
+			r.Check(response.StatusCode, qt.Equals, test.status)
+			r.Check(response.Close, qt.IsTrue)
+			_, err = io.Copy(io.Discard, reader)
+			r.Check(err, qt.IsNil, qt.Commentf("the connection must be closed"))
+		})
+	}
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -118,18 +118,15 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.activity.Begin()
 	defer p.activity.End()
-	if r.Body != nil && r.Body != http.NoBody {
-		// Answers must not wait for the body. Writers that cannot do it, as in
-		// tests, answer after the body.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
-	admitted, problem := p.admit(w, r)
+	body := takeBody(w, r)
+	defer body.finish(w)
+	admitted, problem := p.admit(w, r, body)
 	if problem != nil {
-		p.conclude(w, failure(*problem))
+		p.conclude(w, body, failure(*problem))
 		return
 	}
 	defer admitted.end()
-	p.conclude(w, admitted.run())
+	p.conclude(w, body, admitted.run())
 }
 
 // Close cuts all requests and sessions and waits until they have ended.
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -169,6 +169,7 @@
 		header.Add(forward.HeaderTrailer, name)
 	}
 	e.beginAnswer()
+	e.body.beforeAnswer(e.writer)
 	e.writer.WriteHeader(e.replay.Status)
 	if _, err := e.writer.Write(e.replay.Body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return endedCallerGone
