Blame no instance for callers that go away

Cause: a cancelled request counted as a broken connection of the instance, so impatient callers could eject it. Ruled out: counting by the outcome alone; the caller's context tells. Change: such attempts are no observation; answers of unknown length pass their header at once, and each piece of a long one; tests of TLS, ejection, owners of keys, refusals before the body.

--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -72,16 +72,17 @@
 		}
 	}
 	e.writer.WriteHeader(response.StatusCode)
-	if len(announced) > 0 || forward.IsEventStream(response.Header) {
+	if response.ContentLength == unknownLength {
 		e.flush()
 	}
 }
 
-// copyBody passes the body on. Of an answer without a known length each piece
-// is sent at once.
+// copyBody passes the body on, each piece at once. The last piece of a known
+// length leaves with the end of the answer.
 func (e *exchange) copyBody(response *http.Response) ending {
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
+	var passed int64
 	for {
 		count, err := response.Body.Read(buffer[:])
 		if count > 0 {
@@ -89,12 +90,13 @@
 				return e.endOfBroken(callerGone)
 			}
 		}
+		passed += int64(count)
 		switch {
 		case errors.Is(err, io.EOF):
 			return answered
 		case err != nil:
 			return e.endOfBroken(cut)
-		case response.ContentLength == unknownLength:
+		case passed != response.ContentLength:
 			e.flush()
 		}
 	}
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -43,7 +43,7 @@
 	now := time.Now()
 	if err != nil {
 		problem := e.classify(err, current.Seal())
-		e.finish(choice, observationOf(problem, now.Sub(started)), now)
+		e.finish(choice, e.observationOf(problem, now.Sub(started)), now)
 		return attemptResult{problem: problem}
 	}
 	e.readHints(response.Header, choice, now)
@@ -54,7 +54,7 @@
 	_, _ = io.CopyN(io.Discard, response.Body, discardLimit)
 	_ = response.Body.Close()
 	problem.Detail = "told by the proxy of instance " + string(choice.Endpoint.Node)
-	e.finish(choice, observationOf(problem, now.Sub(started)), now)
+	e.finish(choice, e.observationOf(problem, now.Sub(started)), now)
 	return attemptResult{problem: problem}
 }
 
@@ -147,7 +147,10 @@
 }
 
 // observationOf is what a failed attempt tells about the instance.
-func observationOf(problem outcome.Problem, lasted time.Duration) balance.Observation {
+func (e *exchange) observationOf(problem outcome.Problem, lasted time.Duration) balance.Observation {
+	if e.request.Context().Err() != nil {
+		return balance.Cancelled // the caller ended it, not the instance
+	}
 	switch problem.Reason {
 	case outcome.ReasonConnect, outcome.ReasonBroken:
 		return balance.Failed
--- a/internal/proxy/outbound/fault_test.go
+++ b/internal/proxy/outbound/fault_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -265,6 +269,37 @@
 	<-gone
 }
 
+// Instances are not blamed for callers that go away, and are for broken answers.
+func TestEjections(t *testing.T) {
+	r := newRig(t)
+	r.configure(func(route *snapshot.Route) { route.RepeatMethods = nil })
+	arrived := make(chan struct{})
+	hang := func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/broken" {
+			breakOff("")(w, request)
+			return
+		}
+		arrived <- struct{}{}
+		<-request.Context().Done()
+	}
+	r.instance("a", hang)
+	r.instance("b", hang)
+	for range 10 {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		_, err := r.client.Do(r.request("GET", "/", nil).WithContext(ctx))
+		r.Check(err, qt.IsNotNil)
+	}
+	r.Check(r.counter("winchhead_outbound_ejections_total"), qt.Equals, 0.0)
+	for range 10 {
+		r.do(r.request("GET", "/broken", nil))
+	}
+	r.Check(r.counter("winchhead_outbound_ejections_total") > 0, qt.IsTrue)
+}
+
 // What an answer tells about its instance counts from the next request on.
 func TestHintsOnAnswers(t *testing.T) {
 	for _, test := range []struct{ name, value string }{
@@ -296,19 +331,29 @@
 // An answer that needs nothing more of a caller's body ends the request, though
 // the caller neither goes on nor closes.
 func TestAnswerBeforeTheBodyCame(t *testing.T) {
-	r := newRig(t)
-	r.configure(nil)
-	r.instance("a", func(w http.ResponseWriter, request *http.Request) {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(417)
-	})
-	_, reader := r.raw("POST / HTTP/1.1\r\nHost: booking.test\r\nContent-Length: 10\r\n\r\nhalf")
-	response, err := http.ReadResponse(reader, nil)
-	r.Assert(err, qt.IsNil)
-	r.Check(response.StatusCode, qt.Equals, 417)
-	_, err = io.ReadAll(reader)
-	r.Check(err, qt.IsNil) // the proxy has closed the connection
+	for _, test := range []struct {
+		host   string
+		status int
+	}{
+		{"booking.test", 417},
+		{"other.test", 404},
+	} {
+		t.Run(test.host, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(nil)
+			r.instance("a", func(w http.ResponseWriter, request *http.Request) {
+				_ = http.NewResponseController(w).EnableFullDuplex()
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(417)
+			})
+			_, reader := r.raw("POST / HTTP/1.1\r\nHost: " + test.host + "\r\nContent-Length: 10\r\n\r\nhalf")
+			response, err := http.ReadResponse(reader, nil)
+			r.Assert(err, qt.IsNil)
+			r.Check(response.StatusCode, qt.Equals, test.status)
+			_, err = io.ReadAll(reader)
+			r.Check(err, qt.IsNil) // the proxy has closed the connection
+		})
+	}
 }
 
 // What is left of a body after an answer is never taken for a request.
@@ -347,3 +392,32 @@
 	r.Assert(err, qt.IsNil)
 	r.Check(r.proxy.Drain(context.Background()), qt.IsNil)
 }
+
+// With TLS the request goes only to an instance that proves who it is.
+func TestTLS(t *testing.T) {
+	instance := httptest.NewUnstartedServer(answer("done"))
+	instance.Config.ErrorLog = log.New(io.Discard, "", 0)
+	instance.StartTLS()
+	defer instance.Close()
+	trusted := x509.NewCertPool()
+	trusted.AddCert(instance.Certificate())
+	for _, test := range []struct {
+		name   string
+		config *tls.Config
+		status int
+	}{
+		{"trusted", &tls.Config{RootCAs: trusted}, 200},
+		{"unknown authority", &tls.Config{RootCAs: x509.NewCertPool()}, 502},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newSecuredRig(t, test.config)
+			r.configure(nil)
+			r.member("a", instance.Listener.Addr().String(), membership.StateReady)
+			response, _ := r.do(r.request("POST", "/", strings.NewReader("booking")))
+			r.Check(response.StatusCode, qt.Equals, test.status)
+			if test.status == 502 {
+				r.checkProblem(response, 502, outcome.NotRun, outcome.ReasonConnect)
+			}
+		})
+	}
+}
--- a/internal/proxy/outbound/key_test.go
+++ b/internal/proxy/outbound/key_test.go
@@ -1,6 +1,7 @@
 package outbound_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -65,19 +66,17 @@
 		one.instance(name, answer(name))
 	}
 	other.members = append(other.members, one.members...)
-	for range 2 {
-		other.view.Store(membership.NewView(other.members))
-		_, first := one.sendKeyed("booking-1")
-		_, second := other.sendKeyed("booking-1")
-		one.Assert(second, qt.Equals, first)
-
-		suspect := func(m *membership.Member) { m.Suspected = true }
-		one.edit(first, suspect)
-		other.edit(first, suspect)
-		_, third := one.sendKeyed("booking-2" + first)
-		_, fourth := other.sendKeyed("booking-2" + first)
-		one.Assert(fourth, qt.Equals, third)
-		one.Assert(third, qt.Not(qt.Equals), first)
+	other.view.Store(membership.NewView(other.members))
+	_, suspected := one.sendKeyed("booking")
+	for number := range 20 {
+		if number == 10 {
+			one.edit(suspected, func(m *membership.Member) { m.Suspected = true })
+			other.edit(suspected, func(m *membership.Member) { m.Suspected = true })
+		}
+		_, first := one.sendKeyed(fmt.Sprint(number))
+		_, second := other.sendKeyed(fmt.Sprint(number))
+		one.Check(second, qt.Equals, first)
+		one.Check(number >= 10 && first == suspected, qt.IsFalse)
 	}
 }
 
--- a/internal/proxy/outbound/rig_test.go
+++ b/internal/proxy/outbound/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -41,23 +42,29 @@
 	proxy   *outbound.Proxy
 	address string
 	client  *http.Client
+	metrics *prometheus.Registry
 }
 
 func (r *rig) Current() *snapshot.Snapshot { return r.store.Current() }
 func (r *rig) View() *membership.View      { return r.view.Load() }
 
 // newRig starts a proxy without configuration and without instances.
-func newRig(t testing.TB) *rig {
+func newRig(t testing.TB) *rig { return newSecuredRig(t, nil) }
+
+// newSecuredRig uses TLS towards the instances.
+func newSecuredRig(t testing.TB, config *tls.Config) *rig {
 	r := &rig{C: qt.New(t), t: t, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	r.metrics = prometheus.NewRegistry()
 	r.view.Store(membership.NewView(nil))
 	proxy, err := outbound.New(outbound.Options{
 		Snapshots: r, Fleet: r,
+		TLS:  config,
 		Self: membership.Record{Node: "edge", Region: "south", Zone: "centro"},
 		Settings: settings.Outbound{
 			MaxHeaderBytes: headerLimit, MaxBodyBytes: bodyLimit, HeaderTimeout: time.Minute,
 			RetryRatio: 0.1, Balance: "two-choices",
 		},
-		Logger: logging.Discard(), Registerer: prometheus.NewRegistry(),
+		Logger: logging.Discard(), Registerer: r.metrics,
 	})
 	r.Assert(err, qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -135,6 +142,22 @@
 	return response, string(body)
 }
 
+// counter adds up a counter over its labels.
+func (r *rig) counter(name string) float64 {
+	families, err := r.metrics.Gather()
+	r.Assert(err, qt.IsNil)
+	total := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			total += metric.GetCounter().GetValue()
+		}
+	}
+	return total
+}
+
 // raw sends text on a connection of its own, which the test ends.
 func (r *rig) raw(text string) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp", r.address)
