Keep instances that refuse or fail at once from drawing the work

Cause: an instance that refuses at once has nothing in flight and so looked the least loaded. Ruled out: a fixed load of 1 (under load the sound ones report more and it drew the work again); counting each single failure (an instance was then never ejected). Change: a refusal for want of room, or a failure that cannot eject, counts as the highest load until a fresh report or its decay.

--- a/internal/proxy/balance/balance_test.go
+++ b/internal/proxy/balance/balance_test.go
@@ -130,6 +130,30 @@
 	}
 }
 
+// An instance that refuses or fails at once has nothing in flight; it must not
+// draw the work for that.
+func TestFastRefusalsDrawNoWork(t *testing.T) {
+	for _, test := range []struct {
+		observed balance.Observation
+		times    int
+	}{
+		{balance.Refused, 1},
+		{balance.Failed, 3},
+	} {
+		c := qt.New(t)
+		b := newBench(balance.TwoChoices, "centro", "centro", "centro")
+		for range 3 {
+			b.observe(t, "1", balance.Failed)
+		}
+		for range test.times { // "0" cannot be ejected any more
+			c.Check(b.observe(t, "0", test.observed), qt.IsFalse)
+		}
+		c.Check(b.shares(100), qt.DeepEquals, map[membership.NodeID]int{"2": 100})
+		b.now = b.now.Add(later)
+		c.Check(b.shares(100)["0"] > 0, qt.IsTrue)
+	}
+}
+
 func TestZonePreference(t *testing.T) {
 	for _, test := range []struct {
 		name     string
--- a/internal/proxy/balance/instance.go
+++ b/internal/proxy/balance/instance.go
@@ -13,8 +13,13 @@
 	minimumWarmth = 0.1
 	// reportLifetime is how long a load report counts; its weight falls evenly.
 	reportLifetime = 3 * time.Second
-	// maximumReport bounds a reported load, which may be wrong.
-	maximumReport = 2.0
+	// maximumReport bounds a reported load, which may be wrong. It leaves room for
+	// long queues.
+	maximumReport = 4.0
+	// refusedLoad stands in for a report after a refusal, and after a failure of an
+	// instance that cannot be ejected: one that answers so at once has nothing in
+	// flight, and would otherwise draw the work of the sound ones.
+	refusedLoad = maximumReport
 	// defaultSlots stands in for instances that do not tell their slots.
 	defaultSlots = 10
 	// leavingLifetime is how long an instance that refused as draining gets no
@@ -88,6 +93,13 @@
 	return max(minimumWarmth, float64(age)/float64(slowStart))
 }
 
+// count takes over a load, as a share of the slots.
+func (i *instance) count(load float64, now time.Time) {
+	i.reportedLoad = load
+	i.reportedAt = now
+	i.inFlightAtReport = i.inFlight
+}
+
 // loadAt estimates the used share of the slots: the last report while it is
 // fresh, corrected by what this node began and ended since, and at least the own
 // requests in flight.
--- a/internal/proxy/balance/observe.go
+++ b/internal/proxy/balance/observe.go
@@ -13,14 +13,15 @@
 const (
 	// Answered is any whole answer of the back end.
 	Answered Observation = iota + 1
-	// Refused is a refusal that says nothing about health, such as shedding.
+	// Refused is a refusal for want of room, such as shedding. It says nothing
+	// about health.
 	Refused
 	// Failed is a failed connection, a broken one, a stalled answer or a 5xx of
 	// the system that is not a refusal.
 	Failed
 	// Leaving is a refusal because the instance drains or is another process.
 	Leaving
-	// Cancelled tells nothing: the caller went away.
+	// Cancelled tells nothing, as when the caller went away.
 	Cancelled
 )
 
@@ -42,9 +43,7 @@
 	}
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
-	c.instance.reportedLoad = min(load, maximumReport)
-	c.instance.reportedAt = now
-	c.instance.inFlightAtReport = c.instance.inFlight
+	c.instance.count(min(load, maximumReport), now)
 }
 
 // Leave records that the instance drains: it gets no new work, while this
@@ -71,15 +70,17 @@
 		c.instance.ejections = 0
 	case Failed:
 		ejected = c.balancer.fail(c.service, c.instance, now)
+	case Refused:
+		c.instance.count(refusedLoad, now)
 	case Leaving:
 		c.instance.leavingUntil = now.Add(leavingLifetime)
-	case Refused, Cancelled:
+	case Cancelled:
 	}
 	return ejected
 }
 
-// fail counts a failure and ejects the instance after several in a row, as long
-// as at least half of the service stays. An instance back from an ejection is
+// fail counts a failure and ejects the instance after several in a row. When that
+// would leave less than half of the service, it counts as loaded instead. An instance back from an ejection is
 // ejected again by its first failure.
 func (b *Balancer) fail(known *service, failed *instance, now time.Time) (ejected bool) {
 	failed.failures++
@@ -87,6 +88,7 @@
 		return false
 	}
 	if !known.mayEject(now) {
+		failed.count(refusedLoad, now)
 		return false
 	}
 	failed.ejectedUntil = now.Add(ejectionTime(failed.ejections))
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -199,12 +199,14 @@
 		return balance.Failed
 	case outcome.ReasonDraining, outcome.ReasonWrongInstance:
 		return balance.Leaving
+	case outcome.ReasonOverloaded:
+		return balance.Refused
 	case outcome.ReasonDeadline:
 		if problem.Outcome == outcome.Unknown && lasted >= stallTime {
 			return balance.Failed
 		}
 		return balance.Cancelled
 	default:
-		return balance.Refused
+		return balance.Cancelled
 	}
 }
--- /dev/null
+++ b/internal/proxy/outbound/twohops_test.go
@@ -0,0 +1,132 @@
+package outbound_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/winchhead/winchhead/internal/emulator/backend"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/inbound"
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// SetState makes the rig a publisher; its tests set the view themselves.
+func (r *rig) SetState(membership.State) {}
+
+// backEnd adds an instance with the real inbound proxy and an emulated back end.
+func (r *rig) backEnd(name string, behavior backend.Behavior) *backend.Backend {
+	emulated := backend.New(backend.Options{Name: name})
+	r.Assert(emulated.Start("127.0.0.1:0"), qt.IsNil)
+	emulated.Configure(behavior)
+	proxy, err := inbound.New(inbound.Options{
+		Snapshots: r, Publisher: r, Self: membership.Record{Node: membership.NodeID(name), Incarnation: 7},
+		Settings: settings.Inbound{
+			Service: testService, Backend: emulated.Address(), Slots: 4, Connections: 20, MaxQueued: 8,
+			DrainGrace: time.Minute, RepeatMemory: time.Minute, HealthInterval: time.Minute,
+		},
+		Logger: logging.Discard(), Registerer: prometheus.NewRegistry(),
+	})
+	r.Assert(err, qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.Assert(err, qt.IsNil)
+	server, served := proxy.Server(), make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	r.t.Cleanup(func() {
+		_ = server.Close()
+		proxy.Close()
+		emulated.Kill()
+		<-served
+	})
+	r.member(name, listener.Addr().String(), membership.StateReady)
+	return emulated
+}
+
+// Through both proxies, with back ends that break connections and answers: a
+// booking runs at most once, one that was refused as not run never ran, and each
+// answered one ran and is the caller's own.
+func TestBookingsThroughBothProxies(t *testing.T) {
+	r := newRig(t)
+	r.configure(func(route *snapshot.Route) { route.Timeout = 5 * time.Second })
+	backends := []*backend.Backend{
+		r.backEnd("sound", backend.Behavior{}),
+		r.backEnd("early", backend.Behavior{Fault: backend.FaultResetBeforeRead, FaultCount: 40}),
+		r.backEnd("late", backend.Behavior{Fault: backend.FaultResetAfterRead, FaultCount: 40}),
+		r.backEnd("cutting", backend.Behavior{Fault: backend.FaultCloseMidAnswer, FaultCount: 40}),
+		r.backEnd("shedding", backend.Behavior{Shed: true}),
+	}
+	r.member("absent", closedAddress(r), membership.StateReady)
+
+	const callers, bookings = 12, 30
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	ended := make(map[string]string) // booking to outcome
+	for caller := range callers {
+		group.Go(func() {
+			for booking := range bookings {
+				number := fmt.Sprintf("%d-%d", caller, booking)
+				got := r.book(number)
+				mu.Lock()
+				ended[number] = got
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	counts := make(map[string]int)
+	for number, got := range ended {
+		counts[got]++
+		started := 0
+		for _, emulated := range backends {
+			started += emulated.Journal().Request(number).Started
+		}
+		switch got {
+		case "not-run":
+			r.Check(started, qt.Equals, 0, qt.Commentf("booking %s was refused as not run", number))
+		case "answered":
+			r.Check(started, qt.Equals, 1, qt.Commentf("booking %s was answered", number))
+		default:
+			r.Check(started <= 1, qt.IsTrue, qt.Commentf("booking %s ran %d times", number, started))
+		}
+	}
+	t.Logf("%v", counts)
+	r.Check(counts["answered"] > 0, qt.IsTrue)
+	r.Check(counts["unknown"]+counts["cut"] > 0, qt.IsTrue)
+}
+
+// book sends one booking and tells how it ended.
+func (r *rig) book(number string) string {
+	request := r.request("POST", backend.PathEcho, strings.NewReader("booking "+number))
+	request.Header.Set(backend.HeaderRequest, number)
+	request.Header.Set(backend.HeaderWork, "1")
+	response, err := r.client.Do(request)
+	if err != nil {
+		return "cut"
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "cut"
+	}
+	if told := response.Header.Get(outcome.HeaderOutcome); told != "" {
+		return told
+	}
+	if response.StatusCode != http.StatusOK || string(body) != "booking "+number {
+		r.t.Errorf("booking %s: status %d, body %q", number, response.StatusCode, body)
+	}
+	return "answered"
+}
