Settle a request's unread body before an answer, in both proxies

Cause: with full duplex on, a refusal before the body was read let net/http meet the body's end after the handler; its background read then ran beside the next request on the connection and panicked, in the inbound proxy in a goroutine of the transport, which ended the process. Ruled out: no full duplex at all (answers would wait for slow bodies); always closing (a reconnect for each refusal under overload). Change: forward.SettleUnread takes in a short rest that is there and else closes the connection; the inbound proxy enables full duplex only for an open exchange and closes after an answer that overtook the body. The outbound proxy takes only draining and gone in Winchhead-State as leaving: a starting instance was shut out for 5 s. Conclusion: all of internal/proxy green with -race.

--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -30,11 +30,10 @@
 	return string(p.self.Node) + "/" + strconv.FormatUint(uint64(p.incarnation()), 10)
 }
 
-// admit checks a request and waits for its slot. Whatever it refuses did not run.
+// open checks a request and begins its exchange. Whatever it refuses did not run.
 // On success the exchange must be ended with end.
-func (p *Proxy) admit(w http.ResponseWriter, r *http.Request) (*exchange, *outcome.Problem) {
-	now := time.Now()
-	arrival := p.pauses.arrival(now)
+func (p *Proxy) open(w http.ResponseWriter, r *http.Request) (*exchange, *outcome.Problem) {
+	arrival := p.pauses.arrival(time.Now())
 	if problem := p.checkTarget(r); problem != nil {
 		return nil, problem
 	}
@@ -45,33 +44,31 @@
 	if limits == nil {
 		return nil, refusal(outcome.ReasonNoConfiguration, "")
 	}
-	routeName := r.Header.Get(outcome.HeaderRoute)
-	route := limits.routes[routeName]
+	route := limits.routes[r.Header.Get(outcome.HeaderRoute)]
 	timeout, problem := timeoutOf(r, route)
 	if problem != nil {
 		return nil, problem
 	}
-	admitted := p.newExchange(w, r, route, arrival.Add(timeout))
-	if !admitted.deadline.After(now) {
-		admitted.end()
-		return nil, refusal(outcome.ReasonDeadline, "the time was over on arrival")
-	}
-	if problem := admitted.claim(routeName); problem != nil {
-		admitted.end()
-		return nil, problem
+	return p.newExchange(w, r, route, arrival.Add(timeout)), nil
+}
+
+// admit waits until the request may be sent, or until there is an answer to give
+// without that. Whatever it refuses did not run.
+func (e *exchange) admit() *outcome.Problem {
+	if !e.deadline.After(time.Now()) {
+		return refusal(outcome.ReasonDeadline, "the time was over on arrival")
 	}
-	if admitted.replay != nil {
-		return admitted, nil
+	routeName := e.request.Header.Get(outcome.HeaderRoute)
+	if problem := e.claim(routeName); problem != nil {
+		return problem
 	}
-	if problem := admitted.receiveShortBody(); problem != nil {
-		admitted.end()
-		return nil, problem
+	if e.replay != nil {
+		return nil
 	}
-	if problem := admitted.acquire(routeName); problem != nil {
-		admitted.end()
-		return nil, problem
+	if problem := e.receiveShortBody(); problem != nil {
+		return problem
 	}
-	return admitted, nil
+	return e.acquire(routeName)
 }
 
 func refusal(reason outcome.Reason, detail string) *outcome.Problem {
--- a/internal/proxy/inbound/answer.go
+++ b/internal/proxy/inbound/answer.go
@@ -140,6 +140,9 @@
 }
 
 func (e *exchange) beginAnswer() {
+	if e.body != nil && e.body.unread() {
+		forward.CloseAfterAnswer(e.writer)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answering = true
--- a/internal/proxy/inbound/body.go
+++ b/internal/proxy/inbound/body.go
@@ -5,15 +5,20 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
+var errStopped = eris.New("nothing more of the body is wanted")
+
 // requestBody is the body of a request as the back end reads it.
 type requestBody struct {
 	source io.ReadCloser
 	mu     sync.Mutex
 	// reading is set while a read waits for the sender.
 	reading bool
-	failed  error // error of source, io.EOF included
+	failed  error // error of source, io.EOF included, or errStopped
+	ended   bool  // source was read to its end
 	ahead   bytes.Reader
 }
 
@@ -53,7 +58,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = false
-	b.failed = err
+	b.ended = errors.Is(err, io.EOF)
+	if b.failed == nil {
+		b.failed = err
+	}
 	return count, err
 }
 
@@ -71,6 +79,29 @@
 // left of it after the answer.
 func (b *requestBody) Close() error { return nil }
 
+// stop makes reads that have not begun fail.
+func (b *requestBody) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed == nil {
+		b.failed = errStopped
+	}
+}
+
+// unread reports whether the source was not read to its end.
+func (b *requestBody) unread() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.ended
+}
+
+// settled takes in whether the rest of the source was read past this type.
+func (b *requestBody) settled(ended bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = ended
+}
+
 // waiting reports whether a read waits for the sender.
 func (b *requestBody) waiting() bool {
 	b.mu.Lock()
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -59,6 +59,9 @@
 	}
 	if r.Body != nil && r.Body != http.NoBody {
 		created.body = newRequestBody(r.Body)
+		// The back end may answer before it has the body. Writers that cannot do
+		// it, as in tests, answer after the body.
+		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 	created.unlink = context.AfterFunc(r.Context(), func() { cancel(context.Canceled) })
 	created.send = forward.NewSend(deadline, created.maySend)
@@ -90,8 +93,18 @@
 	return errors.Is(context.Cause(e.ctx), errDeadline) || !time.Now().Before(e.deadline)
 }
 
-// end releases what the exchange holds. A read that still waits for the rest of
-// the request's body is ended, as the answer is complete without it.
+// settleBody prepares an answer of this proxy, which needs nothing more of the
+// request's body.
+func (e *exchange) settleBody() {
+	if e.body == nil || !e.body.unread() {
+		return
+	}
+	e.body.stop()
+	e.body.settled(forward.SettleUnread(e.writer, e.request))
+}
+
+// end releases what the exchange holds. What is left of the request's body is not
+// waited for, as the answer is complete without it.
 func (e *exchange) end() {
 	e.timer.Stop()
 	e.unlink()
@@ -100,9 +113,13 @@
 	e.settleSlot()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.ended {
+		return
+	}
 	e.ended = true
-	if e.body != nil && e.body.waiting() {
-		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
+	if e.body != nil && e.body.unread() {
+		e.body.stop()
+		forward.BoundUnread(e.writer)
 	}
 }
 
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -118,18 +118,24 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.activity.Begin()
 	defer p.activity.End()
-	if r.Body != nil && r.Body != http.NoBody {
-		// Answers must not wait for the body. Writers that cannot do it, as in
-		// tests, answer after the body.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
-	admitted, problem := p.admit(w, r)
+	opened, problem := p.open(w, r)
 	if problem != nil {
+		forward.SettleUnread(w, r)
 		p.conclude(w, failure(*problem))
 		return
 	}
-	defer admitted.end()
-	p.conclude(w, admitted.run())
+	defer opened.end()
+	if problem := opened.admit(); problem != nil {
+		opened.settleBody()
+		opened.end()
+		p.conclude(w, failure(*problem))
+		return
+	}
+	end := opened.run()
+	if end.problem != nil {
+		opened.settleBody()
+	}
+	p.conclude(w, end)
 }
 
 // Close cuts all requests and sessions and waits until they have ended.
--- /dev/null
+++ b/internal/proxy/inbound/unread_test.go
@@ -0,0 +1,39 @@
+package inbound
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/emulator/backend"
+	"github.com/winchhead/winchhead/internal/proxy/outcome"
+)
+
+// A refusal before the body was read leaves the connection fit for the request
+// that follows at once. With the body's end met after the handler, net/http read
+// beside the next request and the process ended in a panic.
+func TestRefusalLeavesTheConnectionSound(t *testing.T) {
+	r := newRig(t, backend.Options{}, plainSettings())
+	conn, err := net.Dial("tcp", r.address)
+	r.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	post := func(target string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: booking.test\r\n%s: %s\r\n%s: %s\r\nContent-Length: 7\r\n\r\nbooking",
+			backend.PathEcho, outcome.HeaderTarget, target, outcome.HeaderRoute, bookRoute)
+	}
+	_, err = io.WriteString(conn, post("other/1")+post(testTarget)+post("other/1")+post(testTarget))
+	r.Assert(err, qt.IsNil)
+	reader := bufio.NewReader(conn)
+	for _, status := range []int{421, 200, 421, 200} {
+		response, err := http.ReadResponse(reader, nil)
+		r.Assert(err, qt.IsNil)
+		r.Check(response.StatusCode, qt.Equals, status)
+		_, err = io.Copy(io.Discard, response.Body)
+		r.Assert(err, qt.IsNil)
+	}
+}
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -159,7 +159,8 @@
 	if load, err := strconv.ParseFloat(header.Get(outcome.HeaderLoad), 64); err == nil {
 		choice.Report(load, now)
 	}
-	if header.Get(outcome.HeaderState) != "" {
+	switch header.Get(outcome.HeaderState) {
+	case membership.StateDraining.String(), membership.StateGone.String():
 		choice.Leave(now)
 	}
 }
--- a/internal/proxy/outbound/body.go
+++ b/internal/proxy/outbound/body.go
@@ -64,6 +64,17 @@
 	return !b.overflow
 }
 
+// stop detaches the current reader for good: a read that has not begun takes
+// nothing from the caller any more.
+func (b *replayBody) stop() { b.rewind() }
+
+// settled takes in whether the rest of the body was read past this type.
+func (b *replayBody) settled(ended bool) {
+	b.state.Lock()
+	defer b.state.Unlock()
+	b.ended = ended
+}
+
 // failure returns the error that ended reading from the caller, if it was not
 // the end of the body.
 func (b *replayBody) failure() error {
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -106,12 +106,12 @@
 	defer e.mu.Unlock()
 	e.ended = true
 	if e.body != nil && e.body.unread() {
-		e.body.rewind() // a read that has not begun takes nothing any more
+		e.body.stop()
 		forward.BoundUnread(e.writer)
 	}
 }
 
-// beginAnswer is called before the header of any answer is written.
+// beginAnswer is called before the header of a back end's answer is written.
 func (e *exchange) beginAnswer() {
 	e.informer.Stop()
 	if e.body != nil && e.body.unread() {
@@ -204,7 +204,11 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
-	e.beginAnswer()
+	e.informer.Stop()
+	if e.body != nil && e.body.unread() {
+		e.body.stop()
+		e.body.settled(forward.SettleUnread(e.writer, e.request))
+	}
 	problem.Write(e.writer)
 	return failure(problem)
 }
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -118,7 +118,8 @@
 	exchange, problem := p.admit(w, r, started)
 	if problem != nil {
 		ended = failure(*problem)
-		refuseUnread(w, r, *problem)
+		forward.SettleUnread(w, r)
+		problem.Write(w)
 		return
 	}
 	defer exchange.end()
@@ -128,17 +129,6 @@
 	}
 }
 
-// refuseUnread answers a request whose body nobody asked for.
-func refuseUnread(w http.ResponseWriter, r *http.Request, problem outcome.Problem) {
-	if r.Body != nil && r.Body != http.NoBody {
-		// Without this, net/http would wait for the body before it answers.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-		forward.CloseAfterAnswer(w)
-		forward.BoundUnread(w)
-	}
-	problem.Write(w)
-}
-
 // budgets holds the retry budget of each service.
 type budgets struct {
 	ratio    float64
