--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -49,20 +49,15 @@
 	ended     bool
 }
 
-func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request, route *snapshot.Route, deadline time.Time) *exchange {
+func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request, body *requestBody,
+	route *snapshot.Route, deadline time.Time) *exchange {
 	ctx, cancel := context.WithCancelCause(p.base)
 	created := &exchange{
-		proxy: p, writer: w, request: r, route: route, deadline: deadline,
+		proxy: p, writer: w, request: r, body: body, route: route, deadline: deadline,
 		upgrade:  forward.UpgradeProtocol(r.Header),
 		informer: forward.NewInformer(w, r),
 		ctx:      ctx, cancel: cancel,
 	}
-	if r.Body != nil && r.Body != http.NoBody {
-		created.body = newRequestBody(r.Body)
-		// The back end may answer before it has the body. Writers that cannot do
-		// it, as in tests, answer after the body.
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
 	created.unlink = context.AfterFunc(r.Context(), func() { cancel(context.Canceled) })
 	created.send = forward.NewSend(deadline, created.maySend)
 	created.timer = time.AfterFunc(time.Until(deadline), created.expire)
@@ -84,7 +79,7 @@
 	if e.answering {
 		_ = http.NewResponseController(e.writer).SetWriteDeadline(longAgo)
 	}
-	if e.body != nil && e.body.waiting() {
+	if e.body.waiting() {
 		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
 	}
 }
@@ -93,18 +88,7 @@
 	return errors.Is(context.Cause(e.ctx), errDeadline) || !time.Now().Before(e.deadline)
 }
 
-// settleBody prepares an answer of this proxy, which needs nothing more of the
-// request's body.
-func (e *exchange) settleBody() {
-	if e.body == nil || !e.body.unread() {
-		return
-	}
-	e.body.stop()
-	e.body.settled(forward.SettleUnread(e.writer, e.request))
-}
-
-// end releases what the exchange holds. What is left of the request's body is not
-// waited for, as the answer is complete without it.
+// end releases what the exchange holds.
 func (e *exchange) end() {
 	e.timer.Stop()
 	e.unlink()
@@ -113,14 +97,7 @@
 	e.settleSlot()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.ended {
-		return
-	}
 	e.ended = true
-	if e.body != nil && e.body.unread() {
-		e.body.stop()
-		forward.BoundUnread(e.writer)
-	}
 }
 
 // releaseSlot gives the slot back at the end of the answer: the back end is done.
@@ -214,7 +191,7 @@
 	switch {
 	case e.timeOver():
 		problem = outcome.New(outcome.ReasonDeadline, result, "")
-	case e.body != nil && e.body.failure() != nil:
+	case e.body.failure() != nil:
 		problem = outcome.New(outcome.ReasonBadRequest, result, "the body broke off")
 	case callerGone:
 		return endedCallerGone
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -118,24 +118,15 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.activity.Begin()
 	defer p.activity.End()
-	opened, problem := p.open(w, r)
+	body := takeBody(w, r)
+	defer body.finish(w)
+	admitted, problem := p.admit(w, r, body)
 	if problem != nil {
-		forward.SettleUnread(w, r)
-		p.conclude(w, failure(*problem))
+		p.conclude(w, body, failure(*problem))
 		return
 	}
-	defer opened.end()
-	if problem := opened.admit(); problem != nil {
-		opened.settleBody()
-		opened.end()
-		p.conclude(w, failure(*problem))
-		return
-	}
-	end := opened.run()
-	if end.problem != nil {
-		opened.settleBody()
-	}
-	p.conclude(w, end)
+	defer admitted.end()
+	p.conclude(w, body, admitted.run())
 }
 
 // Close cuts all requests and sessions and waits until they have ended.
