--- a/internal/bench/fleet/fullpush.go
+++ b/internal/bench/fleet/fullpush.go
@@ -82,7 +82,7 @@
 			return
 		}
 		if update, ok := message.(*wire.Update); ok {
-			p.adopt(update.Delta)
+			p.adopt(update.Delta(snapshot.Version{}))
 		}
 	}
 }
@@ -115,7 +115,7 @@
 		held = document.Version()
 		delta := snapshot.Diff(nil, document)
 		p.adopt(delta)
-		frame, err := wire.Encode(&wire.Update{Delta: delta})
+		frame, err := wire.Encode(wire.NewUpdate(delta))
 		if err != nil {
 			return err
 		}
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -287,10 +287,7 @@
 	if frame, encoded := e.push.updates[revision]; encoded {
 		return frame
 	}
-	delta := snapshot.Diff(base, e.push.held)
-	frame, err := wire.Encode(&wire.Update{
-		Base: revision, Target: delta.Target, Changed: delta.Changed, Removed: delta.Removed,
-	})
+	frame, err := wire.Encode(wire.NewUpdate(snapshot.Diff(base, e.push.held)))
 	if err != nil {
 		panic(err) // a document that was adopted has an encoding
 	}
@@ -306,22 +303,22 @@
 		l.held = wire.Short(m.Target)
 		return
 	}
-	delta := snapshot.Delta{Target: m.Target, Changed: m.Changed, Removed: m.Removed}
 	if !answered { // late
 		base = e.push.documentAt(m.Base)
 	}
+	var from snapshot.Version
 	switch {
 	case m.Base == 0:
 		base = nil
 	case base != nil && base.Version().Revision == m.Base:
-		delta.Base = base.Version()
+		from = base.Version()
 	case answered:
 		e.faulty(l, "it sent a delta from a revision it was not told of")
 		return
 	default:
 		return
 	}
-	document, err := delta.Apply(base)
+	document, err := m.Delta(from).Apply(base)
 	if err != nil {
 		e.faulty(l, "it sent a wrong update: "+err.Error())
 		return
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -101,6 +101,21 @@
 	Removed []snapshot.Key
 }
 
+// NewUpdate returns the message that carries a delta.
+func NewUpdate(delta snapshot.Delta) *Update {
+	return &Update{
+		Base:    delta.Base.Revision,
+		Target:  delta.Target,
+		Changed: delta.Changed,
+		Removed: delta.Removed,
+	}
+}
+
+// Delta returns what the message carries, given the version that Base stands for.
+func (m *Update) Delta(base snapshot.Version) snapshot.Delta {
+	return snapshot.Delta{Base: base, Target: m.Target, Changed: m.Changed, Removed: m.Removed}
+}
+
 // shortHashBytes is the size of a ShortHash.
 const shortHashBytes = 8
 
