Wait for the list before reading the source; allow dials 4 s

A node whose list had not come within 2 s took itself for the only one of its zone. Dials that took over 2 s on the busy machine raised suspicions of nodes that were alive, which moved the reader groups. Ruled out: a limit by rank for nodes that hold nothing, not needed once the list is awaited. Conclusion: the herd stays below the whole reader group of each zone.

--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -396,9 +396,11 @@
 }
 
 // large returns a fleet of the given size in eight zones that holds revision 1.
-func large(c *qt.C, size int) *simulation.Fleet {
+func large(c *qt.C, size int, listDelay time.Duration) *simulation.Fleet {
 	const largeZones = 8
-	f := simulation.New(simulation.Options{Seed: 1, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond})
+	f := simulation.New(simulation.Options{
+		Seed: 1, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond, ListDelay: listDelay,
+	})
 	f.Platform.Publish(document(1), "")
 	for i := range size {
 		zone := i % largeZones
@@ -413,7 +415,7 @@
 // they suspect: it cannot find them, as the platform is down.
 func TestRestartedNodeIsFoundWithoutTheList(t *testing.T) {
 	c := qt.New(t)
-	f := large(c, 120)
+	f := large(c, 120, 0)
 	f.Run(5 * time.Second)
 	f.Platform.SetDown(true)
 	f.Kill("node-000")
@@ -425,7 +427,7 @@
 func TestReadersStayFew(t *testing.T) {
 	const maxReaders = 40 // the whole reader group of each zone
 	c := qt.New(t)
-	f := large(c, 160)
+	f := large(c, 160, 3*time.Second)
 	converged := func() bool { return f.AllHold(document(1).Version()) }
 	f.Platform.SetDown(true)
 	f.Run(time.Minute)
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -33,7 +33,9 @@
 	// AdoptDelay is the longest time that putting a document in force takes.
 	AdoptDelay time.Duration
 	// ListLag is how old the platform's list is.
-	ListLag        time.Duration
+	ListLag time.Duration
+	// ListDelay is how long the platform takes to answer for the list.
+	ListDelay      time.Duration
 	ReadersPerZone int
 	MaxLinks       int
 	// Duplicates is the share of messages that arrive twice.
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -246,7 +246,7 @@
 	}
 	event.Outcome.Status = source.StatusFresh
 	event.Members, event.ETag = members, etag
-	p.answer(from, action.Request, event)
+	p.fleet.forProcess(from, p.fleet.options.ListDelay, func() { p.answer(from, action.Request, event) })
 }
 
 func (p *Platform) listUnchanged(from *process, action distribution.FetchMembers) {
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -92,8 +92,7 @@
 	if len(e.offers()) > 0 || len(e.push.pulls) > 0 || e.push.newest() != nil {
 		return false
 	}
-	listKnown := e.members.answered && e.fleet.tellAt.IsZero()
-	if !listKnown && e.now.Before(s.startedAt.Add(e.timing.StartPeerWait)) {
+	if !s.listSettled(e) {
 		return false
 	}
 	s.askPeers(e)
@@ -103,6 +102,16 @@
 	return !e.now.Before(s.startedAt.Add(e.timing.ColdWait))
 }
 
+// listSettled reports whether the list was read and is in the view, or cannot be
+// read. A node that has no list takes itself for the only one in its zone: while
+// an answer may still come, it waits.
+func (s *startState) listSettled(e *Engine) bool {
+	if e.members.answered {
+		return e.fleet.tellAt.IsZero()
+	}
+	return e.members.failures > 0 && !e.now.Before(s.startedAt.Add(e.timing.StartPeerWait))
+}
+
 // deadlines tells when waiting may end.
 func (s *startState) deadlines(e *Engine, earlier func(time.Time)) {
 	earlier(s.recheckUntil)
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -85,7 +85,7 @@
 		ViewInterval:           300 * time.Millisecond,
 		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
-		DialTimeout:            2 * time.Second,
+		DialTimeout:            4 * time.Second,
 		StartPeerWait:          2 * time.Second,
 		ColdWait:               time.Second,
 		RecheckWait:            2 * time.Second,
