Fetch again what a node stopped fetching; ask further peers for dead ones

Cause: the rapid property found a fleet of three that never converged: a node that held nothing stopped reading when it learnt of a peer, and remembered the revision it had been fetching as known. A node that starts among mostly dead listed peers could use up its 16 questions on them. Found by reading: bytes of a server's TLS handshake were not counted; a peer could ask for all records without end. Ruled out: keeping the fetch running, as the answer of a stale source might then come before that of the peer. Change: the head is news again after reading stops; unreachable peers do not count as asked; answers to requests for records are spaced; the simulation does not repeat Hello.

--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -36,7 +36,9 @@
 	raw      *socketbytes.Conn
 	conn     net.Conn // raw, or TLS over it
 	reader   *wire.Reader
-	readRaw  int64
+	// readBefore and writtenBefore are the bytes counted so far.
+	readBefore    int64
+	writtenBefore int64
 
 	mutex   sync.Mutex
 	queue   []queuedFrame
@@ -79,20 +81,20 @@
 		return nil, err
 	}
 	read, _ := c.raw.Counter().Totals()
-	c.counters.received[message.Type()].add(read - c.readRaw)
-	c.readRaw = read
+	c.counters.received[message.Type()].add(read - c.readBefore)
+	c.readBefore = read
 	return message, nil
 }
 
 // write sends one frame now.
 func (c *connection) write(messageType wire.Type, frame []byte) error {
-	_, before := c.raw.Counter().Totals()
 	if err := c.raw.SetWriteDeadline(c.writeBy()); err != nil {
 		return err
 	}
 	_, err := c.conn.Write(frame)
-	_, after := c.raw.Counter().Totals()
-	c.counters.sent[messageType].add(after - before)
+	_, written := c.raw.Counter().Totals()
+	c.counters.sent[messageType].add(written - c.writtenBefore)
+	c.writtenBefore = written
 	return err
 }
 
--- /dev/null
+++ b/internal/distribution/engine_test.go
@@ -0,0 +1,91 @@
+package distribution_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+// driver feeds one engine by hand and keeps its last action of each type.
+type driver struct {
+	engine *distribution.Engine
+	now    time.Time
+	dial   distribution.Dial
+	await  distribution.AwaitSource
+	fetch  distribution.FetchSource
+	list   distribution.FetchMembers
+}
+
+func newDriver() *driver {
+	d := &driver{now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)}
+	d.engine = distribution.NewEngine(distribution.EngineOptions{
+		Self: membership.Record{Node: "self", Incarnation: 1, State: membership.StateReady, Region: "south",
+			Zone: "zone", PeerAddress: "self"},
+		Seed: 1, Timing: distribution.DefaultTiming(),
+	})
+	return d
+}
+
+func (d *driver) handle(event distribution.Event) {
+	for _, action := range d.engine.Handle(d.now, event) {
+		switch action := action.(type) {
+		case distribution.Dial:
+			d.dial = action
+		case distribution.AwaitSource:
+			d.await = action
+		case distribution.FetchSource:
+			d.fetch = action
+		case distribution.FetchMembers:
+			d.list = action
+		}
+	}
+}
+
+// run ticks the engine as it asks for.
+func (d *driver) run(duration time.Duration) {
+	end := d.now.Add(duration)
+	for d.engine.NextWake().Before(end) {
+		d.now = d.engine.NextWake()
+		d.handle(distribution.Tick{})
+	}
+	d.now = end
+}
+
+var answeredWell = source.Outcome{Status: source.StatusFresh}
+
+func listed(nodes ...membership.NodeID) (members []membership.ListedMember) {
+	for _, node := range nodes {
+		members = append(members, membership.ListedMember{Node: node, PeerAddress: string(node), Region: "south",
+			Zone: "zone", State: membership.ListedLive})
+	}
+	return members
+}
+
+// A node that holds nothing stops reading when it learns of a peer. The fetch
+// that this cuts off has to be made up for once the peer proves unreachable.
+func TestFetchCutOffIsMadeUpFor(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.handle(distribution.Tick{})
+	d.handle(distribution.MembersListed{Request: d.list.Request, Members: listed("self"), ETag: "1", Outcome: answeredWell})
+	d.run(2 * time.Second)
+	c.Assert(d.await.Request, qt.Not(qt.Equals), distribution.RequestID(0))
+	version := document(2).Version()
+	d.handle(distribution.SourceRevision{Request: d.await.Request, Version: version, Outcome: answeredWell})
+	c.Assert(d.fetch.Request, qt.Not(qt.Equals), distribution.RequestID(0))
+	d.handle(distribution.MembersListed{Request: d.list.Request, Members: listed("self", "peer"), ETag: "2", Outcome: answeredWell})
+	d.run(time.Second)
+	c.Assert(d.dial.Node, qt.Equals, membership.NodeID("peer"))
+	d.handle(distribution.DialFailed{Link: d.dial.Link})
+	d.run(5 * time.Second)
+	d.handle(distribution.SourceRevision{Request: d.await.Request, Version: version, Outcome: answeredWell})
+	d.run(time.Second)
+	d.handle(distribution.SourceDocument{Request: d.fetch.Request, Document: document(2), Outcome: answeredWell})
+	d.handle(distribution.AdoptResult{Version: version})
+	c.Assert(d.engine.Held(), qt.Equals, version)
+}
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -61,7 +61,10 @@
 	readingSince time.Time
 	// confirmedAt is when the peer's zone last heard from the source.
 	confirmedAt time.Time
-	repairAt    time.Time
+	// repairAt is when the peer may be asked for records again, repairedAt when it
+	// last asked for them.
+	repairAt   time.Time
+	repairedAt time.Time
 }
 
 // lasting reports whether the link is up and carries what is flooded.
@@ -226,7 +229,7 @@
 	l.digestAt = e.now.Add(e.jittered(e.timing.DigestInterval))
 	l.held = hello.Held
 	e.setPeerInterval(l, hello.Interval)
-	e.start.peerAnswered(e, l.node)
+	e.start.peerAnswered(l.node, answerGiven)
 	suspected := e.isSuspected(l.node)
 	e.mergeRecords([]membership.Record{hello.Self}, l.id)
 	if !l.probe {
--- a/internal/distribution/overlay.go
+++ b/internal/distribution/overlay.go
@@ -174,7 +174,7 @@
 	}
 	p := e.overlay.peer(l.node)
 	p.failed(e)
-	e.start.peerAnswered(e, l.node)
+	e.start.peerAnswered(l.node, answerUnreachable)
 	if p.lost || p.failures >= suspicionFailures {
 		e.suspect(l.node)
 	}
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -156,6 +156,7 @@
 		}
 	}
 	r.poll, r.fetch = 0, 0
+	r.head = snapshot.Version{} // is news again, should this node read once more
 	r.pollAt, r.fetchAt = time.Time{}, time.Time{}
 }
 
--- a/internal/distribution/repair.go
+++ b/internal/distribution/repair.go
@@ -11,6 +11,8 @@
 	repairTimeout = time.Second
 	// repairInterval is the least time between two exchanges of records on a link.
 	repairInterval = 5 * time.Second
+	// leastRepairInterval bounds how often a peer is answered.
+	leastRepairInterval = repairInterval / 2
 )
 
 // repairState keeps a node from asking several peers for the same records.
@@ -43,7 +45,7 @@
 	l.held = m.Held
 	if m.Request == wire.DigestAnswer {
 		l.asleep = false
-		e.start.peerConfirmed(e)
+		e.start.peerConfirmed()
 	}
 	if m.Request == wire.DigestAsk {
 		e.sendDigest(l, wire.DigestAnswer)
@@ -74,6 +76,12 @@
 }
 
 func (e *Engine) onRecordPull(l *link, m *wire.RecordPull) {
+	if m.Reply {
+		if e.now.Before(l.repairedAt.Add(leastRepairInterval)) {
+			return // no node asks that often
+		}
+		l.repairedAt = e.now
+	}
 	differing := e.table.DifferingBuckets(m.Buckets)
 	records := wire.Records{
 		Records:      e.table.RecordsIn(differing),
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -38,7 +38,10 @@
 }
 
 // transfer is a frame, or the end of the stream when frame is nil.
-type transfer struct{ frame []byte }
+type transfer struct {
+	frame []byte
+	again bool // a second arrival
+}
 
 func (f *Fleet) sortedConnections() []*connection {
 	unique := make(map[uint64]*connection)
@@ -125,6 +128,7 @@
 	}
 	c.deliver(to, item)
 	if item.frame != nil && c.fleet.random.Float64() < c.fleet.options.Duplicates && c.greeted {
+		item.again = true
 		c.deliver(to, item)
 	}
 }
@@ -182,6 +186,9 @@
 		c.drop(to, distribution.DownFault)
 		return
 	}
+	if item.again && message.Type() == wire.TypeHello {
+		return // a connection opens once
+	}
 	if hello, ok := message.(*wire.Hello); ok && to == 1 && !c.greeted {
 		c.greeted = true
 		end.process.handle(distribution.Accepted{Link: end.link, Hello: hello})
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -7,19 +7,27 @@
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
-// probedPeers is how many members a node that holds nothing asks before it takes
-// the source's word that nothing newer exists.
+// probedPeers is how many reachable members a node that holds nothing asks before
+// it takes the source's word that nothing newer exists.
 const probedPeers = 16
 
+// answer is what became of the question to a member.
+type answer uint8
+
+const (
+	answerAwaited     answer = 1
+	answerGiven       answer = 2
+	answerUnreachable answer = 3
+)
+
 // startState decides when a node may trust the source. A node that holds nothing
 // asks peers first, so that a stale source cannot install a revision older than
 // one that a peer holds. A node that slept asks its peers what it missed.
 type startState struct {
 	// startedAt is the time of the first event.
 	startedAt time.Time
-	// answers holds the members that were asked: true once they answered or
-	// proved unreachable.
-	answers map[membership.NodeID]bool
+	// answers holds the members that were asked, since askedAt.
+	answers map[membership.NodeID]answer
 	askedAt time.Time
 	// recheckUntil is set from waking up until a peer answered or the wait is over.
 	recheckUntil time.Time
@@ -29,7 +37,7 @@
 func (e *Engine) begin() {
 	if e.start.startedAt.IsZero() {
 		e.start.startedAt = e.now
-		e.start.answers = make(map[membership.NodeID]bool)
+		e.start.answers = make(map[membership.NodeID]answer)
 		e.fleet.expireAt = e.now.Add(e.jittered(e.timing.ExpireInterval))
 		e.overlay.maintainAt = e.now
 		e.overlay.retrySuspectedAt = e.now.Add(e.jittered(e.timing.SuspectedRetry))
@@ -62,7 +70,7 @@
 }
 
 // peerConfirmed ends the recheck after sleep.
-func (s *startState) peerConfirmed(*Engine) { s.recheckUntil = time.Time{} }
+func (s *startState) peerConfirmed() { s.recheckUntil = time.Time{} }
 
 // endRecheck gives up links whose peers did not answer after the own sleep.
 func (e *Engine) endRecheck() {
@@ -95,9 +103,11 @@
 	if !s.listSettled(e) {
 		return false
 	}
-	s.askPeers(e)
-	if s.pendingAnswers() && e.now.Before(s.askedAt.Add(e.timing.StartPeerWait)) {
-		return false
+	if e.now.Before(s.askedAt.Add(e.timing.StartPeerWait)) || s.askedAt.IsZero() {
+		s.askPeers(e)
+		if s.count(answerAwaited) > 0 {
+			return false
+		}
 	}
 	return !e.now.Before(s.startedAt.Add(e.timing.ColdWait))
 }
@@ -128,33 +138,34 @@
 	}
 }
 
-func (s *startState) pendingAnswers() bool {
-	for _, answered := range s.answers {
-		if !answered {
-			return true
+func (s *startState) count(wanted answer) int {
+	count := 0
+	for _, given := range s.answers {
+		if given == wanted {
+			count++
 		}
 	}
-	return false
+	return count
 }
 
-// askPeers learns what members hold, probedPeers at most: from a link that exists
-// already, or by a probe.
+// askPeers learns what members hold, from links that exist already or by probes.
+// It asks further ones in place of those that cannot be reached.
 func (s *startState) askPeers(e *Engine) {
-	if len(s.answers) >= probedPeers {
+	missing := probedPeers - s.count(answerAwaited) - s.count(answerGiven)
+	if missing <= 0 {
 		return
 	}
-	for _, candidate := range s.unasked(e) {
-		if len(s.answers) >= probedPeers {
-			return
+	for _, candidate := range s.unasked(e, missing) {
+		if s.askedAt.IsZero() {
+			s.askedAt = e.now
 		}
-		s.askedAt = e.now
 		s.answers[candidate.node] = s.ask(e, candidate.node)
 	}
 }
 
-// unasked returns the members not asked yet, in the own order.
-func (s *startState) unasked(e *Engine) []rankedNode {
-	ranked := firstNodes{limit: probedPeers}
+// unasked returns the first members in the own order that were not asked yet.
+func (s *startState) unasked(e *Engine, count int) []rankedNode {
+	ranked := firstNodes{limit: count}
 	members := e.view.Members()
 	for i := range members {
 		member := &members[i]
@@ -168,24 +179,26 @@
 	return ranked.nodes
 }
 
-// ask reports whether the answer of a member is known already; otherwise one is
-// on its way.
-func (s *startState) ask(e *Engine, node membership.NodeID) bool {
+// ask sends a probe to a member unless the answer is known or on its way already.
+func (s *startState) ask(e *Engine, node membership.NodeID) answer {
 	if l := e.overlay.linkTo(node); l != nil {
-		return l.phase == phaseUp
+		if l.phase == phaseUp {
+			return answerGiven
+		}
+		return answerAwaited
 	}
 	if p := e.overlay.peers[node]; p != nil && p.failures > 0 {
-		return true
+		return answerUnreachable
 	}
 	member, _ := e.view.Member(node)
 	e.dial(&member, true)
-	return false
+	return answerAwaited
 }
 
-// peerAnswered notes that a member told what it holds, or cannot be reached.
-func (s *startState) peerAnswered(_ *Engine, node membership.NodeID) {
+// peerAnswered notes what became of the question to a member, if it was asked.
+func (s *startState) peerAnswered(node membership.NodeID, given answer) {
 	if _, asked := s.answers[node]; asked {
-		s.answers[node] = true
+		s.answers[node] = given
 	}
 }
 
