--- a/internal/bench/fleet/impostor.go
+++ b/internal/bench/fleet/impostor.go
@@ -165,10 +165,11 @@
 	}
 }
 
-// claim announces a version and answers each pull with the given update.
-func claim(version snapshot.Version, update snapshot.Delta) misbehaviour {
+// claim announces the version that an update leads to and answers each pull with
+// the update.
+func claim(update *wire.Update) misbehaviour {
 	return func(_ context.Context, link net.Conn, frames *wire.Reader) error {
-		if err := send(link, &wire.Announce{Version: wire.Short(version)}); err != nil {
+		if err := send(link, &wire.Announce{Version: wire.Short(update.Target)}); err != nil {
 			return err
 		}
 		for {
@@ -179,7 +180,7 @@
 			if _, ok := message.(*wire.Pull); !ok {
 				continue
 			}
-			if err := send(link, wire.NewUpdate(update)); err != nil {
+			if err := send(link, update); err != nil {
 				return err
 			}
 		}
@@ -192,8 +193,9 @@
 		const pause = 50 * time.Millisecond
 		for i := 0; ; i++ {
 			document := old[i%len(old)]
-			update := wire.NewUpdate(snapshot.Diff(nil, document))
-			for _, message := range []wire.Message{&wire.Announce{Version: wire.Short(document.Version())}, update, update} {
+			update := wholeUpdate(document)
+			announce := &wire.Announce{Version: wire.Short(document.Version())}
+			for _, message := range []wire.Message{announce, update, update} {
 				if err := send(link, message); err != nil {
 					return err
 				}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -166,9 +166,7 @@
 // unasked returns the first members in the own order that were not asked yet.
 func (s *startState) unasked(e *Engine, count int) []rankedNode {
 	ranked := firstNodes{limit: count}
-	members := e.view.Members()
-	for i := range members {
-		member := &members[i]
+	for member := range e.view.All() {
 		node := member.Record.Node
 		_, asked := s.answers[node]
 		if asked || node == e.options.Self.Node || member.Leaving || member.Record.PeerAddress == "" {
