Spend fewer frames on quiet links; hold the budget by a test

Cause: with the overhead of TLS an idle node of a fleet of 160 sent 103 B/s: a digest followed shortly after a heartbeat, and a quarter of the nodes were in reader groups with fast heartbeats. Ruled out: slower heartbeats on all links, which delays the sight of a dead one. Change: a digest that is due before the next heartbeat takes this one's place; reader groups of four, their heartbeats at 0.9 s (silence shows after 2.25 s). Conclusion: within 100 B/s and three times the delta.

--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -427,7 +427,7 @@
 }
 
 func TestReadersStayFew(t *testing.T) {
-	const maxReaders = 40 // the whole reader group of each zone
+	const maxReaders = 32 // the whole reader group of each zone
 	c := qt.New(t)
 	f := large(c, 160, 3*time.Second)
 	converged := func() bool { return f.AllHold(document(1).Version()) }
@@ -452,3 +452,29 @@
 	c.Assert(readers, qt.Equals, 16) // two in each zone
 	c.Assert(f.Broken(), qt.HasLen, 0)
 }
+
+func TestControlBytesStayWithinBudget(t *testing.T) {
+	const (
+		size        = 160
+		idleSeconds = 60
+		idleBudget  = 100 // bytes a node and second, with the overhead of TLS
+		tlsBytes    = 22  // of one TLS 1.3 record around a frame
+		changeRatio = 3   // bytes a node for a change, by those of its delta
+	)
+	c := qt.New(t)
+	f := large(c, size, 0)
+	f.Run(30 * time.Second)
+	framesBefore, bytesBefore := f.Sent()
+	f.Run(idleSeconds * time.Second)
+	frames, bytes := f.Sent()
+	idle := (bytes - bytesBefore + tlsBytes*(frames-framesBefore)) / size / idleSeconds
+	c.Assert(idle <= idleBudget, qt.IsTrue, qt.Commentf("%d bytes a second", idle))
+
+	f.Platform.Publish(document(2), "")
+	c.Assert(f.RunUntil(time.Second, func() bool { return f.AllHold(document(2).Version()) }), qt.IsTrue)
+	f.Run(200 * time.Millisecond) // late announcements
+	_, after := f.Sent()
+	delta := len(encoded(wire.NewUpdate(snapshot.Diff(document(1), document(2)))).Frame)
+	change := int(after-bytes) / size
+	c.Assert(change <= changeRatio*delta, qt.IsTrue, qt.Commentf("%d bytes for a delta of %d", change, delta))
+}
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -332,7 +332,7 @@
 		case e.passed(l.silentAt()):
 			e.dropLink(l)
 			e.linkLost(l)
-		case e.passed(l.digestAt):
+		case e.digestDue(l):
 			e.sendDigest(l, wire.DigestPlain)
 		default:
 			e.sendHeartbeat(l)
@@ -340,6 +340,15 @@
 	}
 }
 
+// digestDue reports whether to send a digest. One that is due before the next
+// heartbeat takes the place of this one.
+func (e *Engine) digestDue(l *link) bool {
+	if e.passed(l.digestAt) {
+		return true
+	}
+	return e.passed(l.heartbeatAt()) && e.now.Add(l.ownInterval).After(l.digestAt)
+}
+
 func (e *Engine) sendHeartbeat(l *link) {
 	l.ownInterval = e.intervalFor(l)
 	e.send(&wire.Heartbeat{
--- a/internal/distribution/ranking.go
+++ b/internal/distribution/ranking.go
@@ -11,7 +11,7 @@
 
 // groupSize is how many nodes of a zone keep direct links to each other and may
 // read the source, one taking over from the other.
-const groupSize = 5
+const groupSize = 4
 
 // gatewaysPerZone is how many nodes of a zone keep a link to another region.
 const gatewaysPerZone = 4
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -187,8 +187,14 @@
 // Engine returns the engine of a machine.
 func (f *Fleet) Engine(name membership.NodeID) *distribution.Engine { return f.processes[name].engine }
 
-// Bytes returns how many bytes a machine's processes have sent to peers.
-func (f *Fleet) Bytes(name membership.NodeID) int64 { return f.processes[name].sentBytes }
+// Sent returns how many frames and bytes all machines have sent to peers.
+func (f *Fleet) Sent() (frames, bytes int64) {
+	for _, p := range f.processes {
+		frames += p.sentFrames
+		bytes += p.sentBytes
+	}
+	return frames, bytes
+}
 
 func (f *Fleet) jitter(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(f.random.Int64N(int64(mean)+1))
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -80,6 +80,7 @@
 		if c == nil {
 			continue
 		}
+		p.sentFrames++
 		p.sentBytes += int64(len(action.Frame))
 		c.transfer(c.endFor(p, id), transfer{frame: action.Frame})
 	}
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -32,11 +32,12 @@
 	waiting []distribution.Event
 	slow    bool
 
-	held      snapshot.Version
-	view      *membership.View
-	incoming  distribution.LinkID
-	sentBytes int64
-	requests  map[distribution.RequestID]bool
+	held     snapshot.Version
+	view     *membership.View
+	incoming distribution.LinkID
+	requests map[distribution.RequestID]bool
+
+	sentFrames, sentBytes int64
 }
 
 // Start adds a machine and starts a process on it. wrap may make it misbehave;
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -78,7 +78,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		HeartbeatInterval:      5 * time.Second,
-		GroupHeartbeatInterval: 700 * time.Millisecond,
+		GroupHeartbeatInterval: 900 * time.Millisecond,
 		DigestInterval:         10 * time.Second,
 		RecordWindow:           50 * time.Millisecond,
 		ViewWindow:             50 * time.Millisecond,
