Read the source only once a list is known

Cause: a node that restarted while the platform was down got its version from a peer within milliseconds and then took its rank from a view of a few members, as it had no list yet. So each of them asked the source: in 300 nodes 135 to 144 at one time, where 40 may. Found by printing the view of each node at the moment it began to read: 283 of 384 had fewer than 250 members and no list. Ruled out: waiting for the list in the case of a node that holds nothing too (there the code waits for the view to be at rest already; a first try that did not made 52 of 160 nodes read in TestReadersStayFew); suspicion of the readers (few were suspected). Change: a node that holds a version reads only once a list is in its view, its own or one passed on by a peer, or after StartListWait (20 s) if none is to be had. This touches package distribution, with its tests unchanged.

--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// TestRestartedNodesLeaveTheSourceAlone takes enough nodes that those which restart
+// without the platform would pass its limit if each took itself for a reader.
+func TestRestartedNodesLeaveTheSourceAlone(t *testing.T) {
+	const nodes = 120
+	c := qt.New(t)
+	report, err := Faults(context.Background(), FaultsOptions{
+		Settings:  Settings{Nodes: nodes, Seed: 1},
+		Patience:  testPatience,
+		StepLimit: testPatience,
+		Only:      []string{"source-down-and-half-killed"},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(report.Rows[0].Faults, qt.HasLen, 0)
+}
+
 func TestUnknownNamesAreRefused(t *testing.T) {
 	c := qt.New(t)
 	_, err := Faults(context.Background(), FaultsOptions{Only: []string{"no such case"}})
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -29,6 +29,8 @@
 	// answers holds the members that were asked, since askedAt.
 	answers map[membership.NodeID]answer
 	askedAt time.Time
+	// knowsFleet is set once fleetKnown was true.
+	knowsFleet bool
 	// recheckUntil is set from waking up until a peer answered or the wait is over.
 	recheckUntil time.Time
 }
@@ -91,7 +93,26 @@
 	if !s.recheckUntil.IsZero() {
 		return false
 	}
-	return !e.push.heldVersion().IsZero() || s.peersHoldNothing(e)
+	if e.push.heldVersion().IsZero() {
+		return s.peersHoldNothing(e)
+	}
+	return s.fleetKnown(e)
+}
+
+// fleetKnown reports whether a node that got its version from a peer knows enough
+// of the fleet to tell its rank: a list is in its view, read by itself or passed
+// on, or none is to be had. It stays so. A node without a list takes itself for
+// one of few in its zone: when many start while the platform is down, all of them
+// would ask it.
+func (s *startState) fleetKnown(e *Engine) bool {
+	switch {
+	case s.knowsFleet:
+	case e.members.answered || len(e.list.entries) > 0:
+		s.knowsFleet = e.fleet.tellAt.IsZero()
+	default:
+		s.knowsFleet = !e.now.Before(s.startedAt.Add(e.timing.StartListWait))
+	}
+	return s.knowsFleet
 }
 
 // peersHoldNothing reports whether a node that holds nothing has asked enough
@@ -125,6 +146,9 @@
 // deadlines tells when waiting may end.
 func (s *startState) deadlines(e *Engine, earlier func(time.Time)) {
 	earlier(s.recheckUntil)
+	if alone := s.startedAt.Add(e.timing.StartListWait); !s.knowsFleet && alone.After(e.now) {
+		earlier(alone)
+	}
 	if !e.push.heldVersion().IsZero() {
 		return
 	}
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -30,6 +30,9 @@
 	// StartPeerWait is how long a node that holds nothing waits for peers to
 	// answer before it takes the source's word.
 	StartPeerWait time.Duration
+	// StartListWait is how long a node that can get no list, neither from the
+	// platform nor from a peer, waits before it reads the source all the same.
+	StartListWait time.Duration
 	// ColdWait is how long a node that holds nothing waits at least before it
 	// takes the source's word, though its peers hold nothing either: in a fleet
 	// that starts together the list grows meanwhile, and few take themselves for
@@ -87,6 +90,7 @@
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            4 * time.Second,
 		StartPeerWait:          2 * time.Second,
+		StartListWait:          20 * time.Second,
 		ColdWait:               time.Second,
 		RecheckWait:            2 * time.Second,
 		SourceWait:             2 * time.Second,
