--- /dev/null
+++ b/internal/bench/command/command_test.go
@@ -0,0 +1,44 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/bench/command"
+)
+
+// TestExitCodes holds the codes that scripts rely on. The context has ended, so
+// that what would serve ends at once.
+func TestExitCodes(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, row := range []struct {
+		name      string
+		arguments []string
+		code      int
+		shown     string
+	}{
+		{"help", []string{"--help"}, command.ExitOK, "soak"},
+		{"help of a subcommand", []string{"load", "--help"}, command.ExitOK, "--depth"},
+		{"no subcommand", nil, command.ExitUsage, "specify one command"},
+		{"unknown subcommand", []string{"dance"}, command.ExitUsage, "dance"},
+		{"unknown flag", []string{"demo", "--quickly"}, command.ExitUsage, "quickly"},
+		{"missing flag", []string{"backend"}, command.ExitUsage, "listen"},
+		{"fault cases", []string{"faults", "--list"}, command.ExitOK, "half-killed"},
+		{"unknown fault case", []string{"faults", "--case", "none-such"}, command.ExitBroken, "none-such"},
+		{"unknown examples", []string{"demo", "--examples", "nowhere"}, command.ExitBroken, "nowhere"},
+		{"back end", []string{"backend", "--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"}, command.ExitOK, "back end backend at 127.0.0.1:"},
+		{"platform", []string{"platform", "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--content", "../../../examples/kerlann/content.yaml", "--members", "../../../examples/kerlann/settings/*.yaml"}, command.ExitOK, "platform at"},
+		{"platform without content", []string{"platform", "--listen", "127.0.0.1:0", "--content", "nowhere.yaml"}, command.ExitBroken, "nowhere.yaml"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var output bytes.Buffer
+			code := command.Run(ctx, row.arguments, &output, &output)
+			qt.Assert(t, code, qt.Equals, row.code, qt.Commentf("%s", &output))
+			qt.Assert(t, output.String(), qt.Contains, row.shown)
+		})
+	}
+}
