Wait 0.7 s before taking over from a reader whose process is gone

A node that held nothing also stopped reading while its own document was being put in force. Ruled out: waiting after silence or failed reads as well, which would pass 3 s. Change: takeTurn; a reader that is silent or cannot read is replaced at once. The new test fails without the wait (43 in the first round). Conclusion: restarts no longer make a herd at the source.

--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -413,6 +413,30 @@
 	return f
 }
 
+// TestRestartsBringFewReaders restarts a tenth of the fleet each second while the
+// source is down. Each reader that is restarted may bring a stand-in.
+func TestRestartsBringFewReaders(t *testing.T) {
+	const (
+		size       = 120
+		maxReaders = 40
+		window     = 5 * time.Second
+	)
+	c := qt.New(t)
+	f := large(c, size, 0)
+	f.Run(5 * time.Second)
+	f.Platform.SetDown(true)
+	for round := range 20 {
+		for i := range size / 10 {
+			name := f.Machines()[(round*size/10+i)%size]
+			f.Kill(name)
+			f.Restart(name)
+		}
+		f.Run(time.Second)
+		asked := f.Platform.Asked(window)
+		c.Assert(asked <= maxReaders, qt.IsTrue, qt.Commentf("round %d: %d nodes asked", round, asked))
+	}
+}
+
 // TestRestartedNodeIsFoundWithoutTheList has the other nodes dial a node that
 // they suspect: it cannot find them, as the platform is down.
 func TestRestartedNodeIsFoundWithoutTheList(t *testing.T) {
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -330,6 +330,9 @@
 		case l.probe:
 			e.closeLink(l, wire.GoodbyeDone)
 		case e.passed(l.silentAt()):
+			if e.isGroupLink(l) {
+				e.reading.silenceAt = e.now
+			}
 			e.dropLink(l)
 			e.linkLost(l)
 		case e.digestDue(l):
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -20,6 +20,13 @@
 	active   bool
 	resigned bool
 	failures int
+	// turnAt is when the own turn to read begins or began; zero: others read.
+	turnAt time.Time
+	// leftAt is when the node last stopped reading. It goes on at once if its turn
+	// comes again soon, as when it took a version from a peer first.
+	leftAt time.Time
+	// silenceAt is when a link of the group was last found silent.
+	silenceAt time.Time
 	// poll is the running AwaitSource, pollAt when to send the next one.
 	poll     RequestID
 	polledAt time.Time
@@ -48,6 +55,9 @@
 }
 
 func (r *readingState) deadlines(earlier func(time.Time)) {
+	if !r.active {
+		earlier(r.turnAt)
+	}
 	if r.poll == 0 {
 		earlier(r.pollAt)
 	}
@@ -61,50 +71,74 @@
 	return e.reading.lastRequest
 }
 
-// wantsToRead decides whether this node reads the source: while it is one of the
+// turn tells whether it is a node's turn to read, and why.
+type turn uint8
+
+const (
+	turnOthers turn = 0 // others read
+	// turnOwn: the node is among the first of those in its group that can read.
+	turnOwn turn = 1
+	// turnPressing: the same, and one before it fell silent or cannot read, which
+	// took a while to show.
+	turnPressing turn = 2
+)
+
+// ownTurn decides whether this node reads the source: while it is one of the
 // first in its zone of those that can.
-func (e *Engine) wantsToRead() bool {
+func (e *Engine) ownTurn() turn {
 	current := e.currentRanking()
 	if !current.inGroup(e.options.Self.Node) || !e.start.mayRead(e) {
-		return false
+		return turnOthers
 	}
-	able := 0
+	able, pressing := 0, e.push.held == nil || e.now.Sub(e.reading.silenceAt) < e.timing.StandInDelay
 	for _, node := range current.group {
 		if node == e.options.Self.Node {
-			return able < e.options.ReadersPerZone
+			break
 		}
-		if e.canRead(node) {
+		switch e.readability(node) {
+		case readable:
 			able++
+		case failing:
+			pressing = true
 		}
 	}
-	return false
+	switch {
+	case able >= e.options.ReadersPerZone:
+		return turnOthers
+	case pressing:
+		return turnPressing
+	default:
+		return turnOwn
+	}
 }
 
-// canRead tells whether a member of the group is believed to read when its turn
-// comes. One whose link broke, or that cannot be dialled, is not.
-func (e *Engine) canRead(node membership.NodeID) bool {
+// readability tells what is believed of another node of the group as a reader.
+type readability uint8
+
+const (
+	readable readability = 1 // reads, or will when its turn comes
+	lost     readability = 2 // its link broke or it cannot be dialled
+	failing  readability = 3 // its own reads fail
+)
+
+func (e *Engine) readability(node membership.NodeID) readability {
 	if p := e.overlay.peers[node]; p != nil && (p.lost || p.failures > 0) {
-		return false
+		return lost
 	}
 	l := e.overlay.linkTo(node)
 	if l == nil || l.phase != phaseUp {
-		return true
+		return readable
 	}
-	switch l.reading {
-	case wire.ReadingResigned:
-		return false
-	case wire.ReadingActive:
-		return e.now.Sub(latest(l.confirmedAt, l.readingSince)) <= e.timing.FreshnessLimit
-	default:
-		return true
+	stale := e.now.Sub(latest(l.confirmedAt, l.readingSince)) > e.timing.FreshnessLimit
+	if l.reading == wire.ReadingResigned || l.reading == wire.ReadingActive && stale {
+		return failing
 	}
+	return readable
 }
 
 // runReadingTimers takes up or leaves reading and does what is due.
 func (e *Engine) runReadingTimers() {
-	if wants := e.wantsToRead(); wants != e.reading.active {
-		e.setReading(wants)
-	}
+	e.takeTurn()
 	if !e.reading.active {
 		return
 	}
@@ -116,6 +150,27 @@
 	}
 }
 
+// takeTurn waits a little before it takes over from a reader that is gone: most
+// of them are being restarted, and the source would see one more reader for each.
+func (e *Engine) takeTurn() {
+	r := &e.reading
+	own := e.ownTurn()
+	switch {
+	case own == turnOthers:
+		if r.active {
+			r.leftAt = e.now
+		}
+		r.turnAt = time.Time{}
+	case own == turnPressing || e.now.Sub(r.leftAt) < e.timing.StandInDelay:
+		r.turnAt = e.now
+	case r.turnAt.IsZero():
+		r.turnAt = e.now.Add(e.timing.StandInDelay)
+	}
+	if reads := e.passed(r.turnAt); reads != r.active {
+		e.setReading(reads)
+	}
+}
+
 func (e *Engine) setReading(active bool) {
 	r := &e.reading
 	r.active = active
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -27,6 +27,7 @@
 	lists     []listAt
 	listReads []waitingList
 	maxReads  int
+	askedAt   map[membership.NodeID]time.Time
 	fetches   int
 }
 
@@ -51,6 +52,7 @@
 		fleet:     f,
 		published: make(map[snapshot.Version]*snapshot.Document),
 		refused:   make(map[snapshot.Version]error),
+		askedAt:   make(map[membership.NodeID]time.Time),
 		unheard:   func(*Machine) bool { return false },
 	}
 }
@@ -100,6 +102,17 @@
 // MaxReaders returns the most readers at once since the start.
 func (p *Platform) MaxReaders() int { return p.maxReads }
 
+// Asked returns how many machines asked the source within the last while.
+func (p *Platform) Asked(window time.Duration) int {
+	count := 0
+	for _, at := range p.askedAt {
+		if p.fleet.now.Sub(at) <= window {
+			count++
+		}
+	}
+	return count
+}
+
 // Fetches returns how many whole documents were read.
 func (p *Platform) Fetches() int { return p.fetches }
 
@@ -132,6 +145,7 @@
 var errUnreachable = source.Outcome{Status: source.StatusUnreachable, Err: eris.New("no answer")}
 
 func (p *Platform) await(from *process, action distribution.AwaitSource) {
+	p.askedAt[from.machine.Name] = p.fleet.now
 	from.requests[action.Request] = true
 	if p.down {
 		p.answer(from, action.Request, distribution.SourceRevision{Request: action.Request, Outcome: errUnreachable})
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -97,7 +97,10 @@
 // peersHoldNothing reports whether a node that holds nothing has asked enough
 // peers. It asks them as needed.
 func (s *startState) peersHoldNothing(e *Engine) bool {
-	if len(e.offers()) > 0 || len(e.push.pulls) > 0 || e.push.newest() != nil {
+	if e.push.newest() != nil {
+		return e.reading.active // about to hold something
+	}
+	if len(e.offers()) > 0 || len(e.push.pulls) > 0 {
 		return false
 	}
 	if !s.listSettled(e) {
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -43,6 +43,10 @@
 	SourceWait time.Duration
 	// SourceGrace is how much longer than SourceWait an answer may take.
 	SourceGrace time.Duration
+	// StandInDelay is how long a node waits before it takes over from a reader
+	// whose process is gone. One that fell silent or cannot read is replaced at
+	// once.
+	StandInDelay time.Duration
 	// FetchTimeout bounds a read of the whole document or list.
 	FetchTimeout time.Duration
 	// FreshnessLimit is the age of a reader's last confirmation from which the
@@ -91,6 +95,7 @@
 		RecheckWait:            2 * time.Second,
 		SourceWait:             2 * time.Second,
 		SourceGrace:            500 * time.Millisecond,
+		StandInDelay:           700 * time.Millisecond,
 		FetchTimeout:           10 * time.Second,
 		FreshnessLimit:         5 * time.Second,
 		FetchDelay:             150 * time.Millisecond,
