Replace links that missed a heartbeat before they count as dead

A node all of whose peers slept noticed after 12.5 s, and then waited 4 s for each dial that a sleeping peer's kernel accepted. Ruled out: faster heartbeats, which cost bytes on every quiet link. Change: a link whose peer is later than 1.3 of its intervals, or has not answered a dial within 1 s, does not count towards those wanted; another is dialled. The new test failed before.

--- a/internal/distribution/faults_test.go
+++ b/internal/distribution/faults_test.go
@@ -437,6 +437,28 @@
 	}
 }
 
+// TestChangeReachesNodeWhosePeersSleep expects a node to find other peers well
+// before it can tell that its links are dead.
+func TestChangeReachesNodeWhosePeersSleep(t *testing.T) {
+	const inForce = 11 * time.Second
+	c := qt.New(t)
+	f := large(c, 80, 0)
+	f.Run(15 * time.Second)
+	for _, name := range f.Machines()[:8] {
+		for _, peer := range f.Peers(name) {
+			f.Pause(peer, 30*time.Second)
+		}
+		f.Platform.Publish(document(1+f.Platform.Current().Revision), "")
+		c.Check(f.RunUntil(inForce, func() bool {
+			held, _ := f.Held(name)
+			return held == f.Platform.Current()
+		}), qt.IsTrue, qt.Commentf("%s", name))
+		f.Run(40 * time.Second)
+	}
+	c.Assert(f.AllHold(f.Platform.Current()), qt.IsTrue)
+	c.Assert(f.Broken(), qt.HasLen, 0)
+}
+
 // TestRestartedNodeIsFoundWithoutTheList has the other nodes dial a node that
 // they suspect: it cannot find them, as the platform is down.
 func TestRestartedNodeIsFoundWithoutTheList(t *testing.T) {
--- a/internal/distribution/overlay.go
+++ b/internal/distribution/overlay.go
@@ -26,6 +26,9 @@
 	// verifyDelay is how long the higher of two nodes that lost their link leaves
 	// dialling to the other.
 	verifyDelay = 300 * time.Millisecond
+	// doubtfulIntervals is how many of the peer's heartbeat intervals may pass
+	// before a link is no longer relied on.
+	doubtfulIntervals = 1.3
 	// suspicionFailures is how many dials in a row must fail before a member to
 	// which there was no link is reported as unreachable.
 	suspicionFailures = 2
@@ -321,20 +324,40 @@
 			})
 		}
 	}
-	if missing := leastLinks - len(e.overlay.order); missing > 0 {
+	if missing := leastLinks - e.countSound(); missing > 0 {
 		e.dialNearest(missing, func(*membership.Member) bool { return true })
 	}
 }
 
+func (e *Engine) countSound() int {
+	count := 0
+	for _, l := range e.overlay.order {
+		if !l.probe && e.isSound(l) {
+			count++
+		}
+	}
+	return count
+}
+
 func (e *Engine) countOutgoing() (counts [distances]int) {
 	for _, l := range e.overlay.order {
-		if l.outgoing && !l.probe && !e.isGroupLink(l) {
+		if l.outgoing && !l.probe && !e.isGroupLink(l) && e.isSound(l) {
 			counts[e.distanceTo(l.zone, l.region)]++
 		}
 	}
 	return counts
 }
 
+// isSound reports whether a link can be relied on. One that missed a heartbeat, or
+// whose peer takes long to answer, is replaced before it counts as dead, so that a
+// node all of whose peers sleep is not cut off from changes for long.
+func (e *Engine) isSound(l *link) bool {
+	if l.phase != phaseUp {
+		return e.now.Before(l.openedAt.Add(e.timing.AnswerTime))
+	}
+	return e.now.Before(l.lastReceived.Add(time.Duration(doubtfulIntervals * float64(l.peerInterval))))
+}
+
 // dialNearest dials the first of the accepted members in rank; a member that is
 // linked already counts as dialled.
 func (e *Engine) dialNearest(count int, accept func(*membership.Member) bool) {
@@ -356,8 +379,8 @@
 			continue
 		}
 		node := member.Record.Node
-		if l := e.overlay.linkTo(node); l != nil && l.outgoing && !e.isGroupLink(l) {
-			continue // counted already
+		if l := e.overlay.linkTo(node); l != nil && (!e.isSound(l) || l.outgoing && !e.isGroupLink(l)) {
+			continue // not relied on, or counted already
 		}
 		ranked.add(rankedNode{node: node, rank: rank(salt, node)})
 	}
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -51,6 +51,16 @@
 	return slices.SortedFunc(maps.Values(unique), func(a, b *connection) int { return cmp.Compare(a.sequence, b.sequence) })
 }
 
+// Peers returns the machines that a machine has links with.
+func (f *Fleet) Peers(name membership.NodeID) (peers []membership.NodeID) {
+	for _, c := range f.sortedConnections() {
+		if end, mine := c.endOf(f.processes[name]); mine {
+			peers = append(peers, c.ends[1-end].process.machine.Name)
+		}
+	}
+	return peers
+}
+
 func (p *process) dial(action distribution.Dial) {
 	f := p.fleet
 	target := f.processes[membership.NodeID(action.Address)]
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -67,9 +67,8 @@
 	p.wakeReaders()
 }
 
-// Known adds a document that may come into force though it is not the current
-// one, such as one that a stale source serves.
-func (p *Platform) Known(document *snapshot.Document) { p.published[document.Version()] = document }
+// Current returns the version published last.
+func (p *Platform) Current() snapshot.Version { return p.current.Version() }
 
 // SetDown makes the source and the list fail at once, or work again.
 func (p *Platform) SetDown(down bool) { p.down = down }
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -27,6 +27,9 @@
 	PullTimeout time.Duration
 	// DialTimeout bounds dialling and the exchange of Hello.
 	DialTimeout time.Duration
+	// AnswerTime is how long a peer may take to answer a dial before another one
+	// is dialled beside it.
+	AnswerTime time.Duration
 	// StartPeerWait is how long a node that holds nothing waits for peers to
 	// answer before it takes the source's word.
 	StartPeerWait time.Duration
@@ -93,6 +96,7 @@
 		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            4 * time.Second,
+		AnswerTime:             time.Second,
 		StartPeerWait:          2 * time.Second,
 		StartListWait:          20 * time.Second,
 		ColdWait:               time.Second,
