Take an instance back as soon as the view shows it ready again

Cause: an instance that had said it drains was shut out for 5 s, also when its back end was replaced and it was ready again sooner; when the other instance drained next, callers got no-instance. Ruled out: more retries (no instance was left to try). Change: leaving ends when the instance is back in the view, lasts 3 s at most, and is the last choice instead of none.

--- a/internal/proxy/balance/balance.go
+++ b/internal/proxy/balance/balance.go
@@ -105,7 +105,7 @@
 	if b.mode == Random {
 		return b.pickRandom(known, request)
 	}
-	for _, wanted := range []class{classHealthy, classSuspected, classEjected} {
+	for _, wanted := range []class{classHealthy, classSuspected, classEjected, classLeaving} {
 		chosen := b.pickByZone(known.candidates, request, func(candidate *instance) bool {
 			return eligible(candidate, wanted)
 		})
@@ -179,6 +179,9 @@
 		s.byKey[key] = found
 	}
 	found.endpoint = endpoint
+	if !wasInView {
+		found.leavingUntil = time.Time{} // what it said was before
+	}
 	if !wasInView && now.Sub(s.knownSince) > slowStart {
 		found.startedAt = now
 	}
@@ -205,7 +208,7 @@
 
 func (b *Balancer) pickRandom(known *service, request Request) (*Choice, bool) {
 	chosen := b.sample(known.candidates, request.Now, func(candidate *instance) bool {
-		return !candidate.leavingAt(request.Now) && !slices.Contains(request.Tried, candidate.key)
+		return !slices.Contains(request.Tried, candidate.key)
 	})
 	if chosen == nil {
 		return nil, false
--- a/internal/proxy/balance/instance.go
+++ b/internal/proxy/balance/instance.go
@@ -22,9 +22,9 @@
 	refusedLoad = maximumReport
 	// defaultSlots stands in for instances that do not tell their slots.
 	defaultSlots = 10
-	// leavingLifetime is how long an instance that refused as draining gets no
-	// work: long enough for the view to say the same.
-	leavingLifetime = 5 * time.Second
+	// leavingLifetime is how long an instance that said it drains is passed over:
+	// long enough for the view to say the same.
+	leavingLifetime = 3 * time.Second
 	// failuresToEject is how many failures in a row eject an instance.
 	failuresToEject = 3
 	// firstEjection and longestEjection bound how long an ejection lasts; it
@@ -40,7 +40,7 @@
 	classHealthy class = iota + 1
 	classSuspected
 	classEjected
-	classLeaving // never used
+	classLeaving
 )
 
 // instance is what this node observed about one process.
