--- /dev/null
+++ b/internal/distribution/size_test.go
@@ -0,0 +1,160 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/distribution/simulation"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// large returns a fleet of the given size in eight zones that holds revision 1.
+func large(c *qt.C, size int, listDelay time.Duration) *simulation.Fleet {
+	const largeZones = 8
+	f := simulation.New(simulation.Options{
+		Seed: 1, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond, ListDelay: listDelay,
+	})
+	f.Platform.Publish(document(1), "")
+	for i := range size {
+		zone := i % largeZones
+		name := membership.NodeID(fmt.Sprintf("node-%03d", i))
+		f.Start(simulation.Machine{Name: name, Zone: fmt.Sprint("zone-", zone), Region: fmt.Sprint("region-", zone/4)}, nil)
+	}
+	c.Assert(f.RunUntil(10*time.Second, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+	return f
+}
+
+// TestRestartsBringFewReaders restarts a tenth of the fleet each second while the
+// source is down. Each reader that is restarted may bring a stand-in.
+func TestRestartsBringFewReaders(t *testing.T) {
+	const (
+		size       = 120
+		maxReaders = 40
+		window     = 5 * time.Second
+	)
+	c := qt.New(t)
+	f := large(c, size, 0)
+	f.Run(5 * time.Second)
+	f.Platform.SetDown(true)
+	for round := range 20 {
+		for i := range size / 10 {
+			name := f.Machines()[(round*size/10+i)%size]
+			f.Kill(name)
+			f.Restart(name)
+		}
+		f.Run(time.Second)
+		asked := f.Platform.Asked(window)
+		c.Assert(asked <= maxReaders, qt.IsTrue, qt.Commentf("round %d: %d nodes asked", round, asked))
+	}
+}
+
+// TestChangeReachesNodeWhosePeersSleep expects a node to find other peers well
+// before it can tell that its links are dead.
+func TestChangeReachesNodeWhosePeersSleep(t *testing.T) {
+	const inForce = 11 * time.Second
+	c := qt.New(t)
+	f := large(c, 80, 0)
+	f.Run(15 * time.Second)
+	for _, name := range f.Machines()[:8] {
+		for _, peer := range f.Peers(name) {
+			f.Pause(peer, 30*time.Second)
+		}
+		f.Platform.Publish(document(1+f.Platform.Current().Revision), "")
+		c.Check(f.RunUntil(inForce, func() bool {
+			held, _ := f.Held(name)
+			return held == f.Platform.Current()
+		}), qt.IsTrue, qt.Commentf("%s", name))
+		f.Run(40 * time.Second)
+	}
+	c.Assert(f.AllHold(f.Platform.Current()), qt.IsTrue)
+	c.Assert(f.Broken(), qt.HasLen, 0)
+}
+
+// TestRestartedNodeIsFoundWithoutTheList has the other nodes dial a node that
+// they suspect: it cannot find them, as the platform is down.
+func TestRestartedNodeIsFoundWithoutTheList(t *testing.T) {
+	c := qt.New(t)
+	f := large(c, 120, 0)
+	f.Run(5 * time.Second)
+	f.Platform.SetDown(true)
+	f.Kill("node-000")
+	f.Run(5 * time.Second)
+	f.Restart("node-000")
+	c.Assert(f.RunUntil(20*time.Second, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+}
+
+// TestRestartedHalfIsFoundWithoutTheList kills the neighbours of some nodes with
+// them, so that nobody who remains had a link to them.
+func TestRestartedHalfIsFoundWithoutTheList(t *testing.T) {
+	c := qt.New(t)
+	f := large(c, 240, 0)
+	f.Run(5 * time.Second)
+	f.Platform.SetDown(true)
+	machines := f.Machines()
+	half := machines[:len(machines)/2]
+	for _, name := range half {
+		f.Kill(name)
+	}
+	for _, name := range half {
+		f.Restart(name)
+	}
+	c.Assert(f.RunUntil(20*time.Second, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+}
+
+func TestReadersStayFew(t *testing.T) {
+	const maxReaders = 32 // the whole reader group of each zone
+	c := qt.New(t)
+	f := large(c, 160, 3*time.Second)
+	converged := func() bool { return f.AllHold(document(1).Version()) }
+	f.Platform.SetDown(true)
+	f.Run(time.Minute)
+	f.Platform.SetDown(false)
+	for _, name := range f.Machines() {
+		f.Kill(name)
+	}
+	for _, name := range f.Machines() {
+		f.Restart(name)
+	}
+	c.Assert(f.RunUntil(10*time.Second, converged), qt.IsTrue)
+	f.Run(time.Minute)
+	c.Assert(f.Platform.MaxReaders() <= maxReaders, qt.IsTrue, qt.Commentf("%d readers", f.Platform.MaxReaders()))
+	readers := 0
+	for _, name := range f.Machines() {
+		if f.Engine(name).Status().Reader {
+			readers++
+		}
+	}
+	c.Assert(readers, qt.Equals, 16) // two in each zone
+	c.Assert(f.Broken(), qt.HasLen, 0)
+}
+
+func TestControlBytesStayWithinBudget(t *testing.T) {
+	const (
+		size        = 160
+		idleSeconds = 60
+		idleBudget  = 100 // bytes a node and second, with the overhead of TLS
+		tlsBytes    = 22  // of one TLS 1.3 record around a frame
+		changeRatio = 3   // bytes a node for a change, by those of its delta
+	)
+	c := qt.New(t)
+	f := large(c, size, 0)
+	f.Run(30 * time.Second)
+	framesBefore, bytesBefore := f.Sent()
+	f.Run(idleSeconds * time.Second)
+	frames, bytes := f.Sent()
+	idle := (bytes - bytesBefore + tlsBytes*(frames-framesBefore)) / size / idleSeconds
+	c.Assert(idle <= idleBudget, qt.IsTrue, qt.Commentf("%d bytes a second", idle))
+
+	f.Platform.Publish(document(2), "")
+	c.Assert(f.RunUntil(time.Second, func() bool { return f.AllHold(document(2).Version()) }), qt.IsTrue)
+	f.Run(200 * time.Millisecond) // late announcements
+	_, after := f.Sent()
+	delta := len(encoded(wire.NewUpdate(snapshot.Diff(document(1), document(2)))).Frame)
+	change := int(after-bytes) / size
+	c.Assert(change <= changeRatio*delta, qt.IsTrue, qt.Commentf("%d bytes for a delta of %d", change, delta))
+}
--- a/internal/distribution/upkeep.go
+++ b/internal/distribution/upkeep.go
@@ -7,6 +7,10 @@
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
+// suspectedDialsInFlight bounds how often the whole fleet dials one suspected
+// member: as often as this many nodes would alone.
+const suspectedDialsInFlight = 8
+
 // closeUnneeded closes the youngest outgoing links beyond those wanted, such as
 // one that was dialled only to see whether the peer is alive.
 func (e *Engine) closeUnneeded() {
