--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -2,6 +2,13 @@
 // is the decision code: it takes events and a clock and returns actions (which
 // version to adopt, whom to link to, whether to read the source). Node runs an
 // Engine over real links. It neither compiles policies nor proxies requests.
+//
+// Engine, by file: engine (events in, actions out, timers), links (the life of one
+// link), overlay, selection, peers and upkeep (which links to have), push,
+// announce and refusals (versions), records, list and repair (what is known of
+// the fleet), ranking, reading and members (who reads the platform), start (when
+// the source may be trusted). Node: node, node_links, connection, platform,
+// status, stats. Package simulation runs engines under virtual time.
 package distribution
 
 import (
