--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -27,6 +27,9 @@
 	PullTimeout time.Duration
 	// DialTimeout bounds dialling and the exchange of Hello.
 	DialTimeout time.Duration
+	// AnswerTime is how long a peer may take to answer a dial before another one
+	// is dialled beside it.
+	AnswerTime time.Duration
 	// StartPeerWait is how long a node that holds nothing waits for peers to
 	// answer before it takes the source's word.
 	StartPeerWait time.Duration
@@ -46,6 +49,10 @@
 	SourceWait time.Duration
 	// SourceGrace is how much longer than SourceWait an answer may take.
 	SourceGrace time.Duration
+	// StandInDelay is how long a node waits before it takes over from a reader
+	// whose process is gone. One that fell silent or cannot read is replaced at
+	// once.
+	StandInDelay time.Duration
 	// FetchTimeout bounds a read of the whole document or list.
 	FetchTimeout time.Duration
 	// FreshnessLimit is the age of a reader's last confirmation from which the
@@ -89,12 +96,14 @@
 		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
 		DialTimeout:            4 * time.Second,
+		AnswerTime:             time.Second,
 		StartPeerWait:          2 * time.Second,
 		StartListWait:          20 * time.Second,
 		ColdWait:               time.Second,
 		RecheckWait:            2 * time.Second,
 		SourceWait:             2 * time.Second,
 		SourceGrace:            500 * time.Millisecond,
+		StandInDelay:           700 * time.Millisecond,
 		FetchTimeout:           10 * time.Second,
 		FreshnessLimit:         5 * time.Second,
 		FetchDelay:             150 * time.Millisecond,
--- a/internal/distribution/upkeep.go
+++ b/internal/distribution/upkeep.go
@@ -7,6 +7,10 @@
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
+// suspectedDialsInFlight bounds how often the whole fleet dials one suspected
+// member: as often as this many nodes would alone.
+const suspectedDialsInFlight = 8
+
 // closeUnneeded closes the youngest outgoing links beyond those wanted, such as
 // one that was dialled only to see whether the peer is alive.
 func (e *Engine) closeUnneeded() {
@@ -14,12 +18,16 @@
 	counts := e.countOutgoing()
 	total := e.overlay.countLasting()
 	order := e.overlay.order
+	successor := e.successor()
 	for i := len(order) - 1; i >= 0; i-- {
 		l := order[i]
 		d := e.distanceTo(l.zone, l.region)
 		if counts[d] <= wanted[d] || total <= leastLinks || !e.mayClose(l) {
 			continue
 		}
+		if successor != nil && l.node == successor.Record.Node {
+			continue
+		}
 		counts[d]--
 		total--
 		e.closeLink(l, wire.GoodbyeUnneeded)
