--- a/internal/bench/command/load.go
+++ b/internal/bench/command/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/bench/chart"
+	"github.com/winchhead/winchhead/internal/bench/deployment"
 	"github.com/winchhead/winchhead/internal/bench/goodput"
 )
 
@@ -16,7 +17,8 @@
 	environment
 	exampleFlags
 	binaryFlags
-	Deployment string        `long:"deployment" default:"montevideo" description:"example to run"`
+	Deployment string        `long:"deployment" default:"montevideo" description:"example to run, or 'chain' for a made one with as many services as a call is deep"`
+	Instances  int           `long:"instances" default:"2" description:"instances of each service of the made deployment"`
 	Factors    []float64     `long:"factor" default:"0.5" default:"1" default:"2" default:"4" description:"offered load as a share of the capacity; may be repeated"`
 	Duration   time.Duration `long:"duration" default:"10s" description:"how long each load is offered"`
 	Depth      int           `long:"depth" default:"1" description:"back ends that one call passes"`
@@ -29,7 +31,7 @@
 
 // Execute runs the measurement.
 func (c *loadCommand) Execute([]string) error {
-	plan, err := c.load(c.Deployment)
+	plan, err := c.plan()
 	if err != nil {
 		return err
 	}
@@ -64,6 +66,16 @@
 	return nil
 }
 
+// madeDeployment is the name of the deployment that is made, not read.
+const madeDeployment = "chain"
+
+func (c *loadCommand) plan() (*deployment.Deployment, error) {
+	if c.Deployment == madeDeployment {
+		return deployment.Chain(c.Depth, c.Instances)
+	}
+	return c.load(c.Deployment)
+}
+
 func (c *loadCommand) printTable(report goodput.Report) {
 	_, _ = fmt.Fprintf(c.stdout, "%s: capacity %.0f calls/s at depth %d, deadline %.0f ms\n", report.Deployment, report.Capacity, report.Depth, report.TimeoutMS)
 	table := newTable(c.stdout, "NODES", "TIMES CAPACITY", "OFFERED/S", "GOODPUT/S", "P99 MS", "NOT RUN", "UNKNOWN", "LATE", "REJECTED", "SKIPPED")
--- a/internal/bench/deployment/deployment_test.go
+++ b/internal/bench/deployment/deployment_test.go
@@ -77,3 +77,22 @@
 		qt.Assert(t, node.Node, qt.Equals, plan.Nodes[i].Node)
 	}
 }
+
+// TestChainNodesHaveTheirOwnAddresses holds for the made deployment.
+func TestChainNodesHaveTheirOwnAddresses(t *testing.T) {
+	const services, instances, edges = 11, 3, 2
+	plan, err := deployment.Chain(services, instances)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, plan.Nodes, qt.HasLen, services*instances+edges)
+	qt.Assert(t, plan.Content.Services, qt.HasLen, services)
+	seen := map[string]string{}
+	for _, node := range plan.Nodes {
+		for _, address := range []string{node.Peers.Listen, node.Outbound.Listen, node.Admin.Listen, node.Inbound.Listen, node.Inbound.Backend} {
+			if address == "" {
+				continue
+			}
+			qt.Assert(t, seen[address], qt.Equals, "", qt.Commentf("%s of %s", address, node.Node.Name))
+			seen[address] = node.Node.Name
+		}
+	}
+}
--- a/internal/bench/mesh/process.go
+++ b/internal/bench/mesh/process.go
@@ -37,7 +37,10 @@
 	if running(p.done) {
 		return eris.New("the node runs already")
 	}
-	arguments := []string{"node", "--settings", p.plan.File}
+	arguments := []string{"node"}
+	if p.plan.File != "" {
+		arguments = append(arguments, "--settings", p.plan.File)
+	}
 	for key, value := range p.plan.Overrides {
 		arguments = append(arguments, "--"+key+"="+value)
 	}
