--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -182,7 +182,7 @@
 	}
 	if err := a.putInForce(a.plan, next); err != nil {
 		// The routes of every answer were checked before the plan was adopted.
-		a.logger.WithError(err).Error("Routes for the changed fleet are not consistent.")
+		a.logger.WithError(err).Error("routes for the changed fleet are not consistent")
 	}
 	a.conditions = next
 	return next.Deadline()
@@ -230,7 +230,7 @@
 		"version":    current.Version().String(),
 		"generation": current.Generation(),
 		"routes":     len(current.Routes()),
-	}).Info("Configuration in force.")
+	}).Info("configuration in force")
 	a.watchers.notify(Change{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
 }
 
@@ -241,7 +241,7 @@
 		return reason
 	}
 	a.metrics.refusals.Inc()
-	a.logger.WithField("version", version.String()).WithField("reason", reason.Error()).Warn("Configuration refused.")
+	a.logger.WithField("version", version.String()).WithField("reason", reason.Error()).Warn("configuration refused")
 	if a.refusal != nil && a.refusal.Version.Newer(version) {
 		return reason
 	}
