Pass answers on with one piece of code in both proxies

Cause: inbound and outbound each had the same copying of an answer's body, its buffers, the header of the next hop and its trailer fields; a fault mended in one could stay in the other. Ruled out: one "deliver" for both, as slots, repeats and observations of instances differ there and would need many callbacks. Change: forward.PassResponseHeader, PassTrailer, CopyBody and Flush; both proxies keep only what differs (what a piece that is not taken means, when the slot is given back).

--- a/internal/proxy/inbound/answer.go
+++ b/internal/proxy/inbound/answer.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/membership"
@@ -16,7 +15,6 @@
 )
 
 const (
-	copyBytes = 32 << 10
 	// heldAnswerBytes is the size up to which an answer's header waits for its
 	// body, so that both leave in one packet.
 	heldAnswerBytes = 4 << 10
@@ -24,8 +22,6 @@
 	discardLimit = 64 << 10
 )
 
-var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
-
 // ending is how a request left the proxy.
 type ending struct {
 	name    string // for metrics
@@ -126,7 +122,7 @@
 	e.writeHeader(response)
 	end := e.copyBody(response)
 	if end.name == endedAnswered.name {
-		e.writeTrailer(response)
+		forward.PassTrailer(e.writer.Header(), response.Trailer)
 		e.keepAnswer(response.Trailer)
 	}
 	return end
@@ -149,48 +145,27 @@
 func (e *exchange) writeHeader(response *http.Response) {
 	header := e.writer.Header()
 	e.record(response)
-	forward.PassAnswerHeader(header, response.Header)
+	forward.PassResponseHeader(header, response)
 	e.proxy.mark(header)
-	if _, present := header[forward.HeaderContentType]; !present {
-		header[forward.HeaderContentType] = nil // keeps net/http from guessing one
-	}
-	for name := range response.Trailer {
-		if !outcome.IsInternal(name) {
-			header.Add(forward.HeaderTrailer, name)
-		}
-	}
 	e.body.beforeAnswer(e.writer)
 	e.writer.WriteHeader(response.StatusCode)
 	if response.ContentLength < 0 || response.ContentLength > heldAnswerBytes {
-		e.flush()
+		forward.Flush(e.writer)
 	}
 }
 
-// copyBody passes the body on, each piece at once.
+// copyBody passes the body on and gives the slot back at its end.
 func (e *exchange) copyBody(response *http.Response) ending {
-	buffer := copyBuffers.Get().(*[copyBytes]byte)
-	defer copyBuffers.Put(buffer)
-	var passed int64
-	for {
-		count, err := response.Body.Read(buffer[:])
-		whole := errors.Is(err, io.EOF)
-		if whole {
-			e.releaseSlot()
-		}
-		if count > 0 && !e.pass(buffer[:count]) {
-			return e.endOfBroken(endedCallerGone)
-		}
-		passed += int64(count)
-		switch {
-		case whole && e.lost:
-			return e.endUnheard()
-		case whole:
-			return endedAnswered
-		case err != nil:
-			return e.endOfBroken(endedCut)
-		case passed != response.ContentLength:
-			e.flush()
-		}
+	end := forward.CopyBody(e.writer, response, e.releaseSlot, e.pass)
+	switch {
+	case end == forward.CopyRefused:
+		return e.endOfBroken(endedCallerGone)
+	case end == forward.CopyBroken:
+		return e.endOfBroken(endedCut)
+	case e.lost:
+		return e.endUnheard()
+	default:
+		return endedAnswered
 	}
 }
 
@@ -220,23 +195,6 @@
 	}
 }
 
-func (e *exchange) flush() { _ = http.NewResponseController(e.writer).Flush() }
-
-// writeTrailer passes on the trailer fields, those not announced too.
-func (e *exchange) writeTrailer(response *http.Response) {
-	header := e.writer.Header()
-	announced := header[forward.HeaderTrailer]
-	for name, values := range response.Trailer {
-		switch {
-		case outcome.IsInternal(name):
-		case forward.HasToken(announced, name):
-			header[name] = values
-		default:
-			header[http.TrailerPrefix+name] = values
-		}
-	}
-}
-
 // switchProtocols turns the exchange into a session: bytes go both ways until both
 // directions have ended.
 func (e *exchange) switchProtocols(response *http.Response) ending {
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -3,25 +3,17 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/proxy/balance"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
-	"github.com/winchhead/winchhead/internal/proxy/outcome"
 )
 
-const (
-	// unknownLength is the ContentLength of an answer that ends with its chunks
-	// or its connection.
-	unknownLength = -1
-	copyBytes     = 32 << 10
-)
-
-var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+// unknownLength is the ContentLength of an answer that ends with its chunks or
+// its connection.
+const unknownLength = -1
 
 // deliver passes the answer of a back end on, whole or visibly cut.
 func (e *exchange) deliver(response *http.Response, choice *balance.Choice) ending {
@@ -38,7 +30,7 @@
 	end := e.copyBody(response)
 	e.finish(choice, observationOfEnd(end), time.Now())
 	if end == answered {
-		e.writeTrailer(response)
+		forward.PassTrailer(e.writer.Header(), response.Trailer)
 	}
 	return end
 }
@@ -61,47 +53,31 @@
 // writeHeader passes on the header of an answer, without what concerns the
 // connection or only nodes.
 func (e *exchange) writeHeader(response *http.Response) {
-	announced := response.Trailer
-	forward.PassAnswerHeader(e.writer.Header(), response.Header)
-	if _, present := response.Header[forward.HeaderContentType]; !present {
-		e.writer.Header()[forward.HeaderContentType] = nil // keeps net/http from guessing one
-	}
-	for name := range announced {
-		if !outcome.IsInternal(name) {
-			e.writer.Header().Add(forward.HeaderTrailer, name)
-		}
-	}
+	forward.PassResponseHeader(e.writer.Header(), response)
 	e.writer.WriteHeader(response.StatusCode)
 	if response.ContentLength == unknownLength {
-		e.flush()
+		forward.Flush(e.writer)
 	}
 }
 
-// copyBody passes the body on, each piece at once. The last piece of a known
-// length leaves with the end of the answer.
+// copyBody passes the body on.
 func (e *exchange) copyBody(response *http.Response) ending {
-	buffer := copyBuffers.Get().(*[copyBytes]byte)
-	defer copyBuffers.Put(buffer)
-	var passed int64
-	for {
-		count, err := response.Body.Read(buffer[:])
-		if count > 0 {
-			if _, err := e.writer.Write(buffer[:count]); err != nil {
-				return e.endOfBroken(callerGone)
-			}
-		}
-		passed += int64(count)
-		switch {
-		case errors.Is(err, io.EOF):
-			return answered
-		case err != nil:
-			return e.endOfBroken(cut)
-		case passed != response.ContentLength:
-			e.flush()
-		}
+	switch forward.CopyBody(e.writer, response, nil, e.pass) {
+	case forward.CopyRefused:
+		return e.endOfBroken(callerGone)
+	case forward.CopyBroken:
+		return e.endOfBroken(cut)
+	default:
+		return answered
 	}
 }
 
+// pass sends a piece to the caller and reports whether it was taken.
+func (e *exchange) pass(piece []byte) bool {
+	_, err := e.writer.Write(piece)
+	return err == nil
+}
+
 // endOfBroken tells who ended an answer that did not come to its end.
 func (e *exchange) endOfBroken(otherwise ending) ending {
 	switch {
@@ -114,22 +90,6 @@
 	}
 }
 
-func (e *exchange) flush() { _ = http.NewResponseController(e.writer).Flush() }
-
-// writeTrailer passes on the trailer fields, those not announced too.
-func (e *exchange) writeTrailer(response *http.Response) {
-	announced := e.writer.Header()[forward.HeaderTrailer]
-	for name, values := range response.Trailer {
-		switch {
-		case outcome.IsInternal(name):
-		case forward.HasToken(announced, name):
-			e.writer.Header()[name] = values
-		default:
-			e.writer.Header()[http.TrailerPrefix+name] = values
-		}
-	}
-}
-
 // abort cuts the caller's connection. HTTP/1.0 has no other end of an answer of
 // unknown length than the connection's, so there it is reset.
 func (e *exchange) abort() {
