Wait with one piece of code that ends with its context

Cause: five packages each had their own timer with a select on the context (inbound, outbound, distribution, the emulated back end, soak), with two kinds of results and different answers to a span of zero. All callers had positive spans or the same treatment of others, so nothing changes for them. Conclusion: done but for bench/fleet/network.go.

--- a/internal/bench/soak/monitor.go
+++ b/internal/bench/soak/monitor.go
@@ -10,6 +10,7 @@
 	"github.com/winchhead/winchhead/internal/bench/mesh"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // monitorInterval is the time between two looks at a node.
@@ -37,7 +38,7 @@
 func (m *monitor) follow(ctx context.Context, client *admin.Client) {
 	var highest snapshot.Revision
 	var process membership.Incarnation
-	for pause(ctx, monitorInterval) == nil {
+	for wait.For(ctx, monitorInterval) == nil {
 		status, err := client.Status(ctx)
 		if err != nil {
 			continue // killed, paused or restarting
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -17,6 +17,7 @@
 	"github.com/winchhead/winchhead/internal/bench/load"
 	"github.com/winchhead/winchhead/internal/bench/mesh"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Options sets up a soak of one deployment.
@@ -179,7 +180,7 @@
 			return err
 		}
 	}
-	if err := pause(ctx, lasting); err != nil {
+	if err := wait.For(ctx, lasting); err != nil {
 		return err
 	}
 	for i := len(begun) - 1; i >= 0; i-- {
@@ -187,7 +188,7 @@
 			r.progress("undo %s: %v", begun[i].name, err)
 		}
 	}
-	return pause(ctx, r.between(shortestCalm, longestCalm))
+	return wait.For(ctx, r.between(shortestCalm, longestCalm))
 }
 
 func (r *run) between(shortest, longest time.Duration) time.Duration {
@@ -230,15 +231,3 @@
 			time.Now().Format("15:04:05.000"), r.options.Deployment.Name, fmt.Sprintf(format, values...))
 	}
 }
-
-// pause waits for a span or the end of ctx.
-func pause(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/distribution/node_links.go
+++ b/internal/distribution/node_links.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/wait"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 		}
 		if err != nil {
 			n.logger.WithError(err).Warn("cannot take a connection")
-			if !pause(ctx, n.options.Timing.RedialMin) {
+			if wait.For(ctx, n.options.Timing.RedialMin) != nil {
 				return
 			}
 			continue
@@ -34,18 +35,6 @@
 	}
 }
 
-// pause waits, and reports false when ctx ended first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // greet learns why a peer opened a connection and serves it.
 func (n *Node) greet(ctx context.Context, socket net.Conn) {
 	c := newConnection(socket, n.options.TLS, false, &n.counters)
--- a/internal/emulator/backend/backend.go
+++ b/internal/emulator/backend/backend.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Options sets one back end.
@@ -89,8 +91,8 @@
 // StartCold waits for ColdRefuse, during which connections to address are
 // refused, and then starts as Start does. address needs a port.
 func (b *Backend) StartCold(ctx context.Context, address string) error {
-	if !pause(ctx, b.options.ColdRefuse) {
-		return ctx.Err()
+	if err := wait.For(ctx, b.options.ColdRefuse); err != nil {
+		return err
 	}
 	return b.Start(address)
 }
--- a/internal/emulator/backend/sessions.go
+++ b/internal/emulator/backend/sessions.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // UpgradeProtocol is the token of the Upgrade header for PathUpgrade.
@@ -42,7 +44,7 @@
 	_ = flusher.Flush()
 	interval := queryMillis(r, "interval-ms")
 	for number := range queryInt(r, "count", defaultEvents) {
-		if !pause(j.ctx, interval) {
+		if wait.For(j.ctx, interval) != nil {
 			j.stopped()
 			panic(http.ErrAbortHandler)
 		}
@@ -78,7 +80,7 @@
 }
 
 func (j *job) sendPiece(w http.ResponseWriter, piece []byte, interval time.Duration, last bool) bool {
-	if !pause(j.ctx, interval) {
+	if wait.For(j.ctx, interval) != nil {
 		j.stopped()
 		return false
 	}
--- a/internal/emulator/backend/work.go
+++ b/internal/emulator/backend/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/proxy/report"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Headers of a request that steer one answer, and headers of an answer.
@@ -146,7 +147,7 @@
 		j.backend.journal.cancelled(j.run)
 		return false
 	}
-	if !pause(j.ctx, j.backend.workTime(r)) {
+	if wait.For(j.ctx, j.backend.workTime(r)) != nil {
 		j.stopped()
 		return false
 	}
@@ -173,24 +174,6 @@
 	return span
 }
 
-// pause waits for span and reports whether it passed before ctx ended.
-func pause(ctx context.Context, span time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if span <= 0 {
-		return true
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // reset resets the connection under an answer that has not ended.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/proxy/inbound/drain.go
+++ b/internal/proxy/inbound/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // drainNotice is how long a planned stop still takes new work after it was
@@ -21,7 +23,7 @@
 func (p *Proxy) Drain(ctx context.Context) error {
 	p.stopping.Store(true)
 	p.readiness.stop()
-	if err := wait(ctx, drainNotice); err != nil {
+	if err := wait.For(ctx, drainNotice); err != nil {
 		p.refusing.Store(true)
 		return eris.Wrap(err, "inbound proxy: drain")
 	}
@@ -33,14 +35,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/proxy/outbound/server.go
+++ b/internal/proxy/outbound/server.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/proxy/forward"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 const (
@@ -104,7 +105,7 @@
 		if remaining <= 0 {
 			return nil
 		}
-		if err := wait(ctx, remaining); err != nil {
+		if err := wait.For(ctx, remaining); err != nil {
 			return err
 		}
 	}
@@ -116,14 +117,3 @@
 	}
 	return one
 }
-
-func wait(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
