Share the terms of a request's deadline, target and upgrade

Cause: inbound and outbound each defined the error of a request whose time is over, the deadline that ends a waiting read or write (forward had it a third time), the text of the time left, the text that names a process and the check of a 101 answer. The two sides of a header must agree on its form, so it should have one writer. Ruled out: one exchange type for both proxies, as they differ in most fields; one function that builds the request to the next hop, as headers, body and address differ. Change: forward.ErrDeadline, LongAgo, TimeOver and Upgraded; outcome.TargetOf (was outbound.TargetOf, used by nobody else) and Remaining. Conclusion: behaviour is as before.

--- a/internal/proxy/forward/session.go
+++ b/internal/proxy/forward/session.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,16 @@
 	CloseWrite() error
 }
 
+// Upgraded returns the connection to the instance that a 101 answer leaves, or
+// false if the answer switches to another protocol than the one asked for.
+func Upgraded(response *http.Response, asked string) (Duplex, bool) {
+	instance, ok := response.Body.(Duplex)
+	if !ok || asked == "" || !strings.EqualFold(UpgradeProtocol(response.Header), asked) {
+		return nil, false
+	}
+	return instance, true
+}
+
 // TakeOver takes the caller's connection from net/http and answers the upgrade
 // with the header of a 101 answer and the headers set on w.
 func TakeOver(w http.ResponseWriter, response *http.Response) (Duplex, error) {
--- a/internal/proxy/forward/unread.go
+++ b/internal/proxy/forward/unread.go
@@ -22,9 +22,6 @@
 	settleTime  = 20 * time.Millisecond
 )
 
-// longAgo as a deadline ends a read that waits.
-var longAgo = time.Unix(1, 0)
-
 // SettleUnread prepares an answer to a request nothing more of whose body is
 // wanted and that was not read to its end: it reads a short rest that is there
 // already, and otherwise makes net/http close the connection after the answer.
@@ -69,5 +66,5 @@
 func BoundUnread(w http.ResponseWriter) {
 	control := http.NewResponseController(w)
 	// A deadline set now would not last: net/http resets it at the handler's end.
-	time.AfterFunc(unreadGrace, func() { _ = control.SetReadDeadline(longAgo) })
+	time.AfterFunc(unreadGrace, func() { _ = control.SetReadDeadline(LongAgo) })
 }
--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -27,7 +27,7 @@
 
 // target is the value of outcome.HeaderTarget for this process.
 func (p *Proxy) target() string {
-	return string(p.self.Node) + "/" + strconv.FormatUint(uint64(p.incarnation()), 10)
+	return outcome.TargetOf(p.self.Node, p.incarnation())
 }
 
 // admit checks a request and waits for its slot. Whatever it refuses did not run.
--- a/internal/proxy/inbound/answer.go
+++ b/internal/proxy/inbound/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/membership"
@@ -198,8 +197,8 @@
 // switchProtocols turns the exchange into a session: bytes go both ways until both
 // directions have ended.
 func (e *exchange) switchProtocols(response *http.Response) ending {
-	instance, ok := response.Body.(forward.Duplex)
-	if !ok || e.upgrade == "" || !strings.EqualFold(forward.UpgradeProtocol(response.Header), e.upgrade) {
+	instance, agreed := forward.Upgraded(response, e.upgrade)
+	if !agreed {
 		_ = response.Body.Close()
 		return failure(outcome.New(outcome.ReasonBroken, outcome.Unknown, "the back end switched to another protocol"))
 	}
--- a/internal/proxy/inbound/backend.go
+++ b/internal/proxy/inbound/backend.go
@@ -125,7 +125,7 @@
 		return nil
 	}
 	err := c.CloseWrite()
-	_ = c.Conn.SetReadDeadline(longAgo) // ends a read in progress
+	_ = c.Conn.SetReadDeadline(forward.LongAgo) // ends a read in progress
 	go c.linger()
 	return err
 }
--- a/internal/proxy/inbound/exchange.go
+++ b/internal/proxy/inbound/exchange.go
@@ -2,28 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/winchhead/winchhead/internal/proxy/admission"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// errDeadline is the cause of the end of a context whose request's time is over.
-var errDeadline = eris.New("the time of the request is over")
-
-// longAgo as a deadline ends a read or write that waits.
-var longAgo = time.Unix(1, 0)
-
 // exchange is one request to the back end. One goroutine owns it. It stays on the
 // route it began with.
 type exchange struct {
@@ -70,22 +60,22 @@
 // expire ends the exchange because its time is over. A sender that does not read
 // the answer, or does not go on with the body, is no longer waited for.
 func (e *exchange) expire() {
-	e.cancel(errDeadline)
+	e.cancel(forward.ErrDeadline)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ended {
 		return
 	}
 	if e.answering {
-		_ = http.NewResponseController(e.writer).SetWriteDeadline(longAgo)
+		_ = http.NewResponseController(e.writer).SetWriteDeadline(forward.LongAgo)
 	}
 	if e.body.waiting() {
-		_ = http.NewResponseController(e.writer).SetReadDeadline(longAgo)
+		_ = http.NewResponseController(e.writer).SetReadDeadline(forward.LongAgo)
 	}
 }
 
 func (e *exchange) timeOver() bool {
-	return errors.Is(context.Cause(e.ctx), errDeadline) || !time.Now().Before(e.deadline)
+	return forward.TimeOver(e.ctx, e.deadline)
 }
 
 // end releases what the exchange holds.
@@ -167,7 +157,7 @@
 	trace := &httptrace.ClientTrace{
 		// The header is written after this call: the time left is then exact.
 		GotConn: func(info httptrace.GotConnInfo) {
-			remaining[0] = remainingText(e.deadline)
+			remaining[0] = outcome.Remaining(e.deadline)
 			info.Conn.(*forward.Conn).Assign(e.send)
 		},
 		Got1xxResponse: e.informer.Pass,
@@ -175,11 +165,6 @@
 	return request.WithContext(httptrace.WithClientTrace(e.ctx, trace))
 }
 
-// remainingText is the time left in whole milliseconds, rounded down.
-func remainingText(deadline time.Time) string {
-	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 0), 10)
-}
-
 // fail tells why there is no answer, and whether the request may have run.
 func (e *exchange) fail(err error) ending {
 	result := outcome.NotRun
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -81,7 +81,7 @@
 // endOfBroken tells who ended an answer that did not come to its end.
 func (e *exchange) endOfBroken(otherwise ending) ending {
 	switch {
-	case errors.Is(context.Cause(e.ctx), errDeadline):
+	case errors.Is(context.Cause(e.ctx), forward.ErrDeadline):
 		return late
 	case e.request.Context().Err() != nil:
 		return callerGone
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"errors"
 	"io"
 	"maps"
@@ -117,7 +116,7 @@
 	e.sends++
 	remaining := []string{""}
 	header[outcome.HeaderRemaining] = remaining
-	header[outcome.HeaderTarget] = []string{TargetOf(endpoint.Node, endpoint.Incarnation)}
+	header[outcome.HeaderTarget] = []string{outcome.TargetOf(endpoint.Node, endpoint.Incarnation)}
 
 	target := *e.request.URL
 	target.Scheme, target.Host, target.User = schemeHTTP, endpoint.DataAddress, nil
@@ -135,7 +134,7 @@
 		// The header is written after this call: the time left is then exact,
 		// however long the connection took.
 		GotConn: func(info httptrace.GotConnInfo) {
-			remaining[0] = remainingText(e.deadline)
+			remaining[0] = outcome.Remaining(e.deadline)
 			*reused = info.Reused
 			info.Conn.(*forward.Conn).Assign(current)
 		},
@@ -144,16 +143,6 @@
 	return request.WithContext(httptrace.WithClientTrace(e.ctx, trace))
 }
 
-// TargetOf is the value of outcome.HeaderTarget for one process.
-func TargetOf(node membership.NodeID, incarnation membership.Incarnation) string {
-	return string(node) + "/" + strconv.FormatUint(uint64(incarnation), 10)
-}
-
-// remainingText is the time left in whole milliseconds, rounded down.
-func remainingText(deadline time.Time) string {
-	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 0), 10)
-}
-
 // readHints takes over what an answer tells about its instance.
 func (e *exchange) readHints(header http.Header, choice *balance.Choice, now time.Time) {
 	if load, err := strconv.ParseFloat(header.Get(outcome.HeaderLoad), 64); err == nil {
@@ -179,9 +168,8 @@
 			return outcome.New(outcome.ReasonBadRequest, result, "the body broke off")
 		}
 	}
-	timeOver := errors.Is(context.Cause(e.ctx), errDeadline) || time.Until(e.deadline) <= 0
 	switch {
-	case timeOver:
+	case forward.TimeOver(e.ctx, e.deadline):
 		return outcome.New(outcome.ReasonDeadline, result, "")
 	case mayHaveRun:
 		return outcome.New(outcome.ReasonBroken, result, "")
--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/balance"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
@@ -15,12 +14,6 @@
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// errDeadline is the cause of the end of a context whose request's time is over.
-var errDeadline = eris.New("the time of the request is over")
-
-// longAgo as a deadline ends a read or write that waits.
-var longAgo = time.Unix(1, 0)
-
 // exchange is one request of a caller with all its attempts. One goroutine owns
 // it. It stays on the snapshot it began with.
 type exchange struct {
@@ -89,11 +82,11 @@
 // expire ends the exchange because its time is over. A caller that does not
 // read the answer is no longer waited for.
 func (e *exchange) expire() {
-	e.cancel(errDeadline)
+	e.cancel(forward.ErrDeadline)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.answering && !e.ended {
-		_ = http.NewResponseController(e.writer).SetWriteDeadline(longAgo)
+		_ = http.NewResponseController(e.writer).SetWriteDeadline(forward.LongAgo)
 	}
 }
 
--- a/internal/proxy/outbound/session.go
+++ b/internal/proxy/outbound/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/proxy/balance"
@@ -14,9 +13,8 @@
 // switchProtocols turns the exchange into a session: bytes go both ways until
 // both directions have ended.
 func (e *exchange) switchProtocols(response *http.Response, choice *balance.Choice) ending {
-	instance, ok := response.Body.(forward.Duplex)
-	agreed := e.upgrade != "" && strings.EqualFold(forward.UpgradeProtocol(response.Header), e.upgrade)
-	if !ok || !agreed {
+	instance, agreed := forward.Upgraded(response, e.upgrade)
+	if !agreed {
 		_ = response.Body.Close()
 		e.finish(choice, balance.Failed, time.Now())
 		return e.refuse(outcome.New(outcome.ReasonBroken, outcome.Unknown, "the back end switched to another protocol"))
--- /dev/null
+++ b/internal/proxy/outcome/request.go
@@ -0,0 +1,19 @@
+package outcome
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/membership"
+)
+
+// TargetOf returns the value of HeaderTarget for one process.
+func TargetOf(node membership.NodeID, incarnation membership.Incarnation) string {
+	return string(node) + "/" + strconv.FormatUint(uint64(incarnation), 10)
+}
+
+// Remaining returns the time left until a deadline as in HeaderRemaining and
+// HeaderTimeout: whole milliseconds, rounded down, never below 0.
+func Remaining(deadline time.Time) string {
+	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 0), 10)
+}
