Begin and end the work of the emulated back end in one place

Cause: five handlers of the emulated back end repeated how a request takes its slot, reads its body, works, and breaks off; two functions ended a failed answer in the same way. Ruled out: chi middleware with the job in the request's context, which hides what a handler needs. Change: handlers are methods of job, given to inJob; work ends the answer itself when it was not done; readBody, breakOff and giveUp stand once. Conclusion: behaviour is as before.

--- a/internal/emulator/backend/endpoints.go
+++ b/internal/emulator/backend/endpoints.go
@@ -27,17 +27,29 @@
 	router := chi.NewRouter()
 	router.Get(PathHealth, b.serveHealth)
 	router.Get(PathLoad, b.serveLoad)
-	router.Handle(PathEcho, http.HandlerFunc(b.serveEcho))
-	router.Handle(PathEcho+"/*", http.HandlerFunc(b.serveEcho))
-	router.Handle(PathCall, http.HandlerFunc(b.serveCall))
-	router.Get(PathEvents, b.serveEvents)
-	router.Get(PathDownload, b.serveDownload)
-	router.Post(PathUpload, b.serveUpload)
-	router.Get(PathUpgrade, b.serveUpgrade)
-	router.NotFound(b.serveEcho)
+	router.Handle(PathEcho, b.inJob((*job).serveEcho))
+	router.Handle(PathEcho+"/*", b.inJob((*job).serveEcho))
+	router.Handle(PathCall, b.inJob((*job).serveCall))
+	router.Get(PathEvents, b.inJob((*job).serveEvents))
+	router.Get(PathDownload, b.inJob((*job).serveDownload))
+	router.Post(PathUpload, b.inJob((*job).serveUpload))
+	router.Get(PathUpgrade, onlyUpgrades(b.inJob((*job).serveUpgrade)))
+	router.NotFound(b.inJob((*job).serveEcho))
 	return router
 }
 
+// inJob makes a handler that serves a request while it holds a slot.
+func (b *Backend) inJob(serve func(*job, http.ResponseWriter, *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		j := b.begin(w, r)
+		if j == nil {
+			return
+		}
+		defer j.end()
+		serve(j, w, r)
+	}
+}
+
 // Checksum returns the checksum of a body as in HeaderChecksum.
 func Checksum(body []byte) string {
 	var sum [8]byte
@@ -61,19 +73,9 @@
 	return body[:size]
 }
 
-func (b *Backend) serveEcho(w http.ResponseWriter, r *http.Request) {
-	j := b.begin(w, r)
-	if j == nil {
-		return
-	}
-	defer j.end()
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		j.stopped()
-		panic(http.ErrAbortHandler)
-	}
-	if !j.work(r) {
-		expired(w, r)
+func (j *job) serveEcho(w http.ResponseWriter, r *http.Request) {
+	body := j.readBody(r)
+	if !j.work(w, r) {
 		return
 	}
 	if size, err := strconv.Atoi(r.Header.Get(HeaderAnswerBytes)); err == nil && size >= 0 {
@@ -82,15 +84,6 @@
 	j.answer(w, r, body)
 }
 
-// expired ends an answer whose work stopped: 504, which nobody reads when the
-// cause was that the caller went away.
-func expired(w http.ResponseWriter, r *http.Request) {
-	if r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
-	}
-	http.Error(w, "time is over", http.StatusGatewayTimeout)
-}
-
 // answer sends the body with its checksum, or breaks as the fault says.
 func (j *job) answer(w http.ResponseWriter, r *http.Request, body []byte) {
 	j.backend.journal.finished(j.run)
@@ -144,20 +137,13 @@
 	panic(http.ErrAbortHandler) // net/http closes the connection in order
 }
 
-func (b *Backend) serveUpload(w http.ResponseWriter, r *http.Request) {
-	j := b.begin(w, r)
-	if j == nil {
-		return
-	}
-	defer j.end()
+func (j *job) serveUpload(w http.ResponseWriter, r *http.Request) {
 	digest := xxhash.New()
 	size, err := io.Copy(digest, r.Body)
 	if err != nil {
-		j.stopped()
-		panic(http.ErrAbortHandler)
+		j.breakOff()
 	}
-	if !j.work(r) {
-		expired(w, r)
+	if !j.work(w, r) {
 		return
 	}
 	sum := hex.EncodeToString(appendSum(nil, digest.Sum64()))
--- a/internal/emulator/backend/onward.go
+++ b/internal/emulator/backend/onward.go
@@ -17,30 +17,20 @@
 // serveCall works, calls the first entry of HeaderChain ("host/path") through the
 // outbound proxy with the rest of the chain and the time left, and gives its
 // answer back. At the end of the chain it echoes.
-func (b *Backend) serveCall(w http.ResponseWriter, r *http.Request) {
+func (j *job) serveCall(w http.ResponseWriter, r *http.Request) {
 	chain := r.Header.Get(HeaderChain)
 	if chain == "" {
-		b.serveEcho(w, r)
+		j.serveEcho(w, r)
 		return
 	}
-	j := b.begin(w, r)
-	if j == nil {
+	body := j.readBody(r)
+	if !j.work(w, r) {
 		return
 	}
-	defer j.end()
-	body, err := io.ReadAll(r.Body)
+	response, answer, err := j.backend.callOnward(j.ctx, r, chain, body)
 	if err != nil {
 		j.stopped()
-		panic(http.ErrAbortHandler)
-	}
-	if !j.work(r) {
-		expired(w, r)
-		return
-	}
-	response, answer, err := b.callOnward(j.ctx, r, chain, body)
-	if err != nil {
-		j.stopped()
-		expiredOnward(w, r)
+		giveUp(w, r, "onward call failed", http.StatusBadGateway)
 		return
 	}
 	if response.StatusCode != http.StatusOK {
@@ -52,13 +42,6 @@
 	j.answer(w, r, answer)
 }
 
-func expiredOnward(w http.ResponseWriter, r *http.Request) {
-	if r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
-	}
-	http.Error(w, "onward call failed", http.StatusBadGateway)
-}
-
 // callOnward sends one request and reads its whole answer.
 func (b *Backend) callOnward(ctx context.Context, r *http.Request, chain string, body []byte) (*http.Response, []byte, error) {
 	next, rest, _ := strings.Cut(chain, ",")
--- a/internal/emulator/backend/sessions.go
+++ b/internal/emulator/backend/sessions.go
@@ -25,18 +25,12 @@
 
 // serveEvents sends numbered events. It holds its slot only until the header is
 // sent; then it is a session.
-func (b *Backend) serveEvents(w http.ResponseWriter, r *http.Request) {
-	j := b.begin(w, r)
-	if j == nil {
+func (j *job) serveEvents(w http.ResponseWriter, r *http.Request) {
+	if !j.work(w, r) {
 		return
 	}
-	defer j.end()
-	if !j.work(r) {
-		expired(w, r)
-		return
-	}
-	b.counters.sessions.add(1)
-	defer b.counters.sessions.add(-1)
+	j.backend.counters.sessions.add(1)
+	defer j.backend.counters.sessions.add(-1)
 	w.Header().Set("Content-Type", "text/event-stream")
 	j.release()
 	flusher := http.NewResponseController(w)
@@ -45,24 +39,17 @@
 	interval := queryMillis(r, "interval-ms")
 	for number := range queryInt(r, "count", defaultEvents) {
 		if wait.For(j.ctx, interval) != nil {
-			j.stopped()
-			panic(http.ErrAbortHandler)
+			j.breakOff()
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, Checksum([]byte(strconv.Itoa(number))))
 		_ = flusher.Flush()
 	}
-	b.journal.finished(j.run)
+	j.backend.journal.finished(j.run)
 }
 
 // serveDownload streams a Pattern in chunks and holds its slot to the end.
-func (b *Backend) serveDownload(w http.ResponseWriter, r *http.Request) {
-	j := b.begin(w, r)
-	if j == nil {
-		return
-	}
-	defer j.end()
-	if !j.work(r) {
-		expired(w, r)
+func (j *job) serveDownload(w http.ResponseWriter, r *http.Request) {
+	if !j.work(w, r) {
 		return
 	}
 	body := Pattern(j.run.request, queryInt(r, "bytes", defaultDownloadBytes))
@@ -98,20 +85,21 @@
 	return true
 }
 
+// onlyUpgrades refuses requests that do not ask for UpgradeProtocol.
+func onlyUpgrades(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !strings.EqualFold(r.Header.Get("Upgrade"), UpgradeProtocol) {
+			http.Error(w, "want Upgrade: "+UpgradeProtocol, http.StatusUpgradeRequired)
+			return
+		}
+		serve(w, r)
+	}
+}
+
 // serveUpgrade switches to UpgradeProtocol and sends back what it receives until
 // the client ends its side.
-func (b *Backend) serveUpgrade(w http.ResponseWriter, r *http.Request) {
-	if !strings.EqualFold(r.Header.Get("Upgrade"), UpgradeProtocol) {
-		http.Error(w, "want Upgrade: "+UpgradeProtocol, http.StatusUpgradeRequired)
-		return
-	}
-	j := b.begin(w, r)
-	if j == nil {
-		return
-	}
-	defer j.end()
-	if !j.work(r) {
-		expired(w, r)
+func (j *job) serveUpgrade(w http.ResponseWriter, r *http.Request) {
+	if !j.work(w, r) {
 		return
 	}
 	conn, buffered, err := http.NewResponseController(w).Hijack()
@@ -120,11 +108,11 @@
 		return
 	}
 	defer conn.Close()
-	b.counters.sessions.add(1)
-	defer b.counters.sessions.add(-1)
+	j.backend.counters.sessions.add(1)
+	defer j.backend.counters.sessions.add(-1)
 	j.release()
 	echoUntilEnd(conn, buffered)
-	b.journal.finished(j.run)
+	j.backend.journal.finished(j.run)
 }
 
 func echoUntilEnd(conn net.Conn, buffered *bufio.ReadWriter) {
--- a/internal/emulator/backend/work.go
+++ b/internal/emulator/backend/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -140,20 +141,46 @@
 	j.cancel()
 }
 
-// work lasts as long as the request asks and reports whether it was done.
-func (j *job) work(r *http.Request) bool {
+// work lasts as long as the request asks and reports whether it was done. If not,
+// it has ended the answer.
+func (j *job) work(w http.ResponseWriter, r *http.Request) bool {
 	if j.fault == FaultStall {
 		<-r.Context().Done()
 		j.backend.journal.cancelled(j.run)
-		return false
+		panic(http.ErrAbortHandler)
 	}
 	if wait.For(j.ctx, j.backend.workTime(r)) != nil {
 		j.stopped()
+		giveUp(w, r, "time is over", http.StatusGatewayTimeout)
 		return false
 	}
 	return true
 }
 
+// giveUp ends the answer to a request that failed, without one when the caller
+// went away.
+func giveUp(w http.ResponseWriter, r *http.Request, problem string, status int) {
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, problem, status)
+}
+
+// readBody returns the whole body of the request, or breaks off.
+func (j *job) readBody(r *http.Request) []byte {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		j.breakOff()
+	}
+	return body
+}
+
+// breakOff ends a request that cannot go on and cuts its answer.
+func (j *job) breakOff() {
+	j.stopped()
+	panic(http.ErrAbortHandler)
+}
+
 // stopped enters in the journal why the work ended early.
 func (j *job) stopped() {
 	if context.Cause(j.ctx) == context.DeadlineExceeded {
