Let a node that holds nothing wait for a list as well

Cause: with half of 710 nodes restarted while the platform is down, 66, 69, 69 and 81 nodes asked it at one time (limit 40). Those that no peer had found within 2 s took themselves for alone and read. Ruled out: nothing else; the wait was the one place. Change: such a node waits StartListWait (20 s), as one that holds a version does.

--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -143,7 +143,7 @@
 	if e.members.answered {
 		return e.fleet.tellAt.IsZero()
 	}
-	return e.members.failures > 0 && !e.now.Before(s.startedAt.Add(e.timing.StartPeerWait))
+	return e.members.failures > 0 && !e.now.Before(s.startedAt.Add(e.timing.StartListWait))
 }
 
 // deadlines tells when waiting may end.
