--- a/internal/bench/fleet/node.go
+++ b/internal/bench/fleet/node.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/source"
 )
@@ -21,6 +22,7 @@
 	fleet       *Fleet
 	at          endpoint
 	address     string
+	keys        *keys.Keys // nil without TLS
 	incarnation membership.Incarnation
 	running     *runningNode // nil while no process runs
 }
