Build the servers of both proxies from one piece

Cause: inbound and outbound each set up HTTP/1 only, the silent error log and an idle timeout of two minutes; the reason for that time stood at one of them only. Ruled out: the same for the operators' HTTP, which has other limits and keeps the library's defaults. Change: forward.NewServer; the proxies add their header limits and contexts. Conclusion: behaviour is as before.

--- /dev/null
+++ b/internal/proxy/forward/server.go
@@ -0,0 +1,27 @@
+package forward
+
+import (
+	"io"
+	"log"
+	"net/http"
+	"time"
+)
+
+// idleTimeout ends unused connections. It is well above the 30 s after which the
+// outbound proxy closes those to inbound proxies, so that the side that sends
+// closes them and no request meets a connection that is being closed.
+const idleTimeout = 2 * time.Minute
+
+// NewServer returns a server of HTTP/1 with what both proxies have in common. The
+// caller adds the limits of headers and what belongs to a connection.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:     handler,
+		Protocols:   protocols,
+		IdleTimeout: idleTimeout,
+		// The library's reports are about single broken connections of senders.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
--- a/internal/proxy/outbound/server.go
+++ b/internal/proxy/outbound/server.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,8 +14,6 @@
 )
 
 const (
-	// callerIdleTimeout ends unused connections of callers.
-	callerIdleTimeout = 2 * time.Minute
 	// defaultHeaderTimeout is used when the settings give none.
 	defaultHeaderTimeout = 10 * time.Second
 	// headerSlack is by how much net/http's own limit exceeds the proxy's, so
@@ -38,18 +34,11 @@
 	if headerTimeout <= 0 {
 		headerTimeout = defaultHeaderTimeout
 	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	return &http.Server{
-		Handler:           p,
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    p.settings.MaxHeaderBytes + headerSlack,
-		// The library's reports are about single broken connections of callers.
-		ErrorLog:    log.New(io.Discard, "", 0),
-		BaseContext: func(net.Listener) context.Context { return p.base },
-	}
+	server := forward.NewServer(p)
+	server.ReadHeaderTimeout = headerTimeout
+	server.MaxHeaderBytes = p.settings.MaxHeaderBytes + headerSlack
+	server.BaseContext = func(net.Listener) context.Context { return p.base }
+	return server
 }
 
 // Drain is a planned stop. Answers tell callers to close their connections;
