--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -15,6 +15,7 @@
 	"github.com/winchhead/winchhead/internal/bench/deployment"
 	"github.com/winchhead/winchhead/internal/bench/load"
 	"github.com/winchhead/winchhead/internal/bench/mesh"
+	"github.com/winchhead/winchhead/internal/settings"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
@@ -42,6 +43,9 @@
 	stepTimeout  = 10 * time.Second
 )
 
+// shortGrace is how long a node's stop at the end may take.
+const shortGrace = 100 * time.Millisecond
+
 // Options sets up a run.
 type Options struct {
 	// Deployment must have the services of Montevideo.
@@ -66,7 +70,11 @@
 	plan.Content.Policies = nil
 	plan.Content.Secrets = append(plan.Content.Secrets, demoSecret)
 	started := time.Now()
-	running, err := mesh.Start(ctx, mesh.Options{Deployment: &plan, Logs: options.Logs})
+	running, err := mesh.Start(ctx, mesh.Options{
+		Deployment: &plan, Logs: options.Logs,
+		// Nothing is in progress at the end, so that no stop has to wait.
+		Overrides: settings.Overrides{"inbound.drain_grace": shortGrace.String()},
+	})
 	if err != nil {
 		return err
 	}
