--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -43,7 +43,7 @@
 
 // AnswerError tells that a node answered and refused.
 type AnswerError struct {
-	Code    int
+	Code    int // HTTP status
 	Problem string
 }
 
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -95,6 +95,8 @@
 	run      func()
 }
 
+// eventQueue is a heap of events by time (container/heap); events of one time
+// keep their order.
 type eventQueue []event
 
 func (q eventQueue) Len() int      { return len(q) }
--- a/internal/policy/condition.go
+++ b/internal/policy/condition.go
@@ -36,6 +36,7 @@
 // Evaluator answers conditions. While one snapshot is built, the same condition
 // must get the same answer.
 type Evaluator interface {
+	// Holds tells whether the condition counts as true now.
 	Holds(condition Condition) bool
 }
 
--- a/internal/policy/errors.go
+++ b/internal/policy/errors.go
@@ -70,6 +70,7 @@
 // problem is what a builtin or a check found wrong; the position is added later.
 type problem struct{ text, hint string }
 
+// Error returns the text without the hint.
 func (p *problem) Error() string { return p.text }
 
 func problemf(hint, format string, arguments ...any) error {
--- a/internal/proxy/inbound/body.go
+++ b/internal/proxy/inbound/body.go
@@ -87,6 +87,7 @@
 // onlySource reads past what was read ahead.
 type onlySource struct{ body *requestBody }
 
+// Read skips what was read ahead.
 func (s onlySource) Read(data []byte) (int, error) { return s.body.fill(data) }
 
 // Read returns what was read ahead first.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -31,7 +31,7 @@
 	// Zero leaves only the bound of the instance.
 	MaxInFlight int `json:"max_in_flight,omitempty"`
 	// MaxQueued bounds the requests of the route waiting for a slot of one
-	// instance. Zero takes the default of the admission package.
+	// instance. Zero leaves only the bound of the node beside the instance.
 	MaxQueued int `json:"max_queued,omitempty"`
 }
 
--- a/internal/source/failure.go
+++ b/internal/source/failure.go
@@ -13,7 +13,10 @@
 // errConnect wraps the reason why no connection was made.
 type errConnect struct{ reason error }
 
+// Error tells the reason.
 func (e *errConnect) Error() string { return "connect: " + e.reason.Error() }
+
+// Unwrap returns the reason.
 func (e *errConnect) Unwrap() error { return e.reason }
 
 // transportFailure tells a connection that failed from an answer that is not
