Suspect a peer on evidence only, and nobody while short of processor time

Cause: with mutual TLS a cold start of 710 nodes on the busy machine did not end within 60 s: handshakes took over 4 s, each such dial raised a suspicion of a node that was alive (151 per view), each suspicion was refuted by a flood, and the floods took the processor time from the handshakes. Ruled out: a longer time for dials alone (suspicions still rose to 75 per view). Change: a refused dial counts more than one without answer; a process that runs late by 0.3 s gives its peers that time and suspects nobody for 5 s; at most 6 dials are on their way at once; dials may take 6 s.

--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -86,7 +86,7 @@
 	}
 	e.now = now
 	e.begin()
-	e.noticeSleep()
+	e.noticeDelay()
 	event.apply(e)
 	if !e.stopped {
 		e.runTimers()
--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -9,6 +9,7 @@
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wire"
 )
 
 // driver feeds one engine by hand and keeps its last action of each type.
@@ -89,3 +90,46 @@
 	d.handle(distribution.AdoptResult{Version: version})
 	c.Assert(d.engine.Held(), qt.Equals, version)
 }
+
+// One dial without answer may be for want of processor time, here or there: it is
+// no proof against a peer, and none counts while this process runs late.
+func TestSuspicionNeedsEvidence(t *testing.T) {
+	const late = 500 * time.Millisecond
+	cases := []struct {
+		name      string
+		refused   bool
+		late      time.Duration
+		failures  int
+		suspected bool
+	}{
+		{name: "one dial is refused", refused: true, failures: 1, suspected: true},
+		{name: "one dial is not answered", failures: 1},
+		{name: "two dials are not answered", failures: 2, suspected: true},
+		{name: "two dials are not answered by a late process", late: late, failures: 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDriver()
+			d.handle(distribution.Tick{})
+			d.handle(distribution.Accepted{Link: 2, Hello: &wire.Hello{Protocol: wire.ProtocolVersion,
+				Purpose: wire.PurposeLink, Self: membership.Record{Node: "peer", Incarnation: 1, Sequence: 1,
+					State: membership.StateReady, Region: "south", Zone: "zone", PeerAddress: "peer"}}})
+			d.run(time.Second)
+			d.handle(distribution.LinkDown{Link: 2, Cause: distribution.DownBroken})
+			var dialled distribution.LinkID
+			for range test.failures {
+				for d.dial.Link == dialled {
+					d.now = d.engine.NextWake()
+					d.handle(distribution.Tick{})
+				}
+				dialled = d.dial.Link
+				d.now = d.now.Add(test.late)
+				d.handle(distribution.DialFailed{Link: dialled, Refused: test.refused})
+			}
+			d.run(time.Second)
+			member, _ := d.engine.View().Member("peer")
+			c.Assert(member.Suspected, qt.Equals, test.suspected)
+		})
+	}
+}
--- a/internal/distribution/events.go
+++ b/internal/distribution/events.go
@@ -25,7 +25,11 @@
 type Connected struct{ Link LinkID }
 
 // DialFailed tells that a connection could not be opened.
-type DialFailed struct{ Link LinkID }
+type DialFailed struct {
+	Link LinkID
+	// Refused is set when the machine answered that nothing listens there.
+	Refused bool
+}
 
 // Accepted tells that a peer opened a connection and sent its Hello.
 type Accepted struct {
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -149,7 +149,7 @@
 func (event DialFailed) apply(e *Engine) {
 	if l := e.overlay.links[event.Link]; l != nil {
 		e.forgetLink(l)
-		e.dialFailed(l)
+		e.dialFailed(l, event.Refused)
 	}
 }
 
@@ -274,7 +274,7 @@
 		e.overlay.peer(l.node).failed(e)
 		e.log(LogWarning, "closed the link to %s: it does not take what is sent", l.node)
 	case l.phase != phaseUp:
-		e.dialFailed(l)
+		e.dialFailed(l, false)
 	case !l.probe:
 		e.linkLost(l)
 	}
@@ -326,7 +326,7 @@
 		switch {
 		case l.phase != phaseUp:
 			e.dropLink(l)
-			e.dialFailed(l)
+			e.dialFailed(l, false)
 		case l.probe:
 			e.closeLink(l, wire.GoodbyeDone)
 		case e.passed(l.silentAt()):
--- a/internal/distribution/node_links.go
+++ b/internal/distribution/node_links.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/wire"
@@ -124,7 +125,7 @@
 		defer cancel()
 		c, err := n.connect(dialContext, action.Address)
 		if err != nil {
-			n.post(ctx, DialFailed{Link: action.Link})
+			n.post(ctx, DialFailed{Link: action.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 			return
 		}
 		c.id = action.Link
--- a/internal/distribution/peers.go
+++ b/internal/distribution/peers.go
@@ -13,14 +13,20 @@
 	// verifyDelay is how long the higher of two nodes that lost their link leaves
 	// dialling to the other.
 	verifyDelay = 300 * time.Millisecond
-	// suspicionFailures is how many dials in a row must fail before a member to
-	// which there was no link is reported as unreachable.
-	suspicionFailures = 2
+
+	// The evidence against a peer that leads to a suspicion: the loss of a link,
+	// dials without answer and dials that were refused.
+	evidenceLost     = 1
+	evidenceNoAnswer = 1
+	evidenceRefused  = 1 // besides evidenceNoAnswer
+	evidenceEnough   = 3
 )
 
 // peer is what a node remembers of another one between links.
 type peer struct {
 	failures int
+	// evidence adds up since the last link.
+	evidence int
 	// retryAt is when the peer may be dialled again.
 	retryAt time.Time
 	// lost is set from the loss of a link until the next link.
@@ -42,6 +48,7 @@
 	e.log(LogDebug, "lost the link to %s", l.node)
 	p := e.overlay.peer(l.node)
 	p.lost = true
+	p.evidence = evidenceLost
 	p.verifyAt = e.now
 	if e.options.Self.Node > l.node {
 		p.verifyAt = e.now.Add(verifyDelay)
@@ -49,15 +56,28 @@
 	e.overlayChanged()
 }
 
-// dialFailed handles a peer that could not be reached.
-func (e *Engine) dialFailed(l *link) {
+// dialFailed handles a peer that could not be reached. It is reported as
+// unreachable on enough evidence: no answer may as well mean that the peer, or
+// this node, is short of processor time.
+func (e *Engine) dialFailed(l *link, refused bool) {
 	if l.node == "" || !l.outgoing {
 		return
 	}
 	p := e.overlay.peer(l.node)
 	p.failed(e)
 	e.start.peerAnswered(l.node, answerUnreachable)
-	if p.lost || p.failures >= suspicionFailures {
+	p.evidence += evidenceNoAnswer
+	if refused {
+		p.evidence += evidenceRefused
+	}
+	switch {
+	case p.evidence < evidenceEnough:
+		if p.lost {
+			p.verifyAt = p.retryAt
+		}
+	case e.isLate():
+		p.verifyAt = e.now.Add(e.jittered(e.timing.LateMemory))
+	default:
 		e.suspect(l.node)
 	}
 }
--- a/internal/distribution/ranking.go
+++ b/internal/distribution/ranking.go
@@ -100,7 +100,7 @@
 }
 
 func (f *firstNodes) add(ranked rankedNode) {
-	if len(f.nodes) == f.limit && compareRanked(ranked, f.nodes[f.limit-1]) > 0 {
+	if f.limit == 0 || len(f.nodes) == f.limit && compareRanked(ranked, f.nodes[f.limit-1]) > 0 {
 		return
 	}
 	position, _ := slices.BinarySearchFunc(f.nodes, ranked, compareRanked)
--- a/internal/distribution/selection.go
+++ b/internal/distribution/selection.go
@@ -14,6 +14,10 @@
 	leastLinks  = 3 // in all, where zones or regions are too small
 )
 
+// maxUnanswered bounds the dials on their way, so that slow answers do not bring
+// ever more dials.
+const maxUnanswered = 6
+
 // doubtfulIntervals is how many of the peer's heartbeat intervals may pass before
 // a link is no longer relied on.
 const doubtfulIntervals = 1.3
@@ -143,6 +147,17 @@
 	}
 }
 
+// countUnanswered counts the dials on their way, late ones included.
+func (e *Engine) countUnanswered() int {
+	count := 0
+	for _, l := range e.overlay.order {
+		if !l.probe && l.phase != phaseUp {
+			count++
+		}
+	}
+	return count
+}
+
 func (e *Engine) countSound() int {
 	count := 0
 	for _, l := range e.overlay.order {
@@ -175,6 +190,7 @@
 // dialNearest dials the first of the accepted members in rank; a member that is
 // linked already counts as dialled.
 func (e *Engine) dialNearest(count int, accept func(*membership.Member) bool) {
+	count = min(count, maxUnanswered-e.countUnanswered())
 	for _, candidate := range e.candidates(count, accept) {
 		if e.overlay.linkTo(candidate.node) == nil {
 			member, _ := e.view.Member(candidate.node)
@@ -186,7 +202,7 @@
 // candidates returns the accepted members that may be dialled, or are linked, in
 // the order of the own rendezvous hash.
 func (e *Engine) candidates(count int, accept func(*membership.Member) bool) []rankedNode {
-	ranked := firstNodes{limit: count}
+	ranked := firstNodes{limit: max(count, 0)}
 	salt := string(e.options.Self.Node) + "\x00"
 	for member := range e.view.All() {
 		if !e.mayDial(member) || !accept(member) {
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -64,14 +64,16 @@
 func (p *process) dial(action distribution.Dial) {
 	f := p.fleet
 	target := f.processes[membership.NodeID(action.Address)]
-	failed := func() { p.handle(distribution.DialFailed{Link: action.Link}) }
+	failed := func(refused bool) func() {
+		return func() { p.handle(distribution.DialFailed{Link: action.Link, Refused: refused}) }
+	}
 	if target == nil || f.cut(p.machine, target.machine) {
-		f.forProcess(p, f.options.Timing.DialTimeout, failed)
+		f.forProcess(p, f.options.Timing.DialTimeout, failed(false))
 		return
 	}
 	f.forProcess(p, 2*f.jitter(f.options.Latency), func() {
 		if !target.alive || f.cut(p.machine, target.machine) {
-			failed()
+			failed(!target.alive)()
 			return
 		}
 		target.incoming += 2
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -31,6 +31,8 @@
 	askedAt time.Time
 	// knowsFleet is set once fleetKnown was true.
 	knowsFleet bool
+	// lateAt is when the process last ran late.
+	lateAt time.Time
 	// recheckUntil is set from waking up until a peer answered or the wait is over.
 	recheckUntil time.Time
 }
@@ -46,13 +48,40 @@
 	}
 }
 
-// noticeSleep handles a process that runs much later than it asked to. What it
-// believed may be outdated: its links count as open only once the peers answer,
-// and it reads the source only after that.
-func (e *Engine) noticeSleep() {
-	if e.wakeAt.IsZero() || e.now.Sub(e.wakeAt) < e.timing.PauseThreshold {
+// noticeDelay handles a process that runs later than it asked to. A little late,
+// it has no processor time: what it has not heard or not finished says little
+// about its peers. Very late, it slept.
+func (e *Engine) noticeDelay() {
+	if e.wakeAt.IsZero() {
 		return
 	}
+	switch late := e.now.Sub(e.wakeAt); {
+	case late >= e.timing.PauseThreshold:
+		e.slept()
+	case late >= e.timing.LateThreshold:
+		e.ranLate(late)
+	}
+}
+
+// ranLate gives peers the time that this process lost.
+func (e *Engine) ranLate(late time.Duration) {
+	e.start.lateAt = e.now
+	for _, l := range e.overlay.order {
+		l.lastReceived = earliest(l.lastReceived.Add(late), e.now)
+		l.openedAt = earliest(l.openedAt.Add(late), e.now)
+	}
+}
+
+// isLate reports whether the process ran late a short while ago, so that its own
+// failures are no evidence against a peer.
+func (e *Engine) isLate() bool {
+	return !e.start.lateAt.IsZero() && e.now.Sub(e.start.lateAt) < e.timing.LateMemory
+}
+
+// slept handles a process that was paused. What it believed may be outdated: its
+// links count as open only once the peers answer, and it reads the source only
+// after that.
+func (e *Engine) slept() {
 	e.log(LogInfo, "slept for %s; asks its peers first", e.now.Sub(e.wakeAt).Round(time.Millisecond))
 	e.start.recheckUntil = e.now.Add(e.timing.RecheckWait)
 	e.reading.confirmedAt = time.Time{}
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -75,6 +75,9 @@
 	FaultWait time.Duration
 	// SuspectedRetry is the least time between two dials to suspected members.
 	SuspectedRetry time.Duration
+	// LateThreshold is how late the engine may run before it takes itself for
+	// short of processor time; for LateMemory after that it suspects nobody.
+	LateThreshold, LateMemory time.Duration
 	// PauseThreshold is how late the engine may run before it takes itself for
 	// having slept.
 	PauseThreshold time.Duration
@@ -95,7 +98,7 @@
 		ViewInterval:           300 * time.Millisecond,
 		AnnounceDelay:          30 * time.Millisecond,
 		PullTimeout:            400 * time.Millisecond,
-		DialTimeout:            4 * time.Second,
+		DialTimeout:            6 * time.Second,
 		AnswerTime:             time.Second,
 		StartPeerWait:          2 * time.Second,
 		StartListWait:          20 * time.Second,
@@ -117,6 +120,8 @@
 		RefusedWait:            30 * time.Second,
 		FaultWait:              30 * time.Second,
 		SuspectedRetry:         3 * time.Second,
+		LateThreshold:          300 * time.Millisecond,
+		LateMemory:             5 * time.Second,
 		PauseThreshold:         3 * time.Second,
 		ExpireInterval:         5 * time.Second,
 		UnneededLinkAge:        10 * time.Second,
