End a drain that health never showed after long enough

Cause: a back end that announced its drain on an answer and was replaced between two health reports (1 s) kept its node draining for ever: nobody sends it work, so no answer can say otherwise, and ready reports never counted. Seen in the integration tests (AwaitWhole timed out after 120 s, state draining). Ruled out: the emulator (its health says ready). Change: ready reports count once the last announcement is 30 s old, longer than reports lag.

--- a/internal/proxy/inbound/readiness.go
+++ b/internal/proxy/inbound/readiness.go
@@ -17,6 +17,10 @@
 	// trialAfter is how long a back end that takes connections may be kept out by
 	// bad health reports alone; then requests decide.
 	trialAfter = 30 * time.Second
+	// drainTrust is how long a drain that was announced on an answer, and that the
+	// health endpoint never showed, outweighs ready reports: longer than reports
+	// lag. A back end that is replaced between two reports comes back by it.
+	drainTrust = 30 * time.Second
 	// readyReportsAfterDrain is how many ready reports in a row end a drain that
 	// the health endpoint had shown.
 	readyReportsAfterDrain = 2
@@ -36,7 +40,8 @@
 //   - A drain that is announced, by a report or on an answer, always counts at
 //     once. It ends when the back end was down and came back, or when the health
 //     endpoint showed it and then says ready again; "ready" from an endpoint that
-//     has not shown the drain yet only lags.
+//     has not shown the drain yet only lags, unless it says so for drainTrust
+//     after the last announcement.
 type readiness struct {
 	reports      bool // there is a health endpoint
 	state        membership.State
@@ -45,6 +50,7 @@
 	lastSuccess  time.Time
 	lastReport   report.Status // "" until there is one
 	drainShown   bool          // health showed the drain
+	drainedAt    time.Time     // of the last answer that announced the drain
 	readyReports int           // in a row
 }
 
@@ -68,7 +74,7 @@
 	case r.state == membership.StateStarting:
 		r.leaveStarting(now)
 	case r.state == membership.StateDraining:
-		r.leaveDraining()
+		r.leaveDraining(now)
 	}
 }
 
@@ -100,8 +106,9 @@
 	}
 }
 
-func (r *readiness) leaveDraining() {
-	if r.drainShown && r.readyReports >= readyReportsAfterDrain {
+func (r *readiness) leaveDraining(now time.Time) {
+	known := r.drainShown || now.Sub(r.drainedAt) >= drainTrust
+	if known && r.readyReports >= readyReportsAfterDrain {
 		r.state = membership.StateReady
 		r.drainShown = false
 	}
@@ -126,6 +133,7 @@
 	r.lastSuccess = now
 	if draining {
 		r.state = membership.StateDraining
+		r.drainedAt = now
 	}
 }
 
--- a/internal/proxy/inbound/readiness_test.go
+++ b/internal/proxy/inbound/readiness_test.go
@@ -69,6 +69,12 @@
 			[]step{{0, says(report.StatusDraining)}, {1, says(report.StatusReady)}}, draining, false},
 		{"drain shown by health and taken back", false,
 			[]step{{0, answers(true)}, {1, says(report.StatusDraining)}, {2, says(report.StatusReady)}, {3, says(report.StatusReady)}}, ready, false},
+		{"drain by answer, restarted before health showed it", false, []step{{0, says(report.StatusReady)}, {1, answers(true)},
+			{2, says(report.StatusReady)}, {30, says(report.StatusReady)}}, draining, false},
+		{"drain by answer, restarted long ago", false, []step{{0, says(report.StatusReady)}, {1, answers(true)},
+			{2, says(report.StatusReady)}, {31, says(report.StatusReady)}}, ready, false},
+		{"drain by answer, announced again since", false, []step{{0, says(report.StatusReady)}, {1, answers(true)},
+			{2, says(report.StatusReady)}, {20, answers(true)}, {31, says(report.StatusReady)}}, draining, false},
 		{"drained, ended and restarted", false, []step{{0, answers(true)}, {1, refuses}, {1, refuses}, {1, refuses},
 			{2, says(report.StatusReady)}}, ready, false},
 	} {
