Claim keys at replicas before a request with a key runs

Cause: only the node that ran a request with an Idempotency-Key and the caller's edge remember it; when both are lost, a repeat runs again. Ruled out: nothing yet measured. Change: package proxy/claim (table, tally, links, Memory), messages ClaimRequest and ClaimReply, wire.PurposeClaim, setting inbound.repeat_replicas, reason no-quorum.

--- /dev/null
+++ b/internal/app/claims.go
@@ -0,0 +1,56 @@
+package app
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/dig"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/claim"
+	"github.com/winchhead/winchhead/internal/proxy/repeat"
+	"github.com/winchhead/winchhead/internal/settings"
+)
+
+func newReplica(registerer prometheus.Registerer) (*claim.Replica, error) {
+	return claim.NewReplica(registerer)
+}
+
+// claimInputs are what the memory of claimed keys is built from.
+type claimInputs struct {
+	dig.In
+
+	Settings   settings.Settings
+	Listeners  *listeners
+	Self       membership.Record
+	Node       *distribution.Node
+	Replica    *claim.Replica
+	Registerer prometheus.Registerer
+}
+
+// newClaims returns nil for a node without a back end, and when claims are off.
+func newClaims(inputs claimInputs) (*claim.Memory, error) {
+	configured := inputs.Settings.Inbound
+	if inputs.Listeners.inbound == nil || configured.RepeatReplicas == 0 {
+		return nil, nil
+	}
+	return claim.NewMemory(claim.Options{
+		Local: repeat.NewLocal(repeat.DefaultLimits(configured.RepeatMemory)),
+		Self: func() (membership.NodeID, membership.Incarnation) {
+			return inputs.Self.Node, inputs.Node.Status().Incarnation
+		},
+		View:    inputs.Node.View,
+		Replica: inputs.Replica,
+		Dial: func(ctx context.Context, peer string) (claim.Stream, error) {
+			stream, err := inputs.Node.OpenClaims(ctx, peer)
+			if err != nil {
+				return nil, err
+			}
+			return stream, nil
+		},
+		Replicas:   configured.RepeatReplicas,
+		Lifetime:   configured.RepeatMemory,
+		Registerer: inputs.Registerer,
+	})
+}
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -16,6 +16,7 @@
 	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/proxy/claim"
 	"github.com/winchhead/winchhead/internal/proxy/inbound"
 	"github.com/winchhead/winchhead/internal/proxy/outbound"
 	"github.com/winchhead/winchhead/internal/settings"
@@ -23,8 +24,8 @@
 	"github.com/winchhead/winchhead/internal/source"
 )
 
-// parts are what the container builds. Outbound and Inbound are nil when the
-// settings turn them off.
+// parts are what the container builds. Outbound, Inbound and Claims are nil when
+// the settings turn them off.
 type parts struct {
 	dig.In
 
@@ -35,6 +36,7 @@
 	Readiness *readiness
 	Outbound  *outbound.Proxy
 	Inbound   *inbound.Proxy
+	Claims    *claim.Memory
 	Admin     *admin.Server
 }
 
@@ -52,7 +54,9 @@
 		newKeys,
 		newSource,
 		newApplier,
+		newReplica,
 		newDistribution,
+		newClaims,
 		newNodeReadiness,
 		newOutbound,
 		newInbound,
@@ -132,6 +136,7 @@
 	Keys      *keys.Keys
 	Source    *source.Client
 	Applier   *configuration.Applier
+	Replica   *claim.Replica
 }
 
 func newDistribution(inputs distributionInputs) (*distribution.Node, error) {
@@ -156,6 +161,7 @@
 		Generation:     func() uint64 { return generation(inputs.Applier) },
 		ReadersPerZone: inputs.Settings.Peers.ReadersPerZone,
 		MaxLinks:       inputs.Settings.Peers.MaxLinks,
+		ServeClaims:    func(stream *distribution.ClaimStream) { inputs.Replica.Serve(stream) },
 	})
 }
 
@@ -185,6 +191,7 @@
 	Readiness  *readiness
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
+	Claims     *claim.Memory
 }
 
 func newOutbound(inputs proxyInputs) (*outbound.Proxy, error) {
@@ -206,7 +213,7 @@
 	if inputs.Listeners.inbound == nil {
 		return nil, nil
 	}
-	return inbound.New(inbound.Options{
+	options := inbound.Options{
 		Snapshots:   inputs.Applier,
 		Self:        inputs.Self,
 		Incarnation: func() membership.Incarnation { return inputs.Node.Status().Incarnation },
@@ -214,7 +221,11 @@
 		Settings:    inputs.Settings.Inbound,
 		Logger:      logging.Part(inputs.Logger, "inbound"),
 		Registerer:  inputs.Registerer,
-	})
+	}
+	if inputs.Claims != nil {
+		options.Memory = inputs.Claims
+	}
+	return inbound.New(options)
 }
 
 // adminInputs are what the operators' HTTP is built from.
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -128,6 +128,9 @@
 	if a.parts.Inbound != nil {
 		a.parts.Inbound.Close()
 	}
+	if a.parts.Claims != nil {
+		a.parts.Claims.Close()
+	}
 	if a.parts.Outbound != nil {
 		_ = a.parts.Outbound.Close()
 	}
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -50,6 +50,9 @@
 	// while it does not return: benches freeze a node with it, as a machine that
 	// pauses a process does.
 	Hold func()
+	// ServeClaims, if set, serves an incoming connection of wire.PurposeClaim until
+	// the stream ends; nil refuses such connections.
+	ServeClaims func(stream *ClaimStream)
 	// Generation tells the local generation for Status; nil: none.
 	Generation func() uint64
 }
@@ -72,6 +75,7 @@
 	incoming    atomic.Uint64
 	running     sync.WaitGroup
 	greetings   chan struct{}
+	claims      chan struct{} // one for each claim connection served
 	done        chan struct{}
 }
 
@@ -112,6 +116,7 @@
 		cancels:     make(map[LinkID]context.CancelFunc),
 		requests:    make(map[RequestID]context.CancelFunc),
 		greetings:   make(chan struct{}, maxGreetings),
+		claims:      make(chan struct{}, maxClaimConnections),
 		done:        make(chan struct{}),
 	}
 	n.view.Store(n.engine.View())
--- a/internal/distribution/node_links.go
+++ b/internal/distribution/node_links.go
@@ -60,6 +60,10 @@
 		n.serveStatus(c)
 		return
 	}
+	if hello.Purpose == wire.PurposeClaim {
+		n.serveClaims(ctx, c)
+		return
+	}
 	c.id = LinkID(firstIncomingLink + 2*n.incoming.Add(1))
 	n.carry(ctx, c, Accepted{Link: c.id, Hello: hello})
 }
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -39,7 +39,12 @@
 	if problem != nil {
 		return problem
 	}
-	claim, err := e.proxy.memory.Begin(e.ctx, repeat.Key{Route: routeName, Value: values[0]}, fingerprint)
+	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
+	defer cancel()
+	claim, err := e.proxy.memory.Begin(ctx, repeat.Key{Route: routeName, Value: values[0]}, fingerprint)
+	if errors.Is(err, repeat.ErrNoQuorum) {
+		return refusal(outcome.ReasonNoQuorum, "")
+	}
 	if err != nil {
 		e.proxy.logger.WithError(err).Warn("request with a key refused")
 		return refusal(outcome.ReasonOverloaded, "the key cannot be remembered")
--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -66,5 +66,6 @@
 	ReasonRepeatDone       Reason = "repeat-done"        // 409: the first with this key is done, its answer isn't kept
 	ReasonRepeatConflict   Reason = "repeat-conflict"    // 422: the key came with another request
 	ReasonRepeatLost       Reason = "repeat-lost"        // 409: nobody knows whether the first with this key ran
+	ReasonNoQuorum         Reason = "no-quorum"          // 503: too few nodes could remember the key
 	ReasonWrongInstance    Reason = "wrong-instance"     // 421: the address has another process now
 )
--- a/internal/proxy/outcome/problem.go
+++ b/internal/proxy/outcome/problem.go
@@ -74,6 +74,7 @@
 	ReasonRepeatDone:       {http.StatusConflict, "The first request with this key is done and its answer is not kept", false},
 	ReasonRepeatConflict:   {http.StatusUnprocessableEntity, "The key came with another request", false},
 	ReasonRepeatLost:       {http.StatusConflict, "It is not known whether the first request with this key ran", false},
+	ReasonNoQuorum:         {http.StatusServiceUnavailable, "Too few nodes could remember the key", true},
 	ReasonWrongInstance:    {http.StatusMisdirectedRequest, "The address belongs to another process", true},
 }
 
--- a/internal/proxy/repeat/repeat.go
+++ b/internal/proxy/repeat/repeat.go
@@ -17,6 +17,10 @@
 // must then be refused: run without a memory it might run twice.
 var ErrFull = eris.New("the memory of idempotency keys is full")
 
+// ErrNoQuorum is the error of a replicated Memory when too few replicas granted
+// the key. The request did not run, and the key is free again.
+var ErrNoQuorum = eris.New("too few replicas granted the idempotency key")
+
 // MaxKeyBytes bounds an Idempotency-Key.
 const MaxKeyBytes = 256
 
@@ -122,7 +126,7 @@
 // Memory remembers keys. It is safe for concurrent use.
 type Memory interface {
 	// Begin tells how a request stands to the first with its key. While the first
-	// runs it waits for its end, or until ctx ends. An error means that the key
+	// runs it waits for its end, or until ctx ends, whose deadline is the request's. An error means that the key
 	// could not be remembered, and that the request must not run.
 	Begin(ctx context.Context, key Key, fingerprint Fingerprint) (Claim, error)
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -33,6 +33,7 @@
 			HealthInterval: time.Second,
 			DrainGrace:     30 * time.Second,
 			RepeatMemory:   2 * time.Minute,
+			RepeatReplicas: 5,
 		},
 		Admin: Admin{Listen: "127.0.0.1:7900"},
 		Log:   Log{Level: "info", Format: "text"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,9 @@
 	DrainGrace time.Duration `yaml:"drain_grace" validate:"gt=0" help:"how long a planned stop waits for requests in progress"`
 	// RepeatMemory is how long an Idempotency-Key is remembered.
 	RepeatMemory time.Duration `yaml:"repeat_memory" validate:"gt=0" help:"how long an Idempotency-Key is remembered"`
+	// RepeatReplicas is how many nodes remember each Idempotency-Key; 0 leaves it
+	// to the node that ran the request.
+	RepeatReplicas int `yaml:"repeat_replicas" validate:"min=0,max=9" help:"nodes that remember each Idempotency-Key; 0: only the node that ran the request"`
 }
 
 // Admin sets the operators' HTTP.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -85,6 +85,13 @@
 		e.statusReply(m)
 	case *Goodbye:
 		e.small(uint8(m.Reason))
+	case *ClaimRequest:
+		e.claimRequest(m)
+	case *ClaimReply:
+		e.unsigned(m.Number)
+		e.small(uint8(m.Verdict))
+		e.claimHolder(m.Holder)
+		e.boolean(m.Running)
 	default:
 		return false
 	}
@@ -163,6 +170,15 @@
 		return d.statusReply()
 	case TypeGoodbye:
 		return &Goodbye{Reason: GoodbyeReason(d.small())}
+	case TypeClaimRequest:
+		return d.claimRequest()
+	case TypeClaimReply:
+		return &ClaimReply{
+			Number:  d.unsigned(),
+			Verdict: ClaimVerdict(d.small()),
+			Holder:  d.claimHolder(),
+			Running: d.boolean(),
+		}
 	default:
 		return nil
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -32,6 +32,8 @@
 	TypeStatusRequest Type = 10
 	TypeStatusReply   Type = 11
 	TypeGoodbye       Type = 12
+	TypeClaimRequest  Type = 13
+	TypeClaimReply    Type = 14
 )
 
 // Message is one of the types below.
@@ -61,6 +63,7 @@
 	PurposeLink   Purpose = 1 // a lasting overlay link
 	PurposeStatus Purpose = 2 // one StatusRequest, then closed
 	PurposeProbe  Purpose = 3 // learns what the peer holds, may pull it, then closes
+	PurposeClaim  Purpose = 4 // carries ClaimRequests and ClaimReplies only
 )
 
 // Reading tells what a node does about the source.
--- a/internal/wire/type_name.go
+++ b/internal/wire/type_name.go
@@ -14,6 +14,8 @@
 	TypeStatusRequest: "status_request",
 	TypeStatusReply:   "status_reply",
 	TypeGoodbye:       "goodbye",
+	TypeClaimRequest:  "claim_request",
+	TypeClaimReply:    "claim_reply",
 }
 
 // String returns the name of the type in lower case.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -59,8 +59,11 @@
 	resource := rapid.Custom(func(t *rapid.T) snapshot.Resource {
 		return snapshot.Resource{Key: key.Draw(t, "key"), Body: body.Draw(t, "body")}
 	})
+	holder := rapid.Custom(func(t *rapid.T) wire.ClaimHolder {
+		return wire.ClaimHolder{Node: node.Draw(t, "node"), Incarnation: incarnation.Draw(t, "i"), Number: number.Draw(t, "claim")}
+	})
 	return rapid.Custom(func(t *rapid.T) wire.Message {
-		switch wire.Type(rapid.IntRange(1, 12).Draw(t, "type")) {
+		switch wire.Type(rapid.IntRange(1, 14).Draw(t, "type")) {
 		case wire.TypeHello:
 			return &wire.Hello{Protocol: int(positive.Draw(t, "p")), Self: record.Draw(t, "self"),
 				Held: short.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
@@ -104,6 +107,14 @@
 				Reader: rapid.Bool().Draw(t, "reader"), SourceAge: anyNumber.Draw(t, "age")}
 		case wire.TypeGoodbye:
 			return &wire.Goodbye{Reason: wire.GoodbyeReason(small.Draw(t, "reason"))}
+		case wire.TypeClaimRequest:
+			hash := rapid.SliceOfN(rapid.Byte(), 32, 32)
+			return &wire.ClaimRequest{Number: number.Draw(t, "number"), Action: wire.ClaimAction(small.Draw(t, "action")),
+				Key: [32]byte(hash.Draw(t, "key")), Fingerprint: [32]byte(hash.Draw(t, "fingerprint")),
+				Holder: holder.Draw(t, "holder"), RunsFor: anyNumber.Draw(t, "runs"), Hold: anyNumber.Draw(t, "hold")}
+		case wire.TypeClaimReply:
+			return &wire.ClaimReply{Number: number.Draw(t, "number"), Verdict: wire.ClaimVerdict(small.Draw(t, "verdict")),
+				Holder: holder.Draw(t, "holder"), Running: rapid.Bool().Draw(t, "running")}
 		default:
 			return &wire.StatusRequest{}
 		}
@@ -243,6 +254,7 @@
 		&wire.Records{Records: []membership.Record{{Node: "a"}}, Observations: []membership.Observation{{Subject: "b"}},
 			Listed: []wire.ListedEntry{{ReadAt: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
+		&wire.ClaimRequest{Holder: wire.ClaimHolder{Node: "a", Number: 2}, Hold: 1000}, &wire.ClaimReply{Holder: wire.ClaimHolder{Node: "b"}},
 	}
 	for _, message := range seeds {
 		frame, err := wire.Encode(message)
