--- /dev/null
+++ b/test/integration/claims_test.go
@@ -0,0 +1,66 @@
+package integration
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/bench/load"
+	"github.com/winchhead/winchhead/internal/bench/mesh"
+)
+
+// TestKeyRunsOnceWhenItsNodesAreKilled has a booking with a key run, then kills and
+// replaces both nodes that know of it: the caller's edge and the node that ran it.
+// The repeat through the other edge must not run.
+// Guards: a request that may not be repeated runs at most once.
+func TestKeyRunsOnceWhenItsNodesAreKilled(t *testing.T) {
+	t.Parallel()
+	running := startMesh(t)
+	ctx := testContext(t)
+	transport := load.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	booking := load.Call{
+		ID: "booking-with-key", Host: service, Path: "/echo", Method: http.MethodPost,
+		BodyBytes: smallBody, Timeout: callTimeout, IdempotencyKey: "killed",
+	}
+	edge := running.Node("edge-1")
+	first := load.Send(transport, edge.Outbound(), booking, time.Now())
+	qt.Assert(t, first.Class, qt.Equals, load.Answered, qt.Commentf("%+v", first))
+
+	for _, lost := range []*mesh.Node{edge, ownerOf(t, running, booking.IdempotencyKey)} {
+		qt.Assert(t, lost.Kill(), qt.IsNil)
+		qt.Assert(t, lost.Start(ctx), qt.IsNil)
+	}
+	qt.Assert(t, running.AwaitWhole(ctx), qt.IsNil)
+
+	// While the edge still learns of the new processes it may refuse as not run.
+	again := load.Send(transport, running.Node("edge-2").Outbound(), booking, time.Now())
+	for again.Class == load.NotRun && ctx.Err() == nil {
+		again = load.Send(transport, running.Node("edge-2").Outbound(), booking, time.Now())
+	}
+	qt.Check(t, again.Class, qt.Equals, load.Unknown, qt.Commentf("%+v", again))
+	qt.Check(t, again.Status, qt.Equals, http.StatusConflict)
+	qt.Check(t, runsOf(running, booking.IdempotencyKey), qt.Equals, 1)
+}
+
+// ownerOf returns the node beside the back end that ran a key.
+func ownerOf(t testing.TB, running *mesh.Mesh, key string) *mesh.Node {
+	for _, instance := range running.Backends() {
+		if instance.Journal().Key(key).Started > 0 {
+			return running.Node(instance.Node)
+		}
+	}
+	t.Fatal("the booking ran nowhere")
+	return nil
+}
+
+// runsOf counts how often a key ran, at any back end.
+func runsOf(running *mesh.Mesh, key string) int {
+	total := 0
+	for _, instance := range running.Backends() {
+		total += instance.Journal().Key(key).Started
+	}
+	return total
+}
