--- a/internal/emulator/backend/work.go
+++ b/internal/emulator/backend/work.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
 	"github.com/winchhead/winchhead/internal/proxy/report"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Headers of a request that steer one answer, and headers of an answer.
@@ -139,20 +141,46 @@
 	j.cancel()
 }
 
-// work lasts as long as the request asks and reports whether it was done.
-func (j *job) work(r *http.Request) bool {
+// work lasts as long as the request asks and reports whether it was done. If not,
+// it has ended the answer.
+func (j *job) work(w http.ResponseWriter, r *http.Request) bool {
 	if j.fault == FaultStall {
 		<-r.Context().Done()
 		j.backend.journal.cancelled(j.run)
-		return false
+		panic(http.ErrAbortHandler)
 	}
-	if !pause(j.ctx, j.backend.workTime(r)) {
+	if wait.For(j.ctx, j.backend.workTime(r)) != nil {
 		j.stopped()
+		giveUp(w, r, "time is over", http.StatusGatewayTimeout)
 		return false
 	}
 	return true
 }
 
+// giveUp ends the answer to a request that failed, without one when the caller
+// went away.
+func giveUp(w http.ResponseWriter, r *http.Request, problem string, status int) {
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, problem, status)
+}
+
+// readBody returns the whole body of the request, or breaks off.
+func (j *job) readBody(r *http.Request) []byte {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		j.breakOff()
+	}
+	return body
+}
+
+// breakOff ends a request that cannot go on and cuts its answer.
+func (j *job) breakOff() {
+	j.stopped()
+	panic(http.ErrAbortHandler)
+}
+
 // stopped enters in the journal why the work ended early.
 func (j *job) stopped() {
 	if context.Cause(j.ctx) == context.DeadlineExceeded {
@@ -173,24 +201,6 @@
 	return span
 }
 
-// pause waits for span and reports whether it passed before ctx ended.
-func pause(ctx context.Context, span time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if span <= 0 {
-		return true
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // reset resets the connection under an answer that has not ended.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
