--- a/internal/proxy/claim/attempt.go
+++ b/internal/proxy/claim/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/wait"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -80,7 +81,7 @@
 	query := a.request
 	query.Action = wire.ClaimActionQuery
 	for _, pause := range queryPauses {
-		if !wait(ctx, pause) {
+		if wait.For(ctx, pause) != nil {
 			return false
 		}
 		answers := a.askAll(a.tally.takenAt, query)
@@ -117,7 +118,7 @@
 
 func (m *Memory) release(ctx context.Context, to address, request wire.ClaimRequest) {
 	for _, pause := range releasePauses {
-		if !wait(ctx, pause) {
+		if wait.For(ctx, pause) != nil {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, releaseTimeout)
@@ -128,15 +129,3 @@
 		}
 	}
 }
-
-// wait reports false when ctx ended first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
