Test that a request without a quorum is refused as not run

Cause: the inbound proxy's answer to repeat.ErrNoQuorum had no test. Ruled out: none. Change: a test with a memory that has no quorum. Conclusion: 503 not-run with Retry-After 1, and nothing reaches the back end.

--- a/internal/proxy/inbound/keyed_test.go
+++ b/internal/proxy/inbound/keyed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/winchhead/winchhead/internal/emulator/backend"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
+	"github.com/winchhead/winchhead/internal/proxy/repeat"
 )
 
 // TestRepeatsRunOnce has a booking sent, and its repeat with the same key.
@@ -103,3 +104,24 @@
 	<-held
 	r.Check(r.backend.Journal().Key("k").Started, qt.Equals, 1)
 }
+
+// noQuorum is a memory whose replicas cannot be reached.
+type noQuorum struct{ deadlines chan bool }
+
+func (m noQuorum) Begin(ctx context.Context, _ repeat.Key, _ repeat.Fingerprint) (repeat.Claim, error) {
+	_, bounded := ctx.Deadline()
+	m.deadlines <- bounded
+	return repeat.Claim{}, repeat.ErrNoQuorum
+}
+
+// TestNoQuorumIsNotRun has a booking whose key too few nodes can remember.
+func TestNoQuorumIsNotRun(t *testing.T) {
+	r := newRig(t, backend.Options{}, plainSettings())
+	memory := noQuorum{make(chan bool, 1)}
+	r.proxy.memory = memory
+	refused := r.send(outcome.HeaderIdempotencyKey, "k")
+	r.checkProblem(refused, http.StatusServiceUnavailable, outcome.NotRun, outcome.ReasonNoQuorum)
+	r.Check(refused.Header.Get("Retry-After"), qt.Equals, "1")
+	r.Check(<-memory.deadlines, qt.IsTrue)
+	r.Check(r.backend.Journal().Key("k").Started, qt.Equals, 0)
+}
