--- a/internal/bench/mesh/node.go
+++ b/internal/bench/mesh/node.go
@@ -48,6 +48,12 @@
 // Outbound returns where callers reach the node (IP:port).
 func (n *Node) Outbound() string { return n.plan.Outbound.Listen }
 
+// Inbound returns the address where other nodes send requests; empty for an edge.
+func (n *Node) Inbound() string { return n.plan.Inbound.Listen }
+
+// Peers returns the address where links of other nodes are taken.
+func (n *Node) Peers() string { return n.plan.Peers.Listen }
+
 // AdminAddress returns where operators reach the node (IP:port).
 func (n *Node) AdminAddress() string { return n.plan.Admin.Listen }
 
--- a/test/integration/mesh_test.go
+++ b/test/integration/mesh_test.go
@@ -22,16 +22,18 @@
 // service is the only service of testdata/small.
 const service = "booking"
 
-// startMesh starts testdata/small with real processes and fault proxies on the
-// hops, waits
-// until it is whole, and ends it with the test.
+// startMesh starts testdata/small with fault proxies on the hops.
 func startMesh(t testing.TB, hops ...mesh.Hop) *mesh.Mesh {
+	return startMeshWith(t, mesh.Options{Hops: hops})
+}
+
+// startMeshWith starts testdata/small with real processes, waits until it is whole,
+// and ends it with the test.
+func startMeshWith(t testing.TB, options mesh.Options) *mesh.Mesh {
 	plan, err := deployment.Load("testdata/small")
 	qt.Assert(t, err, qt.IsNil)
-	running, err := mesh.Start(testContext(t), mesh.Options{
-		Deployment: plan, Binary: winchheadBinary, Logs: nodeLogs(t),
-		Hops: hops,
-	})
+	options.Deployment, options.Binary, options.Logs = plan, winchheadBinary, nodeLogs(t)
+	running, err := mesh.Start(testContext(t), options)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { qt.Check(t, running.Close(), qt.IsNil) })
 	qt.Assert(t, running.AwaitWhole(testContext(t)), qt.IsNil)
