Let one wait and one closing of sessions serve all packages

Change: bench/fleet uses wait.For; forward.CloseWith replaces the copies in the inbound and outbound proxies. A wait of no length now looks at the context too, as before. Conclusion: no behaviour changed.

--- a/internal/bench/fleet/cases.go
+++ b/internal/bench/fleet/cases.go
@@ -8,6 +8,7 @@
 
 	"github.com/winchhead/winchhead/internal/emulator/platform"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // faultCase is one row of the table of fault cases.
@@ -100,7 +101,7 @@
 		if err := t.restart(ctx, "restarted without the source", victims); err != nil {
 			return err
 		}
-		if err := sleep(ctx, time.Second); err != nil {
+		if err := wait.For(ctx, time.Second); err != nil {
 			return err
 		}
 	}
@@ -167,7 +168,7 @@
 	if err := t.changeOn(ctx, "a change outside the cut", outside); err != nil {
 		return err
 	}
-	if err := sleep(ctx, t.scaled(sourceOutage/10)); err != nil {
+	if err := wait.For(ctx, t.scaled(sourceOutage/10)); err != nil {
 		return err
 	}
 	if err := t.holdNone(inside, t.platform.Version()); err != nil {
@@ -192,7 +193,7 @@
 	t.Pause(sleepers...)
 	err := t.changeOn(ctx, "a change on the nodes awake", without(t.running(), sleepers))
 	if err == nil {
-		err = sleep(ctx, max(t.scaled(pauseTime), t.settings.Timing.PauseThreshold+beyondThreshold))
+		err = wait.For(ctx, max(t.scaled(pauseTime), t.settings.Timing.PauseThreshold+beyondThreshold))
 	}
 	if err == nil {
 		err = t.holdNone(sleepers, t.platform.Version())
@@ -242,7 +243,7 @@
 			if _, err := t.change(); err != nil {
 				return err
 			}
-			if err := sleep(ctx, 10*time.Millisecond); err != nil {
+			if err := wait.For(ctx, 10*time.Millisecond); err != nil {
 				return err
 			}
 		}
--- a/internal/bench/fleet/converge.go
+++ b/internal/bench/fleet/converge.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Names of the baselines.
@@ -173,11 +174,11 @@
 	if err := m.startCold(ctx); err != nil {
 		return err
 	}
-	if err := sleep(ctx, m.options.Settle); err != nil {
+	if err := wait.For(ctx, m.options.Settle); err != nil {
 		return err
 	}
 	m.options.Progress(fmt.Sprintf("idle for %s", m.options.Idle))
-	err := m.during(&m.idle, func() error { return sleep(ctx, m.options.Idle) })
+	err := m.during(&m.idle, func() error { return wait.For(ctx, m.options.Idle) })
 	if err != nil {
 		return err
 	}
@@ -235,7 +236,7 @@
 		}
 		m.deltaBytes += size
 		m.options.Progress(fmt.Sprintf("change %d of %d is in force everywhere", change+1, m.options.Changes))
-		if err := sleep(ctx, m.options.Gap); err != nil {
+		if err := wait.For(ctx, m.options.Gap); err != nil {
 			return err
 		}
 	}
@@ -271,7 +272,7 @@
 		defer close(ended)
 		began := time.Now()
 		before, at := m.fleet.traffic.Totals(), began
-		for sleep(ctx, samplingInterval) == nil {
+		for wait.For(ctx, samplingInterval) == nil {
 			totals, now := m.fleet.traffic.Totals(), time.Now()
 			rate := totals.perNode(before, m.options.Nodes) / now.Sub(at).Seconds()
 			m.timeline = append(m.timeline, TimelinePoint{SinceStart: now.Sub(began), BytesPerNodePerSecond: rate})
--- a/internal/bench/fleet/fullpush.go
+++ b/internal/bench/fleet/fullpush.go
@@ -10,6 +10,7 @@
 
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wait"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -109,7 +110,7 @@
 	for ctx.Err() == nil {
 		document, fresh := p.await(ctx, held)
 		if !fresh {
-			_ = sleep(ctx, pushRetry) // only ctx ends it early, and so the loop
+			_ = wait.For(ctx, pushRetry) // only ctx ends it early, and so the loop
 			continue
 		}
 		held = document.Version()
@@ -156,7 +157,7 @@
 				opened, err := p.node.dialPeer(p.running.process)(ctx, address)
 				if err == nil {
 					link = opened
-				} else if sleep(ctx, pushRetry) != nil {
+				} else if wait.For(ctx, pushRetry) != nil {
 					return err
 				}
 			}
--- a/internal/bench/fleet/impostor.go
+++ b/internal/bench/fleet/impostor.go
@@ -14,6 +14,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -60,7 +61,7 @@
 		p.links.Go(func() {
 			for ctx.Err() == nil {
 				_ = p.misbehave(ctx, f.nodes[target].address, claims, act) // the node closes the link, as it should
-				_ = sleep(ctx, impostorRetry)
+				_ = wait.For(ctx, impostorRetry)
 			}
 		})
 	}
@@ -200,7 +201,7 @@
 					return err
 				}
 			}
-			if err := sleep(ctx, pause); err != nil {
+			if err := wait.For(ctx, pause); err != nil {
 				return err
 			}
 		}
--- a/internal/bench/fleet/network.go
+++ b/internal/bench/fleet/network.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // Delays are the one-way delays of the simulated network.
@@ -103,7 +104,7 @@
 		return nil, eris.Errorf("no node was ever at %s", address)
 	}
 	delay := n.delays.between(from.Location, to.Location)
-	if err := sleep(ctx, 2*delay); err != nil {
+	if err := wait.For(ctx, 2*delay); err != nil {
 		return nil, err
 	}
 	if !n.waitOpen(from, to, ctx.Done()) {
@@ -116,17 +117,3 @@
 	}
 	return newDelayedConn(socket, n, from, to, delay), nil
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/bench/fleet/node.go
+++ b/internal/bench/fleet/node.go
@@ -11,6 +11,7 @@
 	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // listenPatience bounds the wait for a former process to give its address up.
@@ -90,7 +91,7 @@
 		if err == nil {
 			return listener, nil
 		}
-		if sleep(ctx, pause) != nil {
+		if wait.For(ctx, pause) != nil {
 			return nil, eris.Wrapf(err, "listen on %s", address)
 		}
 	}
--- a/internal/bench/fleet/poll.go
+++ b/internal/bench/fleet/poll.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // poller is the baseline in which each node asks the platform for the document
@@ -29,7 +30,7 @@
 
 // Run implements runner.
 func (p *poller) Run(ctx context.Context) error {
-	for wait := p.phase; sleep(ctx, wait) == nil; wait = p.interval {
+	for pause := p.phase; wait.For(ctx, pause) == nil; pause = p.interval {
 		document, outcome := p.running.client.Fetch(ctx, p.running.adopter.store.HighWater())
 		if outcome.Status != source.StatusFresh {
 			continue
--- a/internal/bench/fleet/trial.go
+++ b/internal/bench/fleet/trial.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // trial is one fault case under way.
@@ -127,7 +128,7 @@
 	}
 	const pause = 5 * time.Millisecond // the node reports a version soon after it is in force
 	for n.node.Status().Held != current.Version() {
-		if sleep(ctx, pause) != nil {
+		if wait.For(ctx, pause) != nil {
 			return eris.Errorf("holds %s and reports %s", current.Version(), n.node.Status().Held)
 		}
 	}
--- a/internal/proxy/forward/session.go
+++ b/internal/proxy/forward/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,13 @@
 type onlyWriter struct{ io.Writer }
 
 type onlyReader struct{ io.Reader }
+
+// CloseWith closes the ends of a session once ctx has ended. stop undoes it, as
+// context.AfterFunc does.
+func CloseWith(ctx context.Context, ends ...io.Closer) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		for _, end := range ends {
+			_ = end.Close()
+		}
+	})
+}
--- a/internal/proxy/inbound/answer.go
+++ b/internal/proxy/inbound/answer.go
@@ -210,7 +210,7 @@
 		return endedCallerGone
 	}
 	defer func() { _ = sender.Close() }()
-	stop := e.closeWith(instance, sender)
+	stop := forward.CloseWith(e.ctx, instance, sender)
 	defer stop()
 	forward.Relay(sender, instance)
 	return endedAnswered
--- a/internal/proxy/inbound/keyed.go
+++ b/internal/proxy/inbound/keyed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/winchhead/winchhead/internal/proxy/forward"
@@ -184,12 +183,3 @@
 	}
 	return endedReplayed
 }
-
-// closeWith closes both ends of a session when the exchange is cancelled.
-func (e *exchange) closeWith(ends ...io.Closer) (stop func() bool) {
-	return context.AfterFunc(e.ctx, func() {
-		for _, end := range ends {
-			_ = end.Close()
-		}
-	})
-}
--- a/internal/proxy/outbound/session.go
+++ b/internal/proxy/outbound/session.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -28,10 +27,7 @@
 		return callerGone
 	}
 	defer func() { _ = caller.Close() }()
-	stop := context.AfterFunc(e.ctx, func() {
-		_ = instance.Close()
-		_ = caller.Close()
-	})
+	stop := forward.CloseWith(e.ctx, instance, caller)
 	defer stop()
 	forward.Relay(caller, instance)
 	return answered
