Hold typed routes, instances and caller limits in a document

Cause: the users' platform declares routes as data and lists instances; documents knew services, policies and secrets only. Change: three kinds of resource; typed routes and policies compile to one table; a document with the same routing part compiles nothing. Ruled out: instances beside the document, as a second thing to version.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -130,6 +130,9 @@
 	case a.refusal != nil && a.refusal.Version == version:
 		return a.refusedFor
 	}
+	if a.plan != nil && snapshot.SameRouting(a.plan.Document(), document) {
+		return a.adoptFleet(document)
+	}
 	plan, err := a.compile(document)
 	if err != nil {
 		return a.refuse(version, err)
@@ -141,6 +144,25 @@
 	return nil
 }
 
+// adoptFleet puts a document in force whose routes are those in force already.
+// The mutex is held.
+func (a *Applier) adoptFleet(document *snapshot.Document) error {
+	content := document.Content()
+	next := a.store.Current().WithFleet(document.Version(), content.Instances, content.Limits)
+	adoption, err := a.store.Adopt(next)
+	switch {
+	case err != nil:
+		return a.refuse(document.Version(), err)
+	case adoption == snapshot.RefusedOlder:
+		return a.refuse(document.Version(), ErrOlder)
+	case adoption == snapshot.RefusedConflict:
+		return a.refuse(document.Version(), ErrConflict)
+	}
+	a.plan = a.plan.WithDocument(document)
+	a.announce()
+	return nil
+}
+
 // FleetChanged tells that the view of the fleet changed. It does not block.
 func (a *Applier) FleetChanged(view *membership.View) {
 	a.fleet.Store(view)
@@ -230,6 +252,7 @@
 		"version":    current.Version().String(),
 		"generation": current.Generation(),
 		"routes":     len(current.Routes()),
+		"instances":  current.InstanceCount(),
 	}).Info("configuration in force")
 	a.watchers.notify(Change{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -85,6 +85,14 @@
 	return plan, nil
 }
 
+// WithDocument returns the plan for a document that differs from the plan's own
+// only in what routes do not depend on (snapshot.SameRouting).
+func (p *Plan) WithDocument(document *snapshot.Document) *Plan {
+	next := *p
+	next.document = document
+	return &next
+}
+
 // Document returns the document that the plan was compiled from.
 func (p *Plan) Document() *snapshot.Document { return p.document }
 
@@ -102,7 +110,14 @@
 		routes = append(routes, chosen.routes...)
 	}
 	content := p.document.Content()
-	return snapshot.New(p.document.Version(), routes, content.Services, content.Secrets)
+	for _, typed := range content.Routes {
+		routes = append(routes, typed.Compile())
+	}
+	built, err := snapshot.New(p.document.Version(), routes, content.Services, content.Secrets)
+	if err != nil {
+		return nil, err
+	}
+	return built.WithFleet(p.document.Version(), content.Instances, content.Limits), nil
 }
 
 // choose returns the variant whose answers all hold. The variants are the leaves
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -154,5 +154,13 @@
 	case KindSecret:
 		secret, _ := findByName(base.content.Secrets, key.Name, secretName)
 		content.Secrets = append(content.Secrets, secret)
+	case KindRoute:
+		route, _ := findByName(base.content.Routes, key.Name, typedRouteName)
+		content.Routes = append(content.Routes, route)
+	case KindInstance:
+		instance, _ := findByName(base.content.Instances, key.Name, instanceName)
+		content.Instances = append(content.Instances, instance)
+	case KindLimits:
+		content.Limits = base.content.Limits
 	}
 }
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -47,6 +47,12 @@
 	Services []Service `json:"services"`
 	Policies []Policy  `json:"policies"`
 	Secrets  []Secret  `json:"secrets"`
+	// Routes are declared as data; they stand beside those that policies declare.
+	Routes []TypedRoute `json:"routes,omitempty"`
+	// Instances are the processes that run requests, as their source lists them.
+	Instances []Instance `json:"instances,omitempty"`
+	// Limits bound the connections of callers; nil leaves them to the settings.
+	Limits *CallerLimits `json:"limits,omitempty"`
 }
 
 // Kind tells the type of a Resource.
@@ -57,6 +63,12 @@
 	KindService Kind = 1
 	KindPolicy  Kind = 2
 	KindSecret  Kind = 3
+	// KindRoute is a TypedRoute.
+	KindRoute Kind = 4
+	// KindInstance is an Instance.
+	KindInstance Kind = 5
+	// KindLimits is the one CallerLimits of a document.
+	KindLimits Kind = 6
 )
 
 // Key names one resource of a document.
@@ -119,7 +131,8 @@
 }
 
 func encodeContent(content Content) ([]Resource, error) {
-	resources := make([]Resource, 0, len(content.Services)+len(content.Policies)+len(content.Secrets))
+	count := len(content.Services) + len(content.Policies) + len(content.Secrets) + len(content.Routes) + len(content.Instances) + 1
+	resources := make([]Resource, 0, count)
 	for _, service := range content.Services {
 		resource, err := checkedResource(KindService, service.Name, service, checkService)
 		if err != nil {
@@ -141,6 +154,32 @@
 		}
 		resources = append(resources, resource)
 	}
+	return encodeTyped(content, resources)
+}
+
+// encodeTyped appends the resources that are declared as data.
+func encodeTyped(content Content, resources []Resource) ([]Resource, error) {
+	for _, route := range content.Routes {
+		resource, err := checkedResource(KindRoute, route.Name, route, checkTypedRoute)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
+	for _, instance := range content.Instances {
+		resource, err := checkedResource(KindInstance, instance.Name, instance, checkInstance)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
+	if content.Limits != nil {
+		resource, err := checkedResource(KindLimits, limitsName, *content.Limits, checkCallerLimits)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
 	return resources, nil
 }
 
@@ -151,6 +190,10 @@
 		Services: sortedByName(content.Services, serviceName),
 		Policies: sortedByName(content.Policies, policyName),
 		Secrets:  sortedByName(content.Secrets, secretName),
+
+		Routes:    sortedByName(content.Routes, typedRouteName),
+		Instances: sortedByName(content.Instances, instanceName),
+		Limits:    content.Limits,
 	}
 }
 
@@ -167,8 +210,8 @@
 			return eris.Errorf("%s is there twice", resource.Key)
 		}
 		counts[resource.Key.Kind]++
-		if counts[resource.Key.Kind] > MaxResourcesPerKind {
-			return eris.Errorf("more than %d resources of the kind %s", MaxResourcesPerKind, resource.Key.Kind)
+		if most := maxResources(resource.Key.Kind); counts[resource.Key.Kind] > most {
+			return eris.Errorf("more than %d resources of the kind %s", most, resource.Key.Kind)
 		}
 		total += len(resource.Key.Name) + len(resource.Body)
 	}
--- /dev/null
+++ b/internal/snapshot/fleet.go
@@ -0,0 +1,95 @@
+package snapshot
+
+import "strings"
+
+// fleet is the part of a snapshot about instances. Snapshots share it while the
+// instances stay the same.
+type fleet struct {
+	byService map[string][]Instance
+	byAddress map[string][]Instance
+	byName    map[string]Instance
+	limits    *CallerLimits
+}
+
+func newFleet(instances []Instance, limits *CallerLimits) fleet {
+	built := fleet{
+		byService: make(map[string][]Instance),
+		byAddress: make(map[string][]Instance, len(instances)),
+		byName:    make(map[string]Instance, len(instances)),
+		limits:    limits,
+	}
+	for _, instance := range instances {
+		built.byService[instance.Service] = append(built.byService[instance.Service], instance)
+		built.byAddress[instance.Address] = append(built.byAddress[instance.Address], instance)
+		built.byName[instance.Name] = instance
+	}
+	return built
+}
+
+// WithFleet returns a snapshot with the same routes, services and secrets for a
+// newer version that differs only in instances and limits.
+func (s *Snapshot) WithFleet(version Version, instances []Instance, limits *CallerLimits) *Snapshot {
+	next := *s
+	next.version = version
+	next.fleet = newFleet(instances, limits)
+	return &next
+}
+
+// Instances returns the instances of a service, draining ones included, sorted by
+// name. The caller must not change the slice.
+func (s *Snapshot) Instances(service string) []Instance { return s.fleet.byService[service] }
+
+// InstancesAt returns the instances that are listed at an address. There are two
+// while the address changes hands.
+func (s *Snapshot) InstancesAt(address string) []Instance { return s.fleet.byAddress[address] }
+
+// Instance returns the instance of that name, if it is listed.
+func (s *Snapshot) Instance(name string) (Instance, bool) {
+	instance, listed := s.fleet.byName[name]
+	return instance, listed
+}
+
+// InstanceCount returns how many instances are listed.
+func (s *Snapshot) InstanceCount() int { return len(s.fleet.byName) }
+
+// Limits returns the limits for callers, or nil when the document has none.
+func (s *Snapshot) Limits() *CallerLimits { return s.fleet.limits }
+
+// SameRouting reports whether both documents have the same services, policies,
+// secrets and typed routes, so that a snapshot of one serves for the other with
+// the other's instances.
+func SameRouting(a, b *Document) bool {
+	return sameResources(routingPart(a.resources), routingPart(b.resources))
+}
+
+// routingPart returns the resources that routes depend on, in order.
+func routingPart(resources []Resource) []Resource {
+	part := make([]Resource, 0, len(resources))
+	for _, resource := range resources {
+		if resource.Key.Kind != KindInstance && resource.Key.Kind != KindLimits {
+			part = append(part, resource)
+		}
+	}
+	return part
+}
+
+func sameResources(a, b []Resource) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Key != b[i].Key || !sameBody(a[i].Body, b[i].Body) {
+			return false
+		}
+	}
+	return true
+}
+
+// sameBody compares without a copy; documents that follow each other share the
+// bodies that did not change.
+func sameBody(a, b []byte) bool {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return true
+	}
+	return strings.Compare(string(a), string(b)) == 0
+}
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -18,12 +18,24 @@
 	MaxSecretBytes = 4 << 10
 	// MaxResourcesPerKind bounds the services, the policies and the secrets.
 	MaxResourcesPerKind = 1000
+	// MaxTypedResources bounds the typed routes, and the instances.
+	MaxTypedResources = 20_000
 	// MaxDocumentBytes bounds the encoded resources of a document in all.
-	MaxDocumentBytes = 4 << 20
+	MaxDocumentBytes = 8 << 20
 	// MaxServiceLimit bounds the slots and the connections of a service.
 	MaxServiceLimit = 1_000_000
 )
 
+// maxResources returns how many resources of a kind a document may hold.
+func maxResources(kind Kind) int {
+	switch kind {
+	case KindRoute, KindInstance:
+		return MaxTypedResources
+	default:
+		return MaxResourcesPerKind
+	}
+}
+
 // checkName reports why name cannot name a resource of that kind, or nil.
 func checkName(kind Kind, name string) error {
 	if name == "" {
--- a/internal/snapshot/resource.go
+++ b/internal/snapshot/resource.go
@@ -19,6 +19,12 @@
 		return "policy"
 	case KindSecret:
 		return "secret"
+	case KindRoute:
+		return "route"
+	case KindInstance:
+		return "instance"
+	case KindLimits:
+		return "limits"
 	default:
 		return "resource of unknown kind"
 	}
@@ -81,6 +87,12 @@
 		return appendValue(&content.Policies, resource, policyName, checkPolicy)
 	case KindSecret:
 		return appendValue(&content.Secrets, resource, secretName, checkSecret)
+	case KindRoute:
+		return appendValue(&content.Routes, resource, typedRouteName, checkTypedRoute)
+	case KindInstance:
+		return appendValue(&content.Instances, resource, instanceName, checkInstance)
+	case KindLimits:
+		return setLimits(content, resource)
 	default:
 		return eris.Errorf("resource %.64q has the unknown kind %d", resource.Key.Name, resource.Key.Kind)
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -12,6 +12,9 @@
 	// PathPrefix matches whole path segments: "/trips" takes "/trips" and
 	// "/trips/7", not "/tripsheet".
 	PathPrefix string `json:"path_prefix,omitempty"`
+	// Literal makes PathPrefix a prefix of the path as it was sent, byte by byte:
+	// "/trips/" takes "/trips/7" and not "/trips".
+	Literal bool `json:"literal,omitempty"`
 	// Methods lists the accepted HTTP methods in upper case.
 	Methods []string `json:"methods,omitempty"`
 	// Headers gives exact values by canonical header name.
@@ -61,6 +64,15 @@
 	Timeout time.Duration `json:"timeout"`
 	// RepeatMethods lists the methods that may be run more than once.
 	RepeatMethods []string `json:"repeat_methods,omitempty"`
+	// Repeatable says that a request may be run more than once, whatever its
+	// method.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Priority is the rank of the route's requests where there is not room for
+	// all; 0 goes first.
+	Priority int `json:"priority,omitempty"`
+	// TargetLatency is the time within which an answer is worth most to its
+	// caller; zero when the operators name none.
+	TargetLatency time.Duration `json:"target_latency,omitempty"`
 	// MaxAttempts bounds the sends of one request, the first included.
 	MaxAttempts int            `json:"max_attempts"`
 	Limits      Limits         `json:"limits"`
@@ -69,6 +81,9 @@
 
 // MayRepeat reports whether a request with this method may run more than once.
 func (r *Route) MayRepeat(method string) bool {
+	if r.Repeatable {
+		return true
+	}
 	for _, allowed := range r.RepeatMethods {
 		if allowed == method {
 			return true
@@ -86,6 +101,7 @@
 	services   map[string]Service
 	secrets    map[string]Secret
 	table      routeTable
+	fleet      fleet
 }
 
 // Version returns the version of the document the snapshot was compiled from.
--- a/internal/snapshot/table.go
+++ b/internal/snapshot/table.go
@@ -91,14 +91,14 @@
 		rest = ""
 	}
 	if tree := t.treeOf(host); tree != nil {
-		if route := tree.find(method, rest, header); route != nil {
+		if route := tree.find(method, path, rest, header); route != nil {
 			return route
 		}
 	}
 	if t.anyHost == nil {
 		return nil
 	}
-	return t.anyHost.find(method, rest, header)
+	return t.anyHost.find(method, path, rest, header)
 }
 
 // treeOf returns the tree for the host of a request, or nil.
@@ -120,24 +120,27 @@
 
 // find returns the route of the longest matching prefix. Its recursion is as
 // deep as the deepest prefix, at most MaxPathSegments.
-func (n *pathNode) find(method, rest string, header http.Header) *Route {
+func (n *pathNode) find(method, path, rest string, header http.Header) *Route {
 	if len(n.children) > 0 && rest != "" {
 		segment, next, _ := strings.Cut(rest, "/")
 		if child, ok := n.children[segment]; ok {
-			if route := child.find(method, next, header); route != nil {
+			if route := child.find(method, path, next, header); route != nil {
 				return route
 			}
 		}
 	}
 	for i := range n.entries {
-		if n.entries[i].takes(method, header) {
+		if n.entries[i].takes(method, path, header) {
 			return n.entries[i].route
 		}
 	}
 	return nil
 }
 
-func (e *tableEntry) takes(method string, header http.Header) bool {
+func (e *tableEntry) takes(method, path string, header http.Header) bool {
+	if e.route.Match.Literal && !strings.HasPrefix(path, e.route.Match.PathPrefix) {
+		return false
+	}
 	if !takesMethod(e.route.Match.Methods, method) {
 		return false
 	}
