--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,363 @@
+// Package mirror follows a revisioned key-value store that can only be read and
+// turns it into documents and a list of members. One revision counter covers the
+// whole store, so that the content at a revision is the same whoever reads it;
+// documents carry that revision as theirs.
+//
+// It owns the order of reads: list, then watch from there, list again when the
+// store has forgotten its history. What the items mean and how they are spelled
+// is the business of the Store (an adapter).
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+// Kind tells what an Item stands for.
+type Kind uint8
+
+// The kinds of an Item.
+const (
+	KindOther         Kind = 0 // of no interest here
+	KindConfiguration Kind = 1
+	KindInstance      Kind = 2
+)
+
+// Configuration is what operators submitted as a whole.
+type Configuration struct {
+	// Label is the operators' own number of the configuration, for logs.
+	Label    uint64
+	Services []snapshot.Service
+	Routes   []snapshot.TypedRoute
+	Limits   *snapshot.CallerLimits
+}
+
+// Item is one entry of the store as read.
+type Item struct {
+	Kind Kind
+	// Key is unique in the store.
+	Key string
+	// Revision is that of the entry's last change.
+	Revision uint64
+	// Gone says that the entry was removed.
+	Gone bool
+	// Configuration or Instance is set by Kind, unless Gone or Fault is.
+	Configuration *Configuration
+	Instance      *snapshot.Instance
+	// Fault says why the entry cannot be read. What was read before stays.
+	Fault error
+}
+
+// Page is a part of the store's content. Pages are no snapshot of the store:
+// each is as of its own revision At.
+type Page struct {
+	Items []Item
+	// Next is the key to go on after; empty on the last page.
+	Next string
+	At   uint64
+}
+
+// Events are the changes after a revision, in order.
+type Events struct {
+	Items []Item
+	// At is the revision to go on from.
+	At uint64
+	// Compacted says that the store no longer knows what changed: list again.
+	Compacted bool
+}
+
+// Store reads the key-value store.
+type Store interface {
+	// List reads one page of all entries, those after the key.
+	List(ctx context.Context, after string) (Page, source.Outcome)
+	// Watch returns once there are changes after the revision, or after the wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Events, source.Outcome)
+}
+
+// Options set up a Mirror.
+type Options struct {
+	Store  Store
+	Logger logrus.FieldLogger
+	// MemberOf returns the member that runs beside an instance; false for none.
+	MemberOf func(instance snapshot.Instance) (membership.ListedMember, bool)
+	// Timeout bounds one read, the wait of a watch excepted.
+	Timeout time.Duration
+}
+
+// Mirror holds what was read last. It is safe for concurrent use; one watch runs
+// at a time.
+type Mirror struct {
+	options Options
+
+	reading sync.Mutex // held while the store is read
+
+	mutex    sync.Mutex // guards the rest
+	state    state
+	document *snapshot.Document // of the state, nil until asked for
+	readAt   time.Time
+	changed  chan struct{} // closed and replaced at each change
+}
+
+var (
+	_ source.ConfigurationReader = (*Mirror)(nil)
+	_ source.MemberReader        = (*Mirror)(nil)
+)
+
+// New returns a Mirror that holds nothing.
+func New(options Options) *Mirror {
+	return &Mirror{options: options, changed: make(chan struct{})}
+}
+
+// AwaitRevision returns once the store is above the revision, the wait is over
+// or the context ends.
+func (m *Mirror) AwaitRevision(ctx context.Context, after snapshot.Revision, wait time.Duration) (snapshot.Version, source.Outcome) {
+	m.reading.Lock()
+	defer m.reading.Unlock()
+	if outcome := m.catchUp(ctx, uint64(after), wait); !read(outcome) {
+		return snapshot.Version{}, outcome
+	}
+	if !m.isComplete() {
+		return snapshot.Version{}, source.Outcome{Status: source.StatusNotModified}
+	}
+	document, err := m.currentDocument()
+	if err != nil {
+		return snapshot.Version{}, source.Outcome{Status: source.StatusInvalid, Err: err}
+	}
+	status := source.StatusNotModified
+	if uint64(document.Version().Revision) > uint64(after) {
+		status = source.StatusFresh
+	}
+	return document.Version(), source.Outcome{Status: status}
+}
+
+// Fetch returns the document of what was read last; it reads the store only when
+// nothing was.
+func (m *Mirror) Fetch(ctx context.Context, held snapshot.Version) (*snapshot.Document, source.Outcome) {
+	if m.isEmpty() {
+		if outcome := m.listOnce(ctx); !read(outcome) {
+			return nil, outcome
+		}
+	}
+	document, err := m.currentDocument()
+	if err != nil {
+		return nil, source.Outcome{Status: source.StatusInvalid, Err: err}
+	}
+	if document.Version() == held {
+		return nil, source.Outcome{Status: source.StatusNotModified}
+	}
+	return document, source.Outcome{Status: source.StatusFresh}
+}
+
+// staleAfter is the age of the last read from which a question for members that
+// does not wait reads the store again.
+const staleAfter = 3 * time.Second
+
+// Members returns the nodes beside the listed instances. With a wait it follows
+// the changes that AwaitRevision reads and reads nothing by itself.
+func (m *Mirror) Members(ctx context.Context, etag string, wait time.Duration) ([]membership.ListedMember, string, source.Outcome) {
+	if wait <= 0 && m.age() > staleAfter {
+		if outcome := m.listOnce(ctx); !read(outcome) {
+			return nil, "", outcome
+		}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		members, current, changed := m.members()
+		if current != etag {
+			return members, current, source.Outcome{Status: source.StatusFresh}
+		}
+		if wait <= 0 {
+			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+		case <-ctx.Done():
+			return nil, etag, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
+		}
+	}
+}
+
+// catchUp brings the state above a revision, by a list at first and by one watch
+// later. The lock on reading is held.
+func (m *Mirror) catchUp(ctx context.Context, after uint64, wait time.Duration) source.Outcome {
+	if m.isEmpty() {
+		if outcome := m.list(ctx); !read(outcome) {
+			return outcome
+		}
+	}
+	if m.isComplete() && m.revision() > after {
+		return source.Outcome{Status: source.StatusFresh}
+	}
+	return m.watch(ctx, wait)
+}
+
+// listOnce lists, unless another read did so while this one waited for its turn.
+func (m *Mirror) listOnce(ctx context.Context) source.Outcome {
+	asked := time.Now()
+	m.reading.Lock()
+	defer m.reading.Unlock()
+	m.mutex.Lock()
+	fresh := !m.state.empty() && m.readAt.After(asked)
+	m.mutex.Unlock()
+	if fresh {
+		return source.Outcome{Status: source.StatusFresh}
+	}
+	return m.list(ctx)
+}
+
+// list reads all pages. Later pages are newer than the first, so that changes
+// since the first one are watched for before the state counts.
+func (m *Mirror) list(ctx context.Context) source.Outcome {
+	next := newState()
+	first, last, after := uint64(0), uint64(0), ""
+	for {
+		page, outcome := m.listPage(ctx, after)
+		if !read(outcome) {
+			return outcome
+		}
+		next.apply(page.Items, m.options.Logger)
+		if first == 0 {
+			first = page.At
+		}
+		last, after = page.At, page.Next
+		if after == "" {
+			break
+		}
+	}
+	next.at = first
+	for next.at < last {
+		events, outcome := m.watchOnce(ctx, next.at, 0)
+		if !read(outcome) {
+			return outcome
+		}
+		if events.Compacted {
+			return source.Outcome{Status: source.StatusUnreachable, Err: eris.New("the history was dropped while the store was listed")}
+		}
+		next.apply(events.Items, m.options.Logger)
+		next.at = max(events.At, next.at+1)
+	}
+	m.replace(next)
+	return source.Outcome{Status: source.StatusFresh}
+}
+
+func (m *Mirror) listPage(ctx context.Context, after string) (Page, source.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, m.options.Timeout)
+	defer cancel()
+	return m.options.Store.List(ctx, after)
+}
+
+func (m *Mirror) watchOnce(ctx context.Context, after uint64, wait time.Duration) (Events, source.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, wait+m.options.Timeout)
+	defer cancel()
+	return m.options.Store.Watch(ctx, after, wait)
+}
+
+// watch waits for changes and applies them.
+func (m *Mirror) watch(ctx context.Context, wait time.Duration) source.Outcome {
+	events, outcome := m.watchOnce(ctx, m.revision(), wait)
+	if !read(outcome) {
+		return outcome
+	}
+	if events.Compacted {
+		m.options.Logger.Warn("the store has dropped its history: lists it again")
+		return m.list(ctx)
+	}
+	m.applyEvents(events)
+	return outcome
+}
+
+func (m *Mirror) applyEvents(events Events) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.readAt = time.Now()
+	if events.At <= m.state.at {
+		return
+	}
+	if m.state.apply(events.Items, m.options.Logger) {
+		m.document = nil
+		m.notify()
+	}
+	m.state.at = events.At
+}
+
+// replace takes a state that was listed. The store never goes back, so an older
+// one, such as a late answer, is dropped.
+func (m *Mirror) replace(next state) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if next.at < m.state.at {
+		return
+	}
+	next.keepLastGood(m.state)
+	m.state, m.document, m.readAt = next, nil, time.Now()
+	m.notify()
+}
+
+// notify tells those who wait. The mutex is held.
+func (m *Mirror) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Mirror) isEmpty() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.empty()
+}
+
+// isComplete reports whether there is a configuration to make a document from.
+func (m *Mirror) isComplete() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.configuration != nil
+}
+
+func (m *Mirror) revision() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.at
+}
+
+func (m *Mirror) age() time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return time.Since(m.readAt)
+}
+
+// currentDocument builds the document of the state at most once a change.
+func (m *Mirror) currentDocument() (*snapshot.Document, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.document != nil {
+		return m.document, nil
+	}
+	document, err := m.state.document()
+	if err != nil {
+		return nil, err
+	}
+	m.document = document
+	return document, nil
+}
+
+func (m *Mirror) members() (members []membership.ListedMember, etag string, changed <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	members = m.state.members(m.options.MemberOf)
+	return members, etagOf(members), m.changed
+}
+
+// read reports whether a read brought an answer.
+func read(outcome source.Outcome) bool {
+	return outcome.Status == source.StatusFresh || outcome.Status == source.StatusNotModified
+}
--- /dev/null
+++ b/internal/mirror/state.go
@@ -0,0 +1,113 @@
+package mirror
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// state is the content of the store that matters, as of a revision.
+type state struct {
+	// at is the revision up to which changes were applied.
+	at uint64
+	// contentAt is the revision of the newest change that mattered.
+	contentAt     uint64
+	configuration *Configuration
+	instances     map[string]snapshot.Instance // by key
+}
+
+func newState() state { return state{instances: make(map[string]snapshot.Instance)} }
+
+func (s *state) empty() bool { return s.at == 0 }
+
+// apply takes items over and reports whether anything changed. An item that
+// cannot be read is logged, and what was read before stays.
+func (s *state) apply(items []Item, logger logrus.FieldLogger) (changed bool) {
+	for _, item := range items {
+		if item.Kind == KindOther {
+			continue
+		}
+		if item.Fault != nil {
+			logger.WithField("key", item.Key).WithField("revision", item.Revision).
+				WithError(item.Fault).Error("an entry of the store cannot be read, the last good one stays")
+			continue
+		}
+		s.contentAt = max(s.contentAt, item.Revision)
+		s.applyOne(item)
+		changed = true
+	}
+	return changed
+}
+
+func (s *state) applyOne(item Item) {
+	switch {
+	case item.Kind == KindConfiguration && item.Configuration != nil:
+		s.configuration = item.Configuration
+	case item.Kind == KindInstance && item.Gone:
+		delete(s.instances, item.Key)
+	case item.Kind == KindInstance && item.Instance != nil:
+		s.instances[item.Key] = *item.Instance
+	}
+}
+
+// keepLastGood takes the configuration of an older state over when the newer one
+// was read without a good one.
+func (s *state) keepLastGood(former state) {
+	if s.configuration == nil {
+		s.configuration = former.configuration
+	}
+}
+
+// document returns the document of the state. Its revision is that up to which
+// the store was read when it was listed, or that of the last change since.
+func (s *state) document() (*snapshot.Document, error) {
+	if s.configuration == nil {
+		return nil, eris.New("the store holds no configuration yet")
+	}
+	content := snapshot.Content{
+		Revision:  snapshot.Revision(s.at),
+		Services:  s.configuration.Services,
+		Routes:    s.configuration.Routes,
+		Limits:    s.configuration.Limits,
+		Instances: s.listedInstances(),
+	}
+	return snapshot.NewDocument(content)
+}
+
+func (s *state) listedInstances() []snapshot.Instance {
+	listed := make([]snapshot.Instance, 0, len(s.instances))
+	for _, instance := range s.instances {
+		listed = append(listed, instance)
+	}
+	return listed
+}
+
+// members returns the nodes beside the instances, each once, sorted.
+func (s *state) members(memberOf func(snapshot.Instance) (membership.ListedMember, bool)) []membership.ListedMember {
+	var members []membership.ListedMember
+	for _, instance := range s.instances {
+		if member, ok := memberOf(instance); ok {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b membership.ListedMember) int {
+		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.PeerAddress, b.PeerAddress))
+	})
+	return slices.CompactFunc(members, func(a, b membership.ListedMember) bool { return a.Node == b.Node })
+}
+
+// etagOf names a list of members by its content.
+func etagOf(members []membership.ListedMember) string {
+	digest := xxhash.New()
+	for _, member := range members {
+		_, _ = fmt.Fprintf(digest, "%s\x00%s\x00%s\x00", member.Node, member.PeerAddress, member.Zone)
+	}
+	return fmt.Sprintf("%d-%x", len(members), digest.Sum64())
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -34,6 +34,7 @@
 	StatusBusy        Status = 3 // 429 or 503: come back after RetryAfter
 	StatusUnreachable Status = 4 // no connection, a time-out, a cut answer or a failed server
 	StatusInvalid     Status = 5 // an answer that breaks the protocol or its limits
+	StatusGone        Status = 6 // the history asked for is no longer kept
 )
 
 // Outcome tells how a read ended.
