--- /dev/null
+++ b/internal/dataplane/balance/balance.go
@@ -0,0 +1,299 @@
+// Package balance chooses the instance for a request. It knows of each instance
+// what its answers told and what this node has in progress there, and keeps
+// requests in their own zone while they will be in time there.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// Result is what became of a request at an instance.
+type Result uint8
+
+// The results.
+const (
+	// Served: the instance answered.
+	Served Result = 1
+	// Busy: the node beside the instance had no slot for the request.
+	Busy Result = 2
+	// Leaving: the instance or its node takes no new work, or is another one.
+	Leaving Result = 3
+	// Failed: no connection, or no valid answer.
+	Failed Result = 4
+	// Abandoned: the request ended here; it says nothing of the instance.
+	Abandoned Result = 5
+)
+
+const (
+	// leavingTime is how long an instance that leaves gets no requests.
+	leavingTime = 2 * time.Second
+	// firstEjection is how long an instance that failed gets no requests; it
+	// doubles with each failure in a row up to longestEjection.
+	firstEjection   = 250 * time.Millisecond
+	longestEjection = 4 * time.Second
+	// busyTime is how long an instance without a free slot counts as full.
+	busyTime = 100 * time.Millisecond
+	// reportAge is how long a report of the load counts.
+	reportAge = 2 * time.Second
+	// forgetAfter is how long an instance that is not chosen is remembered.
+	forgetAfter = time.Minute
+
+	// defaultSlots are those of an instance that names none.
+	defaultSlots = 8
+	// localShare of the target latency is what an instance of the own zone may be
+	// expected to take and still go first.
+	localShare = 0.7
+	// remoteCost is added to what an instance of another zone is expected to
+	// take, as a share of its service time.
+	remoteCost = 0.5
+	// coldFactor is how much slower an instance is while it warms up.
+	coldFactor = 2.0
+	// initialService is the service time before any was measured.
+	initialService = 100 * time.Millisecond
+	// weight of a new measurement: one in so many.
+	measurementWeight = 8
+)
+
+// Options set up a Balancer.
+type Options struct {
+	Zone string
+	// LocalAddress is that of the instance beside this node; empty: none.
+	LocalAddress string
+	// Random chooses among equals; nil takes a random one.
+	Random *rand.Rand
+}
+
+// Balancer is safe for concurrent use.
+type Balancer struct {
+	options Options
+
+	mutex     sync.Mutex
+	instances map[string]*state
+	services  map[string]time.Duration // by route
+	prunedAt  time.Time
+}
+
+// state is what is known of one instance.
+type state struct {
+	outstanding int
+	// reported is the load of the last report, reportedWith what this node had in
+	// progress then.
+	reported, reportedWith int
+	reportedAt             time.Time
+	// speed is the instance's service time over that of all.
+	speed        float64
+	failures     int
+	ejectedUntil time.Time
+	busyUntil    time.Time
+	warmAt       time.Time
+	usedAt       time.Time
+}
+
+// New returns a Balancer that knows nothing.
+func New(options Options) *Balancer {
+	if options.Random == nil {
+		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Balancer{options: options, instances: make(map[string]*state), services: make(map[string]time.Duration)}
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Route  string
+	Target time.Duration
+	// Instances are those of the service.
+	Instances []snapshot.Instance
+	// Avoid reports instances that must not be chosen.
+	Avoid func(name string) bool
+	Now   time.Time
+}
+
+// Choice is one instance that was chosen. Done must be called once.
+type Choice struct {
+	Instance snapshot.Instance
+	// Expected is how long the request is expected to take there, with its wait for
+	// a slot; Service without.
+	Expected, Service time.Duration
+	// Local is set for the instance beside this node.
+	Local bool
+
+	balancer *Balancer
+	route    string
+}
+
+// Pick chooses an instance, or none when there is none left.
+func (b *Balancer) Pick(request Request) (Choice, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.prune(request.Now)
+	best, found := b.best(request, false)
+	if !found {
+		best, found = b.best(request, true)
+	}
+	if !found {
+		return Choice{}, false
+	}
+	chosen := b.stateOf(&best.instance, request.Now)
+	chosen.outstanding++
+	chosen.usedAt = request.Now
+	return Choice{
+		Instance: best.instance, Expected: best.expected, Service: best.service, balancer: b, route: request.Route,
+		Local: b.isLocal(&best.instance),
+	}, true
+}
+
+type candidate struct {
+	instance snapshot.Instance
+	expected time.Duration
+	service  time.Duration
+	cost     time.Duration
+}
+
+// best returns the cheapest candidate; ejected ones count only as a last resort.
+func (b *Balancer) best(request Request, ejected bool) (best candidate, found bool) {
+	ties := 0
+	for i := range request.Instances {
+		instance := &request.Instances[i]
+		if instance.State != snapshot.InstanceReady || request.Avoid(instance.Name) {
+			continue
+		}
+		known := b.stateOf(instance, request.Now)
+		if known.ejectedUntil.After(request.Now) != ejected {
+			continue
+		}
+		next := b.evaluate(instance, known, request)
+		switch {
+		case !found || next.cost < best.cost:
+			best, found, ties = next, true, 1
+		case next.cost == best.cost:
+			ties++
+			if b.options.Random.IntN(ties) == 0 {
+				best = next
+			}
+		}
+	}
+	return best, found
+}
+
+// evaluate estimates how long a request takes at an instance, and what sending it
+// there costs.
+func (b *Balancer) evaluate(instance *snapshot.Instance, known *state, request Request) candidate {
+	service := float64(b.serviceOf(request.Route)) * known.speed
+	if known.warmAt.After(request.Now) {
+		service *= coldFactor
+	}
+	slots := float64(instance.Slots)
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	load := float64(known.load(request.Now))
+	expected := service * max(1, (load+1)/slots)
+	if known.busyUntil.After(request.Now) {
+		expected += service
+	}
+	result := candidate{instance: *instance, expected: time.Duration(expected), service: time.Duration(service)}
+	cost := expected + service*load/slots/2
+	if instance.Zone == b.options.Zone || b.isLocal(instance) {
+		inTime := request.Target > 0 && expected <= localShare*float64(request.Target)
+		if inTime {
+			cost = expected / 1000 // any of the own zone goes first
+		}
+	} else {
+		cost += remoteCost * service
+	}
+	result.cost = time.Duration(cost)
+	return result
+}
+
+func (b *Balancer) isLocal(instance *snapshot.Instance) bool {
+	return b.options.LocalAddress != "" && instance.Address == b.options.LocalAddress
+}
+
+// load is what the instance has in progress, as far as is known.
+func (s *state) load(now time.Time) int {
+	if now.Sub(s.reportedAt) > reportAge {
+		return s.outstanding
+	}
+	return max(s.outstanding, s.reported+s.outstanding-s.reportedWith)
+}
+
+func (b *Balancer) serviceOf(route string) time.Duration {
+	if service, known := b.services[route]; known {
+		return service
+	}
+	return initialService
+}
+
+func (b *Balancer) stateOf(instance *snapshot.Instance, now time.Time) *state {
+	known := b.instances[instance.Name]
+	if known == nil {
+		known = &state{speed: 1, usedAt: now, warmAt: now.Add(time.Duration(instance.WarmUpMillis) * time.Millisecond)}
+		b.instances[instance.Name] = known
+	}
+	return known
+}
+
+// prune forgets instances that have not been chosen for long.
+func (b *Balancer) prune(now time.Time) {
+	if now.Sub(b.prunedAt) < forgetAfter {
+		return
+	}
+	b.prunedAt = now
+	for name, known := range b.instances {
+		if known.outstanding == 0 && now.Sub(known.usedAt) > forgetAfter {
+			delete(b.instances, name)
+		}
+	}
+	if len(b.services) > maxRoutes {
+		b.services = make(map[string]time.Duration)
+	}
+}
+
+// maxRoutes bounds the routes whose service time is remembered.
+const maxRoutes = 10_000
+
+// Done ends a choice with what became of the request. report is nil when none
+// came.
+func (c Choice) Done(result Result, report *hop.Report, now time.Time) {
+	b := c.balancer
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.stateOf(&c.Instance, now)
+	known.outstanding = max(known.outstanding-1, 0)
+	if report != nil {
+		known.reported, known.reportedWith, known.reportedAt = report.Running+report.Waiting, known.outstanding, now
+	}
+	switch result {
+	case Served:
+		known.failures = 0
+		known.ejectedUntil, known.busyUntil = time.Time{}, time.Time{}
+		if report != nil && report.Execution > 0 {
+			b.measure(c.route, known, report.Execution)
+		}
+	case Busy:
+		known.busyUntil = now.Add(busyTime)
+	case Leaving:
+		known.ejectedUntil = now.Add(leavingTime)
+	case Failed:
+		known.ejectedUntil = now.Add(min(firstEjection<<min(known.failures, 8), longestEjection))
+		known.failures++
+	}
+}
+
+// measure takes over how long an instance worked on a request.
+func (b *Balancer) measure(route string, known *state, execution time.Duration) {
+	service, measured := b.services[route]
+	if !measured {
+		b.services[route] = execution
+		return
+	}
+	relative := float64(execution) / float64(max(service, time.Millisecond))
+	known.speed += (min(max(relative, 0.1), 10) - known.speed) / measurementWeight
+	known.speed = min(max(known.speed, 0.2), 8)
+	b.services[route] = service + (time.Duration(float64(execution)/known.speed)-service)/(4*measurementWeight)
+}
--- /dev/null
+++ b/internal/dataplane/dataplane.go
@@ -0,0 +1,182 @@
+// Package dataplane is the path of requests on a node whose configuration names
+// typed routes and instances: callers' requests are taken by its server and
+// outbound proxy, and brought to the instance beside another node by that node's
+// server and inbound proxy.
+package dataplane
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/inbound"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/outbound"
+	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/wait"
+)
+
+// Options set up a Node.
+type Options struct {
+	Names     message.Names
+	Snapshots interface{ Current() *snapshot.Snapshot }
+	// Service, Zone and Backend are those of the instance beside the node.
+	Service, Zone, Backend string
+	// Slots are those of an instance that names none.
+	Slots int
+	// NodePort is where the nodes beside other instances take requests.
+	NodePort int
+	Budget   budget.Options
+	// Limits hold until the configuration names others.
+	Limits server.Limits
+	// DrainNotice is how long a planned stop goes on taking requests of callers.
+	DrainNotice time.Duration
+
+	Logger     logrus.FieldLogger
+	Registerer prometheus.Registerer
+}
+
+// Node is the data plane of one node.
+type Node struct {
+	options  Options
+	inbound  *inbound.Proxy
+	outbound *outbound.Proxy
+	callers  *server.Server
+	nodes    *server.Server
+}
+
+// New returns a Node that takes nothing yet.
+func New(options Options) (*Node, error) {
+	created := &Node{options: options}
+	created.inbound = inbound.New(inbound.Options{
+		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
+		Slots: options.Slots, Logger: options.Logger.WithField("part", "inbound"),
+	})
+	var err error
+	created.outbound, err = outbound.New(outbound.Options{
+		Names: options.Names, Snapshots: options.Snapshots, Service: options.Service, Zone: options.Zone,
+		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: options.Budget,
+		Logger: options.Logger.WithField("part", "outbound"), Registerer: options.Registerer,
+	})
+	if err != nil {
+		return nil, err
+	}
+	created.callers = server.New(server.Options{
+		Handler: created.outbound, Limits: created.callerLimits,
+		RequestID: options.Names.RequestID, Refuse: created.outbound.Refuse,
+	})
+	created.nodes = server.New(server.Options{
+		Handler: created.inbound, Limits: created.nodeLimits,
+		RequestID: options.Names.RequestID, Refuse: refusePlainly,
+	})
+	return created, nil
+}
+
+func refusePlainly(status int, reason string) *message.Answer {
+	return message.Whole(status, nil, []byte(reason+"\n"))
+}
+
+// idleSlack is how much longer than promised a caller's connection may rest.
+const idleSlack = time.Second
+
+// callerLimits are those in force for callers.
+func (n *Node) callerLimits() server.Limits {
+	limits := n.options.Limits
+	current := n.options.Snapshots.Current()
+	if current == nil || current.Limits() == nil {
+		return limits
+	}
+	named := current.Limits()
+	if named.MaxHeaderBytes > 0 {
+		limits.MaxHeaderBytes = named.MaxHeaderBytes
+	}
+	if named.MaxBodyBytes > 0 {
+		limits.MaxBodyBytes = named.MaxBodyBytes
+	}
+	if named.HeaderTimeoutMillis > 0 {
+		limits.HeaderTimeout = time.Duration(named.HeaderTimeoutMillis) * time.Millisecond
+	}
+	if named.IdleTimeoutMillis > 0 {
+		limits.IdleTimeout = time.Duration(named.IdleTimeoutMillis)*time.Millisecond + idleSlack
+	}
+	return limits
+}
+
+// hopHeaderBytes is room for what a node adds to a request.
+const hopHeaderBytes = 4 << 10
+
+// nodeLimits are those for other nodes.
+func (n *Node) nodeLimits() server.Limits {
+	limits := n.callerLimits()
+	limits.MaxHeaderBytes += hopHeaderBytes
+	limits.IdleTimeout = outbound.NodeServerIdle
+	return limits
+}
+
+// maintenanceInterval is the time between two looks at resting connections.
+const maintenanceInterval = 2 * time.Second
+
+// Run serves both listeners until ctx ends or the node is closed.
+func (n *Node) Run(ctx context.Context, callers, nodes net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.callers.Serve(callers) })
+	group.Go(func() error { return n.nodes.Serve(nodes) })
+	group.Go(func() error {
+		for wait.For(ctx, maintenanceInterval) == nil {
+			n.outbound.Maintain(time.Now())
+			n.inbound.Maintain(time.Now())
+		}
+		n.callers.StopListening()
+		n.nodes.StopListening()
+		return nil
+	})
+	return group.Wait()
+}
+
+const (
+	// quietTime is how long nothing may be in progress before a planned stop ends.
+	quietTime = 200 * time.Millisecond
+	// quietCheck is the time between two looks.
+	quietCheck = 20 * time.Millisecond
+)
+
+// Drain is the first part of a planned stop. The instance beside the node gets no
+// more requests; callers are served on and asked to close their connections. It
+// returns once nothing was in progress for a while, or the context ends.
+func (n *Node) Drain(ctx context.Context) error {
+	n.inbound.Drain()
+	n.callers.Drain()
+	if err := wait.For(ctx, n.options.DrainNotice); err != nil {
+		return err
+	}
+	n.callers.CloseIdle()
+	quietSince := time.Now()
+	for time.Since(quietSince) < quietTime {
+		if n.callers.Active()+n.nodes.Active() > 0 {
+			quietSince = time.Now()
+		}
+		if err := wait.For(ctx, quietCheck); err != nil {
+			return err
+		}
+	}
+	n.callers.StopListening()
+	n.callers.CloseIdle()
+	return nil
+}
+
+// Active counts the requests in progress, those of callers and of nodes.
+func (n *Node) Active() int { return n.callers.Active() + n.nodes.Active() }
+
+// Close cuts what is in progress.
+func (n *Node) Close() {
+	n.callers.Close()
+	n.nodes.Close()
+	n.outbound.Close()
+	n.inbound.Close()
+}
--- /dev/null
+++ b/internal/dataplane/hop/hop.go
@@ -0,0 +1,162 @@
+// Package hop is what two nodes tell each other about a request, in one header
+// field each way. Callers and instances never see the field.
+package hop
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Header is the name of the field, in requests and in answers.
+const Header = "Winchhead-Hop"
+
+const separator = ";"
+
+// Order tells the node beside an instance what to do with a request.
+type Order struct {
+	// Instance is the name of the instance that is meant.
+	Instance string
+	// Service is that of the instance.
+	Service string
+	// CallerService is the service beside which the request started.
+	CallerService string
+	Priority      int
+	Repeatable    bool
+	// Remaining is the time left for the request when it was sent.
+	Remaining time.Duration
+	// MaxWait is how long the request may wait for a slot.
+	MaxWait time.Duration
+	// Revision is that of the configuration by which the sender chose.
+	Revision uint64
+}
+
+const orderFields = 8
+
+// Encode returns the text of the field.
+func (o Order) Encode() string {
+	repeatable := "0"
+	if o.Repeatable {
+		repeatable = "1"
+	}
+	return strings.Join([]string{
+		o.Instance, o.Service, o.CallerService, strconv.Itoa(o.Priority), repeatable,
+		millis(o.Remaining), millis(o.MaxWait), strconv.FormatUint(o.Revision, 10),
+	}, separator)
+}
+
+// DecodeOrder reads the text of the field.
+func DecodeOrder(text string) (Order, error) {
+	fields := strings.Split(text, separator)
+	if len(fields) != orderFields {
+		return Order{}, eris.Errorf("%s has %d fields, want %d", Header, len(fields), orderFields)
+	}
+	reader := fieldReader{fields: fields[3:]}
+	order := Order{
+		Instance: fields[0], Service: fields[1], CallerService: fields[2],
+		Priority: int(reader.number()), Repeatable: reader.number() == 1,
+		Remaining: reader.duration(), MaxWait: reader.duration(), Revision: uint64(reader.number()),
+	}
+	return order, reader.err
+}
+
+// Outcome tells what became of a request at the node beside an instance.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered: the answer is the instance's.
+	Answered Outcome = "a"
+	// Refused: the request did not reach the instance and never will.
+	Refused Outcome = "r"
+	// Rejected: the instance said that it did not run the request.
+	Rejected Outcome = "j"
+	// Unknown: the request was sent and there is no valid answer to it.
+	Unknown Outcome = "u"
+)
+
+// Reason is why a request was not answered by its instance.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone          Reason = ""
+	ReasonOverloaded    Reason = "overloaded"
+	ReasonDraining      Reason = "draining"
+	ReasonWrongInstance Reason = "wrong-instance"
+	ReasonUnconfigured  Reason = "unconfigured"
+	ReasonDeadline      Reason = "deadline"
+	ReasonCancelled     Reason = "cancelled"
+	ReasonConnect       Reason = "connect-failed"
+	ReasonBroken        Reason = "connection-broken"
+	ReasonInvalid       Reason = "invalid-answer"
+	ReasonMalformed     Reason = "malformed"
+)
+
+// Report is what the node beside an instance tells with an answer.
+type Report struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when a slot is likely to be free; zero when not known.
+	RetryAfter time.Duration
+	// Running and Waiting count the instance's requests, Slots its slots.
+	Running, Waiting, Slots int
+	// Execution is how long the instance worked on this request.
+	Execution time.Duration
+}
+
+const reportFields = 7
+
+// Encode returns the text of the field.
+func (r Report) Encode() string {
+	return strings.Join([]string{
+		string(r.Outcome), string(r.Reason), millis(r.RetryAfter),
+		strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), strconv.Itoa(r.Slots), millis(r.Execution),
+	}, separator)
+}
+
+// DecodeReport reads the text of the field.
+func DecodeReport(text string) (Report, error) {
+	fields := strings.Split(text, separator)
+	if len(fields) != reportFields {
+		return Report{}, eris.Errorf("%s has %d fields, want %d", Header, len(fields), reportFields)
+	}
+	reader := fieldReader{fields: fields[2:]}
+	report := Report{
+		Outcome: Outcome(fields[0]), Reason: Reason(fields[1]), RetryAfter: reader.duration(),
+		Running: int(reader.number()), Waiting: int(reader.number()), Slots: int(reader.number()),
+		Execution: reader.duration(),
+	}
+	switch report.Outcome {
+	case Answered, Refused, Rejected, Unknown:
+		return report, reader.err
+	default:
+		return report, eris.Errorf("%s: outcome %q is not known", Header, report.Outcome)
+	}
+}
+
+// fieldReader reads numbers one after the other and keeps the first error.
+type fieldReader struct {
+	fields []string
+	err    error
+}
+
+func (r *fieldReader) number() int64 {
+	if len(r.fields) == 0 {
+		return 0
+	}
+	value, err := strconv.ParseInt(r.fields[0], 10, 64)
+	if err != nil && r.err == nil {
+		r.err = eris.Errorf("%s: %q is not a number", Header, r.fields[0])
+	}
+	r.fields = r.fields[1:]
+	return value
+}
+
+func (r *fieldReader) duration() time.Duration { return time.Duration(r.number()) * time.Millisecond }
+
+func millis(duration time.Duration) string {
+	return strconv.FormatInt(max(duration, 0).Milliseconds(), 10)
+}
--- /dev/null
+++ b/internal/dataplane/inbound/inbound.go
@@ -0,0 +1,336 @@
+// Package inbound is the node's side beside an instance: it alone sends requests
+// to it. So it counts slots exactly, refuses what the instance must not get any
+// more, and knows for each request whether the instance may have run it.
+package inbound
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// SnapshotSource gives the configuration in force.
+type SnapshotSource interface {
+	// Current returns nil until the node holds a version.
+	Current() *snapshot.Snapshot
+}
+
+// Options set up a Proxy.
+type Options struct {
+	Names     message.Names
+	Snapshots SnapshotSource
+	// Backend is the address of the instance (IP:port).
+	Backend string
+	// Slots are those of an instance that names none.
+	Slots  int
+	Logger logrus.FieldLogger
+}
+
+const (
+	connectTimeout = time.Second
+	// idleTimeout is how long a connection rests when the instance names no time.
+	idleTimeout = 4 * time.Second
+	// wholeBodyBytes is the size up to which an answer is held until it is whole.
+	wholeBodyBytes = 1 << 20
+	// answerMargin is how much earlier the instance's time is over than the
+	// request's, so that its own answer is still in time.
+	answerMargin = 10 * time.Millisecond
+)
+
+// Proxy is safe for concurrent use.
+type Proxy struct {
+	options  Options
+	instance *client.Pool
+	queue    *queue.Queue
+	slots    atomic.Int64
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a Proxy.
+func New(options Options) *Proxy {
+	created := &Proxy{
+		options: options,
+		instance: client.NewPool(client.Options{
+			Address:        options.Backend,
+			IDHeader:       options.Names.RequestID,
+			ConnectTimeout: connectTimeout,
+			IdleTimeout:    idleTimeout,
+		}),
+		queue: queue.New(options.Slots),
+	}
+	created.slots.Store(int64(options.Slots))
+	return created
+}
+
+// Drain refuses new requests from now on.
+func (p *Proxy) Drain() { p.draining.Store(true) }
+
+// Active counts the requests in progress.
+func (p *Proxy) Active() int { return int(p.active.Load()) }
+
+// Maintain closes connections that rested for too long.
+func (p *Proxy) Maintain(now time.Time) { p.instance.Prune(now) }
+
+// Close closes the connections that rest.
+func (p *Proxy) Close() { p.instance.Close() }
+
+// Delivery is what became of a request: an answer of the instance when the
+// report's outcome is hop.Answered, otherwise none.
+type Delivery struct {
+	Report hop.Report
+	Answer *message.Answer
+	// Err is why there is no answer, for logs.
+	Err error
+}
+
+// Serve takes a request of another node.
+func (p *Proxy) Serve(ctx context.Context, request *message.Request) *message.Answer {
+	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
+	if err != nil {
+		return p.answerOf(Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
+	}
+	delete(request.Header, hop.Header)
+	return p.answerOf(p.Deliver(ctx, request, order))
+}
+
+// answerOf makes the answer for the other node.
+func (p *Proxy) answerOf(delivery Delivery) *message.Answer {
+	answer := delivery.Answer
+	if answer == nil {
+		answer = message.Whole(http.StatusServiceUnavailable, nil, nil)
+	}
+	answer.Header[hop.Header] = []string{delivery.Report.Encode()}
+	return answer
+}
+
+// Deliver brings a request to the instance. Whatever it refuses has not run.
+func (p *Proxy) Deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
+	p.active.Add(1)
+	defer p.active.Add(-1)
+	if reason := p.check(order); reason != hop.ReasonNone {
+		return p.refuse(order, request, reason, 0)
+	}
+	deadline := request.Arrived.Add(order.Remaining)
+	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{Priority: order.Priority, Deadline: deadline, MaxWait: order.MaxWait})
+	if refusal != queue.None {
+		return p.refuse(order, request, reasonOf(refusal), wait)
+	}
+	if reason := p.recheck(ctx, request, order, deadline); reason != hop.ReasonNone {
+		slot.Release(false)
+		return p.refuse(order, request, reason, 0)
+	}
+	return p.send(ctx, request, order, deadline, slot)
+}
+
+func reasonOf(refusal queue.Refusal) hop.Reason {
+	switch refusal {
+	case queue.Expired:
+		return hop.ReasonDeadline
+	case queue.Cancelled:
+		return hop.ReasonCancelled
+	default:
+		return hop.ReasonOverloaded
+	}
+}
+
+func (p *Proxy) refuse(order hop.Order, request *message.Request, reason hop.Reason, wait time.Duration) Delivery {
+	report := p.report(hop.Refused, reason)
+	report.RetryAfter = wait
+	return Delivery{Report: report}
+}
+
+// report tells the load of the instance as counted here.
+func (p *Proxy) report(outcome hop.Outcome, reason hop.Reason) hop.Report {
+	usage := p.queue.Usage()
+	return hop.Report{Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots}
+}
+
+// check decides whether the instance that is meant may get the request.
+func (p *Proxy) check(order hop.Order) hop.Reason {
+	if p.draining.Load() {
+		return hop.ReasonDraining
+	}
+	current := p.options.Snapshots.Current()
+	if current == nil {
+		return hop.ReasonUnconfigured
+	}
+	instance, listed := current.Instance(order.Instance)
+	switch {
+	case !listed && order.Revision > uint64(current.Version().Revision):
+		return hop.ReasonNone // the sender knows more; the instance itself checks its name
+	case !listed, instance.State == snapshot.InstanceDraining:
+		return hop.ReasonDraining
+	case instance.Address != p.options.Backend:
+		return hop.ReasonWrongInstance
+	}
+	p.follow(instance.Slots)
+	return hop.ReasonNone
+}
+
+// recheck is asked right before the request is sent, as the wait for a slot may
+// have been long.
+func (p *Proxy) recheck(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time) hop.Reason {
+	switch {
+	case ctx.Err() != nil || request.SenderGone():
+		return hop.ReasonCancelled
+	case !deadline.After(time.Now()):
+		return hop.ReasonDeadline
+	default:
+		return p.check(order)
+	}
+}
+
+// follow takes over the slots that the instance names.
+func (p *Proxy) follow(slots int) {
+	if slots > 0 && p.slots.Swap(int64(slots)) != int64(slots) {
+		p.queue.SetSlots(slots)
+	}
+}
+
+// send sends the request to the instance and judges its answer.
+func (p *Proxy) send(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time, slot *queue.Slot) Delivery {
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	response, err := p.instance.Do(ctx, p.outgoing(request, order, deadline))
+	if err != nil {
+		cancel()
+		return p.failed(err, slot)
+	}
+	if reason := p.rejected(response); reason != hop.ReasonNone {
+		_, _ = io.CopyN(io.Discard, response.Body, wholeBodyBytes)
+		_ = response.Close()
+		cancel()
+		slot.Release(false)
+		return Delivery{Report: p.report(hop.Rejected, reason)}
+	}
+	if p.options.Names.Stamp != "" && len(response.Header[p.options.Names.Stamp]) != 1 && response.Status < http.StatusMultipleChoices {
+		_ = response.Close()
+		cancel()
+		slot.Release(true)
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: errNoStamp}
+	}
+	return p.deliver(response, started, slot, cancel)
+}
+
+var errNoStamp = errors.New("the answer does not bear the instance's mark")
+
+// outgoing is the request as the instance gets it.
+func (p *Proxy) outgoing(request *message.Request, order hop.Order, deadline time.Time) *client.Request {
+	names := p.options.Names
+	header := maps.Clone(request.Header)
+	remaining := time.Until(deadline)
+	if remaining > 4*answerMargin {
+		remaining -= answerMargin
+	}
+	set(header, names.RequestID, request.ID)
+	set(header, names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	set(header, names.ExpectInstance, order.Instance)
+	set(header, names.CallerService, order.CallerService)
+	return &client.Request{
+		Method: request.Method, Target: request.Target, Host: request.Host,
+		Header: header, Body: request.Body, ID: request.ID,
+	}
+}
+
+func set(header http.Header, name, value string) {
+	if name != "" {
+		header[name] = []string{value}
+	}
+}
+
+// rejected tells why the instance says that it did not run the request.
+func (p *Proxy) rejected(response *client.Response) hop.Reason {
+	switch name := p.options.Names.NotExecuted; {
+	case response.Status == http.StatusMisdirectedRequest:
+		return hop.ReasonWrongInstance
+	case name != "" && len(response.Header[name]) > 0:
+		return hop.ReasonOverloaded
+	default:
+		return hop.ReasonNone
+	}
+}
+
+// failed judges a send without an answer.
+func (p *Proxy) failed(err error, slot *queue.Slot) Delivery {
+	var failure *client.Error
+	if !errors.As(err, &failure) {
+		failure = &client.Error{Progress: client.SentWhole, Err: err}
+	}
+	slot.Release(false)
+	switch {
+	case failure.Progress == client.NotSent:
+		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
+	case errors.Is(err, context.DeadlineExceeded):
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonDeadline), Err: err}
+	case errors.Is(err, context.Canceled):
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonCancelled), Err: err}
+	case failure.Invalid:
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: err}
+	default:
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+	}
+}
+
+// deliver passes an answer on: a short one once it is whole, a long one or a
+// stream of events as it comes.
+func (p *Proxy) deliver(response *client.Response, started time.Time, slot *queue.Slot, cancel func()) Delivery {
+	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
+	message.StripHopByHop(answer.Header)
+	if response.Length > wholeBodyBytes || isEventStream(response.Header) {
+		answer.Stream = &stream{response: response, slot: slot, cancel: cancel}
+		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBodyBytes))
+	if err == nil && len(body) == wholeBodyBytes {
+		answer.Body = body
+		answer.Stream = &stream{response: response, slot: slot, cancel: cancel}
+		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
+	}
+	_ = response.Close()
+	cancel()
+	slot.Release(true)
+	if err != nil {
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+	}
+	answer.Body, answer.Length = body, int64(len(body))
+	report := p.report(hop.Answered, hop.ReasonNone)
+	report.Execution = time.Since(started)
+	return Delivery{Report: report, Answer: answer}
+}
+
+func isEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// stream is the rest of an answer; the slot is held until it is closed.
+type stream struct {
+	response *client.Response
+	slot     *queue.Slot
+	cancel   func()
+}
+
+// Read reads the answer of the instance.
+func (s *stream) Read(data []byte) (int, error) { return s.response.Body.Read(data) }
+
+// Close gives the slot back.
+func (s *stream) Close() error {
+	err := s.response.Close()
+	s.cancel()
+	s.slot.Release(true)
+	return err
+}
--- /dev/null
+++ b/internal/dataplane/outbound/exchange.go
@@ -0,0 +1,309 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const (
+	// maxTries bounds the nodes that one request is offered to.
+	maxTries = 8
+	// hopMargin is how much earlier the time of the request is over beside the
+	// instance than here, so that what it says then is still in time.
+	hopMargin = 10 * time.Millisecond
+	// leastRepeatTime is the least time that must be left to send again.
+	leastRepeatTime = 20 * time.Millisecond
+	// waitShare of the target latency may pass before the instance begins; with
+	// an instance that needs long, less.
+	waitShare = 0.9
+	// leastWaitShare of the target latency may always be waited.
+	leastWaitShare = 0.25
+
+	leastRetryAfter   = 50 * time.Millisecond
+	longestRetryAfter = 2 * time.Second
+)
+
+// exchange is one request of a caller with all its sends. One goroutine owns it.
+type exchange struct {
+	proxy    *Proxy
+	ctx      context.Context
+	request  *message.Request
+	current  *snapshot.Snapshot
+	route    *snapshot.Route
+	deadline time.Time
+	service  string
+
+	// tried are the instances that are not asked again.
+	tried map[string]bool
+	// reached counts the sends that an instance got or may have got.
+	reached int
+	tries   int
+	// wait is the shortest wait that a refusal named; reason that of the last one.
+	wait   time.Duration
+	reason hop.Reason
+	last   string // the instance tried last
+}
+
+// result is what became of one send.
+type result struct {
+	report hop.Report
+	answer *message.Answer // set when the report's outcome is hop.Answered
+	// reported is false when the node beside the instance said nothing.
+	reported bool
+	err      error
+}
+
+// run sends the request until there is a final answer.
+func (e *exchange) run() *message.Answer {
+	e.proxy.budgetOf(e.service).Request(time.Now())
+	for e.tries < maxTries {
+		choice, found := e.pick()
+		if !found {
+			return e.refuse()
+		}
+		e.tries++
+		e.last = choice.Instance.Name
+		sent := e.send(choice)
+		e.learn(choice, sent)
+		if answer, final := e.judge(sent); final {
+			return answer
+		}
+	}
+	return e.refuse()
+}
+
+// pick chooses the instance for the next send. When the chosen part of a split
+// has none left, the other parts may take the request.
+func (e *exchange) pick() (balance.Choice, bool) {
+	choice, found := e.pickOf(e.service)
+	if found || len(e.route.Targets) == 1 {
+		return choice, found
+	}
+	for _, target := range e.route.Targets {
+		if choice, found = e.pickOf(target.Service); found {
+			e.service = target.Service
+			return choice, true
+		}
+	}
+	return choice, false
+}
+
+func (e *exchange) pickOf(service string) (balance.Choice, bool) {
+	return e.proxy.balancer.Pick(balance.Request{
+		Route:     e.route.Name,
+		Target:    e.route.TargetLatency,
+		Instances: e.current.Instances(service),
+		Avoid:     func(name string) bool { return e.tried[name] },
+		Now:       time.Now(),
+	})
+}
+
+// order tells the node beside the instance what to do.
+func (e *exchange) order(choice balance.Choice) hop.Order {
+	remaining := time.Until(e.deadline)
+	if remaining > 4*hopMargin && !choice.Local {
+		remaining -= hopMargin
+	}
+	return hop.Order{
+		Instance:      choice.Instance.Name,
+		Service:       choice.Instance.Service,
+		CallerService: e.proxy.options.Service,
+		Priority:      e.route.Priority,
+		Repeatable:    e.route.Repeatable,
+		Remaining:     remaining,
+		MaxWait:       e.maxWait(choice, remaining),
+		Revision:      uint64(e.current.Version().Revision),
+	}
+}
+
+// maxWait is how long the request may wait for a slot and still be worth most.
+func (e *exchange) maxWait(choice balance.Choice, remaining time.Duration) time.Duration {
+	target := e.route.TargetLatency
+	if target <= 0 {
+		return remaining / 2
+	}
+	elapsed := time.Since(e.request.Arrived)
+	service := choice.Service
+	wait := time.Duration(waitShare*float64(target)) - elapsed - service
+	return max(wait, time.Duration(leastWaitShare*float64(target))-elapsed, 0)
+}
+
+// send brings the request to one instance.
+func (e *exchange) send(choice balance.Choice) result {
+	order := e.order(choice)
+	if choice.Local && e.proxy.options.Neighbour != nil {
+		delivery := e.proxy.options.Neighbour.Deliver(e.ctx, e.arrivedNow(), order)
+		return result{report: delivery.Report, answer: delivery.Answer, reported: true, err: delivery.Err}
+	}
+	return e.proxy.nodes.send(e.ctx, e.request, choice.Instance, order)
+}
+
+// arrivedNow is the request as the neighbour gets it: the time that is left
+// counts from now.
+func (e *exchange) arrivedNow() *message.Request {
+	copied := *e.request
+	copied.Arrived = time.Now()
+	return &copied
+}
+
+// learn tells the balancer what became of a send.
+func (e *exchange) learn(choice balance.Choice, sent result) {
+	var report *hop.Report
+	if sent.reported {
+		report = &sent.report
+	}
+	choice.Done(e.observation(sent), report, time.Now())
+	e.proxy.metrics.sent(sent.report)
+}
+
+func (e *exchange) observation(sent result) balance.Result {
+	if e.ctx.Err() != nil && sent.report.Outcome != hop.Answered {
+		if sent.reported || e.callerGone() {
+			return balance.Abandoned
+		}
+		return balance.Failed // nothing was heard until the time was over
+	}
+	switch sent.report.Reason {
+	case hop.ReasonNone:
+		return balance.Served
+	case hop.ReasonOverloaded:
+		return balance.Busy
+	case hop.ReasonDraining, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
+		return balance.Leaving
+	case hop.ReasonConnect, hop.ReasonBroken:
+		return balance.Failed
+	default:
+		return balance.Abandoned
+	}
+}
+
+func (e *exchange) callerGone() bool {
+	return e.ctx.Err() == context.Canceled
+}
+
+// judge decides whether a send brought the final answer.
+func (e *exchange) judge(sent result) (answer *message.Answer, final bool) {
+	e.reason = sent.report.Reason
+	switch sent.report.Outcome {
+	case hop.Answered:
+		return e.judgeAnswer(sent)
+	case hop.Refused:
+		e.notRun(sent)
+		if e.ctx.Err() != nil {
+			return e.refuse(), true
+		}
+		return nil, false
+	case hop.Rejected:
+		e.notRun(sent)
+		e.reached++
+		if !e.mayReachAgain() {
+			return e.refuse(), true
+		}
+		return nil, false
+	default:
+		e.reached++
+		e.tried[e.last] = true
+		if e.route.MayRepeat(e.request.Method) && e.mayReachAgain() {
+			return nil, false
+		}
+		return e.giveUp(sent), true
+	}
+}
+
+// notRun notes an instance that did not run the request.
+func (e *exchange) notRun(sent result) {
+	e.tried[e.last] = true
+	if wait := sent.report.RetryAfter; wait > 0 && (e.wait == 0 || wait < e.wait) {
+		e.wait = wait
+	}
+}
+
+// judgeAnswer passes an instance's answer on. A failure of the instance is worth
+// another try when the request may be repeated.
+func (e *exchange) judgeAnswer(sent result) (*message.Answer, bool) {
+	e.reached++
+	failed := sent.answer.Status >= http.StatusInternalServerError
+	if failed && e.route.MayRepeat(e.request.Method) && sent.answer.Stream == nil &&
+		sent.answer.Status != http.StatusGatewayTimeout {
+		e.tried[e.last] = true
+		if e.mayReachAgain() {
+			return nil, false
+		}
+	}
+	e.finish(outcomeAnswered, sent.answer.Status)
+	return sent.answer, true
+}
+
+// mayReachAgain decides whether another instance may get the request: the route's
+// attempts, the time left and the fleet's budget allow it.
+func (e *exchange) mayReachAgain() bool {
+	if e.ctx.Err() != nil || e.reached >= e.route.MaxAttempts || time.Until(e.deadline) < leastRepeatTime {
+		return false
+	}
+	if !e.hasAnother() {
+		return false
+	}
+	if !e.proxy.budgetOf(e.service).Spend(time.Now(), e.current.InstanceCount()) {
+		e.proxy.metrics.budgetEmpty.Inc()
+		return false
+	}
+	e.proxy.metrics.repeats.Inc()
+	return true
+}
+
+// hasAnother reports whether an instance is left that was not tried.
+func (e *exchange) hasAnother() bool {
+	for _, target := range e.route.Targets {
+		for _, instance := range e.current.Instances(target.Service) {
+			if instance.State == snapshot.InstanceReady && !e.tried[instance.Name] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// refuse is the final answer to a request that has not run and will not.
+func (e *exchange) refuse() *message.Answer {
+	if e.callerGone() {
+		e.finish(outcomeCallerGone, 0)
+		return &message.Answer{Abort: true}
+	}
+	e.finish(outcomeNotRun, http.StatusServiceUnavailable)
+	retryAfter := min(max(e.wait, leastRetryAfter), longestRetryAfter)
+	return e.proxy.problem(e.request, http.StatusServiceUnavailable, "not run: "+e.text(), retryAfter)
+}
+
+// giveUp is the final answer to a request that may have run.
+func (e *exchange) giveUp(sent result) *message.Answer {
+	if e.callerGone() {
+		e.finish(outcomeCallerGone, 0)
+		return &message.Answer{Abort: true}
+	}
+	status := http.StatusBadGateway
+	if e.ctx.Err() != nil || sent.report.Reason == hop.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	e.finish(outcomeUnknown, status)
+	return e.proxy.problem(e.request, status, "may have run: "+e.text(), 0)
+}
+
+func (e *exchange) text() string {
+	if e.reason == hop.ReasonNone {
+		return "no instance takes work"
+	}
+	return string(e.reason)
+}
+
+// finish counts and logs how the request ended.
+func (e *exchange) finish(outcome string, status int) {
+	lasted := time.Since(e.request.Arrived)
+	e.proxy.metrics.ended(e.service, outcome, lasted)
+	e.proxy.log.ended(e, outcome, status, lasted)
+}
--- /dev/null
+++ b/internal/dataplane/outbound/metrics.go
@@ -0,0 +1,74 @@
+package outbound
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+)
+
+// How requests end, as metrics and logs say it.
+const (
+	outcomeAnswered   = "answered"
+	outcomeNotRun     = "not-run"
+	outcomeUnknown    = "unknown"
+	outcomeCallerGone = "caller-gone"
+	outcomeNoRoute    = "no-route"
+	outcomeMalformed  = "malformed"
+)
+
+type metrics struct {
+	requests    *prometheus.CounterVec
+	duration    prometheus.Histogram
+	sends       *prometheus.CounterVec
+	repeats     prometheus.Counter
+	budgetEmpty prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
+	created := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_requests_total",
+			Help: "Requests of callers, by service and by how they ended.",
+		}, []string{"service", "outcome"}),
+		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "winchhead_dataplane_request_duration_seconds",
+			Help:    "Time from the reading of a request to its final answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_sends_total",
+			Help: "Sends to nodes beside instances, by outcome and reason.",
+		}, []string{"outcome", "reason"}),
+		repeats: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_repeats_total",
+			Help: "Requests sent to a further instance after one was reached.",
+		}),
+		budgetEmpty: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_repeat_budget_empty_total",
+			Help: "Repeats not made because this node's part of the budget was spent.",
+		}),
+	}
+	if registerer == nil {
+		return created, nil
+	}
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.budgetEmpty} {
+		if err := registerer.Register(collector); err != nil {
+			return nil, eris.Wrap(err, "register the metrics of the data plane")
+		}
+	}
+	return created, nil
+}
+
+func (m *metrics) ended(service, outcome string, lasted time.Duration) {
+	m.requests.WithLabelValues(service, outcome).Inc()
+	if lasted > 0 {
+		m.duration.Observe(lasted.Seconds())
+	}
+}
+
+func (m *metrics) sent(report hop.Report) {
+	m.sends.WithLabelValues(string(report.Outcome), string(report.Reason)).Inc()
+}
--- /dev/null
+++ b/internal/dataplane/outbound/nodes.go
@@ -0,0 +1,165 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const (
+	nodeConnectTimeout = 700 * time.Millisecond
+	// nodeIdleTimeout is below the time after which nodes close connections that
+	// rest (NodeServerIdle).
+	nodeIdleTimeout = 25 * time.Second
+	// NodeServerIdle is how long a node keeps a resting connection of another.
+	NodeServerIdle = time.Minute
+	// wholeBodyBytes is the size up to which an answer is held until it is whole.
+	wholeBodyBytes = 1 << 20
+)
+
+// nodes are the ways to the nodes beside other instances.
+type nodes struct {
+	port     int
+	idHeader string
+	mutex    sync.Mutex
+	pools    map[string]*client.Pool
+}
+
+func newNodes(port int, idHeader string) *nodes {
+	return &nodes{port: port, idHeader: idHeader, pools: make(map[string]*client.Pool)}
+}
+
+// nodeAddress is where the node beside an instance takes requests.
+func (n *nodes) nodeAddress(instance snapshot.Instance) string {
+	parsed, err := netip.ParseAddrPort(instance.Address)
+	if err != nil {
+		return "" // the snapshot has checked it
+	}
+	return netip.AddrPortFrom(parsed.Addr(), uint16(n.port)).String()
+}
+
+func (n *nodes) poolOf(address string) *client.Pool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	pool := n.pools[address]
+	if pool == nil {
+		pool = client.NewPool(client.Options{
+			Address:        address,
+			IDHeader:       n.idHeader,
+			ConnectTimeout: nodeConnectTimeout,
+			IdleTimeout:    nodeIdleTimeout,
+			Dial:           client.DialRemote,
+		})
+		n.pools[address] = pool
+	}
+	return pool
+}
+
+// prune closes what rested for too long and forgets nodes without connections.
+func (n *nodes) prune(now time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for address, pool := range n.pools {
+		pool.Prune(now)
+		if pool.Open() == 0 {
+			delete(n.pools, address)
+		}
+	}
+}
+
+func (n *nodes) close() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, pool := range n.pools {
+		pool.Close()
+	}
+}
+
+// send brings a request to the node beside an instance. That node runs nothing
+// before it has the whole request, so that one sent in part has not run.
+func (n *nodes) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) result {
+	header := maps.Clone(request.Header)
+	header[hop.Header] = []string{order.Encode()}
+	if n.idHeader != "" {
+		header[n.idHeader] = []string{request.ID}
+	}
+	response, err := n.poolOf(n.nodeAddress(instance)).Do(ctx, &client.Request{
+		Method: request.Method, Target: request.Target, Host: request.Host,
+		Header: header, Body: request.Body, ID: request.ID,
+	})
+	if err != nil {
+		return failedSend(err)
+	}
+	report, err := hop.DecodeReport(response.Header.Get(hop.Header))
+	if err != nil {
+		_ = response.Close()
+		return result{report: hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonInvalid}, err: err}
+	}
+	delete(response.Header, hop.Header)
+	if report.Outcome != hop.Answered {
+		_, _ = io.CopyN(io.Discard, response.Body, wholeBodyBytes)
+		_ = response.Close()
+		return result{report: report, reported: true}
+	}
+	return takeAnswer(response, report)
+}
+
+func failedSend(err error) result {
+	var failure *client.Error
+	if errors.As(err, &failure) && failure.Progress != client.SentWhole {
+		return result{report: hop.Report{Outcome: hop.Refused, Reason: hop.ReasonConnect}, err: err}
+	}
+	return result{report: hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonBroken}, err: err}
+}
+
+// takeAnswer holds a short answer until it is whole and passes others on.
+func takeAnswer(response *client.Response, report hop.Report) result {
+	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
+	message.StripHopByHop(answer.Header)
+	if response.Length > wholeBodyBytes || strings.HasPrefix(response.Header.Get(headerContentType), "text/event-stream") {
+		answer.Stream = streamOf(response)
+		return result{report: report, answer: answer, reported: true}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBodyBytes))
+	switch {
+	case err != nil:
+		_ = response.Close()
+		report.Outcome, report.Reason = hop.Unknown, hop.ReasonBroken
+		return result{report: report, err: err}
+	case len(body) == wholeBodyBytes:
+		answer.Body, answer.Stream = body, streamOf(response)
+		return result{report: report, answer: answer, reported: true}
+	}
+	_ = response.Close()
+	answer.Body, answer.Length = body, int64(len(body))
+	return result{report: report, answer: answer, reported: true}
+}
+
+type responseStream struct{ response *client.Response }
+
+func streamOf(response *client.Response) io.ReadCloser { return &responseStream{response: response} }
+
+// Read reads the body of the answer.
+func (s *responseStream) Read(data []byte) (int, error) { return s.response.Body.Read(data) }
+
+// Close ends the exchange with the node.
+func (s *responseStream) Close() error { return s.response.Close() }
+
+// PortOf returns the port of a listen address (IP:port), or 0.
+func PortOf(address string) int {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return 0
+	}
+	return int(parsed.Port())
+}
--- /dev/null
+++ b/internal/dataplane/outbound/outbound.go
@@ -0,0 +1,210 @@
+// Package outbound takes the requests of callers: it finds the route, chooses an
+// instance, sends the request to the node beside it, and sends it again only when
+// that cannot break a promise. Each request gets one final answer, at the latest
+// when its time is over.
+package outbound
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/inbound"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// SnapshotSource gives the configuration in force.
+type SnapshotSource interface {
+	// Current returns nil until the node holds a version.
+	Current() *snapshot.Snapshot
+}
+
+// Neighbour is the inbound proxy of the same node.
+type Neighbour interface {
+	Deliver(ctx context.Context, request *message.Request, order hop.Order) inbound.Delivery
+}
+
+// Options set up a Proxy.
+type Options struct {
+	Names     message.Names
+	Snapshots SnapshotSource
+	// Service is that of the instance beside this node, where requests start.
+	Service string
+	Zone    string
+	// Backend is the address of the instance beside this node, which Neighbour
+	// serves; empty: none.
+	Backend   string
+	Neighbour Neighbour
+	// NodePort is where the nodes beside other instances take requests.
+	NodePort int
+	Budget   budget.Options
+	Logger   logrus.FieldLogger
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
+}
+
+// Proxy is safe for concurrent use.
+type Proxy struct {
+	options  Options
+	balancer *balance.Balancer
+	nodes    *nodes
+	splits   splits
+	log      *requestLog
+	metrics  *metrics
+	draining atomic.Bool
+
+	mutex   sync.Mutex
+	budgets map[string]*budget.Budget
+}
+
+// New returns a Proxy.
+func New(options Options) (*Proxy, error) {
+	registered, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &Proxy{
+		options:  options,
+		balancer: balance.New(balance.Options{Zone: options.Zone, LocalAddress: options.Backend}),
+		nodes:    newNodes(options.NodePort, options.Names.RequestID),
+		log:      newRequestLog(options.Logger),
+		metrics:  registered,
+		budgets:  make(map[string]*budget.Budget),
+	}, nil
+}
+
+// Maintain closes connections that rested for too long.
+func (p *Proxy) Maintain(now time.Time) { p.nodes.prune(now) }
+
+// Close closes the connections that rest.
+func (p *Proxy) Close() { p.nodes.close() }
+
+func (p *Proxy) budgetOf(service string) *budget.Budget {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found := p.budgets[service]
+	if found == nil {
+		found = budget.New(p.options.Budget)
+		p.budgets[service] = found
+	}
+	return found
+}
+
+// unconfiguredRetry is when a request is worth sending again to a node that holds
+// no configuration yet.
+const unconfiguredRetry = 300 * time.Millisecond
+
+// Serve answers one request of a caller.
+func (p *Proxy) Serve(ctx context.Context, request *message.Request) *message.Answer {
+	if request.SenderGone() {
+		return &message.Answer{Abort: true}
+	}
+	current := p.options.Snapshots.Current()
+	if current == nil {
+		return p.refuseUnconfigured(request)
+	}
+	route := current.Lookup(request.Method, request.Host, request.Path, request.Header)
+	if route == nil {
+		p.log.noRoute(request, current)
+		p.metrics.ended("", outcomeNoRoute, 0)
+		return p.problem(request, http.StatusNotFound, "no route takes the request", 0)
+	}
+	deadline, ok := p.deadlineOf(request, route)
+	if !ok {
+		return p.problem(request, http.StatusBadRequest, p.options.Names.Deadline+" is not a number of milliseconds", 0)
+	}
+	p.strip(request.Header)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	running := &exchange{
+		proxy: p, ctx: ctx, request: request, current: current, route: route,
+		deadline: deadline, service: p.splits.choose(route), tried: make(map[string]bool),
+	}
+	answer := running.run()
+	if answer.Stream != nil {
+		answer.Stream = &cancelling{ReadCloser: answer.Stream, cancel: cancel}
+		return answer
+	}
+	cancel()
+	return answer
+}
+
+// Refuse makes the answer to a request that the server could not take.
+func (p *Proxy) Refuse(status int, reason string) *message.Answer {
+	p.metrics.ended("", outcomeMalformed, 0)
+	return p.problem(nil, status, reason, 0)
+}
+
+func (p *Proxy) refuseUnconfigured(request *message.Request) *message.Answer {
+	p.metrics.ended("", outcomeNotRun, 0)
+	return p.problem(request, http.StatusServiceUnavailable, "the node holds no configuration yet", unconfiguredRetry)
+}
+
+// deadlineOf is the earlier of the caller's and the route's.
+func (p *Proxy) deadlineOf(request *message.Request, route *snapshot.Route) (time.Time, bool) {
+	timeout := route.Timeout
+	values := request.Header[p.options.Names.Deadline]
+	if len(values) > 0 {
+		millis, err := strconv.ParseInt(values[0], 10, 64)
+		if err != nil || millis < 0 || len(values) > 1 {
+			return time.Time{}, false
+		}
+		if millis < timeout.Milliseconds() {
+			timeout = time.Duration(millis) * time.Millisecond
+		}
+	}
+	return request.Arrived.Add(timeout), true
+}
+
+// strip removes what only the system may say to an instance.
+func (p *Proxy) strip(header http.Header) {
+	names := p.options.Names
+	for _, name := range []string{
+		names.RequestID, names.Deadline, names.ExpectInstance, names.CallerService,
+		names.NotExecuted, names.Load, hop.Header,
+	} {
+		delete(header, name)
+	}
+}
+
+const (
+	headerRetryAfter  = "Retry-After"
+	headerContentType = "Content-Type"
+	plainText         = "text/plain; charset=utf-8"
+)
+
+// problem is an answer of the system itself.
+func (p *Proxy) problem(request *message.Request, status int, reason string, retryAfter time.Duration) *message.Answer {
+	answer := message.Whole(status, nil, []byte(reason+"\n"))
+	answer.Header[headerContentType] = []string{plainText}
+	if request != nil && p.options.Names.RequestID != "" {
+		answer.Header[p.options.Names.RequestID] = []string{request.ID}
+	}
+	if retryAfter > 0 {
+		answer.Header[headerRetryAfter] = []string{strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)}
+	}
+	return answer
+}
+
+// cancelling ends the exchange with the stream of its answer.
+type cancelling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close ends the stream, then its exchange.
+func (c *cancelling) Close() error {
+	err := c.ReadCloser.Close()
+	c.cancel()
+	return err
+}
--- /dev/null
+++ b/internal/dataplane/queue/queue.go
@@ -0,0 +1,208 @@
+// Package queue gives out the slots of one instance: to the most urgent request
+// first, and only to requests that will still be in time. What it refuses, it
+// refuses at once.
+package queue
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// Refusal tells why a request got no slot.
+type Refusal uint8
+
+// The refusals.
+const (
+	// None: the request got a slot.
+	None Refusal = 0
+	// Full: the wait would be longer than the request may wait.
+	Full Refusal = 1
+	// Evicted: a more urgent request took the place in the queue.
+	Evicted Refusal = 2
+	// Expired: the time of the request was over before its turn.
+	Expired Refusal = 3
+	// Cancelled: the sender left.
+	Cancelled Refusal = 4
+)
+
+// Ticket is a request for a slot.
+type Ticket struct {
+	// Priority is the rank; 0 goes first.
+	Priority int
+	// Deadline is when the request is of no more use.
+	Deadline time.Time
+	// MaxWait is how long the request may wait.
+	MaxWait time.Duration
+}
+
+// Usage counts what is held and what waits.
+type Usage struct {
+	Running, Waiting, Slots int
+}
+
+// Queue is safe for concurrent use.
+type Queue struct {
+	mutex   sync.Mutex
+	slots   int
+	running int
+	waiting waiters
+	arrived uint64
+	// service is the mean time that a request holds a slot.
+	service time.Duration
+	started map[*Slot]time.Time
+}
+
+// initialService is the mean time of a request before any was measured.
+const initialService = 100 * time.Millisecond
+
+// New returns a Queue for so many slots.
+func New(slots int) *Queue {
+	return &Queue{slots: max(slots, 1), service: initialService, started: make(map[*Slot]time.Time)}
+}
+
+// SetSlots changes the number of slots.
+func (q *Queue) SetSlots(slots int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.slots = max(slots, 1)
+	q.promote(time.Now())
+}
+
+// Usage returns the counts of now.
+func (q *Queue) Usage() Usage {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return Usage{Running: q.running, Waiting: q.waiting.Len(), Slots: q.slots}
+}
+
+// Slot is the right to send one request to the instance.
+type Slot struct {
+	queue *Queue
+	once  sync.Once
+}
+
+// Release gives the slot to the next request. ran says whether the instance
+// worked on the request, so that its time counts.
+func (s *Slot) Release(ran bool) {
+	s.once.Do(func() { s.queue.release(s, ran) })
+}
+
+// Acquire waits for a slot. Without one it tells why, and after which time a slot
+// is likely to be free.
+func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (*Slot, Refusal, time.Duration) {
+	now := time.Now()
+	q.mutex.Lock()
+	if !ticket.Deadline.After(now) {
+		q.mutex.Unlock()
+		return nil, Expired, 0
+	}
+	if q.running < q.slots && q.waiting.Len() == 0 {
+		slot := q.grant(now)
+		q.mutex.Unlock()
+		return slot, None, 0
+	}
+	if wait := q.expectedWait(ticket.Priority); wait > ticket.MaxWait || now.Add(wait+q.service/2).After(ticket.Deadline) {
+		q.mutex.Unlock()
+		return nil, Full, wait
+	}
+	waiter := &waiter{ticket: ticket, order: q.arrived, granted: make(chan verdict, 1)}
+	q.arrived++
+	heap.Push(&q.waiting, waiter)
+	evicted := q.evict(now)
+	q.mutex.Unlock()
+	for _, victim := range evicted {
+		victim.granted <- verdict{refusal: Evicted}
+	}
+	return q.await(ctx, waiter)
+}
+
+// await waits for the verdict on a waiter.
+func (q *Queue) await(ctx context.Context, waiter *waiter) (*Slot, Refusal, time.Duration) {
+	timer := time.NewTimer(time.Until(waiter.ticket.Deadline))
+	defer timer.Stop()
+	refusal := Cancelled
+	select {
+	case given := <-waiter.granted:
+		return given.slot, given.refusal, q.meanService()
+	case <-timer.C:
+		refusal = Expired
+	case <-ctx.Done():
+	}
+	q.mutex.Lock()
+	removed := q.waiting.remove(waiter)
+	q.mutex.Unlock()
+	if !removed { // the verdict came meanwhile
+		if given := <-waiter.granted; given.slot != nil {
+			given.slot.Release(false)
+		}
+	}
+	return nil, refusal, q.meanService()
+}
+
+func (q *Queue) meanService() time.Duration {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.service
+}
+
+// expectedWait is how long a request of a priority would wait. The mutex is held.
+func (q *Queue) expectedWait(priority int) time.Duration {
+	ahead := q.running - q.slots + 1
+	for _, other := range q.waiting {
+		if other.ticket.Priority <= priority {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * q.service / time.Duration(q.slots)
+}
+
+// evict takes the least urgent waiters out whose wait has become longer than they
+// may wait. The mutex is held.
+func (q *Queue) evict(now time.Time) (evicted []*waiter) {
+	for {
+		last := q.waiting.least()
+		if last == nil || q.expectedWait(last.ticket.Priority) <= max(last.ticket.MaxWait, q.service)*2 {
+			return evicted
+		}
+		q.waiting.remove(last)
+		evicted = append(evicted, last)
+	}
+}
+
+// grant takes a slot. The mutex is held.
+func (q *Queue) grant(now time.Time) *Slot {
+	q.running++
+	slot := &Slot{queue: q}
+	q.started[slot] = now
+	return slot
+}
+
+// serviceWeight is the weight of a new measurement in the mean: one in so many.
+const serviceWeight = 16
+
+func (q *Queue) release(slot *Slot, ran bool) {
+	now := time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if ran {
+		held := now.Sub(q.started[slot])
+		q.service += (held - q.service) / serviceWeight
+	}
+	delete(q.started, slot)
+	q.running--
+	q.promote(now)
+}
+
+// promote gives free slots to waiters. The mutex is held.
+func (q *Queue) promote(now time.Time) {
+	for q.running < q.slots && q.waiting.Len() > 0 {
+		next := heap.Pop(&q.waiting).(*waiter)
+		if !next.ticket.Deadline.After(now) {
+			next.granted <- verdict{refusal: Expired}
+			continue
+		}
+		next.granted <- verdict{slot: q.grant(now)}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/server/write.go
@@ -0,0 +1,153 @@
+package server
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+)
+
+const writeBufferBytes = 4 << 10
+
+// writeAnswers writes the answers in the order of the requests, until the last
+// one or until one cannot be written whole.
+func (c *connection) writeAnswers() {
+	writer := bufio.NewWriterSize(c.conn, writeBufferBytes)
+	broken := false
+	for next := range c.queue {
+		answer := <-next.answer
+		if !broken {
+			broken = !c.writeAnswer(writer, next, answer)
+		}
+		answer.Finish()
+		c.answered()
+	}
+}
+
+// writeAnswer reports whether further answers may follow on the connection.
+func (c *connection) writeAnswer(writer *bufio.Writer, next *exchange, answer *message.Answer) bool {
+	closes := c.settle(next, answer.Abort)
+	if answer.Abort {
+		c.cut()
+		return false
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := writeMessage(writer, next, answer, closes); err != nil {
+		c.cut()
+		return false
+	}
+	if closes {
+		c.closeGently()
+		return false
+	}
+	return true
+}
+
+// lingerTime is how long a closed sending direction waits for the sender's close,
+// so that no reset takes the last answer away.
+const lingerTime = time.Second
+
+// closeGently ends the sending direction; the reader ends the rest.
+func (c *connection) closeGently() {
+	type halfCloser interface{ CloseWrite() error }
+	half, ok := c.conn.(halfCloser)
+	if !ok || half.CloseWrite() != nil {
+		c.cut()
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// writeMessage writes one answer whole, or returns an error.
+func writeMessage(writer *bufio.Writer, next *exchange, answer *message.Answer, closes bool) error {
+	writeStatusLine(writer, answer.Status)
+	header := answer.Header
+	bodyless := next.head || answer.Status == http.StatusNoContent || answer.Status == http.StatusNotModified
+	chunked := answer.Stream != nil && answer.Length < 0 && !bodyless
+	switch {
+	case chunked:
+		header["Transfer-Encoding"] = []string{"chunked"}
+	case answer.Length >= 0 && answer.Status != http.StatusNoContent:
+		header["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
+	}
+	if closes {
+		header["Connection"] = []string{"close"}
+	}
+	if err := header.Write(writer); err != nil {
+		return err
+	}
+	_, _ = writer.WriteString("\r\n")
+	if bodyless {
+		return writer.Flush()
+	}
+	if err := writeBody(writer, answer, chunked); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+func writeStatusLine(writer *bufio.Writer, status int) {
+	text := http.StatusText(status)
+	if text == "" {
+		text = "Status"
+	}
+	_, _ = writer.WriteString("HTTP/1.1 ")
+	_, _ = writer.WriteString(strconv.Itoa(status))
+	_ = writer.WriteByte(' ')
+	_, _ = writer.WriteString(text)
+	_, _ = writer.WriteString("\r\n")
+}
+
+func writeBody(writer *bufio.Writer, answer *message.Answer, chunked bool) error {
+	if answer.Stream == nil {
+		_, err := writer.Write(answer.Body)
+		return err
+	}
+	if !chunked {
+		if _, err := writer.Write(answer.Body); err != nil {
+			return err
+		}
+		copied, err := io.Copy(writer, answer.Stream)
+		if err == nil && copied+int64(len(answer.Body)) != answer.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	return writeChunks(writer, answer)
+}
+
+// writeChunks passes each piece on as it comes.
+func writeChunks(writer *bufio.Writer, answer *message.Answer) error {
+	if err := writeChunk(writer, answer.Body); err != nil {
+		return err
+	}
+	buffer := make([]byte, writeBufferBytes)
+	for {
+		count, err := answer.Stream.Read(buffer)
+		if writeErr := writeChunk(writer, buffer[:count]); writeErr != nil {
+			return writeErr
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			_, err = writer.WriteString("0\r\n\r\n")
+			return err
+		default:
+			return err
+		}
+	}
+}
+
+func writeChunk(writer *bufio.Writer, piece []byte) error {
+	if len(piece) == 0 {
+		return nil
+	}
+	_, _ = writer.WriteString(strconv.FormatInt(int64(len(piece)), 16))
+	_, _ = writer.WriteString("\r\n")
+	_, _ = writer.Write(piece)
+	_, _ = writer.WriteString("\r\n")
+	return writer.Flush()
+}
