--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -87,7 +87,7 @@
 		ready:     built.Readiness,
 		logger:    logging.Part(options.Logger, "node"),
 		name:      configured.Node.Name,
-		grace:     configured.Inbound.DrainGrace,
+		grace:     drainTime(configured),
 	}
 	if built.Inbound != nil {
 		node.inboundServer = built.Inbound.Server()
--- a/internal/app/claims.go
+++ b/internal/app/claims.go
@@ -32,7 +32,7 @@
 // newClaims returns nil for a node without a back end, and when claims are off.
 func newClaims(inputs claimInputs) (*claim.Memory, error) {
 	configured := inputs.Settings.Inbound
-	if inputs.Listeners.inbound == nil || configured.RepeatReplicas == 0 {
+	if inputs.Listeners.inbound == nil || configured.RepeatReplicas == 0 || inputs.Settings.Platform.Kind == settings.PlatformStore {
 		return nil, nil
 	}
 	return claim.NewMemory(claim.Options{
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -12,6 +12,7 @@
 
 	"github.com/winchhead/winchhead/internal/admin"
 	"github.com/winchhead/winchhead/internal/configuration"
+	"github.com/winchhead/winchhead/internal/dataplane"
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/logging"
@@ -21,7 +22,6 @@
 	"github.com/winchhead/winchhead/internal/proxy/outbound"
 	"github.com/winchhead/winchhead/internal/settings"
 	"github.com/winchhead/winchhead/internal/snapshot"
-	"github.com/winchhead/winchhead/internal/source"
 )
 
 // parts are what the container builds. Outbound, Inbound and Claims are nil when
@@ -30,13 +30,14 @@
 	dig.In
 
 	Keys      *keys.Keys
-	Source    *source.Client
+	Source    sourceReader
 	Applier   *configuration.Applier
 	Node      *distribution.Node
 	Readiness *readiness
 	Outbound  *outbound.Proxy
 	Inbound   *inbound.Proxy
 	Claims    *claim.Memory
+	Dataplane *dataplane.Node
 	Admin     *admin.Server
 }
 
@@ -60,6 +61,7 @@
 		newNodeReadiness,
 		newOutbound,
 		newInbound,
+		newDataplane,
 		newAdmin,
 	}
 	for _, constructor := range constructors {
@@ -108,15 +110,6 @@
 	return loaded, nil
 }
 
-func newSource(configured settings.Settings, self membership.Record) *source.Client {
-	return source.NewClient(source.Options{
-		BaseURL:      configured.Platform.URL,
-		MaxBodyBytes: configured.Platform.MaxBodyBytes,
-		Timeout:      configured.Platform.Timeout,
-		Node:         self.Node,
-	})
-}
-
 func newApplier(logger logrus.FieldLogger, registerer prometheus.Registerer) (*configuration.Applier, error) {
 	return configuration.NewApplier(configuration.Options{
 		Store:      &snapshot.Store{},
@@ -134,7 +127,7 @@
 	Listeners *listeners
 	Self      membership.Record
 	Keys      *keys.Keys
-	Source    *source.Client
+	Source    sourceReader
 	Applier   *configuration.Applier
 	Replica   *claim.Replica
 }
@@ -144,6 +137,9 @@
 	if timing == (distribution.Timing{}) {
 		timing = distribution.DefaultTiming()
 	}
+	if inputs.Settings.Platform.Kind == settings.PlatformStore {
+		timing = storeTiming(timing)
+	}
 	seed := inputs.Options.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -161,7 +157,9 @@
 		Generation:     func() uint64 { return generation(inputs.Applier) },
 		ReadersPerZone: inputs.Settings.Peers.ReadersPerZone,
 		MaxLinks:       inputs.Settings.Peers.MaxLinks,
-		ServeClaims:    func(stream *distribution.ClaimStream) { inputs.Replica.Serve(stream) },
+
+		SourceIsCurrent: inputs.Settings.Platform.Kind == settings.PlatformStore,
+		ServeClaims:     func(stream *distribution.ClaimStream) { inputs.Replica.Serve(stream) },
 	})
 }
 
@@ -174,8 +172,10 @@
 	return current.Generation()
 }
 
-func newNodeReadiness(node *distribution.Node, opened *listeners) *readiness {
-	return newReadiness(node, opened.inbound != nil)
+func newNodeReadiness(node *distribution.Node, opened *listeners, configured settings.Settings) *readiness {
+	// A store lists the instances themselves: the node's own state says nothing of
+	// the one beside it.
+	return newReadiness(node, opened.inbound != nil && configured.Platform.Kind == settings.PlatformDocuments)
 }
 
 // proxyInputs are what both proxies are built from.
@@ -195,7 +195,7 @@
 }
 
 func newOutbound(inputs proxyInputs) (*outbound.Proxy, error) {
-	if inputs.Listeners.outbound == nil {
+	if inputs.Listeners.outbound == nil || inputs.Settings.Platform.Kind == settings.PlatformStore {
 		return nil, nil
 	}
 	return outbound.New(outbound.Options{
@@ -210,7 +210,7 @@
 }
 
 func newInbound(inputs proxyInputs) (*inbound.Proxy, error) {
-	if inputs.Listeners.inbound == nil {
+	if inputs.Listeners.inbound == nil || inputs.Settings.Platform.Kind == settings.PlatformStore {
 		return nil, nil
 	}
 	options := inbound.Options{
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -66,6 +66,11 @@
 			return serve(ctx, a.parts.Outbound.Server(), a.listeners.outbound)
 		}})
 	}
+	if a.parts.Dataplane != nil {
+		tasks = append(tasks, task{"data plane", func(ctx context.Context) error {
+			return a.parts.Dataplane.Run(ctx, a.listeners.outbound, a.listeners.inbound)
+		}})
+	}
 	if a.parts.Inbound != nil {
 		tasks = append(tasks, task{"back end reports", a.readReports})
 		tasks = append(tasks, task{"inbound", func(ctx context.Context) error {
@@ -106,6 +111,9 @@
 	defer cancel()
 	a.logger.WithField("grace", a.grace.String()).Info("leaving: no new work")
 	a.ready.stop()
+	if a.parts.Dataplane != nil {
+		a.logDrain("data plane", a.parts.Dataplane.Drain(ctx))
+	}
 	if a.parts.Inbound != nil {
 		a.logDrain("inbound", a.parts.Inbound.Drain(ctx))
 	}
@@ -134,6 +142,9 @@
 	if a.parts.Outbound != nil {
 		_ = a.parts.Outbound.Close()
 	}
+	if a.parts.Dataplane != nil {
+		a.parts.Dataplane.Close()
+	}
 	a.parts.Source.Close()
 	a.listeners.close()
 }
--- /dev/null
+++ b/internal/app/store.go
@@ -0,0 +1,185 @@
+package app
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"github.com/winchhead/winchhead/internal/configuration"
+	"github.com/winchhead/winchhead/internal/dataplane"
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/outbound"
+	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/mirror"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/platform"
+)
+
+// sourceReader reads the platform, whatever it speaks.
+type sourceReader interface {
+	source.ConfigurationReader
+	source.MemberReader
+	Close()
+}
+
+// storeReader is a mirror with the adapter that it reads through.
+type storeReader struct {
+	*mirror.Mirror
+	store *platform.Store
+}
+
+// Close closes the connections to the store.
+func (r storeReader) Close() { r.store.Close() }
+
+func newSource(configured settings.Settings, self membership.Record, logger logrus.FieldLogger) (sourceReader, error) {
+	if configured.Platform.Kind != settings.PlatformStore {
+		return source.NewClient(source.Options{
+			BaseURL:      configured.Platform.URL,
+			MaxBodyBytes: configured.Platform.MaxBodyBytes,
+			Timeout:      configured.Platform.Timeout,
+			Node:         self.Node,
+		}), nil
+	}
+	regions, err := parseZones(configured.Platform.Zones)
+	if err != nil {
+		return nil, &SettingsError{Err: err}
+	}
+	store := platform.NewStore(configured.Platform.URL, client.DialRemote)
+	followed := mirror.New(mirror.Options{
+		Store:    store,
+		Logger:   logging.Part(logger, "mirror"),
+		MemberOf: memberBeside(configured, regions),
+		Timeout:  configured.Platform.Timeout,
+	})
+	return storeReader{Mirror: followed, store: store}, nil
+}
+
+// parseZones reads the setting platform.zones.
+func parseZones(text string) (map[string]string, error) {
+	regions := make(map[string]string)
+	for pair := range strings.SplitSeq(text, ",") {
+		if pair == "" {
+			continue
+		}
+		zone, region, found := strings.Cut(pair, "=")
+		if !found || zone == "" || region == "" {
+			return nil, eris.Errorf("platform.zones: %q is not zone=region", pair)
+		}
+		regions[zone] = region
+	}
+	return regions, nil
+}
+
+// memberBeside tells which node runs beside an instance: it has the instance's IP,
+// by which it is named, and its ports are the same on all machines.
+func memberBeside(configured settings.Settings, regions map[string]string) func(snapshot.Instance) (membership.ListedMember, bool) {
+	peerPort := outbound.PortOf(configured.Peers.Listen)
+	return func(instance snapshot.Instance) (membership.ListedMember, bool) {
+		address, err := netip.ParseAddrPort(instance.Address)
+		if err != nil {
+			return membership.ListedMember{}, false
+		}
+		region, known := regions[instance.Zone]
+		if !known {
+			region = configured.Node.Region
+		}
+		return membership.ListedMember{
+			Node:        membership.NodeID(address.Addr().String()),
+			PeerAddress: netip.AddrPortFrom(address.Addr(), uint16(peerPort)).String(),
+			Region:      region,
+			Zone:        instance.Zone,
+			Service:     instance.Service,
+			State:       membership.ListedLive,
+		}, true
+	}
+}
+
+// storeTiming are the intervals for a source that is always current.
+func storeTiming(timing distribution.Timing) distribution.Timing {
+	timing.StartListWait = time.Second
+	timing.StartPeerWait = 500 * time.Millisecond
+	timing.SourceGrace = 700 * time.Millisecond
+	timing.RecheckWait = 500 * time.Millisecond
+	timing.BackoffMax = time.Second
+	timing.RedialMax = time.Second
+	timing.DialTimeout = 2 * time.Second
+	timing.FetchTimeout = 3 * time.Second
+	timing.HeartbeatInterval = 2 * time.Second
+	return timing
+}
+
+// stopMargin is what a planned stop leaves of the grace for its own end.
+const stopMargin = 500 * time.Millisecond
+
+// drainTime is how long a planned stop may wait for requests. Beside a store, the
+// grace is the time after which the process is killed.
+func drainTime(configured settings.Settings) time.Duration {
+	grace := configured.Inbound.DrainGrace
+	if configured.Platform.Kind == settings.PlatformStore {
+		return max(grace-stopMargin, grace/2)
+	}
+	return grace
+}
+
+// dataplaneInputs are what the data plane is built from.
+type dataplaneInputs struct {
+	dig.In
+
+	Settings   settings.Settings
+	Listeners  *listeners
+	Applier    *configuration.Applier
+	Logger     logrus.FieldLogger
+	Registerer prometheus.Registerer
+}
+
+const (
+	// defaultIdleTimeout is how long callers' connections rest when the
+	// configuration names no time.
+	defaultIdleTimeout = 60 * time.Second
+	// drainNotice is how long a planned stop goes on taking requests of callers,
+	// until those who send them know.
+	drainNotice = 2500 * time.Millisecond
+)
+
+// newDataplane returns nil unless the platform is a store.
+func newDataplane(inputs dataplaneInputs) (*dataplane.Node, error) {
+	configured := inputs.Settings
+	if configured.Platform.Kind != settings.PlatformStore {
+		return nil, nil
+	}
+	if inputs.Listeners.outbound == nil || inputs.Listeners.inbound == nil {
+		return nil, &SettingsError{Err: eris.New("platform.kind store needs outbound.listen, inbound.listen and inbound.service")}
+	}
+	return dataplane.New(dataplane.Options{
+		Names:     platform.Names(),
+		Snapshots: inputs.Applier,
+		Service:   configured.Inbound.Service,
+		Zone:      configured.Node.Zone,
+		Backend:   configured.Inbound.Backend,
+		Slots:     configured.Inbound.Slots,
+		NodePort:  outbound.PortOf(configured.Inbound.Listen),
+		Budget: budget.Options{
+			Ratio: configured.Retries.Ratio, Slack: configured.Retries.Slack, Window: configured.Retries.Window,
+		},
+		Limits: server.Limits{
+			MaxHeaderBytes: configured.Outbound.MaxHeaderBytes,
+			MaxBodyBytes:   configured.Outbound.MaxBodyBytes,
+			HeaderTimeout:  configured.Outbound.HeaderTimeout,
+			IdleTimeout:    defaultIdleTimeout,
+		},
+		DrainNotice: drainNotice,
+		Logger:      inputs.Logger,
+		Registerer:  inputs.Registerer,
+	})
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -14,7 +14,7 @@
 
 // settingsFlags are the settings file and one flag for each key.
 type settingsFlags struct {
-	File string              `long:"settings" value-name:"FILE" description:"settings file (YAML)"`
+	File string              `long:"settings" env:"WINCHHEAD_SETTINGS" value-name:"FILE" description:"settings file (YAML)"`
 	keys map[string]**string // by dotted key; the inner pointer is nil for a flag not given
 }
 
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -27,6 +27,9 @@
 	ReadersPerZone int
 	// MaxLinks bounds the ordinary links; zero takes the default.
 	MaxLinks int
+	// SourceIsCurrent says that the source never serves an older revision than one
+	// it served before, to whomever: a node that holds nothing reads it at once.
+	SourceIsCurrent bool
 }
 
 // Engine decides for one node which version to adopt, whom to link to, what to
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -46,6 +46,8 @@
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
 	ReadersPerZone int
 	MaxLinks       int
+	// SourceIsCurrent is EngineOptions.SourceIsCurrent.
+	SourceIsCurrent bool
 	// Hold, if set, is called before each event is handled and holds the node up
 	// while it does not return: benches freeze a node with it, as a machine that
 	// pauses a process does.
@@ -111,6 +113,8 @@
 			Timing:         options.Timing,
 			ReadersPerZone: options.ReadersPerZone,
 			MaxLinks:       options.MaxLinks,
+
+			SourceIsCurrent: options.SourceIsCurrent,
 		}),
 		connections: make(map[LinkID]*connection),
 		cancels:     make(map[LinkID]context.CancelFunc),
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	if e.push.heldVersion().IsZero() {
-		return s.peersHoldNothing(e)
+		return e.options.SourceIsCurrent || s.peersHoldNothing(e)
 	}
 	return s.fleetKnown(e)
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -12,6 +12,7 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{
+			Kind:         PlatformDocuments,
 			Timeout:      5 * time.Second,
 			MaxBodyBytes: 16 * mebibyte,
 		},
@@ -35,6 +36,11 @@
 			RepeatMemory:   2 * time.Minute,
 			RepeatReplicas: 5,
 		},
+		Retries: Retries{
+			Ratio:  0.2,
+			Slack:  60,
+			Window: 10 * time.Second,
+		},
 		Admin: Admin{Listen: "127.0.0.1:7900"},
 		Log:   Log{Level: "info", Format: "text"},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	Peers    Peers    `yaml:"peers"`
 	Outbound Outbound `yaml:"outbound"`
 	Inbound  Inbound  `yaml:"inbound"`
+	Retries  Retries  `yaml:"retries"`
 	Admin    Admin    `yaml:"admin"`
 	TLS      TLS      `yaml:"tls"`
 	Log      Log      `yaml:"log"`
@@ -25,14 +26,27 @@
 	Zone   string `yaml:"zone" validate:"required,max=128" help:"zone the node runs in"`
 }
 
+// The kinds of platform.
+const (
+	// PlatformDocuments serves whole documents (package source).
+	PlatformDocuments = "documents"
+	// PlatformStore is a key-value store with typed routes and instances.
+	PlatformStore = "store"
+)
+
 // Platform says where the read-only service is.
 type Platform struct {
+	// Kind tells what the platform speaks.
+	Kind string `yaml:"kind" validate:"oneof=documents store" help:"what the platform speaks: documents, or store for a key-value store with typed routes and instances"`
 	// URL is the base of the platform's HTTP service.
 	URL string `yaml:"url" validate:"required,http_url" help:"base URL of the platform's read-only service"`
 	// Timeout bounds one read, long polls excepted.
 	Timeout time.Duration `yaml:"timeout" validate:"gt=0" help:"longest time of one read, long polls excepted"`
 	// MaxBodyBytes bounds one answer.
 	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"gt=0" help:"largest answer taken from the platform, in bytes"`
+	// Zones name the region of each zone, as "zone=region" joined by commas. It is
+	// for a store, whose entries name zones only.
+	Zones string `yaml:"zones" validate:"max=65536" help:"region of each zone for a store, as zone=region joined by commas; zones not named are of the node's region"`
 }
 
 // Peers sets the links to other nodes.
@@ -93,6 +107,17 @@
 	RepeatReplicas int `yaml:"repeat_replicas" validate:"min=0,max=9" help:"nodes that remember each Idempotency-Key; 0: only the node that ran the request"`
 }
 
+// Retries bounds the repeats of the whole fleet for one service, where the
+// platform is a store.
+type Retries struct {
+	// Ratio is how many repeats each request allows for.
+	Ratio float64 `yaml:"ratio" validate:"min=0,max=10" help:"repeats of the whole fleet that each request allows for (store)"`
+	// Slack is how many repeats the fleet may make beyond that in a window.
+	Slack float64 `yaml:"slack" validate:"min=0" help:"repeats of the whole fleet beyond the ratio in one window (store)"`
+	// Window is the time over which both count.
+	Window time.Duration `yaml:"window" validate:"gt=0" help:"time over which repeats are counted (store)"`
+}
+
 // Admin sets the operators' HTTP.
 type Admin struct {
 	// Listen is the address (IP:port), on loopback unless set otherwise.
