Let a node's refusal bear the id of its request

Cause: the strict client takes an answer without the id for one that belongs to another request; refusals between nodes had none, so senders waited until the request's time was over (504 instead of another instance). Ruled out: a leaked slot, starvation in the queue, a lack of processor time. Change: the id on refusals; a line for each request that the instance did not answer; logs of requests share one bound (boundedlog). The test fails without.

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
@@ -59,6 +60,7 @@
 	slots    atomic.Int64
 	draining atomic.Bool
 	active   atomic.Int64
+	lines    *boundedlog.Lines
 }
 
 // New returns a Proxy.
@@ -72,6 +74,7 @@
 			IdleTimeout:    idleTimeout,
 		}),
 		queue: queue.New(options.Slots),
+		lines: boundedlog.New(options.Logger),
 	}
 	created.slots.Store(int64(options.Slots))
 	return created
@@ -102,17 +105,19 @@
 func (p *Proxy) Serve(ctx context.Context, request *message.Request) *message.Answer {
 	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
 	if err != nil {
-		return p.answerOf(Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
+		return p.answerOf(request, Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
 	}
 	delete(request.Header, hop.Header)
-	return p.answerOf(p.Deliver(ctx, request, order))
+	return p.answerOf(request, p.Deliver(ctx, request, order))
 }
 
-// answerOf makes the answer for the other node.
-func (p *Proxy) answerOf(delivery Delivery) *message.Answer {
+// answerOf makes the answer for the other node, which takes no answer without the
+// id of its request.
+func (p *Proxy) answerOf(request *message.Request, delivery Delivery) *message.Answer {
 	answer := delivery.Answer
 	if answer == nil {
 		answer = message.Whole(http.StatusServiceUnavailable, nil, nil)
+		set(answer.Header, p.options.Names.RequestID, request.ID)
 	}
 	answer.Header[hop.Header] = []string{delivery.Report.Encode()}
 	return answer
@@ -120,6 +125,35 @@
 
 // Deliver brings a request to the instance. Whatever it refuses has not run.
 func (p *Proxy) Deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
+	delivery := p.deliver(ctx, request, order)
+	p.log(request, order, delivery)
+	return delivery
+}
+
+// log writes a line about a request that the instance did not answer.
+func (p *Proxy) log(request *message.Request, order hop.Order, delivery Delivery) {
+	if delivery.Report.Outcome == hop.Answered {
+		return
+	}
+	entry, ok := p.lines.Take(true)
+	if !ok {
+		return
+	}
+	entry = entry.WithFields(logrus.Fields{
+		"request": request.ID, "instance": order.Instance, "outcome": string(delivery.Report.Outcome),
+		"reason": string(delivery.Report.Reason), "priority": order.Priority,
+		"ms": time.Since(request.Arrived).Milliseconds(), "left_ms": (order.Remaining - time.Since(request.Arrived)).Milliseconds(),
+		"may_wait_ms": order.MaxWait.Milliseconds(), "running": delivery.Report.Running,
+		"waiting": delivery.Report.Waiting, "slots": delivery.Report.Slots, "sender_revision": order.Revision,
+	})
+	if delivery.Err != nil {
+		entry = entry.WithError(delivery.Err)
+	}
+	entry.Warn("request not answered by the instance")
+}
+
+// deliver is Deliver without its log.
+func (p *Proxy) deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
 	p.active.Add(1)
 	defer p.active.Add(-1)
 	if reason := p.check(order); reason != hop.ReasonNone {
@@ -224,7 +258,7 @@
 		slot.Release(true)
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: errNoStamp}
 	}
-	return p.deliver(response, started, slot, cancel)
+	return p.passOn(response, started, slot, cancel)
 }
 
 var errNoStamp = errors.New("the answer does not bear the instance's mark")
@@ -286,9 +320,9 @@
 	}
 }
 
-// deliver passes an answer on: a short one once it is whole, a long one or a
+// passOn passes an answer on: a short one once it is whole, a long one or a
 // stream of events as it comes.
-func (p *Proxy) deliver(response *client.Response, started time.Time, slot *queue.Slot, cancel func()) Delivery {
+func (p *Proxy) passOn(response *client.Response, started time.Time, slot *queue.Slot, cancel func()) Delivery {
 	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
 	if response.Length > wholeBodyBytes || isEventStream(response.Header) {
--- /dev/null
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -0,0 +1,48 @@
+package inbound_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/inbound"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const idHeader = "Test-Request-Id"
+
+type noSnapshots struct{}
+
+func (noSnapshots) Current() *snapshot.Snapshot { return nil }
+
+// TestRefusalBearsTheIDOfItsRequest: another node takes an answer without the id
+// for one that belongs to another request, and waits on until the time is over.
+func TestRefusalBearsTheIDOfItsRequest(t *testing.T) {
+	proxy := inbound.New(inbound.Options{
+		Names: message.Names{RequestID: idHeader}, Snapshots: noSnapshots{},
+		Backend: "127.0.0.1:1", Slots: 1, Logger: logging.Discard(),
+	})
+	defer proxy.Close()
+	rows := map[string]string{
+		"refused":   hop.Order{Instance: "i-1", Remaining: time.Second}.Encode(),
+		"malformed": "not an order",
+	}
+	for name, order := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			answer := proxy.Serve(context.Background(), &message.Request{
+				ID: "request-7", Arrived: time.Now(), Header: http.Header{hop.Header: {order}},
+			})
+			c.Check(answer.Header.Get(idHeader), qt.Equals, "request-7")
+			report, err := hop.DecodeReport(answer.Header.Get(hop.Header))
+			c.Assert(err, qt.IsNil)
+			c.Check(report.Outcome, qt.Equals, hop.Refused)
+		})
+	}
+}
