End waits for a slot in time, and refuse what a planned stop cannot finish

Change: a wait ends after what the target latency leaves, and when the rest of the time is below the expected work; from 2.8 s after SIGTERM a request is refused unless its time ends before the stop; those left at the end get a final answer instead of a cut. Ruled out: eviction at twice the wait (the estimate lags).

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -120,7 +120,7 @@
 }
 
 // stopMargin is what a planned stop leaves of the grace for its own end.
-const stopMargin = 500 * time.Millisecond
+const stopMargin = 250 * time.Millisecond
 
 // drainTime is how long a planned stop may wait for requests. Beside a store, the
 // grace is the time after which the process is killed.
@@ -149,7 +149,7 @@
 	defaultIdleTimeout = 60 * time.Second
 	// drainNotice is how long a planned stop goes on taking requests of callers,
 	// until those who send them know.
-	drainNotice = 2500 * time.Millisecond
+	drainNotice = 2800 * time.Millisecond
 )
 
 // newDataplane returns nil unless the platform is a store.
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -144,29 +144,50 @@
 	quietTime = 200 * time.Millisecond
 	// quietCheck is the time between two looks.
 	quietCheck = 20 * time.Millisecond
+	// lastAnswers is what is left of a planned stop for the answers to requests
+	// that are still in progress at its end.
+	lastAnswers = 100 * time.Millisecond
 )
 
-// Drain is the first part of a planned stop. The instance beside the node gets no
-// more requests; callers are served on and asked to close their connections. It
-// returns once nothing was in progress for a while, or the context ends.
+// Drain is a planned stop, which ends with the context at the latest. The instance
+// beside the node gets no more requests; callers are served on and asked to close
+// their connections. It returns once nothing was in progress for a while.
 func (n *Node) Drain(ctx context.Context) error {
 	n.inbound.Drain()
 	n.callers.Drain()
-	if err := wait.For(ctx, n.options.DrainNotice); err != nil {
+	noticed := wait.For(ctx, n.options.DrainNotice)
+	end, bounded := ctx.Deadline()
+	if bounded {
+		end = end.Add(-lastAnswers)
+		n.outbound.Drain(end)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
+	}
+	if noticed != nil {
+		return noticed
+	}
+	n.callers.CloseIdle()
+	if err := n.awaitQuiet(ctx); err != nil {
+		n.outbound.Stop()
+		_ = wait.For(context.WithoutCancel(ctx), lastAnswers/2)
 		return err
 	}
+	n.callers.StopListening()
 	n.callers.CloseIdle()
-	quietSince := time.Now()
-	for time.Since(quietSince) < quietTime {
-		if n.callers.Active()+n.nodes.Active() > 0 {
-			quietSince = time.Now()
+	return nil
+}
+
+// awaitQuiet returns once nothing was in progress for quietTime.
+func (n *Node) awaitQuiet(ctx context.Context) error {
+	for since := time.Now(); time.Since(since) < quietTime; {
+		if n.Active() > 0 {
+			since = time.Now()
 		}
 		if err := wait.For(ctx, quietCheck); err != nil {
 			return err
 		}
 	}
-	n.callers.StopListening()
-	n.callers.CloseIdle()
 	return nil
 }
 
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -29,11 +29,13 @@
 	Remaining time.Duration
 	// MaxWait is how long the request may wait for a slot.
 	MaxWait time.Duration
+	// Expected is how long the instance is expected to work on the request.
+	Expected time.Duration
 	// Revision is that of the configuration by which the sender chose.
 	Revision uint64
 }
 
-const orderFields = 8
+const orderFields = 9
 
 // Encode returns the text of the field.
 func (o Order) Encode() string {
@@ -43,7 +45,7 @@
 	}
 	return strings.Join([]string{
 		o.Instance, o.Service, o.CallerService, strconv.Itoa(o.Priority), repeatable,
-		millis(o.Remaining), millis(o.MaxWait), strconv.FormatUint(o.Revision, 10),
+		millis(o.Remaining), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
 	}, separator)
 }
 
@@ -57,7 +59,7 @@
 	order := Order{
 		Instance: fields[0], Service: fields[1], CallerService: fields[2],
 		Priority: int(reader.number()), Repeatable: reader.number() == 1,
-		Remaining: reader.duration(), MaxWait: reader.duration(), Revision: uint64(reader.number()),
+		Remaining: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(), Revision: uint64(reader.number()),
 	}
 	return order, reader.err
 }
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -160,7 +160,9 @@
 		return p.refuse(order, request, reason, 0)
 	}
 	deadline := request.Arrived.Add(order.Remaining)
-	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{Priority: order.Priority, Deadline: deadline, MaxWait: order.MaxWait})
+	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{
+		Priority: order.Priority, LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait,
+	})
 	if refusal != queue.None {
 		return p.refuse(order, request, reasonOf(refusal), wait)
 	}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -19,11 +19,15 @@
 	hopMargin = 10 * time.Millisecond
 	// leastRepeatTime is the least time that must be left to send again.
 	leastRepeatTime = 20 * time.Millisecond
-	// waitShare of the target latency may pass before the instance begins; with
-	// an instance that needs long, less.
-	waitShare = 0.9
+	// waitShare of the target latency, less what the instance needs with some
+	// spread (serviceSpread), may be waited for a slot.
+	waitShare     = 0.8
+	serviceSpread = 1.5
 	// leastWaitShare of the target latency may always be waited.
 	leastWaitShare = 0.25
+	// startShare of the expected service time must be left when the instance
+	// begins; with less, its work would most likely be for nothing.
+	startShare = 0.7
 
 	leastRetryAfter   = 50 * time.Millisecond
 	longestRetryAfter = 2 * time.Second
@@ -118,6 +122,7 @@
 		Repeatable:    e.route.Repeatable,
 		Remaining:     remaining,
 		MaxWait:       e.maxWait(choice, remaining),
+		Expected:      min(time.Duration(startShare*float64(choice.Service)), remaining/2),
 		Revision:      uint64(e.current.Version().Revision),
 	}
 }
@@ -129,9 +134,8 @@
 		return remaining / 2
 	}
 	elapsed := time.Since(e.request.Arrived)
-	service := choice.Service
-	wait := time.Duration(waitShare*float64(target)) - elapsed - service
-	return max(wait, time.Duration(leastWaitShare*float64(target))-elapsed, 0)
+	wait := time.Duration(waitShare*float64(target) - serviceSpread*float64(choice.Service))
+	return max(wait-elapsed, time.Duration(leastWaitShare*float64(target))-elapsed, 0)
 }
 
 // send brings the request to one instance.
@@ -184,7 +188,7 @@
 }
 
 func (e *exchange) callerGone() bool {
-	return e.ctx.Err() == context.Canceled
+	return e.ctx.Err() == context.Canceled && e.proxy.stopped.Err() == nil
 }
 
 // judge decides whether a send brought the final answer.
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -62,7 +62,12 @@
 	splits   splits
 	log      *requestLog
 	metrics  *metrics
-	draining atomic.Bool
+	// stopAt is when a planned stop ends, in nanoseconds of the process's clock;
+	// zero: none.
+	stopAt atomic.Int64
+	// stopped ends with Stop.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
@@ -74,7 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
+	stopped, stop := context.WithCancel(context.Background())
 	return &Proxy{
+		stopped:  stopped,
+		stop:     stop,
 		options:  options,
 		balancer: balance.New(balance.Options{Zone: options.Zone, LocalAddress: options.Backend}),
 		nodes:    newNodes(options.NodePort, options.Names.RequestID),
@@ -84,6 +92,22 @@
 	}, nil
 }
 
+// Drain announces the end of a planned stop: from now on, requests that might not
+// be answered by then are refused.
+func (p *Proxy) Drain(end time.Time) { p.stopAt.Store(int64(end.Sub(epoch))) }
+
+// Stop gives each request in progress its final answer now.
+func (p *Proxy) Stop() { p.stop() }
+
+// epoch is the zero of the process's clock.
+var epoch = time.Now()
+
+// endsBefore reports whether a planned stop ends before a moment.
+func (p *Proxy) endsBefore(deadline time.Time) bool {
+	stopAt := p.stopAt.Load()
+	return stopAt > 0 && deadline.Sub(epoch) > time.Duration(stopAt)
+}
+
 // Maintain closes connections that rested for too long.
 func (p *Proxy) Maintain(now time.Time) { p.nodes.prune(now) }
 
@@ -105,6 +129,9 @@
 // no configuration yet.
 const unconfiguredRetry = 300 * time.Millisecond
 
+// stoppingRetry is when a request is worth sending again to a node that stops.
+const stoppingRetry = time.Second
+
 // Serve answers one request of a caller.
 func (p *Proxy) Serve(ctx context.Context, request *message.Request) *message.Answer {
 	if request.SenderGone() {
@@ -124,8 +151,14 @@
 	if !ok {
 		return p.problem(request, http.StatusBadRequest, p.options.Names.Deadline+" is not a number of milliseconds", 0)
 	}
+	if p.endsBefore(deadline) {
+		p.metrics.ended("", outcomeNotRun, 0)
+		return p.problem(request, http.StatusServiceUnavailable, "the node stops", stoppingRetry)
+	}
 	p.strip(request.Header)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
+	release := context.AfterFunc(p.stopped, cancel)
+	defer release()
 	running := &exchange{
 		proxy: p, ctx: ctx, request: request, current: current, route: route,
 		deadline: deadline, service: p.splits.choose(route), tried: make(map[string]bool),
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -17,22 +17,20 @@
 const (
 	// None: the request got a slot.
 	None Refusal = 0
-	// Full: the wait would be longer than the request may wait.
+	// Full: the wait would be, or was, longer than the request may wait.
 	Full Refusal = 1
-	// Evicted: a more urgent request took the place in the queue.
-	Evicted Refusal = 2
-	// Expired: the time of the request was over before its turn.
-	Expired Refusal = 3
+	// Expired: it is too late to begin with the request.
+	Expired Refusal = 2
 	// Cancelled: the sender left.
-	Cancelled Refusal = 4
+	Cancelled Refusal = 3
 )
 
 // Ticket is a request for a slot.
 type Ticket struct {
 	// Priority is the rank; 0 goes first.
 	Priority int
-	// Deadline is when the request is of no more use.
-	Deadline time.Time
+	// LatestStart is when the instance must begin for the request to be in time.
+	LatestStart time.Time
 	// MaxWait is how long the request may wait.
 	MaxWait time.Duration
 }
@@ -94,7 +92,7 @@
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (*Slot, Refusal, time.Duration) {
 	now := time.Now()
 	q.mutex.Lock()
-	if !ticket.Deadline.After(now) {
+	if !ticket.LatestStart.After(now) {
 		q.mutex.Unlock()
 		return nil, Expired, 0
 	}
@@ -103,42 +101,43 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	if wait := q.expectedWait(ticket.Priority); wait > ticket.MaxWait || now.Add(wait+q.service/2).After(ticket.Deadline) {
+	if wait := q.expectedWait(ticket.Priority); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
 		q.mutex.Unlock()
 		return nil, Full, wait
 	}
 	waiter := &waiter{ticket: ticket, order: q.arrived, granted: make(chan verdict, 1)}
 	q.arrived++
 	heap.Push(&q.waiting, waiter)
-	evicted := q.evict(now)
 	q.mutex.Unlock()
-	for _, victim := range evicted {
-		victim.granted <- verdict{refusal: Evicted}
-	}
 	return q.await(ctx, waiter)
 }
 
-// await waits for the verdict on a waiter.
+// await waits for the slot of a waiter. More urgent requests may come in between
+// for longer than was expected.
 func (q *Queue) await(ctx context.Context, waiter *waiter) (*Slot, Refusal, time.Duration) {
-	timer := time.NewTimer(time.Until(waiter.ticket.Deadline))
+	patience := min(waiter.ticket.MaxWait, time.Until(waiter.ticket.LatestStart))
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	refusal := Cancelled
 	select {
 	case given := <-waiter.granted:
 		return given.slot, given.refusal, q.meanService()
 	case <-timer.C:
-		refusal = Expired
+		refusal = Full
 	case <-ctx.Done():
 	}
 	q.mutex.Lock()
 	removed := q.waiting.remove(waiter)
 	q.mutex.Unlock()
-	if !removed { // the verdict came meanwhile
-		if given := <-waiter.granted; given.slot != nil {
-			given.slot.Release(false)
-		}
+	if removed {
+		return nil, refusal, q.meanService()
 	}
-	return nil, refusal, q.meanService()
+	given := <-waiter.granted // it came meanwhile
+	if refusal == Cancelled && given.slot != nil {
+		given.slot.Release(false)
+		return nil, refusal, 0
+	}
+	return given.slot, given.refusal, q.meanService()
 }
 
 func (q *Queue) meanService() time.Duration {
@@ -158,19 +157,6 @@
 	return time.Duration(ahead) * q.service / time.Duration(q.slots)
 }
 
-// evict takes the least urgent waiters out whose wait has become longer than they
-// may wait. The mutex is held.
-func (q *Queue) evict(now time.Time) (evicted []*waiter) {
-	for {
-		last := q.waiting.least()
-		if last == nil || q.expectedWait(last.ticket.Priority) <= max(last.ticket.MaxWait, q.service)*2 {
-			return evicted
-		}
-		q.waiting.remove(last)
-		evicted = append(evicted, last)
-	}
-}
-
 // grant takes a slot. The mutex is held.
 func (q *Queue) grant(now time.Time) *Slot {
 	q.running++
@@ -199,7 +185,7 @@
 func (q *Queue) promote(now time.Time) {
 	for q.running < q.slots && q.waiting.Len() > 0 {
 		next := heap.Pop(&q.waiting).(*waiter)
-		if !next.ticket.Deadline.After(now) {
+		if !next.ticket.LatestStart.After(now) {
 			next.granted <- verdict{refusal: Expired}
 			continue
 		}
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -61,15 +61,3 @@
 	heap.Remove(w, gone.index)
 	return true
 }
-
-// least returns the least urgent waiter that came last, or nil.
-func (w waiters) least() *waiter {
-	var found *waiter
-	for _, candidate := range w {
-		if found == nil || candidate.ticket.Priority > found.ticket.Priority ||
-			candidate.ticket.Priority == found.ticket.Priority && candidate.order > found.order {
-			found = candidate
-		}
-	}
-	return found
-}
