--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,233 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/emulator/store"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/mirror"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/platform"
+)
+
+const (
+	wait    = 30 * time.Second // events end it, never the clock
+	timeout = 30 * time.Second
+)
+
+// rig is a mirror of an emulated store, read through the adapter.
+type rig struct {
+	store  *store.Store
+	mirror *mirror.Mirror
+}
+
+func newRig(t *testing.T, timeout time.Duration) *rig {
+	emulated := store.New()
+	server := httptest.NewServer(emulated)
+	t.Cleanup(server.Close)
+	adapter := platform.NewStore(server.URL, nil)
+	t.Cleanup(adapter.Close)
+	return &rig{store: emulated, mirror: mirror.New(mirror.Options{
+		Store: adapter, Logger: logging.Discard(), Timeout: timeout,
+		MemberOf: func(instance snapshot.Instance) (membership.ListedMember, bool) {
+			return membership.ListedMember{Node: membership.NodeID(instance.Address), Zone: instance.Zone}, true
+		},
+	})}
+}
+
+// configuration is op/config with one route to the service.
+func configuration(version int, service string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"services":[{"name":"a"},{"name":"b"}],
+		"virtualHosts":[{"host":"h.example","paths":[{"name":"r","pathPrefix":"/p/","kind":"safe",
+		"timeoutMs":1000,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":2}]}]}`, version, service)
+}
+
+func instance(service, address, state string) []byte {
+	return fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"zone":"z","slots":4},"status":{"state":%q}}`, address, service, state)
+}
+
+// follow awaits a revision above after and returns its document.
+func (r *rig) follow(c *qt.C, after snapshot.Revision) *snapshot.Document {
+	c.Helper()
+	version, outcome := r.mirror.AwaitRevision(context.Background(), after, wait)
+	c.Assert(outcome.Err, qt.IsNil)
+	c.Assert(version.Revision > after, qt.IsTrue)
+	document, outcome := r.mirror.Fetch(context.Background(), snapshot.Version{})
+	c.Assert(outcome.Err, qt.IsNil)
+	c.Assert(document.Version(), qt.Equals, version)
+	return document
+}
+
+func TestListThenWatch(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(7, "a"))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	first := r.follow(c, 0)
+	c.Assert(first.Content().Routes, qt.HasLen, 1)
+	c.Assert(first.Content().Instances, qt.HasLen, 1)
+
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "draining"))
+	second := r.follow(c, first.Version().Revision)
+	c.Assert(second.Content().Instances[0].State, qt.Equals, snapshot.InstanceDraining)
+	c.Assert(snapshot.SameRouting(first, second), qt.IsTrue)
+
+	r.store.Delete("servers/i-1")
+	third := r.follow(c, second.Version().Revision)
+	c.Assert(third.Content().Instances, qt.HasLen, 0)
+	c.Assert(r.store.Calls("/v1/kv-range"), qt.Equals, 1)
+}
+
+// TestTwoMirrorsAgree: whoever reads, and whenever, a revision has one content.
+func TestTwoMirrorsAgree(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(7, "a"))
+	early := r.follow(c, 0)
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	r.store.Put("other/key", []byte("of no interest"))
+	watched := r.follow(c, early.Version().Revision)
+
+	server := httptest.NewServer(r.store)
+	defer server.Close()
+	late := &rig{store: r.store, mirror: mirror.New(mirror.Options{
+		Store: platform.NewStore(server.URL, nil), Logger: logging.Discard(), Timeout: timeout,
+	})}
+	c.Assert(late.follow(c, 0).Version(), qt.Equals, watched.Version())
+}
+
+// TestWaitsForTheFirstConfiguration: a store that was listed before its first
+// configuration is read on.
+func TestWaitsForTheFirstConfiguration(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	version, outcome := r.mirror.AwaitRevision(context.Background(), 0, 0)
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+	c.Assert(version.IsZero(), qt.IsTrue)
+	r.store.Put("op/config", configuration(1, "a"))
+	c.Assert(r.follow(c, 0).Content().Instances, qt.HasLen, 1)
+}
+
+func TestListsAgainAfterCompaction(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(7, "a"))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	first := r.follow(c, 0)
+	r.store.Delete("servers/i-1")
+	r.store.Compact()
+	c.Assert(r.follow(c, first.Version().Revision).Content().Instances, qt.HasLen, 0)
+	c.Assert(r.store.Calls("/v1/kv-range"), qt.Equals, 2)
+}
+
+// TestPagesAreNoSnapshot: what changes while pages are read is caught up with.
+func TestPagesAreNoSnapshot(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.SetPageSize(2)
+	r.store.Put("op/config", configuration(7, "a"))
+	for i := range 5 {
+		r.store.Put(fmt.Sprintf("servers/i-%d", i), instance("a", fmt.Sprintf("10.0.0.%d:80", i+1), "ready"))
+	}
+	pages := 0
+	r.store.SetFault(func(request *http.Request) store.Fault {
+		if request.URL.Path == "/v1/kv-range" {
+			if pages++; pages == 2 {
+				r.store.Put("servers/i-0", instance("a", "10.0.0.1:80", "draining"))
+				r.store.Delete("servers/i-4")
+			}
+		}
+		return store.NoFault
+	})
+	instances := r.follow(c, 0).Content().Instances
+	c.Assert(instances, qt.HasLen, 4)
+	c.Assert(instances[0].State, qt.Equals, snapshot.InstanceDraining)
+}
+
+// TestBadEntriesKeepTheLastGood: one entry that cannot be read changes nothing.
+func TestBadEntriesKeepTheLastGood(t *testing.T) {
+	rows := map[string]struct{ key, value string }{
+		"configuration cut short": {"op/config", `{"version":8,"serv`},
+		"unknown kind":            {"op/config", `{"version":8,"virtualHosts":[{"host":"h","paths":[{"name":"r","kind":"odd"}]}]}`},
+		"instance not JSON":       {"servers/i-1", `nonsense`},
+		"instance of odd state":   {"servers/i-1", `{"address":"10.0.0.1:80","info":{"service":"a"},"status":{"state":"asleep"}}`},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, timeout)
+			r.store.Put("op/config", configuration(7, "a"))
+			r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+			first := r.follow(c, 0)
+			r.store.Put(row.key, []byte(row.value))
+			r.store.Put("servers/i-2", instance("a", "10.0.0.2:80", "ready"))
+			second := r.follow(c, first.Version().Revision)
+			for second.Version().Revision < 4 {
+				second = r.follow(c, second.Version().Revision)
+			}
+			c.Assert(snapshot.SameRouting(first, second), qt.IsTrue)
+			c.Assert(second.Content().Instances, qt.HasLen, 2)
+		})
+	}
+}
+
+// TestFaultsOfTheStore: a read that fails says so, and the next one goes on.
+func TestFaultsOfTheStore(t *testing.T) {
+	rows := map[string]struct {
+		fault store.Fault
+		want  source.Status
+	}{
+		"busy":      {store.Busy, source.StatusBusy},
+		"throttled": {store.Throttled, source.StatusBusy},
+		"silent":    {store.Silent, source.StatusUnreachable},
+		"reset":     {store.Reset, source.StatusUnreachable},
+		"garbage":   {store.Garbage, source.StatusInvalid},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t, timeout)
+			if row.fault == store.Silent {
+				r = newRig(t, 50*time.Millisecond) // the read's own limit ends it
+			}
+			r.store.Put("op/config", configuration(7, "a"))
+			r.store.SetFault(func(*http.Request) store.Fault { return row.fault })
+			_, outcome := r.mirror.AwaitRevision(context.Background(), 0, 0)
+			c.Assert(outcome.Status, qt.Equals, row.want)
+			r.store.SetFault(nil)
+			r.follow(c, 0)
+		})
+	}
+}
+
+// TestMembersFollowTheWatch: a wait for members reads nothing by itself.
+func TestMembersFollowTheWatch(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(7, "a"))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	first := r.follow(c, 0)
+	members, etag, outcome := r.mirror.Members(context.Background(), "", 0)
+	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+	c.Assert(members, qt.HasLen, 1)
+
+	done := make(chan int)
+	go func() {
+		members, _, _ := r.mirror.Members(context.Background(), etag, wait)
+		done <- len(members)
+	}()
+	r.store.Put("servers/i-2", instance("a", "10.0.0.2:80", "ready"))
+	r.follow(c, first.Version().Revision)
+	c.Assert(<-done, qt.Equals, 2)
+	c.Assert(r.store.Calls("/v1/kv-range"), qt.Equals, 1)
+}
