--- /dev/null
+++ b/internal/dataplane/queue/queue_test.go
@@ -0,0 +1,129 @@
+package queue_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane/queue"
+)
+
+func ticket(priority int, maxWait time.Duration) queue.Ticket {
+	return queue.Ticket{Priority: priority, LatestStart: time.Now().Add(time.Hour), MaxWait: maxWait}
+}
+
+// take gets the only slot.
+func take(c *qt.C, q *queue.Queue) *queue.Slot {
+	slot, refusal, _ := q.Acquire(context.Background(), ticket(0, time.Hour))
+	c.Assert(refusal, qt.Equals, queue.None)
+	return slot
+}
+
+func TestMostUrgentGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		order := make(chan int, 3)
+		for _, priority := range []int{2, 0, 1} {
+			go func() {
+				slot, _, _ := q.Acquire(context.Background(), ticket(priority, time.Hour))
+				order <- priority
+				slot.Release(true)
+			}()
+			synctest.Wait()
+		}
+		held.Release(true)
+		for _, want := range []int{0, 1, 2} {
+			c.Check(<-order, qt.Equals, want)
+		}
+	})
+}
+
+// TestWaitEndsInTime: a request that waited as long as it may is refused at once,
+// however long more urgent ones go on.
+func TestWaitEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		defer held.Release(true)
+		started := time.Now()
+		_, refusal, _ := q.Acquire(context.Background(), ticket(1, 150*time.Millisecond))
+		c.Check(refusal, qt.Equals, queue.Full)
+		c.Check(time.Since(started), qt.Equals, 150*time.Millisecond)
+		c.Check(q.Usage(), qt.Equals, queue.Usage{Running: 1, Waiting: 0, Slots: 1})
+	})
+}
+
+func TestTooLateToBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		late := ticket(0, time.Hour)
+		late.LatestStart = time.Now()
+		_, refusal, _ := q.Acquire(context.Background(), late)
+		c.Check(refusal, qt.Equals, queue.Expired)
+	})
+}
+
+func TestSenderThatLeavesHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan queue.Refusal)
+		go func() {
+			_, refusal, _ := q.Acquire(ctx, ticket(0, time.Hour))
+			done <- refusal
+		}()
+		synctest.Wait()
+		cancel()
+		c.Check(<-done, qt.Equals, queue.Cancelled)
+		held.Release(true)
+		c.Check(q.Usage(), qt.Equals, queue.Usage{Slots: 1})
+	})
+}
+
+func TestLongQueueRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		go func() {
+			slot, _, _ := q.Acquire(context.Background(), ticket(0, time.Hour))
+			slot.Release(true)
+		}()
+		synctest.Wait()
+		started := time.Now()
+		_, refusal, wait := q.Acquire(context.Background(), ticket(0, 150*time.Millisecond))
+		c.Check(refusal, qt.Equals, queue.Full)
+		c.Check(time.Since(started), qt.Equals, time.Duration(0))
+		c.Check(wait > 150*time.Millisecond, qt.IsTrue)
+		held.Release(true)
+		synctest.Wait()
+	})
+}
+
+func TestMoreSlotsLetWaitersIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		in := make(chan *queue.Slot)
+		go func() {
+			slot, _, _ := q.Acquire(context.Background(), ticket(0, time.Hour))
+			in <- slot
+		}()
+		synctest.Wait()
+		q.SetSlots(2)
+		(<-in).Release(true)
+		held.Release(true)
+		held.Release(true) // a second release changes nothing
+		c.Check(q.Usage(), qt.Equals, queue.Usage{Slots: 2})
+	})
+}
--- a/internal/dataplane/server/write.go
+++ b/internal/dataplane/server/write.go
@@ -110,6 +110,9 @@
 		if _, err := writer.Write(answer.Body); err != nil {
 			return err
 		}
+		if err := writer.Flush(); err != nil { // a stream begins at once
+			return err
+		}
 		copied, err := io.Copy(writer, answer.Stream)
 		if err == nil && copied+int64(len(answer.Body)) != answer.Length {
 			err = io.ErrUnexpectedEOF
--- /dev/null
+++ b/internal/emulator/instance/instance.go
@@ -0,0 +1,282 @@
+// Package instance emulates an application instance of the users' platform on raw
+// connections: what it runs, what it rejects, and the bytes it spoils. It stands
+// in for one in tests; product packages never import it.
+package instance
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Header names of the platform.
+const (
+	HeaderID          = "Winchhead-Request-Id"
+	HeaderDeadline    = "Winchhead-Deadline-Ms"
+	HeaderExpect      = "Winchhead-Expect-Instance"
+	HeaderCaller      = "Winchhead-Caller-Service"
+	HeaderNotExecuted = "Winchhead-Not-Executed"
+	HeaderStamp       = "Winchhead-Server-Stamp"
+)
+
+// Fault is how an instance spoils one answer.
+type Fault uint8
+
+// The faults of an answer. The request has run unless the fault says otherwise.
+const (
+	// None answers properly.
+	None Fault = 0
+	// Lost closes the connection instead of answering.
+	Lost Fault = 1
+	// LostReset resets it.
+	LostReset Fault = 2
+	// Cut ends the answer in its body.
+	Cut Fault = 3
+	// Unframed gives no length and ends the answer with the connection.
+	Unframed Fault = 4
+	// UnframedReset is Unframed, but the connection is reset in the body.
+	UnframedReset Fault = 5
+	// Extra sends a second whole answer behind the first.
+	Extra Fault = 6
+	// Late sends an answer to another request before the right one.
+	Late Fault = 7
+	// Garbage sends bytes that are not an answer.
+	Garbage Fault = 8
+	// NoStamp leaves the instance's mark out.
+	NoStamp Fault = 9
+	// Reject says that the request did not run.
+	Reject Fault = 10
+	// OtherInstance answers 421; the request did not run.
+	OtherInstance Fault = 11
+	// Fails answers 500.
+	Fails Fault = 12
+	// Early answers 413 before the body is read, and reads on.
+	Early Fault = 13
+	// CloseAfter answers properly and says that the connection closes.
+	CloseAfter Fault = 14
+)
+
+// Run is one request that the instance ran.
+type Run struct {
+	ID, Method, Target, Body, Caller, Expected string
+	DeadlineMillis                             int
+	// Cancelled is set when the connection closed before the answer.
+	Cancelled bool
+}
+
+// Instance is one emulated instance. Its fields are set before Start.
+type Instance struct {
+	// Name is its id.
+	Name string
+	// Plan returns the fault for a request; nil: none.
+	Plan func(id string) Fault
+	// Work is called while a request runs; it returns early when the channel
+	// closes as the sender left. nil: no work.
+	Work func(id string, gone <-chan struct{})
+
+	listener net.Listener
+	mutex    sync.Mutex
+	runs     []Run
+	accepted int
+	serving  sync.WaitGroup
+	conns    map[net.Conn]struct{}
+}
+
+// Start listens on loopback and returns the address.
+func (i *Instance) Start() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	i.listener, i.conns = listener, make(map[net.Conn]struct{})
+	i.serving.Go(i.accept)
+	return listener.Addr().String(), nil
+}
+
+// Close ends the instance and its connections.
+func (i *Instance) Close() {
+	_ = i.listener.Close()
+	i.mutex.Lock()
+	for conn := range i.conns {
+		_ = conn.Close()
+	}
+	i.mutex.Unlock()
+	i.serving.Wait()
+}
+
+// Runs returns what ran so far.
+func (i *Instance) Runs() []Run {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return append([]Run(nil), i.runs...)
+}
+
+// Accepted returns how many connections came.
+func (i *Instance) Accepted() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.accepted
+}
+
+func (i *Instance) accept() {
+	for {
+		conn, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		i.mutex.Lock()
+		i.accepted++
+		i.conns[conn] = struct{}{}
+		i.mutex.Unlock()
+		i.serving.Go(func() {
+			i.serve(conn)
+			_ = conn.Close()
+			i.mutex.Lock()
+			delete(i.conns, conn)
+			i.mutex.Unlock()
+		})
+	}
+}
+
+func (i *Instance) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !i.answer(conn, reader, request) {
+			return
+		}
+	}
+}
+
+// answer runs one request and reports whether the connection goes on.
+func (i *Instance) answer(conn net.Conn, reader *bufio.Reader, request *http.Request) bool {
+	id := request.Header.Get(HeaderID)
+	fault := None
+	if i.Plan != nil {
+		fault = i.Plan(id)
+	}
+	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != i.Name || fault == OtherInstance {
+		_, _ = io.Copy(io.Discard, request.Body)
+		return send(conn, "421 Misdirected Request", id, "", "")
+	}
+	switch fault {
+	case Reject:
+		_, _ = io.Copy(io.Discard, request.Body)
+		return send(conn, "503 Service Unavailable", id, HeaderNotExecuted+": 1\r\n", "")
+	case Early:
+		ok := send(conn, "413 Content Too Large", id, i.stamp(), "too long")
+		_, _ = io.Copy(io.Discard, request.Body)
+		return ok
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return false
+	}
+	cancelled := i.work(conn, reader, id)
+	i.note(request, string(body), cancelled)
+	return !cancelled && i.spoil(conn, fault, id)
+}
+
+// work runs a request while it watches for the sender's leaving.
+func (i *Instance) work(conn net.Conn, reader *bufio.Reader, id string) (cancelled bool) {
+	if i.Work == nil {
+		return false
+	}
+	gone, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		if _, err := reader.Peek(1); err != nil && !isTimeout(err) {
+			close(gone)
+		}
+	}()
+	i.Work(id, gone)
+	_ = conn.SetReadDeadline(time.Unix(1, 0))
+	<-watched
+	_ = conn.SetReadDeadline(time.Time{})
+	select {
+	case <-gone:
+		return true
+	default:
+		return false
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+func (i *Instance) note(request *http.Request, body string, cancelled bool) {
+	deadline, _ := strconv.Atoi(request.Header.Get(HeaderDeadline))
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.runs = append(i.runs, Run{
+		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI, Body: body,
+		Caller: request.Header.Get(HeaderCaller), Expected: request.Header.Get(HeaderExpect),
+		DeadlineMillis: deadline, Cancelled: cancelled,
+	})
+}
+
+// Body is the body of the proper answer to a request.
+func Body(id string) string { return "answer to " + id + " " + strings.Repeat("x", 100) }
+
+func (i *Instance) stamp() string { return HeaderStamp + ": " + i.Name + "\r\n" }
+
+// spoil answers a request that ran, with the fault, and reports whether the
+// connection goes on.
+func (i *Instance) spoil(conn net.Conn, fault Fault, id string) bool {
+	body := Body(id)
+	switch fault {
+	case Lost:
+		return false
+	case LostReset:
+		reset(conn)
+		return false
+	case Cut:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", HeaderID, id, i.stamp(), len(body), body[:20])
+		return false
+	case Unframed, UnframedReset:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", HeaderID, id, i.stamp(), body)
+		if fault == UnframedReset {
+			reset(conn)
+		}
+		return false
+	case Extra:
+		return send(conn, "200 OK", id, i.stamp(), body) && send(conn, "200 OK", id, i.stamp(), "a second answer")
+	case Late:
+		return send(conn, "200 OK", "another-request", i.stamp(), "belongs to another") && send(conn, "200 OK", id, i.stamp(), body)
+	case Garbage:
+		_, _ = io.WriteString(conn, "\x00\x01 this is no answer\r\n\r\n")
+		return false
+	case NoStamp:
+		return send(conn, "200 OK", id, "", body)
+	case Fails:
+		return send(conn, "500 Internal Server Error", id, i.stamp(), "failed")
+	case CloseAfter:
+		send(conn, "200 OK", id, i.stamp()+"Connection: close\r\n", body)
+		return false
+	default:
+		return send(conn, "200 OK", id, i.stamp(), body)
+	}
+}
+
+func send(conn net.Conn, status, id, fields, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, HeaderID, id, fields, len(body), body)
+	return err == nil
+}
+
+// reset makes the close of a connection a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
