Queue by when a wait must end, spare full instances of other zones, hand reading over at once

Change: order by the end of the wait; instances of other zones that reported no free slot within 250 ms are not asked; readers of a current source take documents over at once, and only the first polls at each change.

--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -138,7 +138,7 @@
 		timing = distribution.DefaultTiming()
 	}
 	if inputs.Settings.Platform.Kind == settings.PlatformStore {
-		timing = storeTiming(timing)
+		timing = timing.ForCurrentSource()
 	}
 	seed := inputs.Options.Seed
 	if seed == 0 {
--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -16,7 +16,6 @@
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
-	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/mirror"
@@ -105,20 +104,6 @@
 	}
 }
 
-// storeTiming are the intervals for a source that is always current.
-func storeTiming(timing distribution.Timing) distribution.Timing {
-	timing.StartListWait = time.Second
-	timing.StartPeerWait = 500 * time.Millisecond
-	timing.SourceGrace = 700 * time.Millisecond
-	timing.RecheckWait = 500 * time.Millisecond
-	timing.BackoffMax = time.Second
-	timing.RedialMax = time.Second
-	timing.DialTimeout = 2 * time.Second
-	timing.FetchTimeout = 3 * time.Second
-	timing.HeartbeatInterval = 2 * time.Second
-	return timing
-}
-
 // stopMargin is what a planned stop leaves of the grace for its own end.
 const stopMargin = 250 * time.Millisecond
 
--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -40,6 +40,9 @@
 	busyTime = 100 * time.Millisecond
 	// reportAge is how long a report of the load counts.
 	reportAge = 2 * time.Second
+	// fullAge is how long an instance of another zone that had no free slot is not
+	// asked again: while all are full, sending requests around helps nobody.
+	fullAge = 250 * time.Millisecond
 	// forgetAfter is how long an instance that is not chosen is remembered.
 	forgetAfter = time.Minute
 
@@ -157,6 +160,7 @@
 // best returns the cheapest candidate; ejected ones count only as a last resort.
 func (b *Balancer) best(request Request, ejected bool) (best candidate, found bool) {
 	ties := 0
+	own := b.hasOwnZone(request.Instances)
 	for i := range request.Instances {
 		instance := &request.Instances[i]
 		if instance.State != snapshot.InstanceReady || request.Avoid(instance.Name) {
@@ -166,6 +170,9 @@
 		if known.ejectedUntil.After(request.Now) != ejected {
 			continue
 		}
+		if own && !b.isNear(instance) && known.isFull(instance, request.Now) {
+			continue
+		}
 		next := b.evaluate(instance, known, request)
 		switch {
 		case !found || next.cost < best.cost:
@@ -187,10 +194,7 @@
 	if known.warmAt.After(request.Now) {
 		service *= coldFactor
 	}
-	slots := float64(instance.Slots)
-	if slots <= 0 {
-		slots = defaultSlots
-	}
+	slots := float64(slotsOf(instance))
 	load := float64(known.load(request.Now))
 	expected := service * max(1, (load+1)/slots)
 	if known.busyUntil.After(request.Now) {
@@ -198,7 +202,7 @@
 	}
 	result := candidate{instance: *instance, expected: time.Duration(expected), service: time.Duration(service)}
 	cost := expected + service*load/slots/2
-	if instance.Zone == b.options.Zone || b.isLocal(instance) {
+	if b.isNear(instance) {
 		inTime := request.Target > 0 && expected <= localShare*float64(request.Target)
 		if inTime {
 			cost = expected / 1000 // any of the own zone goes first
@@ -210,6 +214,32 @@
 	return result
 }
 
+// hasOwnZone reports whether an instance of the own zone takes work.
+func (b *Balancer) hasOwnZone(instances []snapshot.Instance) bool {
+	for i := range instances {
+		if instances[i].State == snapshot.InstanceReady && b.isNear(&instances[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) isNear(instance *snapshot.Instance) bool {
+	return instance.Zone == b.options.Zone || b.isLocal(instance)
+}
+
+// isFull reports whether the instance had no free slot a short while ago.
+func (s *state) isFull(instance *snapshot.Instance, now time.Time) bool {
+	return now.Sub(s.reportedAt) < fullAge && s.load(now) >= slotsOf(instance)
+}
+
+func slotsOf(instance *snapshot.Instance) int {
+	if instance.Slots <= 0 {
+		return defaultSlots
+	}
+	return instance.Slots
+}
+
 func (b *Balancer) isLocal(instance *snapshot.Instance) bool {
 	return b.options.LocalAddress != "" && instance.Address == b.options.LocalAddress
 }
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -59,7 +59,8 @@
 	order := Order{
 		Instance: fields[0], Service: fields[1], CallerService: fields[2],
 		Priority: int(reader.number()), Repeatable: reader.number() == 1,
-		Remaining: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(), Revision: uint64(reader.number()),
+		Remaining: reader.duration(),
+		MaxWait:   reader.duration(), Expected: reader.duration(), Revision: uint64(reader.number()),
 	}
 	return order, reader.err
 }
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -161,7 +161,7 @@
 	}
 	deadline := request.Arrived.Add(order.Remaining)
 	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{
-		Priority: order.Priority, LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait,
+		Priority: order.Priority, LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait, Expected: order.Expected,
 	})
 	if refusal != queue.None {
 		return p.refuse(order, request, reasonOf(refusal), wait)
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -24,7 +25,7 @@
 	waitShare     = 0.8
 	serviceSpread = 1.5
 	// leastWaitShare of the target latency may always be waited.
-	leastWaitShare = 0.25
+	leastWaitShare = 0.2
 	// startShare of the expected service time must be left when the instance
 	// begins; with less, its work would most likely be for nothing.
 	startShare = 0.7
@@ -280,8 +281,14 @@
 		return &message.Answer{Abort: true}
 	}
 	e.finish(outcomeNotRun, http.StatusServiceUnavailable)
-	retryAfter := min(max(e.wait, leastRetryAfter), longestRetryAfter)
-	return e.proxy.problem(e.request, http.StatusServiceUnavailable, "not run: "+e.text(), retryAfter)
+	return e.proxy.problem(e.request, http.StatusServiceUnavailable, "not run: "+e.text(), e.retryAfter())
+}
+
+// retryAfter is when a slot is likely to be free. Callers that are refused
+// together come back one after the other.
+func (e *exchange) retryAfter() time.Duration {
+	wait := min(max(e.wait, leastRetryAfter), longestRetryAfter)
+	return wait + time.Duration(rand.Float64()*float64(wait))
 }
 
 // giveUp is the final answer to a request that may have run.
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue gives out the slots of one instance: to the most urgent request
-// first, and only to requests that will still be in time. What it refuses, it
-// refuses at once.
+// first, among equals to the one whose wait must end first, and only to requests
+// that will still be in time. What it refuses, it refuses at once.
 package queue
 
 import (
@@ -33,6 +33,9 @@
 	LatestStart time.Time
 	// MaxWait is how long the request may wait.
 	MaxWait time.Duration
+	// Expected is how long the instance is expected to work on the request; zero
+	// takes the mean of all.
+	Expected time.Duration
 }
 
 // Usage counts what is held and what waits.
@@ -46,7 +49,6 @@
 	slots   int
 	running int
 	waiting waiters
-	arrived uint64
 	// service is the mean time that a request holds a slot.
 	service time.Duration
 	started map[*Slot]time.Time
@@ -101,12 +103,11 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	if wait := q.expectedWait(ticket.Priority); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
+	if wait := q.expectedWait(ticket, now.Add(ticket.MaxWait)); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
 		q.mutex.Unlock()
 		return nil, Full, wait
 	}
-	waiter := &waiter{ticket: ticket, order: q.arrived, granted: make(chan verdict, 1)}
-	q.arrived++
+	waiter := &waiter{ticket: ticket, due: now.Add(ticket.MaxWait), granted: make(chan verdict, 1)}
 	heap.Push(&q.waiting, waiter)
 	q.mutex.Unlock()
 	return q.await(ctx, waiter)
@@ -146,15 +147,23 @@
 	return q.service
 }
 
-// expectedWait is how long a request of a priority would wait. The mutex is held.
-func (q *Queue) expectedWait(priority int) time.Duration {
-	ahead := q.running - q.slots + 1
+// expectedWait is how long a request would wait: until a slot is free, and while
+// those before it begin. The mutex is held.
+func (q *Queue) expectedWait(ticket Ticket, due time.Time) time.Duration {
+	before := q.service // until the first of the slots is free
 	for _, other := range q.waiting {
-		if other.ticket.Priority <= priority {
-			ahead++
+		if other.goesBefore(ticket.Priority, due) {
+			before += q.expected(other.ticket)
 		}
 	}
-	return time.Duration(ahead) * q.service / time.Duration(q.slots)
+	return before / time.Duration(q.slots)
+}
+
+func (q *Queue) expected(ticket Ticket) time.Duration {
+	if ticket.Expected > 0 {
+		return ticket.Expected
+	}
+	return q.service
 }
 
 // grant takes a slot. The mutex is held.
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -1,6 +1,9 @@
 package queue
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // verdict is a slot or a refusal.
 type verdict struct {
@@ -11,12 +14,20 @@
 // waiter is a request in the queue.
 type waiter struct {
 	ticket  Ticket
-	order   uint64
+	due     time.Time    // when its wait must end
 	granted chan verdict // takes one without blocking
 	index   int
 }
 
-// waiters is a heap: the most urgent first, then the earliest.
+// goesBefore reports whether the waiter goes before one of that rank and time.
+func (w *waiter) goesBefore(priority int, due time.Time) bool {
+	if w.ticket.Priority != priority {
+		return w.ticket.Priority < priority
+	}
+	return w.due.Before(due)
+}
+
+// waiters is a heap: the most urgent first, then the one that is due first.
 type waiters []*waiter
 
 // Len implements heap.Interface.
@@ -24,10 +35,7 @@
 
 // Less implements heap.Interface.
 func (w waiters) Less(i, j int) bool {
-	if w[i].ticket.Priority != w[j].ticket.Priority {
-		return w[i].ticket.Priority < w[j].ticket.Priority
-	}
-	return w[i].order < w[j].order
+	return w[i].goesBefore(w[j].ticket.Priority, w[j].due)
 }
 
 // Swap implements heap.Interface.
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -256,12 +256,20 @@
 	news := event.Version.Newer(snapshot.Version{Revision: max(e.push.heldVersion().Revision, r.head.Revision)})
 	least := e.timing.SourceWait / 2
 	if news {
-		least = minPollInterval
+		least = e.newsInterval()
 	}
 	r.pollAt = latest(e.now, r.polledAt.Add(least))
 	e.headSeen(event.Version, news)
 }
 
+// newsInterval is the least time between two polls while there is news.
+func (e *Engine) newsInterval() time.Duration {
+	if e.currentRanking().globalRank(e.options.Self.Node) == 0 {
+		return minPollInterval
+	}
+	return max(e.timing.NewsInterval, minPollInterval)
+}
+
 // headSeen looks at the newest version that the source holds.
 func (e *Engine) headSeen(version snapshot.Version, news bool) {
 	r := &e.reading
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -150,6 +150,10 @@
 		p.answer(from, action.Request, distribution.SourceRevision{Request: action.Request, Outcome: errUnreachable})
 		return
 	}
+	if p.unheard(from.machine) { // this read is never answered, also once others are
+		p.fleet.forProcess(from, action.Wait, func() { p.leaveUnanswered(from, action) })
+		return
+	}
 	p.waiting = append(p.waiting, waitingRead{from, action})
 	p.maxReads = max(p.maxReads, p.Readers())
 	p.wakeReaders()
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -62,6 +62,9 @@
 	// over the overlay before it fetches it: FetchDelay plus FetchStagger for each
 	// rank, up to FetchDelayMax. The first in rank fetches at once.
 	FetchDelay, FetchStagger, FetchDelayMax time.Duration
+	// NewsInterval is the least time between two polls of a reader that is not the
+	// first in rank, after one that brought news: the first brings the next.
+	NewsInterval time.Duration
 	// MembersWait is how long the platform holds a question for a new list.
 	MembersWait time.Duration
 	// BackoffMin and BackoffMax bound the mean delay before the source or the
@@ -112,6 +115,7 @@
 		FetchDelay:             150 * time.Millisecond,
 		FetchStagger:           40 * time.Millisecond,
 		FetchDelayMax:          1500 * time.Millisecond,
+		NewsInterval:           minPollInterval,
 		MembersWait:            20 * time.Second,
 		BackoffMin:             200 * time.Millisecond,
 		BackoffMax:             10 * time.Second,
@@ -127,3 +131,21 @@
 		UnneededLinkAge:        10 * time.Second,
 	}
 }
+
+// ForCurrentSource returns the intervals for a source that always serves the
+// newest revision and whose documents readers hold already when they learn of
+// them: nobody waits for others before it takes a document over.
+func (t Timing) ForCurrentSource() Timing {
+	t.StartListWait = time.Second
+	t.StartPeerWait = 500 * time.Millisecond
+	t.RecheckWait = 500 * time.Millisecond
+	t.SourceGrace = 700 * time.Millisecond
+	t.FetchDelay, t.FetchStagger, t.FetchDelayMax = 0, 0, 0
+	t.FetchTimeout = 3 * time.Second
+	t.NewsInterval = 1200 * time.Millisecond
+	t.BackoffMin, t.BackoffMax = 100*time.Millisecond, 400*time.Millisecond
+	t.RedialMax = time.Second
+	t.DialTimeout = 2 * time.Second
+	t.HeartbeatInterval = 2 * time.Second
+	return t
+}
