Serve short requests before long ones of their priority

Cause: under overload calls that instances make were refused behind requests that take ten times as long, and the parents' work was for nothing; requests of callers that came back became the first of the queue by their age. Change: turn = due + 4 x expected work; patience only for callers with less than two targets of time; short requests are offered to full instances too.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -78,6 +78,7 @@
 	mutex     sync.Mutex
 	instances map[string]*state
 	services  map[string]time.Duration // by route
+	mean      time.Duration            // of all requests
 	prunedAt  time.Time
 }
 
@@ -160,7 +161,7 @@
 // best returns the cheapest candidate; ejected ones count only as a last resort.
 func (b *Balancer) best(request Request, ejected bool) (best candidate, found bool) {
 	ties := 0
-	own := b.hasOwnZone(request.Instances)
+	spare := !b.isShort(request.Route) && b.hasOwnZone(request)
 	for i := range request.Instances {
 		instance := &request.Instances[i]
 		if instance.State != snapshot.InstanceReady || request.Avoid(instance.Name) {
@@ -170,7 +171,7 @@
 		if known.ejectedUntil.After(request.Now) != ejected {
 			continue
 		}
-		if own && !b.isNear(instance) && known.isFull(instance, request.Now) {
+		if spare && !b.isNear(instance) && known.isFull(instance, request.Now) {
 			continue
 		}
 		next := b.evaluate(instance, known, request)
@@ -214,10 +215,20 @@
 	return result
 }
 
+// isShort reports whether requests of a route take little of an instance's time
+// compared with others: they find a place also where others would wait.
+func (b *Balancer) isShort(route string) bool {
+	return b.serviceOf(route) < b.mean/2
+}
+
 // hasOwnZone reports whether an instance of the own zone takes work.
-func (b *Balancer) hasOwnZone(instances []snapshot.Instance) bool {
-	for i := range instances {
-		if instances[i].State == snapshot.InstanceReady && b.isNear(&instances[i]) {
+func (b *Balancer) hasOwnZone(request Request) bool {
+	for i := range request.Instances {
+		instance := &request.Instances[i]
+		if instance.State != snapshot.InstanceReady || !b.isNear(instance) {
+			continue
+		}
+		if known := b.stateOf(instance, request.Now); !known.ejectedUntil.After(request.Now) {
 			return true
 		}
 	}
@@ -317,6 +328,7 @@
 
 // measure takes over how long an instance worked on a request.
 func (b *Balancer) measure(route string, known *state, execution time.Duration) {
+	b.mean += (execution - b.mean) / (4 * measurementWeight)
 	service, measured := b.services[route]
 	if !measured {
 		b.services[route] = execution
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -27,6 +27,9 @@
 	Repeatable    bool
 	// Remaining is the time left for the request when it was sent.
 	Remaining time.Duration
+	// Due is how long the request may wait and still be worth most; requests of one
+	// priority go in that order.
+	Due time.Duration
 	// MaxWait is how long the request may wait for a slot.
 	MaxWait time.Duration
 	// Expected is how long the instance is expected to work on the request.
@@ -35,7 +38,7 @@
 	Revision uint64
 }
 
-const orderFields = 9
+const orderFields = 10
 
 // Encode returns the text of the field.
 func (o Order) Encode() string {
@@ -45,7 +48,7 @@
 	}
 	return strings.Join([]string{
 		o.Instance, o.Service, o.CallerService, strconv.Itoa(o.Priority), repeatable,
-		millis(o.Remaining), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
+		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
 	}, separator)
 }
 
@@ -59,8 +62,8 @@
 	order := Order{
 		Instance: fields[0], Service: fields[1], CallerService: fields[2],
 		Priority: int(reader.number()), Repeatable: reader.number() == 1,
-		Remaining: reader.duration(),
-		MaxWait:   reader.duration(), Expected: reader.duration(), Revision: uint64(reader.number()),
+		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
+		Revision: uint64(reader.number()),
 	}
 	return order, reader.err
 }
--- /dev/null
+++ b/internal/dataplane/hop/hop_test.go
@@ -0,0 +1,47 @@
+package hop_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+)
+
+// TestOrderRoundTrip has another value in each field.
+func TestOrderRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	order := hop.Order{
+		Instance: "i-1", Service: "reservas", CallerService: "edge", Priority: 3, Repeatable: true,
+		Remaining: 4 * time.Millisecond, Due: 5 * time.Millisecond, MaxWait: 6 * time.Millisecond,
+		Expected: 7 * time.Millisecond, Revision: 8,
+	}
+	decoded, err := hop.DecodeOrder(order.Encode())
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded, qt.Equals, order)
+}
+
+// TestReportRoundTrip has another value in each field.
+func TestReportRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	report := hop.Report{
+		Outcome: hop.Rejected, Reason: hop.ReasonOverloaded, RetryAfter: 1 * time.Millisecond,
+		Running: 2, Waiting: 3, Slots: 4, Execution: 5 * time.Millisecond,
+	}
+	decoded, err := hop.DecodeReport(report.Encode())
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded, qt.Equals, report)
+}
+
+// TestMalformedFields: what a node cannot read is an error, not a default.
+func TestMalformedFields(t *testing.T) {
+	for _, text := range []string{"", "a;b", "i;s;c;x;1;1;1;1;1;1", "i;s;c;1;1;1;1;1;1;1;1"} {
+		_, err := hop.DecodeOrder(text)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+	for _, text := range []string{"", "a;", "z;;0;0;0;0;0", "a;;x;0;0;0;0"} {
+		_, err := hop.DecodeReport(text)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -143,7 +143,8 @@
 		"request": request.ID, "instance": order.Instance, "outcome": string(delivery.Report.Outcome),
 		"reason": string(delivery.Report.Reason), "priority": order.Priority,
 		"ms": time.Since(request.Arrived).Milliseconds(), "left_ms": (order.Remaining - time.Since(request.Arrived)).Milliseconds(),
-		"may_wait_ms": order.MaxWait.Milliseconds(), "running": delivery.Report.Running,
+		"may_wait_ms": order.MaxWait.Milliseconds(), "due_ms": order.Due.Milliseconds(),
+		"expected_ms": order.Expected.Milliseconds(), "wait_ms": delivery.Report.RetryAfter.Milliseconds(), "running": delivery.Report.Running,
 		"waiting": delivery.Report.Waiting, "slots": delivery.Report.Slots, "sender_revision": order.Revision,
 	})
 	if delivery.Err != nil {
@@ -161,7 +162,7 @@
 	}
 	deadline := request.Arrived.Add(order.Remaining)
 	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{
-		Priority: order.Priority, LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait, Expected: order.Expected,
+		Priority: order.Priority, Due: request.Arrived.Add(order.Due), LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait, Expected: order.Expected,
 	})
 	if refusal != queue.None {
 		return p.refuse(order, request, reasonOf(refusal), wait)
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -30,6 +30,10 @@
 	// begins; with less, its work would most likely be for nothing.
 	startShare = 0.7
 
+	// lastChance targets of time left are too few for a caller to come back after
+	// a refusal: its request waits for as long as it can still be answered.
+	lastChance = 2
+
 	leastRetryAfter   = 50 * time.Millisecond
 	longestRetryAfter = 2 * time.Second
 )
@@ -42,7 +46,9 @@
 	current  *snapshot.Snapshot
 	route    *snapshot.Route
 	deadline time.Time
-	service  string
+	// callerTime is how long the caller said it waits.
+	callerTime time.Duration
+	service    string
 
 	// tried are the instances that are not asked again.
 	tried map[string]bool
@@ -115,6 +121,7 @@
 	if remaining > 4*hopMargin && !choice.Local {
 		remaining -= hopMargin
 	}
+	due := e.due(choice, remaining)
 	return hop.Order{
 		Instance:      choice.Instance.Name,
 		Service:       choice.Instance.Service,
@@ -122,21 +129,36 @@
 		Priority:      e.route.Priority,
 		Repeatable:    e.route.Repeatable,
 		Remaining:     remaining,
-		MaxWait:       e.maxWait(choice, remaining),
+		Due:           due,
+		MaxWait:       e.maxWait(due, remaining),
 		Expected:      min(time.Duration(startShare*float64(choice.Service)), remaining/2),
 		Revision:      uint64(e.current.Version().Revision),
 	}
 }
 
-// maxWait is how long the request may wait for a slot and still be worth most.
-func (e *exchange) maxWait(choice balance.Choice, remaining time.Duration) time.Duration {
+// due is how long the request may wait for a slot and still be worth most.
+func (e *exchange) due(choice balance.Choice, remaining time.Duration) time.Duration {
 	target := e.route.TargetLatency
 	if target <= 0 {
 		return remaining / 2
 	}
-	elapsed := time.Since(e.request.Arrived)
 	wait := time.Duration(waitShare*float64(target) - serviceSpread*float64(choice.Service))
-	return max(wait-elapsed, time.Duration(leastWaitShare*float64(target))-elapsed, 0)
+	wait = max(wait, time.Duration(leastWaitShare*float64(target)))
+	return max(wait-time.Since(e.request.Arrived), 0)
+}
+
+// maxWait is how long the request may wait for a slot before another instance is
+// asked, or its caller told to come back.
+func (e *exchange) maxWait(due, remaining time.Duration) time.Duration {
+	if e.isLastChance() {
+		return remaining
+	}
+	return due
+}
+
+// isLastChance reports whether the caller has too little time to come back.
+func (e *exchange) isLastChance() bool {
+	return e.callerTime <= lastChance*e.route.TargetLatency
 }
 
 // send brings the request to one instance.
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -147,10 +147,11 @@
 		p.metrics.ended("", outcomeNoRoute, 0)
 		return p.problem(request, http.StatusNotFound, "no route takes the request", 0)
 	}
-	deadline, ok := p.deadlineOf(request, route)
+	callerTime, ok := p.callerTimeOf(request, route)
 	if !ok {
 		return p.problem(request, http.StatusBadRequest, p.options.Names.Deadline+" is not a number of milliseconds", 0)
 	}
+	deadline := request.Arrived.Add(min(callerTime, route.Timeout))
 	if p.endsBefore(deadline) {
 		p.metrics.ended("", outcomeNotRun, 0)
 		return p.problem(request, http.StatusServiceUnavailable, "the node stops", stoppingRetry)
@@ -161,7 +162,7 @@
 	defer release()
 	running := &exchange{
 		proxy: p, ctx: ctx, request: request, current: current, route: route,
-		deadline: deadline, service: p.splits.choose(route), tried: make(map[string]bool),
+		deadline: deadline, callerTime: callerTime, service: p.splits.choose(route), tried: make(map[string]bool),
 	}
 	answer := running.run()
 	if answer.Stream != nil {
@@ -183,22 +184,23 @@
 	return p.problem(request, http.StatusServiceUnavailable, "the node holds no configuration yet", unconfiguredRetry)
 }
 
-// deadlineOf is the earlier of the caller's and the route's.
-func (p *Proxy) deadlineOf(request *message.Request, route *snapshot.Route) (time.Time, bool) {
-	timeout := route.Timeout
+// callerTimeOf is how long the caller waits; one that does not say so waits as long
+// as the route allows.
+func (p *Proxy) callerTimeOf(request *message.Request, route *snapshot.Route) (time.Duration, bool) {
 	values := request.Header[p.options.Names.Deadline]
-	if len(values) > 0 {
-		millis, err := strconv.ParseInt(values[0], 10, 64)
-		if err != nil || millis < 0 || len(values) > 1 {
-			return time.Time{}, false
-		}
-		if millis < timeout.Milliseconds() {
-			timeout = time.Duration(millis) * time.Millisecond
-		}
+	if len(values) == 0 {
+		return route.Timeout, true
 	}
-	return request.Arrived.Add(timeout), true
+	millis, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || millis < 0 || millis > maxCallerMillis || len(values) > 1 {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
 }
 
+// maxCallerMillis bounds the time that a caller may name (a day).
+const maxCallerMillis = 24 * 60 * 60 * 1000
+
 // strip removes what only the system may say to an instance.
 func (p *Proxy) strip(header http.Header) {
 	names := p.options.Names
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue gives out the slots of one instance: to the most urgent request
-// first, among equals to the one whose wait must end first, and only to requests
-// that will still be in time. What it refuses, it refuses at once.
+// first, among equals to the one that is due first, short ones before long ones, and
+// only to requests that will still be in time. What it refuses, it refuses at once.
 package queue
 
 import (
@@ -29,6 +29,8 @@
 type Ticket struct {
 	// Priority is the rank; 0 goes first.
 	Priority int
+	// Due is when the instance should begin.
+	Due time.Time
 	// LatestStart is when the instance must begin for the request to be in time.
 	LatestStart time.Time
 	// MaxWait is how long the request may wait.
@@ -103,11 +105,11 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	if wait := q.expectedWait(ticket, now.Add(ticket.MaxWait)); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
+	if wait := q.expectedWait(ticket); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
 		q.mutex.Unlock()
 		return nil, Full, wait
 	}
-	waiter := &waiter{ticket: ticket, due: now.Add(ticket.MaxWait), granted: make(chan verdict, 1)}
+	waiter := &waiter{ticket: ticket, granted: make(chan verdict, 1)}
 	heap.Push(&q.waiting, waiter)
 	q.mutex.Unlock()
 	return q.await(ctx, waiter)
@@ -149,10 +151,10 @@
 
 // expectedWait is how long a request would wait: until a slot is free, and while
 // those before it begin. The mutex is held.
-func (q *Queue) expectedWait(ticket Ticket, due time.Time) time.Duration {
+func (q *Queue) expectedWait(ticket Ticket) time.Duration {
 	before := q.service // until the first of the slots is free
 	for _, other := range q.waiting {
-		if other.goesBefore(ticket.Priority, due) {
+		if other.ticket.goesBefore(ticket) {
 			before += q.expected(other.ticket)
 		}
 	}
--- a/internal/dataplane/queue/queue_test.go
+++ b/internal/dataplane/queue/queue_test.go
@@ -12,7 +12,8 @@
 )
 
 func ticket(priority int, maxWait time.Duration) queue.Ticket {
-	return queue.Ticket{Priority: priority, LatestStart: time.Now().Add(time.Hour), MaxWait: maxWait}
+	now := time.Now()
+	return queue.Ticket{Priority: priority, Due: now.Add(maxWait), LatestStart: now.Add(time.Hour), MaxWait: maxWait}
 }
 
 // take gets the only slot.
@@ -65,6 +66,34 @@
 	})
 }
 
+// TestShortBeforeLong: a short request goes before a long one that is due a little
+// earlier, and after one that is due long before.
+func TestShortBeforeLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := queue.New(1)
+		held := take(c, q)
+		order := make(chan string, 3)
+		enqueue := func(name string, due, expected time.Duration) {
+			wanted := ticket(1, time.Hour)
+			wanted.Due, wanted.Expected = time.Now().Add(due), expected
+			go func() {
+				slot, _, _ := q.Acquire(context.Background(), wanted)
+				order <- name
+				slot.Release(true)
+			}()
+			synctest.Wait()
+		}
+		enqueue("long", 100*time.Millisecond, 200*time.Millisecond)
+		enqueue("long, due before", -time.Second, 200*time.Millisecond)
+		enqueue("short", 150*time.Millisecond, 20*time.Millisecond)
+		held.Release(true)
+		for _, want := range []string{"long, due before", "short", "long"} {
+			c.Check(<-order, qt.Equals, want)
+		}
+	})
+}
+
 // TestWaitEndsInTime: a request that waited as long as it may is refused at once,
 // however long more urgent ones go on.
 func TestWaitEndsInTime(t *testing.T) {
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -14,17 +14,23 @@
 // waiter is a request in the queue.
 type waiter struct {
 	ticket  Ticket
-	due     time.Time    // when its wait must end
 	granted chan verdict // takes one without blocking
 	index   int
 }
 
-// goesBefore reports whether the waiter goes before one of that rank and time.
-func (w *waiter) goesBefore(priority int, due time.Time) bool {
-	if w.ticket.Priority != priority {
-		return w.ticket.Priority < priority
+// lengthWeight is how much later a request goes for each unit of time that it
+// takes of the instance: many short requests are served in the time of a long one.
+const lengthWeight = 4
+
+// turn is when the request's turn is among those of its priority.
+func (t Ticket) turn() time.Time { return t.Due.Add(lengthWeight * t.Expected) }
+
+// goesBefore reports whether the request goes before another.
+func (t Ticket) goesBefore(other Ticket) bool {
+	if t.Priority != other.Priority {
+		return t.Priority < other.Priority
 	}
-	return w.due.Before(due)
+	return t.turn().Before(other.turn())
 }
 
 // waiters is a heap: the most urgent first, then the one that is due first.
@@ -35,7 +41,7 @@
 
 // Less implements heap.Interface.
 func (w waiters) Less(i, j int) bool {
-	return w[i].goesBefore(w[j].ticket.Priority, w[j].due)
+	return w[i].ticket.goesBefore(w[j].ticket)
 }
 
 // Swap implements heap.Interface.
