--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -128,14 +128,9 @@
 	Registerer prometheus.Registerer
 }
 
-const (
-	// defaultIdleTimeout is how long callers' connections rest when the
-	// configuration names no time.
-	defaultIdleTimeout = 60 * time.Second
-	// drainNotice is how long a planned stop goes on taking requests of callers,
-	// until those who send them know.
-	drainNotice = 2800 * time.Millisecond
-)
+// defaultIdleTimeout is how long callers' connections rest when the configuration
+// names no time.
+const defaultIdleTimeout = 60 * time.Second
 
 // newDataplane returns nil unless the platform is a store.
 func newDataplane(inputs dataplaneInputs) (*dataplane.Node, error) {
@@ -163,7 +158,7 @@
 			HeaderTimeout:  configured.Outbound.HeaderTimeout,
 			IdleTimeout:    defaultIdleTimeout,
 		},
-		DrainNotice: drainNotice,
+		DrainNotice: configured.Inbound.DrainNotice,
 		Logger:      inputs.Logger,
 		Registerer:  inputs.Registerer,
 	})
--- /dev/null
+++ b/internal/app/store_test.go
@@ -0,0 +1,381 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/emulator/instance"
+	"github.com/winchhead/winchhead/internal/emulator/store"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/settings"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// storeRig is an emulated store with nodes in this process, each beside an emulated
+// instance. The machines have loopback addresses of their own and the same ports.
+type storeRig struct {
+	c                             *qt.C
+	store                         *store.Store
+	url                           string
+	outbound, inbound, peers, app int // ports
+	machines                      []*machine
+}
+
+// machine is one node and the instance beside it.
+type machine struct {
+	ip       string
+	service  string
+	instance *instance.Instance
+	node     *App
+	stop     func() error
+}
+
+// blocks hands each rig loopback addresses that no other one uses.
+var blocks atomic.Int64
+
+// configurationOf has a route for requests that may be repeated and one for others.
+const configurationOf = `{"version":%d,"services":[{"name":"front"},{"name":"data"}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":60000,"idleTimeoutMs":60000},
+ "virtualHosts":[{"host":"h.example","paths":[
+  {"name":"read","pathPrefix":"/read/","kind":"safe","timeoutMs":30000,"targetLatencyMs":20000,"priority":1,"service":"data","maxAttempts":2},
+  {"name":"write","pathPrefix":"/write/","kind":"unsafe","timeoutMs":30000,"targetLatencyMs":20000,"priority":1,"service":"data","maxAttempts":2}%s]}]}`
+
+// newStoreRig starts a machine for each service named. configure may change an
+// emulated instance before it starts.
+func newStoreRig(t *testing.T, services []string, configure func(index int, emulated *instance.Instance)) *storeRig {
+	c := qt.New(t)
+	r := &storeRig{c: c, store: store.New()}
+	server := httptest.NewServer(r.store)
+	c.Cleanup(server.Close)
+	r.url = server.URL
+	for _, port := range []*int{&r.outbound, &r.inbound, &r.peers, &r.app} {
+		*port = freePort(c)
+	}
+	r.store.Put("op/config", fmt.Appendf(nil, configurationOf, 1, ""))
+	block := blocks.Add(1)
+	for i, service := range services {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+block%250, i+1)
+		emulated := &instance.Instance{Name: fmt.Sprintf("i-%d", i), Address: fmt.Sprintf("%s:%d", ip, r.app)}
+		if configure != nil {
+			configure(i, emulated)
+		}
+		_, err := emulated.Start()
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(emulated.Close)
+		r.machines = append(r.machines, &machine{ip: ip, service: service, instance: emulated})
+		r.put(i, "ready")
+	}
+	return r
+}
+
+func freePort(c *qt.C) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// put writes the entry of an instance and returns its revision.
+func (r *storeRig) put(index int, state string) snapshot.Revision {
+	m := r.machines[index]
+	return snapshot.Revision(r.store.Put("servers/"+m.instance.Name, fmt.Appendf(nil,
+		`{"address":"%s:%d","info":{"service":%q,"zone":"z","slots":4},"status":{"state":%q,"sequence":1}}`, m.ip, r.app, m.service, state)))
+}
+
+// start runs the node of a machine, which reads the store at the URL.
+func (r *storeRig) start(index int, url string) {
+	m := r.machines[index]
+	configured := settings.Defaults()
+	configured.Node = settings.Node{Name: m.ip, Region: "r", Zone: "z"}
+	configured.Platform.Kind, configured.Platform.URL = settings.PlatformStore, url
+	configured.Platform.Timeout = time.Minute
+	configured.Peers.Listen = fmt.Sprintf("%s:%d", m.ip, r.peers)
+	configured.Outbound.Listen = fmt.Sprintf("%s:%d", m.ip, r.outbound)
+	configured.Inbound.Listen = fmt.Sprintf("%s:%d", m.ip, r.inbound)
+	configured.Inbound.Service, configured.Inbound.Backend = m.service, fmt.Sprintf("%s:%d", m.ip, r.app)
+	configured.Inbound.DrainNotice = 0
+	configured.Admin.Listen = "127.0.0.1:0"
+	var logger logrus.FieldLogger = logging.Discard()
+	node, err := New(configured, Options{Logger: logger})
+	r.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	stopped := false
+	m.node = node
+	m.stop = func() error {
+		if stopped {
+			return nil
+		}
+		stopped = true
+		cancel()
+		return <-ended
+	}
+	r.c.Cleanup(func() { r.c.Check(m.stop(), qt.IsNil) })
+}
+
+// startAll runs all nodes and waits until each is ready.
+func (r *storeRig) startAll() {
+	for i := range r.machines {
+		r.start(i, r.url)
+	}
+	for _, m := range r.machines {
+		<-m.node.Ready()
+	}
+}
+
+// await waits until every running node holds the revision.
+func (r *storeRig) await(revision snapshot.Revision) {
+	for _, m := range r.machines {
+		if m.node == nil {
+			continue
+		}
+		changes, cancel := m.node.parts.Applier.Subscribe()
+		for current := m.node.Current(); current == nil || current.Version().Revision < revision; current = m.node.Current() {
+			<-changes
+		}
+		cancel()
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// ask sends a request to the node of a machine.
+func (r *storeRig) ask(index int, method, path, id string, fields ...string) answer {
+	r.c.Helper()
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", r.machines[index].ip, r.outbound, path), nil)
+	r.c.Assert(err, qt.IsNil)
+	request.Host = "h.example"
+	request.Close = true
+	request.Header.Set(instance.HeaderID, id)
+	request.Header.Set(instance.HeaderDeadline, "60000")
+	for i := 0; i+1 < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	r.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	r.c.Assert(err, qt.IsNil)
+	return answer{response.StatusCode, response.Header, string(body)}
+}
+
+// runs returns what ran with that id, on all instances.
+func (r *storeRig) runs(id string) (found []instance.Run) {
+	for _, m := range r.machines {
+		for _, run := range m.instance.Runs() {
+			if run.ID == id {
+				found = append(found, run)
+			}
+		}
+	}
+	return found
+}
+
+// TestStoreServesThroughTwoNodes: what an instance gets is what the caller sent,
+// and what only the system may say is the system's.
+func TestStoreServesThroughTwoNodes(t *testing.T) {
+	r := newStoreRig(t, []string{"front", "data"}, nil)
+	r.startAll()
+	got := r.ask(0, http.MethodGet, "/read/a%2Fb?q=1", "request-1",
+		instance.HeaderCaller, "forged", instance.HeaderExpect, "forged", "Winchhead-Hop", "forged")
+	r.c.Assert(got.status, qt.Equals, http.StatusOK)
+	r.c.Check(got.body, qt.Equals, instance.Body("request-1"))
+	r.c.Check(got.header.Get(instance.HeaderStamp), qt.Equals, "i-1")
+	r.c.Check(got.header.Get("Winchhead-Hop"), qt.Equals, "")
+	runs := r.runs("request-1")
+	r.c.Assert(runs, qt.HasLen, 1)
+	r.c.Check(runs[0].Target, qt.Equals, "/read/a%2Fb?q=1")
+	r.c.Check(runs[0].Caller, qt.Equals, "front")
+	r.c.Check(runs[0].Expected, qt.Equals, "i-1")
+	r.c.Check(runs[0].DeadlineMillis > 0 && runs[0].DeadlineMillis <= 30000, qt.IsTrue)
+	r.c.Check(r.ask(0, http.MethodGet, "/read", "request-2").status, qt.Equals, http.StatusNotFound)
+	r.c.Check(r.ask(0, http.MethodGet, "/read/", "request-3", instance.HeaderDeadline, "soon").status, qt.Equals, http.StatusBadRequest)
+}
+
+// TestStoreFaultsOfInstances: the first instance asked spoils its answer. A request
+// that may not be repeated runs once at most, and 503 says that it did not run.
+func TestStoreFaultsOfInstances(t *testing.T) {
+	rows := map[string]struct {
+		fault               instance.Fault
+		read, write         int // statuses
+		readRuns, writeRuns int
+	}{
+		"none":                       {instance.None, 200, 200, 1, 1},
+		"lost":                       {instance.Lost, 200, 502, 2, 1},
+		"lost with a reset":          {instance.LostReset, 200, 502, 2, 1},
+		"cut":                        {instance.Cut, 200, 502, 2, 1},
+		"without a length":           {instance.Unframed, 200, 200, 1, 1},
+		"without a length and reset": {instance.UnframedReset, 200, 502, 2, 1},
+		"a second answer":            {instance.Extra, 200, 200, 1, 1},
+		"another's answer":           {instance.Late, 200, 200, 1, 1},
+		"no answer":                  {instance.Garbage, 200, 502, 2, 1},
+		"without its mark":           {instance.NoStamp, 200, 502, 2, 1},
+		"rejected":                   {instance.Reject, 200, 200, 1, 1},
+		"another instance":           {instance.OtherInstance, 200, 200, 1, 1},
+		"fails":                      {instance.Fails, 200, 500, 2, 1},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			var first [2]atomic.Bool
+			r := newStoreRig(t, []string{"front", "data", "data"}, func(_ int, emulated *instance.Instance) {
+				emulated.Plan = func(id string) instance.Fault {
+					which := &first[0]
+					if id == "write" {
+						which = &first[1]
+					}
+					if which.CompareAndSwap(false, true) {
+						return row.fault
+					}
+					return instance.None
+				}
+			})
+			r.startAll()
+			got := r.ask(0, http.MethodGet, "/read/x", "read")
+			r.c.Check(got.status, qt.Equals, row.read)
+			r.c.Check(got.body, qt.Equals, instance.Body("read"))
+			r.c.Check(r.runs("read"), qt.HasLen, row.readRuns)
+			got = r.ask(0, http.MethodPost, "/write/x", "write")
+			r.c.Check(got.status, qt.Equals, row.write)
+			r.c.Check(r.runs("write"), qt.HasLen, row.writeRuns)
+		})
+	}
+}
+
+// TestStoreDrain: a draining or gone instance gets no request once its node knows.
+func TestStoreDrain(t *testing.T) {
+	rows := map[string]func(r *storeRig) snapshot.Revision{
+		"draining": func(r *storeRig) snapshot.Revision { return r.put(1, "draining") },
+		"gone":     func(r *storeRig) snapshot.Revision { return snapshot.Revision(r.store.Delete("servers/i-1")) },
+	}
+	for name, leave := range rows {
+		t.Run(name, func(t *testing.T) {
+			r := newStoreRig(t, []string{"front", "data", "data"}, nil)
+			r.startAll()
+			r.await(leave(r))
+			for i := range 8 {
+				got := r.ask(i%3, http.MethodGet, "/read/x", fmt.Sprintf("request-%d", i))
+				r.c.Check(got.header.Get(instance.HeaderStamp), qt.Equals, "i-2")
+			}
+			r.c.Check(r.machines[1].instance.Runs(), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestStoreRefusesOneNode: a node that the store never answers learns everything
+// from its peers, the first configuration and later changes.
+func TestStoreRefusesOneNode(t *testing.T) {
+	r := newStoreRig(t, []string{"front", "data", "data"}, nil)
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	r.c.Cleanup(refusing.Close)
+	r.start(0, refusing.URL)
+	r.start(1, r.url)
+	r.start(2, r.url)
+	for _, m := range r.machines {
+		<-m.node.Ready()
+	}
+	r.c.Check(r.ask(0, http.MethodGet, "/read/x", "request-1").status, qt.Equals, http.StatusOK)
+	added := `,{"name":"added","pathPrefix":"/added/","kind":"safe","timeoutMs":30000,"targetLatencyMs":20000,"priority":1,"service":"data","maxAttempts":2}`
+	r.await(snapshot.Revision(r.store.Put("op/config", fmt.Appendf(nil, configurationOf, 2, added))))
+	r.c.Check(r.ask(0, http.MethodGet, "/added/x", "request-2").status, qt.Equals, http.StatusOK)
+}
+
+// TestStorePlannedStop: a request in progress gets its answer while its node stops,
+// and another node's requests go on to the instance that stays.
+func TestStorePlannedStop(t *testing.T) {
+	began, goOn := make(chan struct{}), make(chan struct{})
+	r := newStoreRig(t, []string{"front", "data"}, func(_ int, emulated *instance.Instance) {
+		emulated.Work = func(id string, _ <-chan struct{}) {
+			if id == "slow" {
+				close(began)
+				<-goOn
+			}
+		}
+	})
+	r.startAll()
+	answered := make(chan answer)
+	go func() { answered <- r.ask(0, http.MethodPost, "/write/x", "slow") }()
+	<-began
+	ended := make(chan error)
+	go func() { ended <- r.machines[0].stop() }()
+	<-r.machines[0].node.ready.leaving
+	close(goOn)
+	got := <-answered
+	r.c.Check(got.status, qt.Equals, http.StatusOK)
+	r.c.Check(<-ended, qt.IsNil)
+	r.c.Check(r.runs("slow"), qt.HasLen, 1)
+}
+
+// TestStoreCallerLeaves: the close of a caller's connection reaches the instance
+// through both nodes.
+func TestStoreCallerLeaves(t *testing.T) {
+	began, left := make(chan struct{}), make(chan struct{})
+	r := newStoreRig(t, []string{"front", "data"}, func(_ int, emulated *instance.Instance) {
+		emulated.Work = func(_ string, gone <-chan struct{}) {
+			close(began)
+			<-gone
+			close(left)
+		}
+	})
+	r.startAll()
+	conn, err := net.Dial("tcp", r.machines[0].node.Addresses().Outbound)
+	r.c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: h.example\r\n"+instance.HeaderID+": r\r\n\r\n")
+	r.c.Assert(err, qt.IsNil)
+	<-began
+	r.c.Assert(conn.Close(), qt.IsNil)
+	<-left
+}
+
+// TestStorePipelined: requests sent one behind the other run at once and are
+// answered in order.
+func TestStorePipelined(t *testing.T) {
+	var running atomic.Int64
+	all := make(chan struct{})
+	r := newStoreRig(t, []string{"front", "data"}, func(_ int, emulated *instance.Instance) {
+		emulated.Work = func(string, <-chan struct{}) {
+			if running.Add(1) == 3 {
+				close(all)
+			}
+			<-all
+		}
+	})
+	r.startAll()
+	conn, err := net.Dial("tcp", r.machines[0].node.Addresses().Outbound)
+	r.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	var text strings.Builder
+	for i := range 3 {
+		fmt.Fprintf(&text, "GET /read/x HTTP/1.1\r\nHost: h.example\r\n%s: r-%d\r\n\r\n", instance.HeaderID, i)
+	}
+	_, err = io.WriteString(conn, text.String())
+	r.c.Assert(err, qt.IsNil)
+	reader := bufio.NewReader(conn)
+	for i := range 3 {
+		response, err := http.ReadResponse(reader, nil)
+		r.c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(string(body), qt.Equals, instance.Body(fmt.Sprintf("r-%d", i)))
+	}
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -74,6 +74,8 @@
 type Instance struct {
 	// Name is its id.
 	Name string
+	// Address is where it listens (IP:port); empty: any port of loopback.
+	Address string
 	// Plan returns the fault for a request; nil: none.
 	Plan func(id string) Fault
 	// Work is called while a request runs; it returns early when the channel
@@ -88,9 +90,13 @@
 	conns    map[net.Conn]struct{}
 }
 
-// Start listens on loopback and returns the address.
+// Start listens and returns the address.
 func (i *Instance) Start() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address := i.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", err
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -33,6 +33,7 @@
 			MaxQueued:      40,
 			HealthInterval: time.Second,
 			DrainGrace:     30 * time.Second,
+			DrainNotice:    2800 * time.Millisecond,
 			RepeatMemory:   2 * time.Minute,
 			RepeatReplicas: 5,
 		},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,6 +100,9 @@
 	HealthInterval time.Duration `yaml:"health_interval" validate:"gt=0" help:"time between two reads of the reports"`
 	// DrainGrace is how long a planned stop waits for requests in progress.
 	DrainGrace time.Duration `yaml:"drain_grace" validate:"gt=0" help:"how long a planned stop waits for requests in progress"`
+	// DrainNotice is how long a planned stop still takes requests, until those who
+	// send them know of it.
+	DrainNotice time.Duration `yaml:"drain_notice" validate:"min=0" help:"how long a planned stop still takes requests, until those who send them know (store)"`
 	// RepeatMemory is how long an Idempotency-Key is remembered.
 	RepeatMemory time.Duration `yaml:"repeat_memory" validate:"gt=0" help:"how long an Idempotency-Key is remembered"`
 	// RepeatReplicas is how many nodes remember each Idempotency-Key; 0 leaves it
