End a planned stop only when its last connection is closed

Change: after it was quiet, the listeners close first, then idle connections, until none is open on which a request may come; hop answers close their connections once hops are refused. The test fails without the change.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -169,17 +169,19 @@
 		return err
 	}
 	n.outbound.Drain(end)
+	n.nodes.Drain()
 	n.callers.CloseIdle()
 	quiet, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	if err := n.awaitQuiet(quiet); err != nil {
+	err := n.awaitQuiet(quiet)
+	if err == nil {
+		err = n.awaitClosed(quiet)
+	}
+	if err != nil {
 		n.outbound.Stop()
 		_ = wait.For(ctx, lastAnswers/2)
-		return err
 	}
-	n.callers.StopListening()
-	n.callers.CloseIdle()
-	return nil
+	return err
 }
 
 // awaitQuiet returns once nothing was in progress for quietTime.
@@ -195,6 +197,28 @@
 	return nil
 }
 
+// awaitClosed takes no more connections and returns once the last one is closed: a
+// request that came at the last moment is still answered.
+func (n *Node) awaitClosed(ctx context.Context) error {
+	servers := []*server.Server{n.callers, n.nodes}
+	for _, each := range servers {
+		each.StopListening()
+	}
+	for {
+		open := 0
+		for _, each := range servers {
+			each.CloseIdle()
+			open += each.Connections()
+		}
+		if open == 0 {
+			return nil
+		}
+		if err := wait.For(ctx, quietCheck); err != nil {
+			return err
+		}
+	}
+}
+
 // Active counts the requests in progress, those of callers and of nodes.
 func (n *Node) Active() int { return n.callers.Active() + n.nodes.Active() }
 
--- /dev/null
+++ b/internal/dataplane/dataplane_test.go
@@ -0,0 +1,119 @@
+package dataplane_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane"
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/emulator/instance"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// fixed is one snapshot.
+type fixed struct{ snapshot *snapshot.Snapshot }
+
+// Current returns the snapshot.
+func (f fixed) Current() *snapshot.Snapshot { return f.snapshot }
+
+// startNode runs a data plane beside an emulated instance and returns the address
+// for callers.
+func startNode(c *qt.C) (node *dataplane.Node, callers string) {
+	emulated := &instance.Instance{Name: "i-1"}
+	backend, err := emulated.Start()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(emulated.Close)
+	document, err := snapshot.NewDocument(snapshot.Content{Revision: 1})
+	c.Assert(err, qt.IsNil)
+	routes := []snapshot.Route{snapshot.TypedRoute{
+		Name: "r", Host: "h.example", PathPrefix: "/", Repeatable: true, TimeoutMillis: 10000, TargetLatencyMillis: 5000,
+		MaxAttempts: 2, Targets: []snapshot.WeightedService{{Service: "data", Weight: 1}},
+	}.Compile()}
+	built, err := snapshot.New(document.Version(), routes, []snapshot.Service{{Name: "data"}}, nil)
+	c.Assert(err, qt.IsNil)
+	built = built.WithFleet(document.Version(), []snapshot.Instance{
+		{Name: "i-1", Service: "data", Address: backend, Slots: 4, State: snapshot.InstanceReady},
+	}, nil)
+	node, err = dataplane.New(dataplane.Options{
+		Names:     message.Names{RequestID: instance.HeaderID, ExpectInstance: instance.HeaderExpect, Stamp: instance.HeaderStamp},
+		Snapshots: fixed{built}, Service: "data", Backend: backend, Slots: 4,
+		Budget: budget.Options{Ratio: 1, Slack: 10, Window: time.Second},
+		Limits: server.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
+		Logger: logging.Discard(),
+	})
+	c.Assert(err, qt.IsNil)
+	outbound, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	inbound, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx, outbound, inbound) }()
+	c.Cleanup(func() {
+		node.Close()
+		cancel()
+		c.Check(<-ended, qt.IsNil)
+	})
+	return node, outbound.Addr().String()
+}
+
+// TestStopAnswersWhatComesLast: a request of which the first part came before the
+// listener closed gets an answer before the stop ends. Found by a hunt (hunt-acfe-7):
+// the connection was closed while the instance worked.
+func TestStopAnswersWhatComesLast(t *testing.T) {
+	c := qt.New(t)
+	node, callers := startNode(c)
+	conn, err := net.Dial("tcp", callers)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	send := func(text string) {
+		_, err := io.WriteString(conn, text)
+		c.Assert(err, qt.IsNil)
+	}
+	request := "GET /x HTTP/1.1\r\nHost: h.example\r\n" + instance.HeaderID + ": %s\r\n\r\n"
+	first := fmt.Sprintf(request, "first")
+	send(first + first[:20]) // the answer to the first shows that the second is being read
+	response, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+
+	stopped := make(chan error, 1)
+	go func() {
+		err := node.Drain(context.Background())
+		node.Close()
+		stopped <- err
+	}()
+	for { // until the listener is closed
+		probe, err := net.Dial("tcp", callers)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+		if err == nil {
+			_ = probe.Close()
+		}
+	}
+	send(first[20:])
+	response, err = http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	// The only instance is beside the node that stops: the answer says so.
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Check(<-stopped, qt.IsNil)
+}
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// isOpen reports whether a request may still be answered on the connection; it is
+// not when only the sender's close is awaited.
+func (c *connection) isOpen() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.closing || c.pending > 0
+}
+
 // beginReading notes that the first byte of a request has come.
 func (c *connection) beginReading() bool {
 	c.mutex.Lock()
@@ -137,7 +145,7 @@
 	defer c.mutex.Unlock()
 	c.pending--
 	c.server.active.Add(-1)
-	if c.pending == 0 && !c.reading {
+	if c.pending == 0 && !c.reading && !c.closing {
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	}
 }
--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -77,7 +78,7 @@
 			s.start(conn)
 			continue
 		}
-		if s.isClosed() {
+		if s.isClosed() || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if !isTemporary(err) {
@@ -120,6 +121,19 @@
 // Active counts the requests that were read and have not been answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// Connections counts those on which a request may still be answered.
+func (s *Server) Connections() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	open := 0
+	for conn := range s.connections {
+		if conn.isOpen() {
+			open++
+		}
+	}
+	return open
+}
+
 // CloseIdle closes the connections on which no request waits.
 func (s *Server) CloseIdle() {
 	s.mutex.Lock()
