Send nothing to an instance whose address another one has

Change: of two instances at one address the one created later has it; a node whose instance says 421 refuses that name itself for 10 s; a rejection counts for the fleet's budget and not as an attempt that ran.

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,7 @@
 	queue    *queue.Queue
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
+	ended    endedInstances
 	active   atomic.Int64
 	lines    *boundedlog.Lines
 }
@@ -224,7 +226,7 @@
 		return hop.ReasonNone // the sender knows more; the instance itself checks its name
 	case !listed, instance.State == snapshot.InstanceDraining:
 		return hop.ReasonDraining
-	case instance.Address != p.options.Backend:
+	case instance.Address != p.options.Backend, !current.HoldsAddress(order.Instance), p.ended.has(order.Instance):
 		return hop.ReasonWrongInstance
 	}
 	p.follow(instance.Slots)
@@ -265,6 +267,9 @@
 		_ = response.Close()
 		cancel()
 		slot.Release(false)
+		if reason == hop.ReasonWrongInstance {
+			p.ended.add(order.Instance)
+		}
 		return Delivery{Report: p.report(hop.Rejected, reason)}
 	}
 	if p.options.Names.Stamp != "" && len(response.Header[p.options.Names.Stamp]) != 1 && response.Status < http.StatusMultipleChoices {
@@ -383,3 +388,33 @@
 	s.slot.Release(true)
 	return err
 }
+
+// endedInstances remembers for a while which instances turned out not to have the
+// address under which they are listed.
+type endedInstances struct {
+	mutex sync.Mutex
+	names map[string]time.Time // since when
+}
+
+const (
+	// maxEnded bounds the names that are remembered.
+	maxEnded = 1000
+	// endedMemory is longer than the list names an instance that ended.
+	endedMemory = 10 * time.Second
+)
+
+func (e *endedInstances) add(name string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.names == nil || len(e.names) >= maxEnded {
+		e.names = make(map[string]time.Time)
+	}
+	e.names[name] = time.Now()
+}
+
+func (e *endedInstances) has(name string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	since, ended := e.names[name]
+	return ended && time.Since(since) < endedMemory
+}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -52,7 +52,7 @@
 
 	// tried are the instances that are not asked again.
 	tried map[string]bool
-	// reached counts the sends that an instance got or may have got.
+	// reached counts the instances that ran the request or may have run it.
 	reached int
 	tries   int
 	// wait is the shortest wait that a refusal named; reason that of the last one.
@@ -228,9 +228,8 @@
 			return e.refuse(), true
 		}
 		return nil, false
-	case hop.Rejected:
+	case hop.Rejected: // it did not run, but it came to an instance
 		e.notRun(sent)
-		e.reached++
 		if !e.mayReachAgain() {
 			return e.refuse(), true
 		}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -86,6 +86,7 @@
 	mutex    sync.Mutex
 	runs     []Run
 	accepted int
+	rejected int
 	serving  sync.WaitGroup
 	conns    map[net.Conn]struct{}
 }
@@ -123,6 +124,13 @@
 	return append([]Run(nil), i.runs...)
 }
 
+// Rejections returns how many requests were meant for another instance.
+func (i *Instance) Rejections() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.rejected
+}
+
 // Accepted returns how many connections came.
 func (i *Instance) Accepted() int {
 	i.mutex.Lock()
@@ -172,6 +180,9 @@
 	}
 	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != i.Name || fault == OtherInstance {
 		_, _ = io.Copy(io.Discard, request.Body)
+		i.mutex.Lock()
+		i.rejected++
+		i.mutex.Unlock()
 		return send(conn, "421 Misdirected Request", id, "", "")
 	}
 	switch fault {
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -6,7 +6,7 @@
 // instances stay the same.
 type fleet struct {
 	byService map[string][]Instance
-	byAddress map[string][]Instance
+	byAddress map[string]Instance // the one created last
 	byName    map[string]Instance
 	limits    *CallerLimits
 }
@@ -14,14 +14,20 @@
 func newFleet(instances []Instance, limits *CallerLimits) fleet {
 	built := fleet{
 		byService: make(map[string][]Instance),
-		byAddress: make(map[string][]Instance, len(instances)),
+		byAddress: make(map[string]Instance, len(instances)),
 		byName:    make(map[string]Instance, len(instances)),
 		limits:    limits,
 	}
 	for _, instance := range instances {
-		built.byService[instance.Service] = append(built.byService[instance.Service], instance)
-		built.byAddress[instance.Address] = append(built.byAddress[instance.Address], instance)
+		if holder, taken := built.byAddress[instance.Address]; !taken || holder.Created < instance.Created {
+			built.byAddress[instance.Address] = instance
+		}
+	}
+	for _, instance := range instances {
 		built.byName[instance.Name] = instance
+		if built.byAddress[instance.Address].Name == instance.Name {
+			built.byService[instance.Service] = append(built.byService[instance.Service], instance)
+		}
 	}
 	return built
 }
@@ -36,12 +42,16 @@
 }
 
 // Instances returns the instances of a service, draining ones included, sorted by
-// name. The caller must not change the slice.
+// name. An instance whose address a later one has is gone, though it is listed. The
+// caller must not change the slice.
 func (s *Snapshot) Instances(service string) []Instance { return s.fleet.byService[service] }
 
-// InstancesAt returns the instances that are listed at an address. There are two
-// while the address changes hands.
-func (s *Snapshot) InstancesAt(address string) []Instance { return s.fleet.byAddress[address] }
+// HoldsAddress reports whether the instance of that name is listed and the last one
+// that was created at its address.
+func (s *Snapshot) HoldsAddress(name string) bool {
+	instance, listed := s.fleet.byName[name]
+	return listed && s.fleet.byAddress[instance.Address].Name == name
+}
 
 // Instance returns the instance of that name, if it is listed.
 func (s *Snapshot) Instance(name string) (Instance, bool) {
--- /dev/null
+++ b/internal/snapshot/fleet_test.go
@@ -0,0 +1,34 @@
+package snapshot_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// TestLaterInstanceHasTheAddress: after a loss of power the list names the ended
+// instance for a while beside the one that took its address, perhaps for another
+// service. Found by an incident (inc-e71d): requests went to the ended one.
+func TestLaterInstanceHasTheAddress(t *testing.T) {
+	c := qt.New(t)
+	instances := []snapshot.Instance{
+		{Name: "i-late", Service: "b", Address: "10.0.0.1:80", State: snapshot.InstanceReady, Created: 9},
+		{Name: "i-early", Service: "a", Address: "10.0.0.1:80", State: snapshot.InstanceReady, Created: 4},
+		{Name: "i-other", Service: "a", Address: "10.0.0.2:80", State: snapshot.InstanceReady, Created: 5},
+	}
+	document, err := snapshot.NewDocument(snapshot.Content{Revision: 9, Instances: instances})
+	c.Assert(err, qt.IsNil)
+	empty, err := snapshot.New(document.Version(), nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	current := empty.WithFleet(document.Version(), document.Content().Instances, nil)
+
+	c.Check(current.Instances("a"), qt.DeepEquals, []snapshot.Instance{instances[2]})
+	c.Check(current.Instances("b"), qt.DeepEquals, []snapshot.Instance{instances[0]})
+	c.Check(current.HoldsAddress("i-late"), qt.IsTrue)
+	c.Check(current.HoldsAddress("i-early"), qt.IsFalse)
+	c.Check(current.HoldsAddress("i-unknown"), qt.IsFalse)
+	_, listed := current.Instance("i-early")
+	c.Check(listed, qt.IsTrue)
+}
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -49,6 +49,9 @@
 	Zone    string    `json:"zone,omitempty"`
 	Slots   int       `json:"slots,omitempty"`
 	State   Lifecycle `json:"state"`
+	// Created is the revision at which the instance was first listed. Of two
+	// instances at one address, the one created later has it.
+	Created Revision `json:"created,omitempty"`
 	// WarmUpMillis is how long the instance stays slow from its entry on.
 	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
 }
