--- a/internal/app/store_test.go
+++ b/internal/app/store_test.go
@@ -232,7 +232,7 @@
 		"rejected":                   {instance.Reject, 200, 200, 1, 1},
 		// Both addresses turn out to have another instance, one with each request.
 		"another instance": {instance.OtherInstance, 200, 503, 1, 0},
-		"fails":                      {instance.Fails, 200, 500, 2, 1},
+		"fails":            {instance.Fails, 200, 500, 2, 1},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
