--- a/internal/dataplane/outbound/nodes.go
+++ b/internal/dataplane/outbound/nodes.go
@@ -119,7 +119,19 @@
 	if errors.As(err, &failure) && failure.Progress != client.SentWhole {
 		return result{report: hop.Report{Outcome: hop.Refused, Reason: hop.ReasonConnect}, err: err}
 	}
-	return result{report: hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonBroken}, err: err}
+	return result{report: hop.Report{Outcome: hop.Unknown, Reason: reasonOf(err)}, err: err}
+}
+
+// reasonOf tells an exchange that ended here from one that the other side broke.
+func reasonOf(err error) hop.Reason {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return hop.ReasonDeadline
+	case errors.Is(err, context.Canceled):
+		return hop.ReasonCancelled
+	default:
+		return hop.ReasonBroken
+	}
 }
 
 // takeAnswer holds a short answer until it is whole and passes others on.
