--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -91,9 +91,20 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
 // HTTPServer returns an http.Server with the limits of the operators' HTTP.
-func (s *Server) HTTPServer() *http.Server {
+func (s *Server) HTTPServer() *http.Server { return limited(s) }
+
+// MetricsServer returns an http.Server that serves the metrics alone, for networks
+// on which nothing else of the operators' HTTP may be read.
+func (s *Server) MetricsServer() *http.Server {
+	router := chi.NewRouter()
+	router.Use(middleware.Throttle(maxRequests))
+	router.Method(http.MethodGet, pathMetrics, promhttp.HandlerFor(s.options.Gatherer, promhttp.HandlerOpts{}))
+	return limited(router)
+}
+
+func limited(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           s,
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -8,13 +8,14 @@
 	"github.com/winchhead/winchhead/internal/settings"
 )
 
-// listeners are the open ports of a node. Outbound and Inbound are nil when the
-// settings turn them off.
+// listeners are the open ports of a node. Those that the settings turn off are nil:
+// outbound, inbound and metrics.
 type listeners struct {
 	peers    net.Listener
 	outbound net.Listener
 	inbound  net.Listener
 	admin    net.Listener
+	metrics  net.Listener
 }
 
 // openListeners opens all ports that the settings name, or none.
@@ -28,6 +29,7 @@
 		{"outbound.listen", configured.Outbound.Listen, &opened.outbound},
 		{"inbound.listen", inboundAddress(configured), &opened.inbound},
 		{"admin.listen", configured.Admin.Listen, &opened.admin},
+		{"admin.metrics_listen", configured.Admin.MetricsListen, &opened.metrics},
 	}
 	for _, want := range wanted {
 		if want.address == "" {
@@ -52,7 +54,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.peers, l.outbound, l.inbound, l.admin} {
+	for _, listener := range []net.Listener{l.peers, l.outbound, l.inbound, l.admin, l.metrics} {
 		if listener != nil {
 			_ = listener.Close() // a listener that is closed already is fine
 		}
--- a/internal/app/page_test.go
+++ b/internal/app/page_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -35,3 +36,26 @@
 		c.Check(strings.Contains(string(page), "| `"+string(reason)+"` |"), qt.IsTrue, qt.Commentf("the page lacks: %s", reason))
 	}
 }
+
+// TestOperationsPageListsMetricsOfTheDataPlane does the same for a node whose
+// platform is a store.
+func TestOperationsPageListsMetricsOfTheDataPlane(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	c.Assert(err, qt.IsNil)
+	r := newStoreRig(t, []string{"data"}, nil)
+	registry := prometheus.NewRegistry()
+	node, err := New(r.settings(0, r.url), Options{Logger: logging.Discard(), Registry: registry})
+	c.Assert(err, qt.IsNil)
+	defer node.Close()
+	descriptions := make(chan *prometheus.Desc, 1000)
+	registry.Describe(descriptions)
+	close(descriptions)
+	listed := regexp.MustCompile(`fqName: "([^"]+)", help: "([^"]+)"`)
+	for description := range descriptions {
+		parts := listed.FindStringSubmatch(description.String())
+		c.Assert(parts, qt.HasLen, 3)
+		row := "| `" + parts[1] + "` | " + parts[2] + " |"
+		c.Check(strings.Contains(string(page), row), qt.IsTrue, qt.Commentf("the page lacks: %s", row))
+	}
+}
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -61,6 +61,11 @@
 			return serve(ctx, a.parts.Admin.HTTPServer(), a.listeners.admin)
 		}},
 	}
+	if a.listeners.metrics != nil {
+		tasks = append(tasks, task{"metrics", func(ctx context.Context) error {
+			return serve(ctx, a.parts.Admin.MetricsServer(), a.listeners.metrics)
+		}})
+	}
 	if a.parts.Outbound != nil {
 		tasks = append(tasks, task{"outbound", func(ctx context.Context) error {
 			return serve(ctx, a.parts.Outbound.Server(), a.listeners.outbound)
--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -149,9 +149,7 @@
 		Backend:   configured.Inbound.Backend,
 		Slots:     configured.Inbound.Slots,
 		NodePort:  outbound.PortOf(configured.Inbound.Listen),
-		Budget: budget.Options{
-			Ratio: configured.Retries.Ratio, Slack: configured.Retries.Slack, Window: configured.Retries.Window,
-		},
+		Budget:    budgetOf(configured),
 		Limits: server.Limits{
 			MaxHeaderBytes: configured.Outbound.MaxHeaderBytes,
 			MaxBodyBytes:   configured.Outbound.MaxBodyBytes,
@@ -163,3 +161,17 @@
 		Registerer:  inputs.Registerer,
 	})
 }
+
+func budgetOf(configured settings.Settings) budget.Options {
+	return budget.Options{
+		Ratio: configured.Retries.Ratio, Slack: configured.Retries.Slack, Window: configured.Retries.Window,
+	}
+}
+
+// Reconfigure takes over what can change while the node runs: the bounds of
+// retries. The settings are checked.
+func (a *App) Reconfigure(configured settings.Settings) {
+	if a.parts.Dataplane != nil {
+		a.parts.Dataplane.SetBudget(budgetOf(configured))
+	}
+}
--- a/internal/app/store_test.go
+++ b/internal/app/store_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 	"github.com/winchhead/winchhead/internal/emulator/store"
@@ -95,8 +94,8 @@
 		`{"address":"%s:%d","info":{"service":%q,"zone":"z","slots":4},"status":{"state":%q,"sequence":1}}`, m.ip, r.app, m.service, state)))
 }
 
-// start runs the node of a machine, which reads the store at the URL.
-func (r *storeRig) start(index int, url string) {
+// settings are those of the node of a machine, which reads the store at the URL.
+func (r *storeRig) settings(index int, url string) settings.Settings {
 	m := r.machines[index]
 	configured := settings.Defaults()
 	configured.Node = settings.Node{Name: m.ip, Region: "r", Zone: "z"}
@@ -108,8 +107,13 @@
 	configured.Inbound.Service, configured.Inbound.Backend = m.service, fmt.Sprintf("%s:%d", m.ip, r.app)
 	configured.Inbound.DrainNotice = 0
 	configured.Admin.Listen = "127.0.0.1:0"
-	var logger logrus.FieldLogger = logging.Discard()
-	node, err := New(configured, Options{Logger: logger})
+	return configured
+}
+
+// start runs the node of a machine.
+func (r *storeRig) start(index int, url string) {
+	m := r.machines[index]
+	node, err := New(r.settings(index, url), Options{Logger: logging.Discard()})
 	r.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/winchhead/winchhead/internal/app"
 	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/settings"
 )
 
 const nodeHelp = `Runs a node: beside a back end, as the settings' inbound section says, or alone as an entry for callers. Every setting can be given in the file or as a flag of the same name; flags win. SIGTERM or SIGINT stops the node in the planned way: it takes no new work, finishes what it has and leaves the fleet; a second signal ends it at once. Exit codes: 0 planned stop, 2 wrong settings, 5 a part failed, 6 a planned stop was cut short.`
@@ -21,6 +22,8 @@
 
 // Execute runs the node until it is stopped.
 func (c *nodeCommand) Execute([]string) error {
+	hangups := catchHangups()
+	defer signal.Stop(hangups)
 	loaded, err := c.load()
 	if err != nil {
 		return err
@@ -35,16 +38,20 @@
 	}
 	ctx, release := stopOnSignal(c.ctx, logging.Part(logger, "node"))
 	defer release()
+	reloaded := newReloader(&c.settingsFlags, loaded, logging.Part(logger, "settings"))
+	reloaded.apply = func(next *settings.Loaded) {
+		node.Reconfigure(next.Settings)
+		logger.SetLevel(levelOf(next.Settings))
+	}
+	go reloaded.run(ctx, hangups)
 	return node.Run(ctx)
 }
 
 // stopOnSignal returns a context that ends at the first signal to stop. The
-// second signal ends the process. SIGHUP is ignored: replaced keys are found
-// without it.
+// second signal ends the process.
 func stopOnSignal(parent context.Context, logger logrus.FieldLogger) (context.Context, func()) {
 	const signalsKept = 2
 	signals := make(chan os.Signal, signalsKept)
-	signal.Ignore(syscall.SIGHUP)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(parent)
 	go func() {
--- a/internal/dataplane/budget/budget.go
+++ b/internal/dataplane/budget/budget.go
@@ -36,6 +36,16 @@
 // New returns a Budget that has seen nothing.
 func New(options Options) *Budget { return &Budget{options: options} }
 
+// SetOptions changes the bounds. A changed window begins anew.
+func (b *Budget) SetOptions(options Options) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if options.Window != b.options.Window {
+		b.requests, b.repeats, b.newest = [buckets]int{}, [buckets]int{}, 0
+	}
+	b.options = options
+}
+
 // Request notes a request's first send.
 func (b *Budget) Request(now time.Time) {
 	b.mutex.Lock()
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -54,11 +54,14 @@
 // New returns a Node that takes nothing yet.
 func New(options Options) (*Node, error) {
 	created := &Node{options: options}
-	created.inbound = inbound.New(inbound.Options{
+	var err error
+	created.inbound, err = inbound.New(inbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
-		Slots: options.Slots, Logger: options.Logger.WithField("part", "inbound"),
+		Slots: options.Slots, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
-	var err error
+	if err != nil {
+		return nil, err
+	}
 	created.outbound, err = outbound.New(outbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Service: options.Service, Zone: options.Zone,
 		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: options.Budget,
@@ -85,6 +88,9 @@
 // idleSlack is how much longer than promised a caller's connection may rest.
 const idleSlack = time.Second
 
+// SetBudget changes the bounds of repeats.
+func (n *Node) SetBudget(options budget.Options) { n.outbound.SetBudget(options) }
+
 // callerLimits are those in force for callers.
 func (n *Node) callerLimits() server.Limits {
 	limits := n.options.Limits
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
@@ -40,6 +41,8 @@
 	// Slots are those of an instance that names none.
 	Slots  int
 	Logger logrus.FieldLogger
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
 }
 
 const (
@@ -63,10 +66,11 @@
 	ended    endedInstances
 	active   atomic.Int64
 	lines    *boundedlog.Lines
+	metrics  *metrics
 }
 
-// New returns a Proxy.
-func New(options Options) *Proxy {
+// New returns a Proxy, or an error when its metrics cannot be registered.
+func New(options Options) (*Proxy, error) {
 	created := &Proxy{
 		options: options,
 		instance: client.NewPool(client.Options{
@@ -79,7 +83,9 @@
 		lines: boundedlog.New(options.Logger),
 	}
 	created.slots.Store(int64(options.Slots))
-	return created
+	var err error
+	created.metrics, err = newMetrics(options.Registerer, created.queue)
+	return created, err
 }
 
 // plannedStop is when new requests are refused, and when the last must have ended.
@@ -140,6 +146,7 @@
 // Deliver brings a request to the instance. Whatever it refuses has not run.
 func (p *Proxy) Deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
 	delivery := p.deliver(ctx, request, order)
+	p.metrics.delivered(delivery.Report)
 	p.log(request, order, delivery)
 	return delivery
 }
@@ -178,9 +185,11 @@
 	if reason := p.check(order); reason != hop.ReasonNone {
 		return p.refuse(reason, 0)
 	}
+	asked := time.Now()
 	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{
 		Priority: order.Priority, Due: request.Arrived.Add(order.Due), LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait, Expected: order.Expected,
 	})
+	p.metrics.waited(time.Since(asked))
 	if refusal != queue.None {
 		return p.refuse(reasonOf(refusal), wait)
 	}
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -21,14 +21,21 @@
 
 func (noSnapshots) Current() *snapshot.Snapshot { return nil }
 
-// TestRefusalBearsTheIDOfItsRequest: another node takes an answer without the id
-// for one that belongs to another request, and waits on until the time is over.
-func TestRefusalBearsTheIDOfItsRequest(t *testing.T) {
-	proxy := inbound.New(inbound.Options{
+// newProxy returns a proxy that holds no configuration.
+func newProxy(t *testing.T) *inbound.Proxy {
+	proxy, err := inbound.New(inbound.Options{
 		Names: message.Names{RequestID: idHeader}, Snapshots: noSnapshots{},
 		Backend: "127.0.0.1:1", Slots: 1, Logger: logging.Discard(),
 	})
-	defer proxy.Close()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
+// TestRefusalBearsTheIDOfItsRequest: another node takes an answer without the id
+// for one that belongs to another request, and waits on until the time is over.
+func TestRefusalBearsTheIDOfItsRequest(t *testing.T) {
+	proxy := newProxy(t)
 	rows := map[string]string{
 		"refused":   hop.Order{Instance: "i-1", Remaining: time.Second}.Encode(),
 		"malformed": "not an order",
@@ -63,11 +70,7 @@
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
-			proxy := inbound.New(inbound.Options{
-				Names: message.Names{RequestID: idHeader}, Snapshots: noSnapshots{},
-				Backend: "127.0.0.1:1", Slots: 1, Logger: logging.Discard(),
-			})
-			defer proxy.Close()
+			proxy := newProxy(t)
 			if !row.end.IsZero() {
 				proxy.Drain(row.refuseAt, row.end)
 			}
--- /dev/null
+++ b/internal/dataplane/inbound/metrics.go
@@ -0,0 +1,58 @@
+package inbound
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/queue"
+)
+
+type metrics struct {
+	deliveries *prometheus.CounterVec
+	waits      prometheus.Histogram
+}
+
+func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue) (*metrics, error) {
+	created := &metrics{
+		deliveries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_deliveries_total",
+			Help: "Requests for the instance beside the node, by outcome (a answered, r refused, j rejected, u unknown) and reason.",
+		}, []string{"outcome", "reason"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "winchhead_dataplane_queue_wait_seconds",
+			Help:    "Time that requests waited for a slot of the instance, refused ones included.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}),
+	}
+	if registerer == nil {
+		return created, nil
+	}
+	collectors := []prometheus.Collector{
+		created.deliveries, created.waits,
+		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
+			func() int { return waiting.Usage().Running }),
+		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
+			func() int { return waiting.Usage().Waiting }),
+		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
+			func() int { return waiting.Usage().Slots }),
+	}
+	for _, collector := range collectors {
+		if err := registerer.Register(collector); err != nil {
+			return nil, eris.Wrap(err, "register the metrics of the data plane")
+		}
+	}
+	return created, nil
+}
+
+func usageGauge(name, help string, value func() int) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
+}
+
+func (m *metrics) delivered(report hop.Report) {
+	m.deliveries.WithLabelValues(string(report.Outcome), string(report.Reason)).Inc()
+}
+
+func (m *metrics) waited(wait time.Duration) { m.waits.Observe(wait.Seconds()) }
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -114,6 +114,16 @@
 // Close closes the connections that rest.
 func (p *Proxy) Close() { p.nodes.close() }
 
+// SetBudget changes the bounds of repeats.
+func (p *Proxy) SetBudget(options budget.Options) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.options.Budget = options
+	for _, each := range p.budgets {
+		each.SetOptions(options)
+	}
+}
+
 func (p *Proxy) budgetOf(service string) *budget.Budget {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,6 +125,8 @@
 type Admin struct {
 	// Listen is the address (IP:port), on loopback unless set otherwise.
 	Listen string `yaml:"listen" validate:"required,address" help:"IP:port of the operators' HTTP"`
+	// MetricsListen is a second address for the metrics alone; empty: none.
+	MetricsListen string `yaml:"metrics_listen" validate:"omitempty,address" help:"second IP:port that serves /metrics alone; empty: none"`
 }
 
 // TLS names the keys of links and of requests between nodes; all empty: plain.
