--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -404,6 +404,27 @@
 	return count, err
 }
 
+// HeldBodyBytes is the size up to which an answer is held until it is whole, so that
+// a broken one can still be replaced.
+const HeldBodyBytes = 1 << 20
+
+// Hold reads a short body to its end. whole is false for a long one and for a
+// stream of events, of which the rest is still to be read from Body.
+func (r *Response) Hold() (start []byte, whole bool, err error) {
+	if r.Length > HeldBodyBytes || strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+		return nil, false, nil
+	}
+	start, err = io.ReadAll(io.LimitReader(r.Body, HeldBodyBytes))
+	return start, err == nil && len(start) < HeldBodyBytes, err
+}
+
+// Discard reads a short answer that nobody wants, so that its connection can be
+// used again.
+func (r *Response) Discard() {
+	_, _ = io.CopyN(io.Discard, r.Body, HeldBodyBytes)
+	_ = r.Close()
+}
+
 // Close ends the exchange: the connection is kept when the whole answer was read
 // and nothing else is on it.
 func (r *Response) Close() error {
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -6,11 +6,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,8 +47,6 @@
 	connectTimeout = time.Second
 	// idleTimeout is how long a connection rests when the instance names no time.
 	idleTimeout = 4 * time.Second
-	// wholeBodyBytes is the size up to which an answer is held until it is whole.
-	wholeBodyBytes = 1 << 20
 	// answerMargin is how much earlier the instance's time is over than the
 	// request's, so that its own answer is still in time.
 	answerMargin = 10 * time.Millisecond
@@ -272,8 +268,7 @@
 		return p.failed(err, slot)
 	}
 	if reason := p.rejected(response); reason != hop.ReasonNone {
-		_, _ = io.CopyN(io.Discard, response.Body, wholeBodyBytes)
-		_ = response.Close()
+		response.Discard()
 		cancel()
 		slot.Release(false)
 		if reason == hop.ReasonWrongInstance {
@@ -354,14 +349,9 @@
 func (p *Proxy) passOn(response *client.Response, started time.Time, slot *queue.Slot, cancel func()) Delivery {
 	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
-	if response.Length > wholeBodyBytes || isEventStream(response.Header) {
-		answer.Stream = &stream{response: response, slot: slot, cancel: cancel}
-		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBodyBytes))
-	if err == nil && len(body) == wholeBodyBytes {
-		answer.Body = body
-		answer.Stream = &stream{response: response, slot: slot, cancel: cancel}
+	body, whole, err := response.Hold()
+	if err == nil && !whole {
+		answer.Body, answer.Stream = body, &stream{response: response, slot: slot, cancel: cancel}
 		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
 	}
 	_ = response.Close()
@@ -376,10 +366,6 @@
 	return Delivery{Report: report, Answer: answer}
 }
 
-func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
-}
-
 // stream is the rest of an answer; the slot is held until it is closed.
 type stream struct {
 	response *client.Response
--- a/internal/dataplane/outbound/nodes.go
+++ b/internal/dataplane/outbound/nodes.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -23,8 +21,6 @@
 	nodeIdleTimeout = 25 * time.Second
 	// NodeServerIdle is how long a node keeps a resting connection of another.
 	NodeServerIdle = time.Minute
-	// wholeBodyBytes is the size up to which an answer is held until it is whole.
-	wholeBodyBytes = 1 << 20
 )
 
 // nodes are the ways to the nodes beside other instances.
@@ -107,8 +103,7 @@
 	}
 	delete(response.Header, hop.Header)
 	if report.Outcome != hop.Answered {
-		_, _ = io.CopyN(io.Discard, response.Body, wholeBodyBytes)
-		_ = response.Close()
+		response.Discard()
 		return result{report: report, reported: true}
 	}
 	return takeAnswer(response, report)
@@ -138,18 +133,14 @@
 func takeAnswer(response *client.Response, report hop.Report) result {
 	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
-	if response.Length > wholeBodyBytes || strings.HasPrefix(response.Header.Get(headerContentType), "text/event-stream") {
-		answer.Stream = streamOf(response)
-		return result{report: report, answer: answer, reported: true}
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBodyBytes))
+	body, whole, err := response.Hold()
 	switch {
 	case err != nil:
 		_ = response.Close()
 		report.Outcome, report.Reason = hop.Unknown, hop.ReasonBroken
 		return result{report: report, err: err}
-	case len(body) == wholeBodyBytes:
-		answer.Body, answer.Stream = body, streamOf(response)
+	case !whole:
+		answer.Body, answer.Stream = body, &responseStream{response: response}
 		return result{report: report, answer: answer, reported: true}
 	}
 	_ = response.Close()
@@ -157,10 +148,9 @@
 	return result{report: report, answer: answer, reported: true}
 }
 
+// responseStream is the rest of an answer.
 type responseStream struct{ response *client.Response }
 
-func streamOf(response *client.Response) io.ReadCloser { return &responseStream{response: response} }
-
 // Read reads the body of the answer.
 func (s *responseStream) Read(data []byte) (int, error) { return s.response.Body.Read(data) }
 
--- /dev/null
+++ b/internal/distribution/link_timers.go
@@ -0,0 +1,51 @@
+package distribution
+
+import (
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// runLinkTimers sends heartbeats and digests that are due and gives up links that
+// are silent.
+func (e *Engine) runLinkTimers() {
+	e.runAnnouncements()
+	for _, l := range e.overlay.order {
+		if e.now.Before(l.deadline(e)) || e.overlay.links[l.id] != l {
+			continue
+		}
+		switch {
+		case l.phase != phaseUp:
+			e.dropLink(l)
+			e.dialFailed(l, false)
+		case l.probe:
+			e.closeLink(l, wire.GoodbyeDone)
+		case e.passed(l.silentAt()):
+			if e.isGroupLink(l) {
+				e.reading.silenceAt = e.now
+			}
+			e.dropLink(l)
+			e.linkLost(l)
+		case e.digestDue(l):
+			e.sendDigest(l, wire.DigestPlain)
+		default:
+			e.sendHeartbeat(l)
+		}
+	}
+}
+
+// digestDue reports whether to send a digest. One that is due before the next
+// heartbeat takes the place of this one.
+func (e *Engine) digestDue(l *link) bool {
+	if e.passed(l.digestAt) {
+		return true
+	}
+	return e.passed(l.heartbeatAt()) && e.now.Add(l.ownInterval).After(l.digestAt)
+}
+
+func (e *Engine) sendHeartbeat(l *link) {
+	l.ownInterval = e.intervalFor(l)
+	e.send(&wire.Heartbeat{
+		Interval:  l.ownInterval.Milliseconds(),
+		Reading:   e.reading.state(),
+		SourceAge: e.sourceAge(),
+	}, l.id)
+}
--- /dev/null
+++ b/internal/distribution/polling.go
@@ -0,0 +1,139 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+func (e *Engine) pollSource() {
+	r := &e.reading
+	r.poll = e.newRequest()
+	r.polledAt = e.now
+	r.pollAt = time.Time{}
+	after := max(e.push.heldVersion().Revision, r.head.Revision)
+	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.timing.SourceWait})
+}
+
+func (e *Engine) fetchSource() {
+	r := &e.reading
+	r.fetchAt = time.Time{}
+	if !r.head.Newer(e.push.newestVersion()) || e.push.refusals.has(wire.Short(r.head)) {
+		return // a peer was faster
+	}
+	r.fetch = e.newRequest()
+	e.act(FetchSource{Request: r.fetch, Held: e.push.heldVersion()})
+}
+
+func (event SourceRevision) apply(e *Engine) {
+	r := &e.reading
+	if event.Request != r.poll || r.poll == 0 {
+		return
+	}
+	r.poll = 0
+	if !e.answered(event.Outcome) {
+		r.pollAt = e.now.Add(e.sourceDelay(event.Outcome))
+		return
+	}
+	news := event.Version.Newer(snapshot.Version{Revision: max(e.push.heldVersion().Revision, r.head.Revision)})
+	least := e.timing.SourceWait / 2
+	if news {
+		least = e.newsInterval()
+	}
+	r.pollAt = latest(e.now, r.polledAt.Add(least))
+	e.headSeen(event.Version, news)
+}
+
+// newsInterval is the least time between two polls while there is news.
+func (e *Engine) newsInterval() time.Duration {
+	if e.currentRanking().globalRank(e.options.Self.Node) == 0 {
+		return minPollInterval
+	}
+	return max(e.timing.NewsInterval, minPollInterval)
+}
+
+// headSeen looks at the newest version that the source holds.
+func (e *Engine) headSeen(version snapshot.Version, news bool) {
+	r := &e.reading
+	held := e.push.heldVersion()
+	e.noteConflict(version, "the source")
+	if version.Revision < held.Revision && !r.toldStale {
+		e.log(LogWarning, "the source is stale: it holds %s, in force is %s", version, held)
+	}
+	r.toldStale = version.Revision < held.Revision
+	switch {
+	case news:
+		r.head = version
+		r.fetchAt = e.now.Add(e.fetchDelay())
+	case version.Revision < r.head.Revision:
+		r.head = version // what it spoke of before is not there
+	}
+}
+
+// fetchDelay is how long to let a new revision come over the overlay.
+func (e *Engine) fetchDelay() time.Duration {
+	position := e.currentRanking().globalRank(e.options.Self.Node)
+	if position == 0 {
+		return 0
+	}
+	delay := e.timing.FetchDelay + time.Duration(position)*e.timing.FetchStagger
+	return min(delay, e.timing.FetchDelayMax)
+}
+
+func (event SourceDocument) apply(e *Engine) {
+	r := &e.reading
+	if event.Request != r.fetch || r.fetch == 0 {
+		return
+	}
+	r.fetch = 0
+	if !e.answered(event.Outcome) {
+		r.fetchAt = e.now.Add(e.sourceDelay(event.Outcome))
+		return
+	}
+	if event.Document != nil {
+		e.noteConflict(event.Document.Version(), "the source")
+		e.offer(event.Document)
+	}
+	if r.head.Newer(e.push.newestVersion()) && !e.push.refusals.has(wire.Short(r.head)) {
+		r.fetchAt = e.now.Add(e.jittered(e.timing.SourceWait)) // the answer was older than the head
+	}
+}
+
+// answered notes how a read of the source ended. A reader whose reads fail
+// resigns, so that the next in its group reads, and goes on trying.
+func (e *Engine) answered(outcome source.Outcome) bool {
+	r := &e.reading
+	ok := outcome.Status == source.StatusFresh || outcome.Status == source.StatusNotModified
+	was := r.resigned
+	switch {
+	case ok:
+		r.failures = 0
+		r.resigned = false
+		r.confirmedAt = e.now
+	case outcome.Status == source.StatusBusy:
+		r.failures++ // the source lives; another reader would add to its load
+	default:
+		r.failures++
+		r.resigned = true
+	}
+	if r.resigned != was {
+		e.logResigned(outcome)
+		e.tellGroup()
+	}
+	return ok
+}
+
+func (e *Engine) logResigned(outcome source.Outcome) {
+	if e.reading.resigned {
+		e.log(LogWarning, "cannot read the source: %v", outcome.Err)
+		return
+	}
+	e.log(LogInfo, "reads the source again")
+}
+
+// sourceDelay is how long to wait after a failed read.
+func (e *Engine) sourceDelay(outcome source.Outcome) time.Duration {
+	return outcome.RetryAfter + e.backoff(e.reading.failures, e.timing.BackoffMin, e.timing.BackoffMax)
+}
