--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -19,6 +19,7 @@
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/mirror"
+	"github.com/winchhead/winchhead/internal/policy"
 	"github.com/winchhead/winchhead/internal/settings"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
@@ -59,11 +60,24 @@
 		Store:    store,
 		Logger:   logging.Part(logger, "mirror"),
 		MemberOf: memberBeside(configured, regions),
+		Validate: compiles,
 		Timeout:  configured.Platform.Timeout,
 	})
 	return storeReader{Mirror: followed, store: store}, nil
 }
 
+// compiles reports why a configuration cannot come into force.
+func compiles(configuration *mirror.Configuration) error {
+	document, err := snapshot.NewDocument(snapshot.Content{
+		Revision: 1, Services: configuration.Services, Routes: configuration.Routes, Limits: configuration.Limits,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = policy.Compile(document, &membership.View{})
+	return err
+}
+
 // parseZones reads the setting platform.zones.
 func parseZones(text string) (map[string]string, error) {
 	regions := make(map[string]string)
--- a/internal/app/store_test.go
+++ b/internal/app/store_test.go
@@ -409,3 +409,27 @@
 	r.c.Check(r.machines[1].instance.Rejections(), qt.Equals, rejected)
 	r.c.Check(r.machines[1].instance.Runs(), qt.Not(qt.HasLen), 0)
 }
+
+// TestStoreBadEntries: an entry that cannot come into force changes nothing, and
+// what comes after it is followed.
+func TestStoreBadEntries(t *testing.T) {
+	rows := map[string]struct{ key, value string }{
+		"route to a missing service": {"op/config", `{"version":2,"services":[{"name":"data"}],"virtualHosts":[{"host":"h.example","paths":[
+			{"name":"read","pathPrefix":"/read/","kind":"safe","timeoutMs":1000,"service":"missing","maxAttempts":1}]}]}`},
+		"route without attempts": {"op/config", `{"version":2,"services":[{"name":"data"}],"virtualHosts":[{"host":"h.example","paths":[
+			{"name":"read","pathPrefix":"/read/","kind":"safe","timeoutMs":1000,"service":"data"}]}]}`},
+		"instance without an address": {"servers/i-9", `{"info":{"service":"data"},"status":{"state":"ready"}}`},
+		"instance of a bad name":      {"servers/i 9/", `{"address":"127.0.0.1:1","info":{"service":"data"},"status":{"state":"ready"}}`},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			r := newStoreRig(t, []string{"front", "data", "data"}, nil)
+			r.startAll()
+			r.store.Put(row.key, []byte(row.value))
+			r.await(r.put(1, "draining"))
+			got := r.ask(0, http.MethodGet, "/read/x", "request-1")
+			r.c.Check(got.status, qt.Equals, http.StatusOK)
+			r.c.Check(got.header.Get(instance.HeaderStamp), qt.Equals, "i-2")
+		})
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -88,6 +88,9 @@
 	Logger logrus.FieldLogger
 	// MemberOf returns the member that runs beside an instance; false for none.
 	MemberOf func(instance snapshot.Instance) (membership.ListedMember, bool)
+	// Validate reports why a configuration cannot come into force; nil: all can.
+	// One that cannot changes nothing, and instances are followed on.
+	Validate func(configuration *Configuration) error
 	// Timeout bounds one read, the wait of a watch excepted.
 	Timeout time.Duration
 }
@@ -113,6 +116,9 @@
 
 // New returns a Mirror that holds nothing.
 func New(options Options) *Mirror {
+	if options.Validate == nil {
+		options.Validate = func(*Configuration) error { return nil }
+	}
 	return &Mirror{options: options, changed: make(chan struct{})}
 }
 
@@ -226,7 +232,7 @@
 		if !read(outcome) {
 			return outcome
 		}
-		next.apply(page.Items, m.options.Logger)
+		next.apply(page.Items, m.options)
 		if first == 0 {
 			first = page.At
 		}
@@ -244,7 +250,7 @@
 		if events.Compacted {
 			return source.Outcome{Status: source.StatusUnreachable, Err: eris.New("the history was dropped while the store was listed")}
 		}
-		next.apply(events.Items, m.options.Logger)
+		next.apply(events.Items, m.options)
 		next.at = max(events.At, next.at+1)
 	}
 	m.replace(next)
@@ -284,7 +290,7 @@
 	if events.At <= m.state.at {
 		return
 	}
-	if m.state.apply(events.Items, m.options.Logger) {
+	if m.state.apply(events.Items, m.options) {
 		m.document = nil
 		m.notify()
 	}
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -29,14 +28,14 @@
 
 // apply takes items over and reports whether anything changed. An item that
 // cannot be read is logged, and what was read before stays.
-func (s *state) apply(items []Item, logger logrus.FieldLogger) (changed bool) {
+func (s *state) apply(items []Item, options Options) (changed bool) {
 	for _, item := range items {
 		if item.Kind == KindOther {
 			continue
 		}
-		if item.Fault != nil {
-			logger.WithField("key", item.Key).WithField("revision", item.Revision).
-				WithError(item.Fault).Error("an entry of the store cannot be read, the last good one stays")
+		if fault := faultOf(item, options); fault != nil {
+			options.Logger.WithField("key", item.Key).WithField("revision", item.Revision).
+				WithError(fault).Error("an entry of the store cannot be read, the last good one stays")
 			continue
 		}
 		s.contentAt = max(s.contentAt, item.Revision)
@@ -46,6 +45,20 @@
 	return changed
 }
 
+// faultOf tells why an item cannot be taken over, or nil.
+func faultOf(item Item, options Options) error {
+	switch {
+	case item.Fault != nil || item.Gone:
+		return item.Fault
+	case item.Instance != nil:
+		return item.Instance.Check()
+	case item.Configuration != nil:
+		return options.Validate(item.Configuration)
+	default:
+		return nil
+	}
+}
+
 func (s *state) applyOne(item Item) {
 	switch {
 	case item.Kind == KindConfiguration && item.Configuration != nil:
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -93,6 +93,9 @@
 	return nil // New checks the rest, for all routes alike
 }
 
+// Check reports why the instance cannot stand in a document, or nil.
+func (i Instance) Check() error { return checkInstance(i) }
+
 func checkInstance(instance Instance) error {
 	if err := checkName(KindInstance, instance.Name); err != nil {
 		return err
