Leave what nobody reads out of the hop's field

Cause: the service and whether a request may be repeated were sent with each request between nodes and read by no one; bytes between zones are priced. Change: two fields less.

--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -19,12 +19,9 @@
 type Order struct {
 	// Instance is the name of the instance that is meant.
 	Instance string
-	// Service is that of the instance.
-	Service string
 	// CallerService is the service beside which the request started.
 	CallerService string
 	Priority      int
-	Repeatable    bool
 	// Remaining is the time left for the request when it was sent.
 	Remaining time.Duration
 	// Due is how long the request may wait and still be worth most; requests of one
@@ -38,16 +35,12 @@
 	Revision uint64
 }
 
-const orderFields = 10
+const orderFields = 8
 
 // Encode returns the text of the field.
 func (o Order) Encode() string {
-	repeatable := "0"
-	if o.Repeatable {
-		repeatable = "1"
-	}
 	return strings.Join([]string{
-		o.Instance, o.Service, o.CallerService, strconv.Itoa(o.Priority), repeatable,
+		o.Instance, o.CallerService, strconv.Itoa(o.Priority),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
 	}, separator)
 }
@@ -58,10 +51,9 @@
 	if len(fields) != orderFields {
 		return Order{}, eris.Errorf("%s has %d fields, want %d", Header, len(fields), orderFields)
 	}
-	reader := fieldReader{fields: fields[3:]}
+	reader := fieldReader{fields: fields[2:]}
 	order := Order{
-		Instance: fields[0], Service: fields[1], CallerService: fields[2],
-		Priority: int(reader.number()), Repeatable: reader.number() == 1,
+		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
 		Revision: uint64(reader.number()),
 	}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -124,10 +124,8 @@
 	due := e.due(choice, remaining)
 	return hop.Order{
 		Instance:      choice.Instance.Name,
-		Service:       choice.Instance.Service,
 		CallerService: e.proxy.options.Service,
 		Priority:      e.route.Priority,
-		Repeatable:    e.route.Repeatable,
 		Remaining:     remaining,
 		Due:           due,
 		MaxWait:       e.maxWait(due, remaining),
