Watch on after changes of keys that mean nothing here

Cause: the mirror compared the revision up to which it had read with that of the document; once a foreign key had raised the first, it took itself for ahead and never watched again. Found while reading; a trial that left out unchanged entries altogether hung tests that await their revision, and is reverted. Change: the document's own revision decides. The new test fails without it.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -202,7 +202,7 @@
 			return outcome
 		}
 	}
-	if m.isComplete() && m.revision() > after {
+	if m.isComplete() && m.documentRevision() > after {
 		return source.Outcome{Status: source.StatusFresh}
 	}
 	return m.watch(ctx, wait)
@@ -291,6 +291,7 @@
 		return
 	}
 	if m.state.apply(events.Items, m.options) {
+		m.state.documentAt = events.At
 		m.document = nil
 		m.notify()
 	}
@@ -305,6 +306,7 @@
 	if next.at < m.state.at {
 		return
 	}
+	next.documentAt = next.at
 	next.keepLastGood(m.state)
 	m.state, m.document, m.readAt = next, nil, time.Now()
 	m.notify()
@@ -335,6 +337,12 @@
 	return m.state.at
 }
 
+func (m *Mirror) documentRevision() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.documentAt
+}
+
 func (m *Mirror) age() time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -87,6 +87,22 @@
 	c.Assert(r.store.Calls("/v1/kv-range"), qt.Equals, 1)
 }
 
+// TestOtherKeysDoNotStopTheWatch: changes of keys that mean nothing here raise the
+// store's revision; what comes after them is still followed.
+func TestOtherKeysDoNotStopTheWatch(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(7, "a"))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	first := r.follow(c, 0)
+	r.store.Put("other/key", []byte("of no interest"))
+	version, outcome := r.mirror.AwaitRevision(context.Background(), first.Version().Revision, wait)
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+	c.Check(version, qt.Equals, first.Version())
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "draining"))
+	c.Check(r.follow(c, first.Version().Revision).Content().Instances[0].State, qt.Equals, snapshot.InstanceDraining)
+}
+
 // TestTwoMirrorsAgree: whoever reads, and whenever, a revision has one content.
 func TestTwoMirrorsAgree(t *testing.T) {
 	c := qt.New(t)
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -16,8 +16,9 @@
 type state struct {
 	// at is the revision up to which changes were applied.
 	at uint64
-	// contentAt is the revision of the newest change that mattered.
-	contentAt     uint64
+	// documentAt is the revision of the document: that of the last read that changed
+	// anything which a document holds.
+	documentAt    uint64
 	configuration *Configuration
 	instances     map[string]snapshot.Instance // by key
 }
@@ -38,7 +39,6 @@
 				WithError(fault).Error("an entry of the store cannot be read, the last good one stays")
 			continue
 		}
-		s.contentAt = max(s.contentAt, item.Revision)
 		s.applyOne(item)
 		changed = true
 	}
@@ -78,14 +78,13 @@
 	}
 }
 
-// document returns the document of the state. Its revision is that up to which
-// the store was read when it was listed, or that of the last change since.
+// document returns the document of the state.
 func (s *state) document() (*snapshot.Document, error) {
 	if s.configuration == nil {
 		return nil, eris.New("the store holds no configuration yet")
 	}
 	content := snapshot.Content{
-		Revision:  snapshot.Revision(s.at),
+		Revision:  snapshot.Revision(s.documentAt),
 		Services:  s.configuration.Services,
 		Routes:    s.configuration.Routes,
 		Limits:    s.configuration.Limits,
