--- /dev/null
+++ b/internal/dataplane/balance/balance_test.go
@@ -0,0 +1,86 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const target = time.Second
+
+func instance(name, zone string) snapshot.Instance {
+	return snapshot.Instance{Name: name, Service: "s", Zone: zone, Address: name, Slots: 4, State: snapshot.InstanceReady}
+}
+
+// pick chooses among the instances and returns the choice.
+func pick(b *balance.Balancer, now time.Time, avoid string, instances ...snapshot.Instance) (balance.Choice, bool) {
+	return b.Pick(balance.Request{
+		Route: "r", Target: target, Instances: instances, Now: now,
+		Avoid: func(name string) bool { return name == avoid },
+	})
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near"})
+	now := time.Now()
+	for range 10 {
+		choice, found := pick(b, now, "", instance("far", "other"), instance("home", "near"))
+		c.Assert(found, qt.IsTrue)
+		c.Check(choice.Instance.Name, qt.Equals, "home")
+		choice.Done(balance.Served, &hop.Report{Outcome: hop.Answered, Slots: 4, Execution: 50 * time.Millisecond}, now)
+	}
+}
+
+// TestBusyZoneSpillsOver: when the own zone would be late, another one serves.
+func TestBusyZoneSpillsOver(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near"})
+	now := time.Now()
+	choice, _ := pick(b, now, "", instance("home", "near"))
+	choice.Done(balance.Served, &hop.Report{Outcome: hop.Answered, Running: 4, Waiting: 20, Slots: 4, Execution: 300 * time.Millisecond}, now)
+	choice, found := pick(b, now, "", instance("far", "other"), instance("home", "near"))
+	c.Assert(found, qt.IsTrue)
+	c.Check(choice.Instance.Name, qt.Equals, "far")
+}
+
+// TestFullInstancesOfOtherZonesAreSpared: while all are full, requests aren't sent
+// around.
+func TestFullInstancesOfOtherZonesAreSpared(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near"})
+	now := time.Now()
+	choice, _ := pick(b, now, "home", instance("far", "other"), instance("home", "near"))
+	choice.Done(balance.Busy, &hop.Report{Outcome: hop.Refused, Running: 4, Waiting: 2, Slots: 4}, now)
+	_, found := pick(b, now, "home", instance("far", "other"), instance("home", "near"))
+	c.Check(found, qt.IsFalse)
+	_, found = pick(b, now.Add(time.Second), "home", instance("far", "other"), instance("home", "near"))
+	c.Check(found, qt.IsTrue)
+}
+
+// TestLostInstanceIsLeftAlone, unless there is no other, and until it answers.
+func TestLostInstanceIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near"})
+	now := time.Now()
+	choice, _ := pick(b, now, "", instance("home", "near"))
+	c.Check(choice.Done(balance.Failed, nil, now), qt.Equals, balance.Lost)
+	choice, _ = pick(b, now, "", instance("far", "other"), instance("home", "near"))
+	c.Check(choice.Instance.Name, qt.Equals, "far")
+	choice, found := pick(b, now, "", instance("home", "near"))
+	c.Assert(found, qt.IsTrue)
+	c.Check(choice.Done(balance.Served, nil, now), qt.Equals, balance.Regained)
+}
+
+func TestDrainingInstancesGetNothing(t *testing.T) {
+	b := balance.New(balance.Options{Zone: "near"})
+	leaving := instance("home", "near")
+	leaving.State = snapshot.InstanceDraining
+	_, found := pick(b, time.Now(), "", leaving)
+	qt.Check(t, found, qt.IsFalse)
+}
