--- /dev/null
+++ b/internal/dataplane/client/conn.go
@@ -0,0 +1,161 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// maxInterim bounds the interim answers before an answer.
+	maxInterim = 8
+	// maxStray bounds the answers to other requests that are skipped.
+	maxStray = 2
+	// parallelBody is the size from which a body is written while the answer is
+	// awaited, as a server may answer early.
+	parallelBody = 16 << 10
+	// maxStrayBytes bounds the body of an answer to another request.
+	maxStrayBytes = 4 << 20
+)
+
+var errStray = errors.New("the answer belongs to another request")
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	pool       *Pool
+	reader     *bufio.Reader
+	exchanges  int
+	restsSince time.Time
+	// rest is how long the connection may rest.
+	rest time.Duration
+	// lastAnswer closes the connection after this answer.
+	lastAnswer bool
+	// writing is closed when the body was written, nil unless it is written beside.
+	writing chan error
+}
+
+// usable reports whether nothing came on a resting connection and it is young.
+func (c *conn) usable(now time.Time) bool {
+	return now.Sub(c.restsSince) < c.rest && c.reader.Buffered() == 0 && isSilent(c.Conn)
+}
+
+// exchange writes a request and reads the header of its answer.
+func (c *conn) exchange(request *Request, idHeader string) (*Response, *Error) {
+	c.exchanges++
+	c.lastAnswer, c.writing = false, nil
+	if failure := c.write(request); failure != nil {
+		return nil, failure
+	}
+	for stray := 0; ; stray++ {
+		response, err := c.readAnswer(request.Method)
+		if err != nil {
+			return nil, c.readFailure(err)
+		}
+		if idHeader == "" || c.belongs(response, request, idHeader) {
+			return c.newResponse(response), nil
+		}
+		copied, err := io.CopyN(io.Discard, response.Body, maxStrayBytes)
+		if stray >= maxStray || response.Close || copied == maxStrayBytes || !errors.Is(err, io.EOF) {
+			return nil, &Error{Progress: SentWhole, Invalid: true, Err: errStray}
+		}
+	}
+}
+
+// belongs reports whether an answer gives back the id of the request.
+func (c *conn) belongs(response *http.Response, request *Request, idHeader string) bool {
+	ids := response.Header[idHeader]
+	return len(ids) == 1 && ids[0] == request.ID
+}
+
+func (c *conn) readFailure(err error) *Error {
+	var network net.Error
+	invalid := !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &network)
+	return &Error{Progress: SentWhole, Invalid: invalid, Err: eris.Wrap(err, "read the answer")}
+}
+
+// write sends the request; a long body goes out beside the reading.
+func (c *conn) write(request *Request) *Error {
+	var head bytes.Buffer
+	encodeHead(&head, request)
+	if len(request.Body) <= parallelBody {
+		head.Write(request.Body)
+		return c.writeAll(head.Bytes())
+	}
+	if failure := c.writeAll(head.Bytes()); failure != nil {
+		return failure
+	}
+	c.writing = make(chan error, 1)
+	go func(body []byte, done chan<- error) {
+		_, err := c.Conn.Write(body)
+		done <- err
+	}(request.Body, c.writing)
+	return nil
+}
+
+func (c *conn) writeAll(data []byte) *Error {
+	written, err := c.Conn.Write(data)
+	switch {
+	case err == nil:
+		return nil
+	case written == 0:
+		return &Error{Progress: NotSent, Err: eris.Wrap(err, "send")}
+	default:
+		return &Error{Progress: SentPart, Err: eris.Wrap(err, "send")}
+	}
+}
+
+// encodeHead writes the request line and the fields.
+func encodeHead(head *bytes.Buffer, request *Request) {
+	head.WriteString(request.Method)
+	head.WriteByte(' ')
+	head.WriteString(request.Target)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(request.Host)
+	head.WriteString("\r\n")
+	_ = request.Header.Write(head) // a buffer takes everything
+	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut || request.Method == http.MethodPatch {
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(request.Body)))
+		head.WriteString("\r\n")
+	}
+	head.WriteString("\r\n")
+}
+
+// readAnswer reads the header of the next answer that is not an interim one.
+func (c *conn) readAnswer(method string) (*http.Response, error) {
+	for range maxInterim {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, eris.New("the server switched to another protocol")
+		}
+	}
+	return nil, eris.New("too many interim answers")
+}
+
+// written reports whether the whole request was written.
+func (c *conn) written() bool {
+	if c.writing == nil {
+		return true
+	}
+	select {
+	case err := <-c.writing:
+		return err == nil
+	default:
+		return false
+	}
+}
