Compress large frames between nodes

Change: bodies from 1 KiB on are compressed (DEFLATE, standard library), marked in the type, bounded once unpacked. The protocol's number is raised.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -31,7 +31,13 @@
 	if e.Error != nil {
 		return nil, eris.Wrapf(e.Error, "encode message type %d", message.Type())
 	}
-	return appendFrame(message.Type(), e.Buffer()), nil
+	body := e.Buffer()
+	if len(body) >= compressFrom {
+		if packed, shorter := compress(body); shorter {
+			return appendFrame(message.Type()|Compressed, packed), nil
+		}
+	}
+	return appendFrame(message.Type(), body), nil
 }
 
 // Decode returns the message in a frame's body. Errors wrap ErrFrame.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -67,7 +67,13 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	message, err = Decode(Type(content[0]), content[typeBytes:])
+	messageType, body := Type(content[0]), content[typeBytes:]
+	if messageType&Compressed != 0 {
+		if body, err = decompress(body, r.limits.MaxFrameBytes); err != nil {
+			return nil, 0, err
+		}
+	}
+	message, err = Decode(messageType&^Compressed, body)
 	return message, lengthBytes + length, err
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is raised when nodes of two builds cannot talk to each other.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Type tells the message in a frame. It also labels the byte counters.
 type Type uint8
