Apply changes of documents without sorting, hashing and decoding the rest

Cause: each change of one instance sorted, hashed and searched all resources; the reader encoded all routes again.

Change: a document keeps a hash for each resource and its own is the hash of those; deltas are merged in order; kinds of which nothing changed share their list; the mirror builds documents anew only when the configuration changes; routes are sorted by index. Ruled out: leaving the hash of the whole out, as it proves what arrived.

Test: TestDeltasLeadToTheirTarget compares with the document built from scratch.

--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -21,6 +21,9 @@
 	documentAt    uint64
 	configuration *Configuration
 	instances     map[string]snapshot.Instance // by key
+	// built is the last document, builtFrom the configuration that it has.
+	built     *snapshot.Document
+	builtFrom *Configuration
 }
 
 func newState() state { return state{instances: make(map[string]snapshot.Instance)} }
@@ -78,11 +81,23 @@
 	}
 }
 
-// document returns the document of the state.
+// document returns the document of the state. While the configuration stays, only
+// the instances are encoded anew.
 func (s *state) document() (*snapshot.Document, error) {
 	if s.configuration == nil {
 		return nil, eris.New("the store holds no configuration yet")
 	}
+	document, err := s.buildDocument()
+	if err == nil {
+		s.built, s.builtFrom = document, s.configuration
+	}
+	return document, err
+}
+
+func (s *state) buildDocument() (*snapshot.Document, error) {
+	if s.built != nil && s.builtFrom == s.configuration {
+		return s.built.WithInstances(snapshot.Revision(s.documentAt), s.listedInstances())
+	}
 	content := snapshot.Content{
 		Revision:  snapshot.Revision(s.documentAt),
 		Services:  s.configuration.Services,
--- a/internal/policy/benchmark_test.go
+++ b/internal/policy/benchmark_test.go
@@ -68,3 +68,27 @@
 		}
 	}
 }
+
+// BenchmarkCompileTyped measures putting 2000 routes that are declared as data in
+// force.
+func BenchmarkCompileTyped(b *testing.B) {
+	content := snapshot.Content{Revision: 1, Services: []snapshot.Service{{Name: "a"}}}
+	for i := range 2000 {
+		content.Routes = append(content.Routes, snapshot.TypedRoute{
+			Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("h%d.example", i%20), PathPrefix: fmt.Sprintf("/p%d/", i),
+			TimeoutMillis: 1000, MaxAttempts: 2, Targets: []snapshot.WeightedService{{Service: "a", Weight: 1}},
+		})
+	}
+	document, err := snapshot.NewDocument(content)
+	qt.Assert(b, err, qt.IsNil)
+	b.ReportAllocs()
+	for b.Loop() {
+		plan, err := policy.NewPlan(document)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := plan.Snapshot(nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,6 +10,7 @@
 package policy
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -110,6 +111,7 @@
 		routes = append(routes, chosen.routes...)
 	}
 	content := p.document.Content()
+	routes = slices.Grow(routes, len(content.Routes))
 	for _, typed := range content.Routes {
 		routes = append(routes, typed.Compile())
 	}
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -29,7 +29,7 @@
 func New(version Version, routes []Route, services []Service, secrets []Secret) (*Snapshot, error) {
 	snapshot := &Snapshot{
 		version:  version,
-		routes:   slices.Clone(routes),
+		routes:   routes,
 		services: make(map[string]Service, len(services)),
 		secrets:  make(map[string]Secret, len(secrets)),
 	}
@@ -42,18 +42,33 @@
 	if err := snapshot.Consistent(); err != nil {
 		return nil, err
 	}
-	slices.SortStableFunc(snapshot.routes, compareMatchOrder)
+	snapshot.routes = inMatchOrder(routes)
 	snapshot.table = newRouteTable(snapshot.routes)
 	return snapshot, nil
 }
 
-// compareMatchOrder puts routes with a host first, longer path prefixes before
-// shorter ones; a stable sort keeps the declared order of equals.
-func compareMatchOrder(a, b Route) int {
-	return cmp.Or(
-		strings.Compare(b.Match.Host, a.Match.Host),
-		cmp.Compare(segments(b.Match.PathPrefix), segments(a.Match.PathPrefix)),
-	)
+// matchPlace is what a route's place in the order of matching depends on.
+type matchPlace struct {
+	host               string
+	segments, declared int
+}
+
+// inMatchOrder returns the routes with a host first, longer path prefixes before
+// shorter ones, and equals in declared order.
+func inMatchOrder(routes []Route) []Route {
+	places := make([]matchPlace, len(routes))
+	for i := range routes {
+		match := &routes[i].Match
+		places[i] = matchPlace{host: match.Host, segments: segments(match.PathPrefix), declared: i}
+	}
+	slices.SortFunc(places, func(a, b matchPlace) int {
+		return cmp.Or(strings.Compare(b.host, a.host), cmp.Compare(b.segments, a.segments), cmp.Compare(a.declared, b.declared))
+	})
+	ordered := make([]Route, len(routes))
+	for i, place := range places {
+		ordered[i] = routes[place.declared]
+	}
+	return ordered
 }
 
 // segments counts the segments of a path prefix.
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -81,86 +82,195 @@
 	if base == nil || base.version != d.Base {
 		return nil, eris.Wrapf(ErrWrongBase, "base %s", d.Base)
 	}
-	resources, err := d.merge(base)
+	merged, err := d.merge(base)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkResources(d.Target.Revision, resources); err != nil {
+	if err := checkResources(d.Target.Revision, merged.resources); err != nil {
 		return nil, err
 	}
-	if hash := hashResources(resources); hash != d.Target.Hash {
+	if hash := hashDigests(merged.digests); hash != d.Target.Hash {
 		return nil, eris.Wrapf(ErrWrongContent, "got hash %s, promised %s", hash, d.Target)
 	}
-	content, err := decodeContent(base, resources)
+	content, err := merged.decode(base)
 	if err != nil {
 		return nil, err
 	}
 	content.Revision = d.Target.Revision
-	return &Document{version: d.Target, content: content, resources: resources}, nil
+	return &Document{version: d.Target, content: content, resources: merged.resources, digests: merged.digests}, nil
+}
+
+// mergedResources are the resources of a delta's result, in order.
+type mergedResources struct {
+	resources []Resource
+	digests   []resourceDigest
+	// heldAt is where base has the same resource, or notHeld.
+	heldAt []int
+}
+
+const notHeld = -1
+
+func (m *mergedResources) add(resource Resource, digest resourceDigest, heldAt int) {
+	m.resources = append(m.resources, resource)
+	m.digests = append(m.digests, digest)
+	m.heldAt = append(m.heldAt, heldAt)
 }
 
 // merge returns base's resources without the removed and with the changed ones.
-func (d Delta) merge(base *Document) ([]Resource, error) {
-	replaced := make(map[Key]bool, len(d.Changed)+len(d.Removed))
-	for _, key := range d.Removed {
-		replaced[key] = true
+func (d Delta) merge(base *Document) (*mergedResources, error) {
+	changed, removed, err := d.sorted()
+	if err != nil {
+		return nil, err
 	}
-	for _, resource := range d.Changed {
-		if replaced[resource.Key] {
-			return nil, eris.Errorf("the delta names %s twice", resource.Key)
+	size := len(base.resources) + len(changed)
+	merged := &mergedResources{
+		resources: make([]Resource, 0, size), digests: make([]resourceDigest, 0, size), heldAt: make([]int, 0, size),
+	}
+	for at, held := range base.resources {
+		for len(changed) > 0 && compareResources(changed[0], held) < 0 {
+			merged.add(changed[0], digestOf(changed[0]), notHeld)
+			changed = changed[1:]
+		}
+		for len(removed) > 0 && compareKeys(removed[0], held.Key) < 0 {
+			removed = removed[1:]
 		}
-		replaced[resource.Key] = true
+		switch {
+		case len(removed) > 0 && removed[0] == held.Key:
+		case len(changed) > 0 && changed[0].Key == held.Key:
+			if bytes.Equal(changed[0].Body, held.Body) {
+				merged.add(held, base.digests[at], at)
+			} else {
+				merged.add(changed[0], digestOf(changed[0]), notHeld)
+			}
+			changed = changed[1:]
+		default:
+			merged.add(held, base.digests[at], at)
+		}
+	}
+	for _, resource := range changed {
+		merged.add(resource, digestOf(resource), notHeld)
 	}
-	resources := make([]Resource, 0, len(base.resources)+len(d.Changed))
-	for _, resource := range base.resources {
-		if !replaced[resource.Key] {
-			resources = append(resources, resource)
+	return merged, nil
+}
+
+// sorted returns what the delta changes and removes in order, or an error when it
+// names a resource twice.
+func (d Delta) sorted() (changed []Resource, removed []Key, err error) {
+	changed, removed = slices.Clone(d.Changed), slices.Clone(d.Removed)
+	slices.SortFunc(changed, compareResources)
+	slices.SortFunc(removed, compareKeys)
+	for i, resource := range changed {
+		_, both := slices.BinarySearchFunc(removed, resource.Key, compareKeys)
+		if both || i > 0 && changed[i-1].Key == resource.Key {
+			return nil, nil, eris.Errorf("the delta names %s twice", resource.Key)
 		}
 	}
-	resources = append(resources, d.Changed...)
-	slices.SortFunc(resources, compareResources)
-	return resources, nil
+	return changed, removed, nil
 }
 
-// decodeContent decodes the sorted resources; those that base holds with the
-// same body were decoded and checked before and are taken from it.
-func decodeContent(base *Document, resources []Resource) (Content, error) {
+// decode returns the content of the resources. Those that base holds were decoded
+// and checked before and are taken from it; a kind of which nothing changed shares
+// base's list.
+func (m *mergedResources) decode(base *Document) (Content, error) {
 	var content Content
-	for _, resource := range resources {
-		if base.holds(resource) {
-			appendHeld(&content, base, resource.Key)
-			continue
+	for start := 0; start < len(m.resources); {
+		kind, end := m.resources[start].Key.Kind, start
+		for end < len(m.resources) && m.resources[end].Key.Kind == kind {
+			end++
 		}
-		if err := appendDecoded(&content, resource); err != nil {
+		if err := m.decodeKind(&content, base, kind, start, end); err != nil {
 			return Content{}, err
 		}
+		start = end
 	}
 	return content, nil
 }
 
-func (d *Document) holds(resource Resource) bool {
-	index, found := slices.BinarySearchFunc(d.resources, resource, compareResources)
-	return found && bytes.Equal(d.resources[index].Body, resource.Body)
+// decodeKind decodes the resources of one kind, which stand from start to end.
+func (m *mergedResources) decodeKind(content *Content, base *Document, kind Kind, start, end int) error {
+	first, last := base.span(kind)
+	if m.isWhole(start, end, first, last) {
+		content.shareKind(&base.content, kind)
+		return nil
+	}
+	content.reserve(kind, end-start)
+	for at := start; at < end; at++ {
+		if held := m.heldAt[at]; held != notHeld {
+			content.appendHeld(&base.content, kind, held-first)
+			continue
+		}
+		if err := appendDecoded(content, m.resources[at]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isWhole reports whether the resources from start to end are those that base has
+// from first to last.
+func (m *mergedResources) isWhole(start, end, first, last int) bool {
+	if end-start != last-first {
+		return false
+	}
+	for at := start; at < end; at++ {
+		if m.heldAt[at] != first+at-start {
+			return false
+		}
+	}
+	return true
+}
+
+// span returns where the resources of a kind stand.
+func (d *Document) span(kind Kind) (start, end int) {
+	start, _ = slices.BinarySearchFunc(d.resources, kind, compareToKind)
+	end, _ = slices.BinarySearchFunc(d.resources, kind+1, compareToKind)
+	return start, end
+}
+
+func compareToKind(resource Resource, kind Kind) int { return cmp.Compare(resource.Key.Kind, kind) }
+
+// shareKind takes the whole list of a kind over.
+func (c *Content) shareKind(from *Content, kind Kind) {
+	switch kind {
+	case KindService:
+		c.Services = from.Services
+	case KindPolicy:
+		c.Policies = from.Policies
+	case KindSecret:
+		c.Secrets = from.Secrets
+	case KindRoute:
+		c.Routes = from.Routes
+	case KindInstance:
+		c.Instances = from.Instances
+	case KindLimits:
+		c.Limits = from.Limits
+	}
+}
+
+// reserve makes room for the values of the kinds that are many.
+func (c *Content) reserve(kind Kind, count int) {
+	switch kind {
+	case KindRoute:
+		c.Routes = make([]TypedRoute, 0, count)
+	case KindInstance:
+		c.Instances = make([]Instance, 0, count)
+	}
 }
 
-func appendHeld(content *Content, base *Document, key Key) {
-	switch key.Kind {
+// appendHeld takes the value of one resource over, by its place among its kind.
+func (c *Content) appendHeld(from *Content, kind Kind, at int) {
+	switch kind {
 	case KindService:
-		service, _ := findByName(base.content.Services, key.Name, serviceName)
-		content.Services = append(content.Services, service)
+		c.Services = append(c.Services, from.Services[at])
 	case KindPolicy:
-		policy, _ := findByName(base.content.Policies, key.Name, policyName)
-		content.Policies = append(content.Policies, policy)
+		c.Policies = append(c.Policies, from.Policies[at])
 	case KindSecret:
-		secret, _ := findByName(base.content.Secrets, key.Name, secretName)
-		content.Secrets = append(content.Secrets, secret)
+		c.Secrets = append(c.Secrets, from.Secrets[at])
 	case KindRoute:
-		route, _ := findByName(base.content.Routes, key.Name, typedRouteName)
-		content.Routes = append(content.Routes, route)
+		c.Routes = append(c.Routes, from.Routes[at])
 	case KindInstance:
-		instance, _ := findByName(base.content.Instances, key.Name, instanceName)
-		content.Instances = append(content.Instances, instance)
+		c.Instances = append(c.Instances, from.Instances[at])
 	case KindLimits:
-		content.Limits = base.content.Limits
+		c.Limits = from.Limits
 	}
 }
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -90,6 +90,7 @@
 	version   Version
 	content   Content
 	resources []Resource // sorted by kind, then name
+	digests   []resourceDigest
 }
 
 // Version returns the version that names the document.
@@ -123,10 +124,36 @@
 	if err := checkResources(content.Revision, resources); err != nil {
 		return nil, err
 	}
+	digests := digestsOf(resources)
 	return &Document{
-		version:   Version{Revision: content.Revision, Hash: hashResources(resources)},
+		version:   Version{Revision: content.Revision, Hash: hashDigests(digests)},
 		content:   sortedContent(content),
 		resources: resources,
+		digests:   digests,
+	}, nil
+}
+
+// WithInstances returns the document of another revision that has other instances
+// and is alike in everything else, of which nothing is encoded again.
+func (d *Document) WithInstances(revision Revision, instances []Instance) (*Document, error) {
+	start, end := d.span(KindInstance)
+	encoded, err := encodeTyped(Content{Instances: instances}, nil)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(encoded, compareResources)
+	resources := slices.Concat(d.resources[:start], encoded, d.resources[end:])
+	if err := checkResources(revision, resources); err != nil {
+		return nil, err
+	}
+	digests := slices.Concat(d.digests[:start], digestsOf(encoded), d.digests[end:])
+	content := d.content
+	content.Revision, content.Instances = revision, sortedByName(instances, instanceName)
+	return &Document{
+		version:   Version{Revision: revision, Hash: hashDigests(digests)},
+		content:   content,
+		resources: resources,
+		digests:   digests,
 	}, nil
 }
 
@@ -221,18 +248,36 @@
 	return nil
 }
 
-// hashResources covers kind, name and body of each resource, each with its
-// length, so that no two lists of resources share an input.
-func hashResources(resources []Resource) ContentHash {
+// resourceDigest is the hash of one resource. Documents that follow each other
+// share most of them.
+type resourceDigest [sha256.Size]byte
+
+// digestOf covers kind, name and body, each with its length, so that no two
+// resources share an input.
+func digestOf(resource Resource) resourceDigest {
+	input := make([]byte, 0, len(resource.Key.Name)+len(resource.Body)+3*binary.MaxVarintLen64)
+	input = append(input, byte(resource.Key.Kind))
+	input = binary.AppendUvarint(input, uint64(len(resource.Key.Name)))
+	input = binary.AppendUvarint(input, uint64(len(resource.Body)))
+	input = append(input, resource.Key.Name...)
+	input = append(input, resource.Body...)
+	return sha256.Sum256(input)
+}
+
+func digestsOf(resources []Resource) []resourceDigest {
+	digests := make([]resourceDigest, len(resources))
+	for i, resource := range resources {
+		digests[i] = digestOf(resource)
+	}
+	return digests
+}
+
+// hashDigests returns the hash of the document whose sorted resources have the
+// digests.
+func hashDigests(digests []resourceDigest) ContentHash {
 	digest := sha256.New()
-	var lengths []byte
-	for _, resource := range resources {
-		lengths = append(lengths[:0], byte(resource.Key.Kind))
-		lengths = binary.AppendUvarint(lengths, uint64(len(resource.Key.Name)))
-		lengths = binary.AppendUvarint(lengths, uint64(len(resource.Body)))
-		digest.Write(lengths)
-		digest.Write([]byte(resource.Key.Name))
-		digest.Write(resource.Body)
+	for i := range digests {
+		digest.Write(digests[i][:])
 	}
 	var hash ContentHash
 	copy(hash[:], digest.Sum(nil))
--- a/internal/snapshot/export_test.go
+++ b/internal/snapshot/export_test.go
@@ -1,4 +1,4 @@
 package snapshot
 
 // HashResources lets tests compute the hash that a hostile peer would.
-var HashResources = hashResources
+func HashResources(resources []Resource) ContentHash { return hashDigests(digestsOf(resources)) }
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -1,6 +1,6 @@
 package snapshot
 
-import "strings"
+import "slices"
 
 // fleet is the part of a snapshot about instances. Snapshots share it while the
 // instances stay the same.
@@ -69,37 +69,12 @@
 // secrets and typed routes, so that a snapshot of one serves for the other with
 // the other's instances.
 func SameRouting(a, b *Document) bool {
-	return sameResources(routingPart(a.resources), routingPart(b.resources))
+	return slices.Equal(a.routingDigests(), b.routingDigests())
 }
 
-// routingPart returns the resources that routes depend on, in order.
-func routingPart(resources []Resource) []Resource {
-	part := make([]Resource, 0, len(resources))
-	for _, resource := range resources {
-		if resource.Key.Kind != KindInstance && resource.Key.Kind != KindLimits {
-			part = append(part, resource)
-		}
-	}
-	return part
-}
-
-func sameResources(a, b []Resource) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Key != b[i].Key || !sameBody(a[i].Body, b[i].Body) {
-			return false
-		}
-	}
-	return true
-}
-
-// sameBody compares without a copy; documents that follow each other share the
-// bodies that did not change.
-func sameBody(a, b []byte) bool {
-	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
-		return true
-	}
-	return strings.Compare(string(a), string(b)) == 0
+// routingDigests are those of the resources that routes depend on, which stand
+// before instances and limits.
+func (d *Document) routingDigests() []resourceDigest {
+	end, _ := d.span(KindInstance)
+	return d.digests[:end]
 }
--- a/internal/snapshot/resource.go
+++ b/internal/snapshot/resource.go
@@ -57,17 +57,26 @@
 // decode reads a body and refuses one that is not in canonical form, so that a
 // content has one encoding and one hash. Errors never show the body.
 func decode[T any](resource Resource) (T, error) {
+	var value T
+	if err := json.Unmarshal(resource.Body, &value); err != nil {
+		return value, whyNotCanonical[T](resource)
+	}
+	if canonical, err := json.Marshal(value); err != nil || !bytes.Equal(canonical, resource.Body) {
+		return value, whyNotCanonical[T](resource)
+	}
+	return value, nil
+}
+
+// whyNotCanonical tells a body that does not fit its type from another encoding of
+// one that does.
+func whyNotCanonical[T any](resource Resource) error {
 	var value T
 	decoder := json.NewDecoder(bytes.NewReader(resource.Body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&value); err != nil {
-		return value, eris.Errorf("%s: the body cannot be decoded", resource.Key)
+		return eris.Errorf("%s: the body cannot be decoded", resource.Key)
 	}
-	canonical, err := json.Marshal(value)
-	if err != nil || !bytes.Equal(canonical, resource.Body) {
-		return value, eris.Errorf("%s: the body is not in canonical form", resource.Key)
-	}
-	return value, nil
+	return eris.Errorf("%s: the body is not in canonical form", resource.Key)
 }
 
 // checkedResource encodes a value after its check passed.
@@ -124,14 +133,3 @@
 	slices.SortFunc(sorted, func(a, b T) int { return strings.Compare(name(a), name(b)) })
 	return sorted
 }
-
-func findByName[T any](sorted []T, wanted string, name func(T) string) (T, bool) {
-	index, found := slices.BinarySearchFunc(sorted, wanted, func(value T, wanted string) int {
-		return strings.Compare(name(value), wanted)
-	})
-	if !found {
-		var none T
-		return none, false
-	}
-	return sorted[index], true
-}
