Let only gateways keep links to other zones

Change: four gateways a zone, chosen by rendezvous hash as before for regions, dial other zones; the others only when they have fewer than three sound links. Ruled out: fewer copies on each link (records are sent once a link already).

Figures: at most 64 links in that fleet (TestFewLinksBetweenZones, which failed with 191 before); the fault cases of the package pass.

--- a/internal/distribution/ranking.go
+++ b/internal/distribution/ranking.go
@@ -13,7 +13,7 @@
 // read the source, one taking over from the other.
 const groupSize = 4
 
-// gatewaysPerZone is how many nodes of a zone keep a link to another region.
+// gatewaysPerZone is how many nodes of a zone keep links to other zones and regions.
 const gatewaysPerZone = 4
 
 // Salts tell the rendezvous hashes of different purposes apart.
--- a/internal/distribution/selection.go
+++ b/internal/distribution/selection.go
@@ -6,11 +6,12 @@
 	"github.com/winchhead/winchhead/internal/membership"
 )
 
-// The links that a node dials: near ones first, some across zones and regions.
+// The links that a node dials. Only the gateways of a zone dial nodes of other zones
+// and regions, so that what crosses zones does not grow with the nodes of a zone.
 const (
 	zoneLinks   = 2
 	regionLinks = 1
-	remoteLinks = 1 // gateways only
+	remoteLinks = 1
 	leastLinks  = 3 // in all, where zones or regions are too small
 )
 
@@ -80,11 +81,10 @@
 
 // wantedLinks returns how many links to dial by distance.
 func (e *Engine) wantedLinks() [distances]int {
-	wanted := [distances]int{zoneLinks, regionLinks, 0}
 	if e.currentRanking().gateway {
-		wanted[distanceRemote] = remoteLinks
+		return [distances]int{zoneLinks, regionLinks, remoteLinks}
 	}
-	return wanted
+	return [distances]int{zoneLinks, 0, 0}
 }
 
 // dialGroup links the nodes of the reader group with each other.
--- a/internal/distribution/size_test.go
+++ b/internal/distribution/size_test.go
@@ -158,3 +158,29 @@
 	change := int(after-bytes) / size
 	c.Assert(change <= changeRatio*delta, qt.IsTrue, qt.Commentf("%d bytes for a delta of %d", change, delta))
 }
+
+// TestFewLinksBetweenZones: what crosses zones does not grow with the machines of
+// a zone, as only its gateways keep links to other zones.
+func TestFewLinksBetweenZones(t *testing.T) {
+	const (
+		zones    = 8
+		gateways = 4
+		links    = 2 // of a gateway: to another zone, and to another region
+	)
+	c := qt.New(t)
+	f := large(c, 160, 0)
+	f.Run(time.Minute)
+	across := 0
+	for i, name := range f.Machines() {
+		for _, peer := range f.Peers(name) {
+			other := 0
+			_, err := fmt.Sscanf(string(peer), "node-%d", &other)
+			c.Assert(err, qt.IsNil)
+			if i%zones != other%zones {
+				across++
+			}
+		}
+	}
+	across /= 2 // each link has two ends
+	c.Check(across > 0 && across <= zones*gateways*links, qt.IsTrue, qt.Commentf("%d links", across))
+}
