Send what may run once only on connections that hardly rested

Change: the order between nodes says whether the request may be repeated; one that may not is sent on a connection that rested at most 100 ms, or on a new one (1 ms). Ruled out: always a new connection (each is priced and holds a slot for a moment); learning the time from resets (the first ones are lost while it is learnt).

Tests: the emulated instance forgets connections; TestForgottenConnection and TestForgottenConnections show the loss for repeatable requests and none for others.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -51,6 +51,10 @@
 	Body                 []byte
 	// ID is what the answer must give back in the field IDHeader.
 	ID string
+	// MaxRest is how long the connection may have rested. Servers forget resting
+	// connections without a word, and a send on such a one may have run for all that
+	// can be seen. Zero: as long as the server keeps it.
+	MaxRest time.Duration
 }
 
 // Response is an answer whose body is read from Body. Close must be called.
@@ -120,7 +124,7 @@
 // Do sends the request and returns once the header of its answer is there. The
 // error is an *Error. The end of the context ends the exchange and its connection.
 func (p *Pool) Do(ctx context.Context, request *Request) (*Response, error) {
-	used, err := p.take(ctx)
+	used, err := p.take(ctx, request.MaxRest)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, Err: err}
 	}
@@ -141,10 +145,11 @@
 // past is a deadline that is over.
 var past = time.Unix(1, 0)
 
-// take returns a connection that rested and is still sound, or a new one.
-func (p *Pool) take(ctx context.Context) (*conn, error) {
+// take returns a connection that rested, no longer than maxRest unless that is zero,
+// and is still sound, or a new one.
+func (p *Pool) take(ctx context.Context, maxRest time.Duration) (*conn, error) {
 	for {
-		resting := p.takeIdle()
+		resting := p.takeIdle(maxRest)
 		if resting == nil {
 			return p.dial(ctx)
 		}
@@ -155,13 +160,17 @@
 	}
 }
 
-func (p *Pool) takeIdle() *conn {
+// takeIdle returns the connection used last. Those below it rested longer.
+func (p *Pool) takeIdle(maxRest time.Duration) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle) == 0 {
 		return nil
 	}
 	last := p.idle[len(p.idle)-1]
+	if maxRest > 0 && time.Since(last.restsSince) > maxRest {
+		return nil
+	}
 	p.idle = p.idle[:len(p.idle)-1]
 	return last
 }
--- a/internal/dataplane/client/client_test.go
+++ b/internal/dataplane/client/client_test.go
@@ -165,3 +165,37 @@
 	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
 	<-left
 }
+
+// TestForgottenConnection: a server forgets connections that rest without a word. A
+// request that must not be sent on such a one gets a new connection.
+func TestForgottenConnection(t *testing.T) {
+	for name, row := range map[string]struct {
+		maxRest time.Duration
+		lost    bool
+	}{
+		"may have rested for any time": {0, true},
+		"may not have rested":          {time.Nanosecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			emulated := &instance.Instance{Name: "i-1"}
+			pool := newPool(t, emulated)
+			_, _, err := ask(context.Background(), pool, "first", "")
+			c.Assert(err, qt.IsNil)
+			emulated.ForgetConnections()
+			response, err := pool.Do(context.Background(), &client.Request{
+				Method: http.MethodPost, Target: "/t", Host: "h.example", ID: "second", MaxRest: row.maxRest,
+				Header: http.Header{instance.HeaderID: {"second"}},
+			})
+			if row.lost {
+				var failure *client.Error
+				c.Assert(errors.As(err, &failure), qt.IsTrue)
+				c.Check(failure.Progress, qt.Equals, client.SentWhole)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Check(response.Status, qt.Equals, http.StatusOK)
+			c.Check(response.Close(), qt.IsNil)
+		})
+	}
+}
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -33,15 +33,24 @@
 	Expected time.Duration
 	// Revision is that of the configuration by which the sender chose.
 	Revision uint64
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 }
 
-const orderFields = 8
+const orderFields = 9
+
+// Marks stand for yes and no in the text of a field.
+const (
+	markNo  = "0"
+	markYes = "1"
+)
 
 // Encode returns the text of the field.
 func (o Order) Encode() string {
 	return strings.Join([]string{
 		o.Instance, o.CallerService, strconv.Itoa(o.Priority),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
+		mark(o.Repeatable),
 	}, separator)
 }
 
@@ -55,11 +64,18 @@
 	order := Order{
 		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
-		Revision: uint64(reader.number()),
+		Revision: uint64(reader.number()), Repeatable: reader.mark(),
 	}
 	return order, reader.err
 }
 
+func mark(set bool) string {
+	if set {
+		return markYes
+	}
+	return markNo
+}
+
 // Outcome tells what became of a request at the node beside an instance.
 type Outcome string
 
@@ -153,6 +169,15 @@
 	return value
 }
 
+func (r *fieldReader) mark() bool {
+	text := r.fields[0]
+	r.fields = r.fields[1:]
+	if text != markYes && text != markNo && r.err == nil {
+		r.err = eris.Errorf("%s: %q is neither %s nor %s", Header, text, markNo, markYes)
+	}
+	return text == markYes
+}
+
 func (r *fieldReader) duration() time.Duration { return time.Duration(r.number()) * time.Millisecond }
 
 func millis(duration time.Duration) string {
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -37,8 +37,11 @@
 	// Backend is the address of the instance (IP:port).
 	Backend string
 	// Slots are those of an instance that names none.
-	Slots  int
-	Logger logrus.FieldLogger
+	Slots int
+	// MaxRestOnce is how long a connection to the instance may have rested that a
+	// request which may not be repeated is sent on; zero takes defaultMaxRestOnce.
+	MaxRestOnce time.Duration
+	Logger      logrus.FieldLogger
 	// Registerer takes the metrics; nil for none.
 	Registerer prometheus.Registerer
 }
@@ -47,6 +50,9 @@
 	connectTimeout = time.Second
 	// idleTimeout is how long a connection rests when the instance names no time.
 	idleTimeout = 4 * time.Second
+	// defaultMaxRestOnce is well below the time after which instances were seen to
+	// forget connections (0.3 s); a new connection costs about a millisecond.
+	defaultMaxRestOnce = 100 * time.Millisecond
 	// answerMargin is how much earlier the instance's time is over than the
 	// request's, so that its own answer is still in time.
 	answerMargin = 10 * time.Millisecond
@@ -67,6 +73,9 @@
 
 // New returns a Proxy, or an error when its metrics cannot be registered.
 func New(options Options) (*Proxy, error) {
+	if options.MaxRestOnce == 0 {
+		options.MaxRestOnce = defaultMaxRestOnce
+	}
 	created := &Proxy{
 		options: options,
 		instance: client.NewPool(client.Options{
@@ -299,10 +308,14 @@
 	set(header, names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	set(header, names.ExpectInstance, order.Instance)
 	set(header, names.CallerService, order.CallerService)
-	return &client.Request{
+	sent := &client.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host,
 		Header: header, Body: request.Body, ID: request.ID,
 	}
+	if !order.Repeatable {
+		sent.MaxRest = p.options.MaxRestOnce
+	}
+	return sent
 }
 
 func set(header http.Header, name, value string) {
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -11,6 +11,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/emulator/instance"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
@@ -80,3 +81,58 @@
 		})
 	}
 }
+
+// fixedSnapshot is always in force.
+type fixedSnapshot struct{ current *snapshot.Snapshot }
+
+func (f fixedSnapshot) Current() *snapshot.Snapshot { return f.current }
+
+// newServedProxy returns a proxy beside an emulated instance that is in force.
+func newServedProxy(t *testing.T, emulated *instance.Instance, options inbound.Options) *inbound.Proxy {
+	address, err := emulated.Start()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(emulated.Close)
+	version := snapshot.Version{Revision: 1}
+	built, err := snapshot.New(version, nil, []snapshot.Service{{Name: "a"}}, nil)
+	qt.Assert(t, err, qt.IsNil)
+	options.Names = message.Names{
+		RequestID: instance.HeaderID, Deadline: instance.HeaderDeadline, ExpectInstance: instance.HeaderExpect,
+		NotExecuted: instance.HeaderNotExecuted, Stamp: instance.HeaderStamp,
+	}
+	options.Snapshots = fixedSnapshot{built.WithFleet(version, []snapshot.Instance{{
+		Name: emulated.Name, Service: "a", Address: address, State: snapshot.InstanceReady, Slots: 4,
+	}}, nil)}
+	options.Backend, options.Slots, options.Logger = address, 4, logging.Discard()
+	proxy, err := inbound.New(options)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
+func deliver(proxy *inbound.Proxy, id string, order hop.Order) inbound.Delivery {
+	return proxy.Deliver(context.Background(), &message.Request{
+		ID: id, Method: http.MethodGet, Target: "/t", Host: "h.example", Header: http.Header{}, Arrived: time.Now(),
+	}, order)
+}
+
+// TestForgottenConnections: a request that may not be repeated is not lost to a
+// connection that the instance has forgotten.
+func TestForgottenConnections(t *testing.T) {
+	for name, row := range map[string]struct {
+		repeatable bool
+		want       hop.Outcome
+	}{
+		"may run once": {false, hop.Answered},
+		"repeatable":   {true, hop.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			emulated := &instance.Instance{Name: "i-1"}
+			proxy := newServedProxy(t, emulated, inbound.Options{MaxRestOnce: time.Nanosecond})
+			order := hop.Order{Instance: "i-1", Remaining: time.Minute, MaxWait: time.Minute, Repeatable: row.repeatable}
+			c.Assert(deliver(proxy, "first", order).Report.Outcome, qt.Equals, hop.Answered)
+			emulated.ForgetConnections()
+			c.Check(deliver(proxy, "second", order).Report.Outcome, qt.Equals, row.want)
+		})
+	}
+}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -131,6 +131,7 @@
 		MaxWait:       e.maxWait(due, remaining),
 		Expected:      min(time.Duration(startShare*float64(choice.Service)), remaining/2),
 		Revision:      uint64(e.current.Version().Revision),
+		Repeatable:    e.route.MayRepeat(e.request.Method),
 	}
 }
 
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -89,6 +89,8 @@
 	rejected int
 	serving  sync.WaitGroup
 	conns    map[net.Conn]struct{}
+	// forgotten are connections whose next bytes meet a reset.
+	forgotten map[net.Conn]struct{}
 }
 
 // Start listens and returns the address.
@@ -101,7 +103,7 @@
 	if err != nil {
 		return "", err
 	}
-	i.listener, i.conns = listener, make(map[net.Conn]struct{})
+	i.listener, i.conns, i.forgotten = listener, make(map[net.Conn]struct{}), make(map[net.Conn]struct{})
 	i.serving.Go(i.accept)
 	return listener.Addr().String(), nil
 }
@@ -117,6 +119,23 @@
 	i.serving.Wait()
 }
 
+// ForgetConnections drops all that are open without a word: whatever comes on them
+// next meets a reset and does not run.
+func (i *Instance) ForgetConnections() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for conn := range i.conns {
+		i.forgotten[conn] = struct{}{}
+	}
+}
+
+func (i *Instance) isForgotten(conn net.Conn) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	_, forgotten := i.forgotten[conn]
+	return forgotten
+}
+
 // Runs returns what ran so far.
 func (i *Instance) Runs() []Run {
 	i.mutex.Lock()
@@ -153,6 +172,7 @@
 			_ = conn.Close()
 			i.mutex.Lock()
 			delete(i.conns, conn)
+			delete(i.forgotten, conn)
 			i.mutex.Unlock()
 		})
 	}
@@ -165,6 +185,10 @@
 		if err != nil {
 			return
 		}
+		if i.isForgotten(conn) {
+			reset(conn)
+			return
+		}
 		if !i.answer(conn, reader, request) {
 			return
 		}
