Never let the log's output hold a request up

Change: lines gather in a buffer of 256 KiB that one goroutine writes out, several at a time; what does not fit is left out and told. The end of the process waits 200 ms at most for the last lines, also at a second signal. Ruled out: a non-blocking descriptor (it would be shared with whoever started the process); a channel of lines (one wake-up a line).

Tests: a reader that stops, order and flush, the end without a reader (race detector, 5 times).

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +16,10 @@
 
 const nodeHelp = `Runs a node: beside a back end, as the settings' inbound section says, or alone as an entry for callers. Every setting can be given in the file or as a flag of the same name; flags win. SIGTERM or SIGINT stops the node in the planned way: it takes no new work, finishes what it has and leaves the fleet; a second signal ends it at once. Exit codes: 0 planned stop, 2 wrong settings, 5 a part failed, 6 a planned stop was cut short.`
 
+// lastLinesWait is how long the end of the process waits for its last log lines to
+// be taken.
+const lastLinesWait = 200 * time.Millisecond
+
 type nodeCommand struct {
 	environment
 	settingsFlags
@@ -28,7 +33,9 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.New(c.stderr, loaded.Log.Level, loaded.Log.Format)
+	lines := logging.NewWriter(c.stderr, logging.DefaultBacklogBytes)
+	defer lines.Close(lastLinesWait)
+	logger, err := logging.New(lines, loaded.Log.Level, loaded.Log.Format)
 	if err != nil {
 		return err
 	}
@@ -36,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, release := stopOnSignal(c.ctx, logging.Part(logger, "node"))
+	ctx, release := stopOnSignal(c.ctx, logging.Part(logger, "node"), func() { lines.Close(lastLinesWait) })
 	defer release()
 	reloaded := newReloader(&c.settingsFlags, loaded, logging.Part(logger, "settings"))
 	reloaded.apply = func(next *settings.Loaded) {
@@ -48,8 +55,8 @@
 }
 
 // stopOnSignal returns a context that ends at the first signal to stop. The
-// second signal ends the process.
-func stopOnSignal(parent context.Context, logger logrus.FieldLogger) (context.Context, func()) {
+// second signal ends the process, after flush.
+func stopOnSignal(parent context.Context, logger logrus.FieldLogger, flush func()) (context.Context, func()) {
 	const signalsKept = 2
 	signals := make(chan os.Signal, signalsKept)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -65,6 +72,7 @@
 		received, open := <-signals
 		if open {
 			logger.Warnf("received %s again, ending at once", received)
+			flush()
 			os.Exit(ExitCutShort)
 		}
 	}()
