--- a/internal/bench/mesh/embedded.go
+++ b/internal/bench/mesh/embedded.go
@@ -9,6 +9,7 @@
 
 	"github.com/winchhead/winchhead/internal/app"
 	"github.com/winchhead/winchhead/internal/bench/deployment"
+	"github.com/winchhead/winchhead/internal/bench/process"
 	"github.com/winchhead/winchhead/internal/logging"
 )
 
@@ -32,10 +33,10 @@
 	return &embedded{plan: plan, logs: logs, done: done, cancel: func() {}}
 }
 
-func (e *embedded) start() error {
+func (e *embedded) Start() error {
 	e.lock.Lock()
 	defer e.lock.Unlock()
-	if running(e.done) {
+	if process.Running(e.done) {
 		return eris.New("the node runs already")
 	}
 	logger, err := logging.New(e.logs, e.plan.Log.Level, e.plan.Log.Format)
@@ -56,7 +57,7 @@
 	return nil
 }
 
-func (e *embedded) stop(ctx context.Context) error {
+func (e *embedded) Stop(ctx context.Context) error {
 	e.lock.Lock()
 	e.cancel()
 	done := e.done
@@ -69,13 +70,13 @@
 	}
 }
 
-// kill is a planned stop: a part of this process cannot be ended otherwise.
-func (e *embedded) kill() error { return e.stop(context.Background()) }
+// Kill is a planned stop: a part of this process cannot be ended otherwise.
+func (e *embedded) Kill() error { return e.Stop(context.Background()) }
 
-func (*embedded) pause() error  { return ErrUnsupported }
-func (*embedded) resume() error { return ErrUnsupported }
+func (*embedded) Pause() error  { return ErrUnsupported }
+func (*embedded) Resume() error { return ErrUnsupported }
 
-func (e *embedded) ended() <-chan struct{} {
+func (e *embedded) Ended() <-chan struct{} {
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	return e.done
--- a/internal/bench/mesh/mesh.go
+++ b/internal/bench/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/winchhead/winchhead/internal/bench/deployment"
 	"github.com/winchhead/winchhead/internal/bench/load"
+	"github.com/winchhead/winchhead/internal/bench/process"
 	"github.com/winchhead/winchhead/internal/emulator/backend"
 	"github.com/winchhead/winchhead/internal/emulator/platform"
 	"github.com/winchhead/winchhead/internal/settings"
@@ -116,7 +117,7 @@
 	if m.options.Binary == "" {
 		return newEmbedded(plan, m.options.Logs)
 	}
-	return newProcess(m.options.Binary, plan, m.options.Logs)
+	return process.New(m.options.Binary, nodeArguments(plan), m.options.Logs)
 }
 
 // Nodes returns all nodes.
--- a/internal/bench/mesh/node.go
+++ b/internal/bench/mesh/node.go
@@ -16,17 +16,17 @@
 
 // runner runs one node: as a process or in this one.
 type runner interface {
-	// start begins a run; there must be none.
-	start() error
-	// stop makes a planned stop and waits for its end.
-	stop(ctx context.Context) error
-	// kill ends the run, at once if it is a process, and waits; without a run it
+	// Start begins a run; there must be none.
+	Start() error
+	// Stop makes a planned stop and waits for its end.
+	Stop(ctx context.Context) error
+	// Kill ends the run, at once if it is a process, and waits; without a run it
 	// does nothing.
-	kill() error
-	pause() error
-	resume() error
-	// ended is closed when the run is over.
-	ended() <-chan struct{}
+	Kill() error
+	Pause() error
+	Resume() error
+	// Ended is closed when the run is over.
+	Ended() <-chan struct{}
 }
 
 // Node is one node of a mesh. Its methods must not be called at the same time.
@@ -63,7 +63,7 @@
 // Start starts the node and puts it in the platform's list. It doesn't wait:
 // callers are sent to an edge once AwaitReady has seen that it is ready.
 func (n *Node) Start(context.Context) error {
-	if err := n.runner.start(); err != nil {
+	if err := n.runner.Start(); err != nil {
 		return eris.Wrapf(err, "start %s", n.Name())
 	}
 	n.mesh.Platform.PutMember(n.plan.Member())
@@ -87,7 +87,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.mesh.Entries.Remove(n.Outbound())
 	n.AnnounceLeaving()
-	if err := n.runner.stop(ctx); err != nil {
+	if err := n.runner.Stop(ctx); err != nil {
 		return eris.Wrapf(err, "stop %s", n.Name())
 	}
 	n.mesh.Platform.RemoveMember(n.plan.Member().Node)
@@ -106,15 +106,27 @@
 func (n *Node) AnnounceStaying() { n.mesh.Platform.PutMember(n.plan.Member()) }
 
 // Kill ends the node at once. Neither callers nor the platform's list are told.
-func (n *Node) Kill() error { return eris.Wrapf(n.runner.kill(), "kill %s", n.Name()) }
+func (n *Node) Kill() error { return eris.Wrapf(n.runner.Kill(), "kill %s", n.Name()) }
 
 // Pause stops the node's process without ending it (SIGSTOP).
-func (n *Node) Pause() error { return eris.Wrapf(n.runner.pause(), "pause %s", n.Name()) }
+func (n *Node) Pause() error { return eris.Wrapf(n.runner.Pause(), "pause %s", n.Name()) }
 
 // Resume wakes a paused node (SIGCONT).
-func (n *Node) Resume() error { return eris.Wrapf(n.runner.resume(), "resume %s", n.Name()) }
+func (n *Node) Resume() error { return eris.Wrapf(n.runner.Resume(), "resume %s", n.Name()) }
 
 // Ended is closed when the node's current run is over.
-func (n *Node) Ended() <-chan struct{} { return n.runner.ended() }
+func (n *Node) Ended() <-chan struct{} { return n.runner.Ended() }
 
-func (n *Node) end() error { return n.runner.kill() }
+func (n *Node) end() error { return n.runner.Kill() }
+
+// nodeArguments are those of the program that runs a node.
+func nodeArguments(plan deployment.Node) []string {
+	arguments := []string{"node"}
+	if plan.File != "" {
+		arguments = append(arguments, "--settings", plan.File)
+	}
+	for key, value := range plan.Overrides {
+		arguments = append(arguments, "--"+key+"="+value)
+	}
+	return arguments
+}
--- a/internal/bench/mesh/pause_linux.go
+++ b/internal/bench/process/pause_linux.go
@@ -1,4 +1,4 @@
-package mesh
+package process
 
 import (
 	"errors"
--- a/internal/bench/mesh/pause_other.go
+++ b/internal/bench/process/pause_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package mesh
+package process
 
 // awaitStopped does nothing: only Linux tells when a process has stopped.
 func awaitStopped(int) error { return nil }
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -66,6 +66,9 @@
 type Run struct {
 	ID, Method, Target, Body, Caller, Expected string
 	DeadlineMillis                             int
+	Began                                      time.Time
+	// Ended is set when the work is over.
+	Ended bool
 	// Cancelled is set when the connection closed before the answer.
 	Cancelled bool
 }
@@ -222,8 +225,9 @@
 	if err != nil {
 		return false
 	}
+	run := i.begin(request, string(body))
 	cancelled := i.work(conn, reader, id)
-	i.note(request, string(body), cancelled)
+	i.end(run, cancelled)
 	return !cancelled && i.spoil(conn, fault, id)
 }
 
@@ -256,15 +260,23 @@
 	return ok && timeout.Timeout()
 }
 
-func (i *Instance) note(request *http.Request, body string, cancelled bool) {
+// begin notes that a request runs from now on, and returns its place among the runs.
+func (i *Instance) begin(request *http.Request, body string) int {
 	deadline, _ := strconv.Atoi(request.Header.Get(HeaderDeadline))
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.runs = append(i.runs, Run{
 		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI, Body: body,
 		Caller: request.Header.Get(HeaderCaller), Expected: request.Header.Get(HeaderExpect),
-		DeadlineMillis: deadline, Cancelled: cancelled,
+		DeadlineMillis: deadline, Began: time.Now(),
 	})
+	return len(i.runs) - 1
+}
+
+func (i *Instance) end(run int, cancelled bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.runs[run].Ended, i.runs[run].Cancelled = true, cancelled
 }
 
 // Body is the body of the proper answer to a request.
