Soak a fleet of real processes on an emulated store

winchhead-bench store-soak: 8 nodes in 2 zones, 18 kinds of fault, one in three with another at the same time, configurations that only add routes, so that going back shows. Judged: doubled, ran though refused, wrong answer, unasked or at another service, went back, lost to a planned stop, late answer, late change, return after the last fault. storesoak/regressions.go keeps seeds with their cause; the test plays them with a short soak and leaves promises with a time bound to the command.

The names of the store's content stand in its emulator.

--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -71,6 +71,7 @@
 		{"overhead", "Measure what the two hops add", overheadHelp, &overheadCommand{environment: env}},
 		{"load", "Measure goodput around the capacity", loadHelp, &loadCommand{environment: env}},
 		{"soak", "Run random faults against the examples", soakHelp, &soakCommand{environment: env}},
+		{"store-soak", "Run random faults against a fleet on a store", storeSoakHelp, &storeSoakCommand{environment: env}},
 		{"backend", "Run an emulated back end", backendHelp, &backendCommand{environment: env}},
 	}
 }
--- /dev/null
+++ b/internal/bench/command/store_soak.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/bench/storesoak"
+)
+
+const storeSoakHelp = "Runs a fleet of real node processes on an emulated key-value store, with emulated instances, " +
+	"under load and random faults from outside, and exits with 1 if a promise broke. The same seed gives the same faults " +
+	"in the same order; a seed that broke something belongs into storesoak/regressions.go with a line on its cause."
+
+// storeSoakCommand soaks a fleet on a store, once for each seed.
+type storeSoakCommand struct {
+	environment
+	binaryFlags
+	Seed    uint64  `long:"seed" default:"1" description:"seed of the first soak; the others have the next ones"`
+	Seeds   int     `long:"seeds" default:"1" description:"how many soaks, one after the other"`
+	Faults  int     `long:"faults" default:"20" description:"faults of each soak"`
+	Rate    float64 `long:"rate" default:"150" description:"calls per second"`
+	JSON    bool    `long:"json" description:"print the reports as JSON"`
+	Verbose bool    `long:"verbose" description:"print what the nodes log"`
+}
+
+// Execute soaks and prints a line for each seed.
+func (c *storeSoakCommand) Execute([]string) error {
+	binary, release, err := c.binary(c.environment)
+	if err != nil {
+		return err
+	}
+	defer release()
+	var reports []storesoak.Report
+	failed := 0
+	for i := range c.Seeds {
+		options := storesoak.Options{Binary: binary, Seed: c.Seed + uint64(i), Faults: c.Faults, Rate: c.Rate, Progress: c.stderr}
+		if c.Verbose {
+			options.Logs = c.stderr
+		}
+		report, err := storesoak.Run(c.ctx, options)
+		if err != nil {
+			return eris.Wrapf(err, "soak with seed %d", options.Seed)
+		}
+		reports = append(reports, report)
+		if len(report.Broken) > 0 {
+			failed++
+		}
+	}
+	if err := c.print(reports); err != nil {
+		return err
+	}
+	if failed > 0 {
+		return eris.Errorf("promises broke with %d of %d seeds", failed, c.Seeds)
+	}
+	return nil
+}
+
+func (c *storeSoakCommand) print(reports []storesoak.Report) error {
+	if c.JSON {
+		return printJSON(c.stdout, reports)
+	}
+	table := newTable(c.stdout, "SEED", "SECONDS", "FAULTS", "CHANGES", "SENT", "SERVED", "REFUSED", "FAILED",
+		"DOUBLED", "RAN REFUSED", "WRONG", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES")
+	for _, r := range reports {
+		table.row(r.Seed, fmt.Sprintf("%.0f", r.Seconds), r.Faults, r.Changes, r.Sent, r.Served, r.Refused, r.Failed,
+			r.Doubled, r.RanRefused, r.Wrong, r.Unasked, r.WentBack, r.Lost, r.LateAnswers, r.LateChanges)
+	}
+	table.flush()
+	for _, r := range reports {
+		for _, promise := range r.Broken {
+			_, _ = fmt.Fprintf(c.stdout, "seed %d: broken: %s\n", r.Seed, promise)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/storesoak/judge.go
@@ -0,0 +1,213 @@
+package storesoak
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/emulator/instance"
+)
+
+// Report is the result of one soak. Counts are of calls.
+type Report struct {
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	Faults  int     `json:"faults"`
+	Changes int     `json:"configuration_changes"`
+
+	Sent    int `json:"sent"`
+	Served  int `json:"served"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+
+	// Doubled ran twice though they may run once; RanRefused ran though they were
+	// refused as not run.
+	Doubled    int `json:"doubled"`
+	RanRefused int `json:"ran_though_refused"`
+	// Wrong got another answer than that of their own run.
+	Wrong int `json:"wrong"`
+	// Unasked ran and were not sent so, or at another service than their route's.
+	Unasked int `json:"unasked"`
+	// WentBack were answered by an older configuration than an earlier one of the
+	// same process.
+	WentBack int `json:"went_back"`
+	// Lost were cut off by work as planned.
+	Lost int `json:"lost"`
+	// LateAnswers and LateChanges broke a time bound, with nothing wrong around.
+	LateAnswers int `json:"late_answers"`
+	LateChanges int `json:"late_changes"`
+
+	// Broken names each broken promise; empty is the only good result.
+	Broken []string `json:"broken"`
+}
+
+const (
+	// lateSlack is how long after the end of its time a call may be answered.
+	lateSlack = 500 * time.Millisecond
+	// applyTime is how long after its acknowledgement a change may take.
+	applyTime = 2 * time.Second
+	// leastServed is the share of calls that must be served after the last fault.
+	leastServed = 0.99
+)
+
+// run is one run of a request with where it ran.
+type run struct {
+	instance.Run
+	machine *machine
+	name    string
+}
+
+// judge compares what callers and instances saw.
+func (s *soak) judge() {
+	runs := s.runs()
+	calls := s.callers.all()
+	byID := make(map[string]*call, len(calls))
+	for _, each := range calls {
+		byID[each.id] = each
+		s.count(each)
+		s.judgeCall(each, runs[each.id])
+	}
+	for id, found := range runs {
+		for _, each := range found {
+			if sent := byID[id]; sent == nil || !each.isAsked(sent, s.fleet) {
+				s.report.Unasked++
+				s.broken("%s ran at %s as %s %s for %s, which was not sent so", id, each.name, each.Method, each.Target, each.Caller)
+			}
+		}
+	}
+	s.judgeOrder(calls)
+	s.judgeRecovery(calls)
+}
+
+func (s *soak) runs() map[string][]run {
+	found := make(map[string][]run)
+	for _, m := range s.fleet.machines {
+		for _, emulated := range m.instances() {
+			for _, each := range emulated.Runs() {
+				found[each.ID] = append(found[each.ID], run{Run: each, machine: m, name: emulated.Name})
+			}
+		}
+	}
+	return found
+}
+
+func (r run) isAsked(sent *call, f *fleet) bool {
+	wanted, method := serviceRead, http.MethodGet
+	if sent.kind == kindWrite {
+		wanted, method = serviceWrite, http.MethodPost
+	}
+	return r.Method == method && r.Target == sent.path && r.Body == sent.body && r.machine.service == wanted &&
+		r.Caller == f.machines[sent.machine].service && r.Expected == r.name
+}
+
+func (s *soak) count(c *call) {
+	s.report.Sent++
+	switch {
+	case c.status >= http.StatusOK && c.status < http.StatusMultipleChoices:
+		s.report.Served++
+	case c.isRefused():
+		s.report.Refused++
+	default:
+		s.report.Failed++
+	}
+}
+
+// isRefused reports whether the answer promises that the request has not run.
+func (c *call) isRefused() bool {
+	switch c.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// judgeCall checks one call by itself.
+func (s *soak) judgeCall(c *call, runs []run) {
+	machine := s.fleet.machines[c.machine]
+	switch {
+	case c.kind == kindWrite && len(runs) > 1:
+		s.report.Doubled++
+		s.broken("%s ran %d times", c.id, len(runs))
+	case c.kind == kindWrite && c.isRefused() && len(runs) > 0:
+		s.report.RanRefused++
+		s.broken("%s was refused with %d and ran at %s", c.id, c.status, runs[0].name)
+	case c.status != 0 && c.status < http.StatusMultipleChoices && !c.isOwnAnswer(runs):
+		s.report.Wrong++
+		s.broken("%s got an answer that is not its own: stamp %q, %d bytes", c.id, c.stamp, len(c.answer))
+	case c.status != 0 && c.err != nil:
+		s.report.Wrong++
+		s.broken("%s: %v", c.id, c.err)
+	case c.status == 0 && c.written && len(runs) > 0 && s.history.onlyPlanned(c.machine, c.sent.Add(-contact), c.ended):
+		s.report.Lost++
+		s.broken("%s was cut off by a planned stop of machine %d: %v", c.id, machine.number, c.err)
+	}
+	limit := routeMillis*time.Millisecond + lateSlack
+	if took := c.ended.Sub(c.sent); took > limit && s.history.calm(c.sent, c.ended) {
+		s.report.LateAnswers++
+		s.broken("%s took %s", c.id, took)
+	}
+}
+
+// isOwnAnswer reports whether an answer is that of an instance that ran the call.
+func (c *call) isOwnAnswer(runs []run) bool {
+	if c.answer != instance.Body(c.id) {
+		return false
+	}
+	for _, each := range runs {
+		if each.name == c.stamp {
+			return true
+		}
+	}
+	return false
+}
+
+// processLife is one run of one node's process.
+type processLife struct {
+	machine int
+	life    int64
+}
+
+// judgeOrder checks probes against each other: no process goes back, and changes
+// come into force in time. Calls are in the order in which they were sent.
+func (s *soak) judgeOrder(calls []*call) {
+	answered := make(map[processLife][]*call)
+	for _, c := range calls {
+		if c.kind != kindProbe || c.status == 0 || c.status == http.StatusServiceUnavailable {
+			continue
+		}
+		life := processLife{c.machine, c.life}
+		if c.status != http.StatusNotFound {
+			answered[life] = append(answered[life], c)
+			continue
+		}
+		for _, earlier := range answered[life] {
+			if earlier.route >= c.route && earlier.ended.Before(c.sent) {
+				s.report.WentBack++
+				s.broken("%s: machine %d does not know route %d, after it served route %d to %s", c.id, c.machine, c.route, earlier.route, earlier.id)
+				break
+			}
+		}
+		acknowledged := s.history.acknowledged(c.route)
+		if c.sent.Sub(acknowledged) > applyTime && s.history.calm(acknowledged, c.sent) {
+			s.report.LateChanges++
+			s.broken("%s: machine %d does not know route %d, %s after it was acknowledged", c.id, c.machine, c.route, c.sent.Sub(acknowledged))
+		}
+	}
+}
+
+// judgeRecovery checks that calls are served again after the last fault.
+func (s *soak) judgeRecovery(calls []*call) {
+	sent, served := 0, 0
+	for _, c := range calls {
+		if c.sent.Before(s.history.calmFrom.Add(finalCalm / 2)) {
+			continue
+		}
+		sent++
+		if c.status == http.StatusOK {
+			served++
+		}
+	}
+	if float64(served) < leastServed*float64(sent) {
+		s.broken("after the last fault %d of %d calls were served", served, sent)
+	}
+}
--- /dev/null
+++ b/internal/bench/storesoak/soak.go
@@ -0,0 +1,186 @@
+// Package storesoak runs a fleet of real node processes on an emulated key-value
+// store, with emulated instances and proxies between the nodes, under load and random
+// faults that are caused from outside the processes. It judges the promises by what
+// callers and instances saw. The same seed gives the same faults in the same order.
+package storesoak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/emulator/store"
+	"github.com/winchhead/winchhead/internal/wait"
+)
+
+// Options set up a soak.
+type Options struct {
+	// Binary is the winchhead binary.
+	Binary string
+	Seed   uint64
+	// Faults is how many faults are caused.
+	Faults int
+	// Rate is the calls a second.
+	Rate float64
+	// Progress takes one line a fault, Logs what the nodes log; nil drops them.
+	Progress, Logs io.Writer
+}
+
+// Times of a soak.
+const (
+	startTimeout                = 30 * time.Second
+	healTimeout                 = 30 * time.Second
+	shortestFault, longestFault = 400 * time.Millisecond, 3 * time.Second
+	shortestCalm, longestCalm   = 200 * time.Millisecond, 1500 * time.Millisecond
+	// finalCalm is how long calls go on after the last fault; those of its second
+	// half must be served.
+	finalCalm = 6 * time.Second
+	// shortestWork and longestWork bound how long an instance works on a request.
+	shortestWork, longestWork = 2 * time.Millisecond, 40 * time.Millisecond
+)
+
+// soak is one run.
+type soak struct {
+	options Options
+	fleet   *fleet
+	random  *rand.Rand
+	callers *callers
+	history history
+	report  Report
+}
+
+// Run soaks a fleet. The error tells that the soak could not be run; broken promises
+// are in the report.
+func Run(ctx context.Context, options Options) (Report, error) {
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	running, err := startFleet(starting, options.Binary, options.Logs, work)
+	if err != nil {
+		return Report{}, err
+	}
+	defer running.close()
+	s := &soak{
+		options: options, fleet: running, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		callers: newCallers(running, options.Seed), report: Report{Seed: options.Seed, Broken: []string{}},
+	}
+	err = s.run(ctx)
+	return s.report, err
+}
+
+// work takes a time that depends on the request, or until its sender leaves.
+func work(id string, gone <-chan struct{}) {
+	span := longestWork - shortestWork
+	share := time.Duration(0)
+	for _, letter := range id {
+		share = share*31 + time.Duration(letter)
+	}
+	timer := time.NewTimer(shortestWork + (share%span+span)%span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-gone:
+	}
+}
+
+func (s *soak) run(ctx context.Context) error {
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.callers.run(calling, s.options.Rate)
+	}()
+	began := time.Now()
+	err := s.disturb(ctx)
+	if err == nil {
+		s.history.calmFrom = time.Now()
+		err = wait.For(ctx, finalCalm)
+	}
+	stop()
+	<-ended
+	s.report.Seconds = time.Since(began).Seconds()
+	if err != nil {
+		return err
+	}
+	s.judge()
+	return nil
+}
+
+// disturb causes the faults one after the other, one in three with another at the
+// same time, and changes the configuration in between.
+func (s *soak) disturb(ctx context.Context) error {
+	const oneIn = 3
+	for s.report.Faults < s.options.Faults {
+		current := []fault{s.choose()}
+		second, together := s.choose(), s.random.IntN(oneIn) == 0
+		if together && !second.overlaps(current[0]) {
+			current = append(current, second)
+		}
+		change := s.random.IntN(oneIn) > 0
+		if err := s.cause(ctx, current, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *soak) choose() fault { return choosers[s.random.IntN(len(choosers))](s.random, s.fleet) }
+
+// cause begins faults, lets them last and undoes them.
+func (s *soak) cause(ctx context.Context, faults []fault, change bool) error {
+	lasting, calm := s.between(shortestFault, longestFault), s.between(shortestCalm, longestCalm)
+	for _, each := range faults {
+		s.report.Faults++
+		s.progress("%s at %v for %d ms", each.name, each.machines, lasting.Milliseconds())
+		span := s.history.begin(each)
+		if err := each.begin(ctx); err != nil {
+			s.broken("%s could not be caused: %v", each.name, err)
+		}
+		defer s.history.end(span)
+	}
+	if change {
+		s.change()
+	}
+	if err := wait.For(ctx, lasting); err != nil {
+		return err
+	}
+	for _, each := range faults {
+		undoing, cancel := context.WithTimeout(ctx, healTimeout)
+		if err := each.undo(undoing); err != nil {
+			s.broken("no return from %s: %v", each.name, err)
+		}
+		cancel()
+	}
+	return wait.For(ctx, calm)
+}
+
+// change adds one route, or many.
+func (s *soak) change() {
+	const many, oneIn = 200, 8
+	routes := 1
+	if s.random.IntN(oneIn) == 0 {
+		routes = many
+	}
+	last := s.fleet.catalog.add(routes)
+	s.fleet.store.PutJSON(store.KeyConfiguration, s.fleet.catalog.document())
+	s.history.changed(last, time.Now())
+	s.report.Changes++
+}
+
+func (s *soak) between(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(s.random.Int64N(int64(longest-shortest)))
+}
+
+func (s *soak) progress(format string, values ...any) {
+	if s.options.Progress != nil {
+		_, _ = fmt.Fprintf(s.options.Progress, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, values...))
+	}
+}
+
+func (s *soak) broken(format string, values ...any) {
+	text := fmt.Sprintf(format, values...)
+	s.progress("BROKEN: %s", text)
+	s.report.Broken = append(s.report.Broken, text)
+}
--- /dev/null
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -0,0 +1,38 @@
+package storesoak_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/bench/mesh"
+	"github.com/winchhead/winchhead/internal/bench/storesoak"
+)
+
+// TestPromisesHoldUnderFaults plays a short soak of real processes, and every one
+// that once broke a promise. Promises with a time bound are left to the command, as
+// the machine that runs the tests may be busy.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	binary, remove, err := mesh.BuildBinary(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(remove)
+	soaks := append([]storesoak.Regression{{Seed: 1, Faults: 3, Cause: "a short soak"}}, storesoak.Regressions...)
+	for _, each := range soaks {
+		t.Run(fmt.Sprint(each.Seed), func(t *testing.T) {
+			c := qt.New(t)
+			report, err := storesoak.Run(context.Background(), storesoak.Options{
+				Binary: binary, Seed: each.Seed, Faults: each.Faults, Rate: 60,
+			})
+			c.Assert(err, qt.IsNil)
+			c.Logf("%+v", report)
+			c.Check(report.Served > 0, qt.IsTrue)
+			c.Check(report.Doubled, qt.Equals, 0)
+			c.Check(report.RanRefused, qt.Equals, 0)
+			c.Check(report.Wrong, qt.Equals, 0)
+			c.Check(report.Unasked, qt.Equals, 0)
+			c.Check(report.WentBack, qt.Equals, 0)
+		})
+	}
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -60,6 +60,8 @@
 	Early Fault = 13
 	// CloseAfter answers properly and says that the connection closes.
 	CloseAfter Fault = 14
+	// Hangs begins the request and says nothing until the sender leaves.
+	Hangs Fault = 15
 )
 
 // Run is one request that the instance ran.
@@ -122,6 +124,23 @@
 	i.serving.Wait()
 }
 
+// SetPlan changes the plan of a running instance; nil: no faults.
+func (i *Instance) SetPlan(plan func(id string) Fault) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.Plan = plan
+}
+
+func (i *Instance) faultFor(id string) Fault {
+	i.mutex.Lock()
+	plan := i.Plan
+	i.mutex.Unlock()
+	if plan == nil {
+		return None
+	}
+	return plan(id)
+}
+
 // ForgetConnections drops all that are open without a word: whatever comes on them
 // next meets a reset and does not run.
 func (i *Instance) ForgetConnections() {
@@ -201,10 +220,7 @@
 // answer runs one request and reports whether the connection goes on.
 func (i *Instance) answer(conn net.Conn, reader *bufio.Reader, request *http.Request) bool {
 	id := request.Header.Get(HeaderID)
-	fault := None
-	if i.Plan != nil {
-		fault = i.Plan(id)
-	}
+	fault := i.faultFor(id)
 	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != i.Name || fault == OtherInstance {
 		_, _ = io.Copy(io.Discard, request.Body)
 		i.mutex.Lock()
@@ -226,14 +242,14 @@
 		return false
 	}
 	run := i.begin(request, string(body))
-	cancelled := i.work(conn, reader, id)
+	cancelled := i.work(conn, reader, id, fault == Hangs)
 	i.end(run, cancelled)
 	return !cancelled && i.spoil(conn, fault, id)
 }
 
 // work runs a request while it watches for the sender's leaving.
-func (i *Instance) work(conn net.Conn, reader *bufio.Reader, id string) (cancelled bool) {
-	if i.Work == nil {
+func (i *Instance) work(conn net.Conn, reader *bufio.Reader, id string, hangs bool) (cancelled bool) {
+	if i.Work == nil && !hangs {
 		return false
 	}
 	gone, watched := make(chan struct{}), make(chan struct{})
@@ -243,7 +259,11 @@
 			close(gone)
 		}
 	}()
-	i.Work(id, gone)
+	if hangs {
+		<-gone
+	} else {
+		i.Work(id, gone)
+	}
 	_ = conn.SetReadDeadline(time.Unix(1, 0))
 	<-watched
 	_ = conn.SetReadDeadline(time.Time{})
