Let the soak wait for the nodes that it restarted, not for others

A mistake of the soak, found by reading its own list of faults; no promise of the product was concerned.

--- a/internal/bench/storesoak/faults.go
+++ b/internal/bench/storesoak/faults.go
@@ -65,7 +65,7 @@
 			if err := f.forAll(numbers, (*machine).start); err != nil {
 				return err
 			}
-			return f.awaitReady(ctx)
+			return f.forAll(numbers, func(m *machine) error { return m.awaitReady(ctx) })
 		},
 	}
 }
@@ -105,7 +105,7 @@
 			if err := m.start(); err != nil {
 				return err
 			}
-			return f.awaitReady(ctx)
+			return m.awaitReady(ctx)
 		},
 	}
 }
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -136,9 +136,11 @@
 			return nil, err
 		}
 	}
-	if err := f.awaitReady(ctx); err != nil {
-		f.close()
-		return nil, err
+	for _, m := range f.machines {
+		if err := m.awaitReady(ctx); err != nil {
+			f.close()
+			return nil, err
+		}
 	}
 	return f, nil
 }
@@ -227,14 +229,12 @@
 	return m.process.Start()
 }
 
-// awaitReady returns once every node is ready.
-func (f *fleet) awaitReady(ctx context.Context) error {
+// awaitReady returns once a node is ready.
+func (m *machine) awaitReady(ctx context.Context) error {
 	const interval = 50 * time.Millisecond
-	for _, m := range f.machines {
-		for !isReady(ctx, m.ready) {
-			if err := wait.For(ctx, interval); err != nil {
-				return eris.Wrapf(err, "machine %d does not become ready", m.number)
-			}
+	for !isReady(ctx, m.ready) {
+		if err := wait.For(ctx, interval); err != nil {
+			return eris.Wrapf(err, "machine %d does not become ready", m.number)
 		}
 	}
 	return nil
