Avoid instances that look well and fail their requests

Change: the balancer keeps the share of an instance's requests that failed lately, forgotten by half in 2 s. From 0.35 on an instance loses the precedence of its zone, and it seems dearer the more it fails. A 504 or no answer counts only after twice the usual time, as otherwise the queue or the caller left too little. Ruled out: health checks (they lie, and are priced); ending a repeatable request early to ask another instance (cutting off work is priced, and one request in a hundred takes five times as long by nature).

The state of an instance stands in a file of its own.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -27,6 +27,8 @@
 	Failed Result = 4
 	// Abandoned: the request ended here; it says nothing of the instance.
 	Abandoned Result = 5
+	// Erred: the instance failed the request, or did not answer it in its time.
+	Erred Result = 6
 )
 
 const (
@@ -82,23 +84,6 @@
 	prunedAt  time.Time
 }
 
-// state is what is known of one instance.
-type state struct {
-	outstanding int
-	// reported is the load of the last report, reportedWith what this node had in
-	// progress then.
-	reported, reportedWith int
-	reportedAt             time.Time
-	// speed is the instance's service time over that of all.
-	speed        float64
-	lost         bool
-	failures     int
-	ejectedUntil time.Time
-	busyUntil    time.Time
-	warmAt       time.Time
-	usedAt       time.Time
-}
-
 // New returns a Balancer that knows nothing.
 func New(options Options) *Balancer {
 	if options.Random == nil {
@@ -204,15 +189,16 @@
 	}
 	result := candidate{instance: *instance, expected: time.Duration(expected), service: time.Duration(service)}
 	cost := expected + service*load/slots/2
+	failing := known.failing(request.Now)
 	if b.isNear(instance) {
 		inTime := request.Target > 0 && expected <= localShare*float64(request.Target)
-		if inTime {
+		if inTime && failing < troubled {
 			cost = expected / 1000 // any of the own zone goes first
 		}
 	} else {
 		cost += remoteCost * service
 	}
-	result.cost = time.Duration(cost)
+	result.cost = time.Duration(cost * (1 + troubleCost*failing))
 	return result
 }
 
@@ -240,11 +226,6 @@
 	return instance.Zone == b.options.Zone || b.isLocal(instance)
 }
 
-// isFull reports whether the instance had no free slot a short while ago.
-func (s *state) isFull(instance *snapshot.Instance, now time.Time) bool {
-	return now.Sub(s.reportedAt) < fullAge && s.load(now) >= slotsOf(instance)
-}
-
 func slotsOf(instance *snapshot.Instance) int {
 	if instance.Slots <= 0 {
 		return defaultSlots
@@ -256,14 +237,6 @@
 	return b.options.LocalAddress != "" && instance.Address == b.options.LocalAddress
 }
 
-// load is what the instance has in progress, as far as is known.
-func (s *state) load(now time.Time) int {
-	if now.Sub(s.reportedAt) > reportAge {
-		return s.outstanding
-	}
-	return max(s.outstanding, s.reported+s.outstanding-s.reportedWith)
-}
-
 func (b *Balancer) serviceOf(route string) time.Duration {
 	if service, known := b.services[route]; known {
 		return service
@@ -324,12 +297,15 @@
 		known.reported, known.reportedWith, known.reportedAt = report.Running+report.Waiting, known.outstanding, now
 	}
 	was := known.lost
-	known.lost = result == Failed || result == Leaving || was && result != Served
+	known.lost = result == Failed || result == Leaving || was && result != Served && result != Erred
+	if result == Served || result == Erred || result == Failed {
+		known.note(result != Served, now)
+	}
 	switch result {
-	case Served:
+	case Served, Erred:
 		known.failures = 0
 		known.ejectedUntil, known.busyUntil = time.Time{}, time.Time{}
-		if report != nil && report.Execution > 0 {
+		if result == Served && report != nil && report.Execution > 0 {
 			b.measure(c.route, known, report.Execution)
 		}
 	case Busy:
--- a/internal/dataplane/balance/balance_test.go
+++ b/internal/dataplane/balance/balance_test.go
@@ -84,3 +84,35 @@
 	_, found := pick(b, time.Now(), "", leaving)
 	qt.Check(t, found, qt.IsFalse)
 }
+
+// TestFailingInstanceIsAvoided: an instance that looks well and fails its requests is
+// left to the other one, also of another zone, until that is forgotten.
+func TestFailingInstanceIsAvoided(t *testing.T) {
+	for _, zone := range []string{"near", "other"} {
+		for name, row := range map[string]struct {
+			results []balance.Result
+			avoided bool
+		}{
+			"one failure":           {[]balance.Result{balance.Erred, balance.Served}, false},
+			"two in a row":          {[]balance.Result{balance.Erred, balance.Erred}, true},
+			"failed, then was well": {[]balance.Result{balance.Erred, balance.Erred, balance.Served, balance.Served, balance.Served, balance.Served}, false},
+		} {
+			t.Run(zone+"/"+name, func(t *testing.T) {
+				c := qt.New(t)
+				b := balance.New(balance.Options{Zone: "near"})
+				now := time.Now()
+				for _, result := range row.results {
+					choice, _ := pick(b, now, "second", instance("first", "near"), instance("second", zone))
+					choice.Done(result, &hop.Report{Outcome: hop.Answered, Slots: 4, Execution: 50 * time.Millisecond}, now)
+				}
+				if row.avoided || zone == "other" {
+					choice, _ := pick(b, now, "", instance("first", "near"), instance("second", zone))
+					c.Check(choice.Instance.Name == "second", qt.Equals, row.avoided)
+					choice.Done(balance.Abandoned, nil, now)
+				}
+				choice, _ := pick(b, now.Add(20*time.Second), "", instance("first", "near"), instance("second", "other"))
+				c.Check(choice.Instance.Name, qt.Equals, "first")
+			})
+		}
+	}
+}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -274,7 +274,9 @@
 	response, err := p.instance.Do(ctx, p.outgoing(request, order, deadline))
 	if err != nil {
 		cancel()
-		return p.failed(err, slot)
+		delivery := p.failed(err, slot)
+		delivery.Report.Execution = time.Since(started)
+		return delivery
 	}
 	if reason := p.rejected(response); reason != hop.ReasonNone {
 		response.Discard()
