Let urgent requests keep their place before less urgent ones

Requests of the urgent kinds (boiler-status, calls made for setpoint-change) were refused after 30 to 70 ms, with nobody else to ask, while less urgent exports waited and got the slots: 810 of 3,619 boiler-status refused, 786 of 4,317 setpoint-change failed since a call of theirs was refused.

Change: the order says when no other instance is left to ask; such a request stays while less urgent ones wait too, behind those of its own rank that are still in time, and as long as its answer is of use.

Tests: TestStaysBeforeLessUrgent on a clock of its own.

--- a/internal/dataplane/hop/fuzz_test.go
+++ b/internal/dataplane/hop/fuzz_test.go
@@ -9,7 +9,7 @@
 // FuzzDecode: no text breaks the decoders, and what they take means the same when
 // it is written again.
 func FuzzDecode(f *testing.F) {
-	f.Add("i-1;front;1;1000;100;200;50;7;1")
+	f.Add("i-1;front;1;1000;100;200;50;7;1;0")
 	f.Add("a;;0;1;2;3;4")
 	f.Add(";;;;;;;;;;;;")
 	f.Fuzz(func(t *testing.T, text string) {
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -35,9 +35,11 @@
 	Revision uint64
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
+	// Last says that no other instance is left that could be asked instead.
+	Last bool
 }
 
-const orderFields = 9
+const orderFields = 10
 
 // Marks stand for yes and no in the text of a field.
 const (
@@ -50,7 +52,7 @@
 	return strings.Join([]string{
 		o.Instance, o.CallerService, strconv.Itoa(o.Priority),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), strconv.FormatUint(o.Revision, 10),
-		mark(o.Repeatable),
+		mark(o.Repeatable), mark(o.Last),
 	}, separator)
 }
 
@@ -64,7 +66,7 @@
 	order := Order{
 		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
-		Revision: uint64(reader.number()), Repeatable: reader.mark(),
+		Revision: uint64(reader.number()), Repeatable: reader.mark(), Last: reader.mark(),
 	}
 	return order, reader.err
 }
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -192,7 +192,8 @@
 	}
 	asked := time.Now()
 	slot, refusal, wait := p.queue.Acquire(ctx, queue.Ticket{
-		Priority: order.Priority, Due: request.Arrived.Add(order.Due), LatestStart: deadline.Add(-order.Expected), MaxWait: order.MaxWait, Expected: order.Expected,
+		Priority: order.Priority, Due: request.Arrived.Add(order.Due), LatestStart: deadline.Add(-order.Expected),
+		MaxWait: order.MaxWait, Expected: order.Expected, Stays: order.Last,
 	})
 	p.metrics.waited(time.Since(asked))
 	if refusal != queue.None {
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -132,6 +132,7 @@
 		Expected:      min(time.Duration(startShare*float64(choice.Service)), remaining/2),
 		Revision:      uint64(e.current.Version().Revision),
 		Repeatable:    e.route.MayRepeat(e.request.Method),
+		Last:          !e.hasOther(choice.Instance.Name),
 	}
 }
 
@@ -312,10 +313,13 @@
 }
 
 // hasAnother reports whether an instance is left that was not tried.
-func (e *exchange) hasAnother() bool {
+func (e *exchange) hasAnother() bool { return e.hasOther("") }
+
+// hasOther reports whether an instance besides one is left that was not tried.
+func (e *exchange) hasOther(than string) bool {
 	for _, target := range e.route.Targets {
 		for _, instance := range e.current.Instances(target.Service) {
-			if instance.State == snapshot.InstanceReady && !e.tried[instance.Name] {
+			if instance.State == snapshot.InstanceReady && instance.Name != than && !e.tried[instance.Name] {
 				return true
 			}
 		}
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -38,6 +38,10 @@
 	// Expected is how long the instance is expected to work on the request; zero
 	// takes the mean of all.
 	Expected time.Duration
+	// Stays says that the request can be brought to no other instance: while less
+	// urgent ones wait as well, it waits beyond MaxWait, up to LatestStart, as the next
+	// slot would go to them instead.
+	Stays bool
 }
 
 // Usage counts what is held and what waits.
@@ -105,7 +109,11 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	if wait := q.expectedWait(ticket); wait > ticket.MaxWait || now.Add(wait).After(ticket.LatestStart) {
+	most := ticket.MaxWait
+	if ticket.Stays && q.waiting.hasLessUrgent(ticket) {
+		most = ticket.LatestStart.Sub(now)
+	}
+	if wait := q.expectedWait(ticket); wait > most || now.Add(wait).After(ticket.LatestStart) {
 		q.mutex.Unlock()
 		return nil, Full, wait
 	}
@@ -121,17 +129,23 @@
 	patience := min(waiter.ticket.MaxWait, time.Until(waiter.ticket.LatestStart))
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	refusal := Cancelled
-	select {
-	case given := <-waiter.granted:
-		return given.slot, given.refusal, q.meanService()
-	case <-timer.C:
-		refusal = Full
-	case <-ctx.Done():
+	refusal, removed := Cancelled, false
+	for waits := true; waits; {
+		select {
+		case given := <-waiter.granted:
+			return given.slot, given.refusal, q.meanService()
+		case <-timer.C:
+			refusal = Full
+			var more time.Duration
+			if removed, more = q.leave(waiter); more > 0 {
+				timer.Reset(more)
+				continue
+			}
+		case <-ctx.Done():
+			removed = q.remove(waiter)
+		}
+		waits = false
 	}
-	q.mutex.Lock()
-	removed := q.waiting.remove(waiter)
-	q.mutex.Unlock()
 	if removed {
 		return nil, refusal, q.meanService()
 	}
@@ -143,6 +157,30 @@
 	return given.slot, given.refusal, q.meanService()
 }
 
+// leave takes a waiter out whose patience is over, unless it may go on waiting, and
+// tells for how long. It then waits behind those of its priority that can still begin
+// when they are due.
+func (q *Queue) leave(waiter *waiter) (removed bool, more time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if waiter.ticket.Stays && q.waiting.hasLessUrgent(waiter.ticket) {
+		if more = time.Until(waiter.ticket.LatestStart); more > 0 {
+			q.waiting.postpone(waiter)
+			return false, min(more, stayInterval)
+		}
+	}
+	return q.waiting.remove(waiter), 0
+}
+
+// stayInterval is the time between two looks at whether a waiter stays.
+const stayInterval = 20 * time.Millisecond
+
+func (q *Queue) remove(waiter *waiter) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.waiting.remove(waiter)
+}
+
 func (q *Queue) meanService() time.Duration {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/internal/dataplane/queue/queue_test.go
+++ b/internal/dataplane/queue/queue_test.go
@@ -178,3 +178,47 @@
 		c.Check(q.Usage(), qt.Equals, queue.Usage{Slots: 2})
 	})
 }
+
+// TestStaysBeforeLessUrgent: an urgent request that has nowhere else to go keeps its
+// place before less urgent ones, which would get the next slot instead.
+func TestStaysBeforeLessUrgent(t *testing.T) {
+	rows := map[string]struct {
+		stays        bool
+		others       []int // priorities of those that wait already
+		latest, held time.Duration
+		want         queue.Refusal
+	}{
+		"stays":                       {true, []int{2}, time.Hour, time.Second, queue.None},
+		"may go elsewhere":            {false, []int{2}, time.Hour, time.Second, queue.Full},
+		"among equals":                {true, []int{1}, time.Hour, time.Second, queue.Full},
+		"nobody else waits":           {true, nil, time.Hour, time.Second, queue.Full},
+		"no longer than it is of use": {true, []int{2}, 500 * time.Millisecond, time.Second, queue.Full},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				q := queue.New(1)
+				first := take(c, q)
+				for _, priority := range row.others {
+					go func() {
+						if slot, _, _ := q.Acquire(context.Background(), ticket(priority, time.Hour)); slot != nil {
+							slot.Release(true)
+						}
+					}()
+					synctest.Wait()
+				}
+				time.AfterFunc(row.held, func() { first.Release(true) }) // on the test's own clock
+				urgent := ticket(1, 150*time.Millisecond)
+				urgent.LatestStart, urgent.Stays, urgent.Expected = time.Now().Add(row.latest), row.stays, time.Millisecond
+				slot, refusal, _ := q.Acquire(context.Background(), urgent)
+				c.Check(refusal, qt.Equals, row.want)
+				if slot != nil {
+					slot.Release(true)
+				}
+				time.Sleep(2 * row.held)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -36,6 +36,16 @@
 // waiters is a heap: the most urgent first, then the one that is due first.
 type waiters []*waiter
 
+// hasLessUrgent reports whether a request of a later priority waits.
+func (w waiters) hasLessUrgent(ticket Ticket) bool {
+	for _, other := range w {
+		if other.ticket.Priority > ticket.Priority {
+			return true
+		}
+	}
+	return false
+}
+
 // Len implements heap.Interface.
 func (w waiters) Len() int { return len(w) }
 
@@ -67,6 +77,15 @@
 	return removed
 }
 
+// postpone lets a waiter that is still there wait until it is of no more use.
+func (w *waiters) postpone(late *waiter) {
+	if late.index < 0 {
+		return
+	}
+	late.ticket.Due = late.ticket.LatestStart
+	heap.Fix(w, late.index)
+}
+
 // remove takes a waiter out and reports whether it was there.
 func (w *waiters) remove(gone *waiter) bool {
 	if gone.index < 0 || gone.index >= len(*w) || (*w)[gone.index] != gone {
