--- /dev/null
+++ b/internal/dataplane/inbound/send.go
@@ -0,0 +1,147 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/queue"
+)
+
+// send sends the request to the instance and judges its answer.
+func (p *Proxy) send(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time, slot *queue.Slot) Delivery {
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	response, err := p.instance.Do(ctx, p.outgoing(request, order, deadline))
+	if err != nil {
+		cancel()
+		delivery := p.failed(err, slot)
+		delivery.Report.Execution = time.Since(started)
+		return delivery
+	}
+	if reason := p.rejected(response); reason != hop.ReasonNone {
+		response.Discard()
+		cancel()
+		slot.Release(false)
+		if reason == hop.ReasonWrongInstance {
+			p.ended.add(order.Instance)
+		}
+		return Delivery{Report: p.report(hop.Rejected, reason)}
+	}
+	if p.options.Names.Stamp != "" && len(response.Header[p.options.Names.Stamp]) != 1 && response.Status < http.StatusMultipleChoices {
+		_ = response.Close()
+		cancel()
+		slot.Release(true)
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: errNoStamp}
+	}
+	return p.passOn(response, started, slot, cancel)
+}
+
+var errNoStamp = errors.New("the answer does not bear the instance's mark")
+
+// outgoing is the request as the instance gets it.
+func (p *Proxy) outgoing(request *message.Request, order hop.Order, deadline time.Time) *client.Request {
+	names := p.options.Names
+	header := maps.Clone(request.Header)
+	remaining := time.Until(deadline)
+	if remaining > 4*answerMargin {
+		remaining -= answerMargin
+	}
+	set(header, names.RequestID, request.ID)
+	set(header, names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	set(header, names.ExpectInstance, order.Instance)
+	set(header, names.CallerService, order.CallerService)
+	sent := &client.Request{
+		Method: request.Method, Target: request.Target, Host: request.Host,
+		Header: header, Body: request.Body, ID: request.ID,
+	}
+	if !order.Repeatable {
+		sent.MaxRest = p.options.MaxRestOnce
+	}
+	return sent
+}
+
+func set(header http.Header, name, value string) {
+	if name != "" {
+		header[name] = []string{value}
+	}
+}
+
+// rejected tells why the instance says that it did not run the request.
+func (p *Proxy) rejected(response *client.Response) hop.Reason {
+	switch name := p.options.Names.NotExecuted; {
+	case response.Status == http.StatusMisdirectedRequest:
+		return hop.ReasonWrongInstance
+	case name != "" && len(response.Header[name]) > 0:
+		return hop.ReasonOverloaded
+	default:
+		return hop.ReasonNone
+	}
+}
+
+// failed judges a send without an answer.
+func (p *Proxy) failed(err error, slot *queue.Slot) Delivery {
+	var failure *client.Error
+	if !errors.As(err, &failure) {
+		failure = &client.Error{Progress: client.SentWhole, Err: err}
+	}
+	slot.Release(false)
+	switch {
+	case failure.Progress == client.NotSent:
+		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
+	case errors.Is(err, context.DeadlineExceeded):
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonDeadline), Err: err}
+	case errors.Is(err, context.Canceled):
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonCancelled), Err: err}
+	case failure.Invalid:
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: err}
+	default:
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+	}
+}
+
+// passOn passes an answer on: a short one once it is whole, a long one or a
+// stream of events as it comes.
+func (p *Proxy) passOn(response *client.Response, started time.Time, slot *queue.Slot, cancel func()) Delivery {
+	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
+	message.StripHopByHop(answer.Header)
+	body, whole, err := response.Hold()
+	if err == nil && !whole {
+		answer.Body, answer.Stream = body, &stream{response: response, slot: slot, cancel: cancel}
+		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
+	}
+	_ = response.Close()
+	cancel()
+	slot.Release(true)
+	if err != nil {
+		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+	}
+	answer.Body, answer.Length = body, int64(len(body))
+	report := p.report(hop.Answered, hop.ReasonNone)
+	report.Execution = time.Since(started)
+	return Delivery{Report: report, Answer: answer}
+}
+
+// stream is the rest of an answer; the slot is held until it is closed.
+type stream struct {
+	response *client.Response
+	slot     *queue.Slot
+	cancel   func()
+}
+
+// Read reads the answer of the instance.
+func (s *stream) Read(data []byte) (int, error) { return s.response.Body.Read(data) }
+
+// Close gives the slot back.
+func (s *stream) Close() error {
+	err := s.response.Close()
+	s.cancel()
+	s.slot.Release(true)
+	return err
+}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -20,19 +20,6 @@
 	hopMargin = 10 * time.Millisecond
 	// leastRepeatTime is the least time that must be left to send again.
 	leastRepeatTime = 20 * time.Millisecond
-	// waitShare of the target latency, less what the instance needs with some
-	// spread (serviceSpread), may be waited for a slot.
-	waitShare     = 0.8
-	serviceSpread = 1.5
-	// leastWaitShare of the target latency may always be waited.
-	leastWaitShare = 0.2
-	// startShare of the expected service time must be left when the instance
-	// begins; with less, its work would most likely be for nothing.
-	startShare = 0.7
-
-	// lastChance targets of time left are too few for a caller to come back after
-	// a refusal: its request waits for as long as it can still be answered.
-	lastChance = 2
 
 	leastRetryAfter   = 50 * time.Millisecond
 	longestRetryAfter = 2 * time.Second
@@ -115,52 +102,6 @@
 	})
 }
 
-// order tells the node beside the instance what to do.
-func (e *exchange) order(choice balance.Choice) hop.Order {
-	remaining := time.Until(e.deadline)
-	if remaining > 4*hopMargin && !choice.Local {
-		remaining -= hopMargin
-	}
-	due := e.due(choice, remaining)
-	return hop.Order{
-		Instance:      choice.Instance.Name,
-		CallerService: e.proxy.options.Service,
-		Priority:      e.route.Priority,
-		Remaining:     remaining,
-		Due:           due,
-		MaxWait:       e.maxWait(due, remaining),
-		Expected:      min(time.Duration(startShare*float64(choice.Service)), remaining/2),
-		Revision:      uint64(e.current.Version().Revision),
-		Repeatable:    e.route.MayRepeat(e.request.Method),
-		Last:          !e.hasOther(choice.Instance.Name),
-	}
-}
-
-// due is how long the request may wait for a slot and still be worth most.
-func (e *exchange) due(choice balance.Choice, remaining time.Duration) time.Duration {
-	target := e.route.TargetLatency
-	if target <= 0 {
-		return remaining / 2
-	}
-	wait := time.Duration(waitShare*float64(target) - serviceSpread*float64(choice.Service))
-	wait = max(wait, time.Duration(leastWaitShare*float64(target)))
-	return max(wait-time.Since(e.request.Arrived), 0)
-}
-
-// maxWait is how long the request may wait for a slot before another instance is
-// asked, or its caller told to come back.
-func (e *exchange) maxWait(due, remaining time.Duration) time.Duration {
-	if e.isLastChance() {
-		return remaining
-	}
-	return due
-}
-
-// isLastChance reports whether the caller has too little time to come back.
-func (e *exchange) isLastChance() bool {
-	return e.callerTime <= lastChance*e.route.TargetLatency
-}
-
 // send brings the request to one instance.
 func (e *exchange) send(choice balance.Choice) result {
 	order := e.order(choice)
@@ -179,70 +120,6 @@
 	return &copied
 }
 
-// learn tells the balancer what became of a send.
-func (e *exchange) learn(choice balance.Choice, sent result) {
-	var report *hop.Report
-	if sent.reported {
-		report = &sent.report
-	}
-	if transition := choice.Done(e.observation(choice, sent), report, time.Now()); transition != balance.Unchanged {
-		e.proxy.log.instance(e, choice, sent, transition)
-	}
-	e.proxy.metrics.sent(sent.report)
-}
-
-// observation is what a send says of the instance.
-func (e *exchange) observation(choice balance.Choice, sent result) balance.Result {
-	if e.erred(choice, sent) {
-		return balance.Erred
-	}
-	if e.ctx.Err() != nil && sent.report.Outcome != hop.Answered {
-		if sent.reported || e.callerGone() {
-			return balance.Abandoned
-		}
-		return balance.Failed // nothing was heard until the time was over
-	}
-	switch sent.report.Reason {
-	case hop.ReasonNone:
-		return balance.Served
-	case hop.ReasonOverloaded:
-		return balance.Busy
-	case hop.ReasonDraining, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
-		return balance.Leaving
-	case hop.ReasonConnect, hop.ReasonBroken:
-		return balance.Failed
-	default:
-		return balance.Abandoned
-	}
-}
-
-// overdueFactor is how many times the expected time an instance must have worked on a
-// request that it did not answer, for that to count against it.
-const overdueFactor = 2
-
-// erred reports whether the instance itself failed the request: by its answer, by one
-// that is none, or by not answering in much more than the usual time.
-func (e *exchange) erred(choice balance.Choice, sent result) bool {
-	report := sent.report
-	if !sent.reported {
-		return false
-	}
-	overdue := report.Execution > overdueFactor*choice.Service
-	switch report.Outcome {
-	case hop.Answered:
-		status := sent.answer.Status
-		return status >= http.StatusInternalServerError && (status != http.StatusGatewayTimeout || overdue)
-	case hop.Unknown:
-		return report.Reason == hop.ReasonInvalid || report.Reason == hop.ReasonDeadline && overdue
-	default:
-		return false
-	}
-}
-
-func (e *exchange) callerGone() bool {
-	return e.ctx.Err() == context.Canceled && e.proxy.stopped.Err() == nil
-}
-
 // judge decides whether a send brought the final answer.
 func (e *exchange) judge(sent result) (answer *message.Answer, final bool) {
 	e.reason = sent.report.Reason
--- /dev/null
+++ b/internal/dataplane/outbound/learn.go
@@ -0,0 +1,74 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+)
+
+// learn tells the balancer what became of a send.
+func (e *exchange) learn(choice balance.Choice, sent result) {
+	var report *hop.Report
+	if sent.reported {
+		report = &sent.report
+	}
+	if transition := choice.Done(e.observation(choice, sent), report, time.Now()); transition != balance.Unchanged {
+		e.proxy.log.instance(e, choice, sent, transition)
+	}
+	e.proxy.metrics.sent(sent.report)
+}
+
+// observation is what a send says of the instance.
+func (e *exchange) observation(choice balance.Choice, sent result) balance.Result {
+	if e.erred(choice, sent) {
+		return balance.Erred
+	}
+	if e.ctx.Err() != nil && sent.report.Outcome != hop.Answered {
+		if sent.reported || e.callerGone() {
+			return balance.Abandoned
+		}
+		return balance.Failed // nothing was heard until the time was over
+	}
+	switch sent.report.Reason {
+	case hop.ReasonNone:
+		return balance.Served
+	case hop.ReasonOverloaded:
+		return balance.Busy
+	case hop.ReasonDraining, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
+		return balance.Leaving
+	case hop.ReasonConnect, hop.ReasonBroken:
+		return balance.Failed
+	default:
+		return balance.Abandoned
+	}
+}
+
+// overdueFactor is how many times the expected time an instance must have worked on a
+// request that it did not answer, for that to count against it.
+const overdueFactor = 2
+
+// erred reports whether the instance itself failed the request: by its answer, by one
+// that is none, or by not answering in much more than the usual time.
+func (e *exchange) erred(choice balance.Choice, sent result) bool {
+	report := sent.report
+	if !sent.reported {
+		return false
+	}
+	overdue := report.Execution > overdueFactor*choice.Service
+	switch report.Outcome {
+	case hop.Answered:
+		status := sent.answer.Status
+		return status >= http.StatusInternalServerError && (status != http.StatusGatewayTimeout || overdue)
+	case hop.Unknown:
+		return report.Reason == hop.ReasonInvalid || report.Reason == hop.ReasonDeadline && overdue
+	default:
+		return false
+	}
+}
+
+func (e *exchange) callerGone() bool {
+	return e.ctx.Err() == context.Canceled && e.proxy.stopped.Err() == nil
+}
