Avoid instances that fell silent

Change: the balancer knows when an instance with requests in progress was last heard. After four times the usual time of a request, 0.3 s at least, it loses the precedence of its zone and seems nine times as dear, until something comes or nothing is in progress there. Ruled out: asking the overlay whom it suspects (it takes two heartbeats, 4 s here, and lags again when the cut heals); less time to connect (a trial without gain).

Test: TestSilentInstanceIsAvoided, which failed before.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -129,6 +129,9 @@
 		return Choice{}, false
 	}
 	chosen := b.stateOf(&best.instance, request.Now)
+	if chosen.outstanding == 0 {
+		chosen.heardAt = request.Now
+	}
 	chosen.outstanding++
 	chosen.usedAt = request.Now
 	return Choice{
@@ -190,6 +193,9 @@
 	result := candidate{instance: *instance, expected: time.Duration(expected), service: time.Duration(service)}
 	cost := expected + service*load/slots/2
 	failing := known.failing(request.Now)
+	if known.isSilent(max(b.serviceOf(request.Route), b.mean), request.Now) {
+		failing = 1
+	}
 	if b.isNear(instance) {
 		inTime := request.Target > 0 && expected <= localShare*float64(request.Target)
 		if inTime && failing < troubled {
@@ -294,6 +300,7 @@
 	known := b.stateOf(&c.Instance, now)
 	known.outstanding = max(known.outstanding-1, 0)
 	if report != nil {
+		known.heardAt = now
 		known.reported, known.reportedWith, known.reportedAt = report.Running+report.Waiting, known.outstanding, now
 	}
 	was := known.lost
--- a/internal/dataplane/balance/balance_test.go
+++ b/internal/dataplane/balance/balance_test.go
@@ -116,3 +116,22 @@
 		}
 	}
 }
+
+// TestSilentInstanceIsAvoided: one that has requests in progress and says nothing for
+// much longer than they take gets no more of them, until it answers.
+func TestSilentInstanceIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near"})
+	start := time.Now()
+	at := func(millis int) string {
+		choice, _ := pick(b, start.Add(time.Duration(millis)*time.Millisecond), "", instance("far", "other"), instance("home", "near"))
+		choice.Done(balance.Abandoned, nil, start.Add(time.Duration(millis)*time.Millisecond))
+		return choice.Instance.Name
+	}
+	pending, _ := pick(b, start, "", instance("home", "near"))
+	c.Check(at(100), qt.Equals, "home")
+	c.Check(at(1000), qt.Equals, "far")
+	pending.Done(balance.Served, &hop.Report{Outcome: hop.Answered, Slots: 4, Execution: time.Second}, start.Add(1100*time.Millisecond))
+	c.Check(at(1200), qt.Equals, "home")
+	c.Check(at(5000), qt.Equals, "home") // nothing is in progress
+}
--- a/internal/dataplane/balance/state.go
+++ b/internal/dataplane/balance/state.go
@@ -18,6 +18,10 @@
 	troubled = 0.35
 	// troubleCost is how much dearer an instance all of whose requests fail seems.
 	troubleCost = 8
+	// silentFactor is how many times the usual time of a request nothing may come from
+	// an instance that has some in progress; silentLeast is the least such time.
+	silentFactor = 4
+	silentLeast  = 300 * time.Millisecond
 )
 
 // state is what is known of one instance.
@@ -35,6 +39,9 @@
 	busyUntil    time.Time
 	warmAt       time.Time
 	usedAt       time.Time
+	// heardAt is when the instance or its node last answered, or when the first of
+	// the requests in progress was sent, if that was later.
+	heardAt time.Time
 	// trouble is the share of requests that failed lately, as of troubleAt.
 	trouble   float64
 	troubleAt time.Time
@@ -53,6 +60,12 @@
 	return max(s.outstanding, s.reported+s.outstanding-s.reportedWith)
 }
 
+// isSilent reports whether nothing has come for much longer than a request takes,
+// though some are in progress: the instance hangs, or the way to it is cut.
+func (s *state) isSilent(usual time.Duration, now time.Time) bool {
+	return s.outstanding > 0 && now.Sub(s.heardAt) > max(silentFactor*usual, silentLeast)
+}
+
 // note takes over whether a request failed.
 func (s *state) note(failed bool, now time.Time) {
 	sample := 0.0
