Judge whether refused callers are told when to come back

Found while reading the whole change: the soak noted the Retry-After of a refusal and nothing judged it, though the users ask that a request which has not run be told when to come back. A 503 of the system without it now breaks a promise (untold), also in the test. Bench code only; no package of the product changed.

The judge's table has a row that breaks it.

--- a/internal/bench/storesoak/judge.go
+++ b/internal/bench/storesoak/judge.go
@@ -25,6 +25,8 @@
 	RanRefused int `json:"ran_though_refused"`
 	// Wrong got another answer than that of their own run.
 	Wrong int `json:"wrong"`
+	// Untold were refused as not run without being told when to come back.
+	Untold int `json:"untold"`
 	// Unasked ran and were not sent so, or at another service than their route's.
 	Unasked int `json:"unasked"`
 	// WentBack were answered by an older configuration than an earlier one of the
@@ -141,6 +143,10 @@
 		s.report.Lost++
 		s.broken("%s was cut off by a planned stop of machine %d: %v", c.id, machine.number, c.err)
 	}
+	if c.status == http.StatusServiceUnavailable && c.stamp == "" && c.retry == "" {
+		s.report.Untold++
+		s.broken("%s was refused and not told when to come back", c.id)
+	}
 	limit := routeMillis*time.Millisecond + lateSlack
 	if took := c.ended.Sub(c.sent); took > limit && s.history.calm(c.sent, c.ended) {
 		s.report.LateAnswers++
--- a/internal/bench/storesoak/judge_test.go
+++ b/internal/bench/storesoak/judge_test.go
@@ -43,10 +43,11 @@
 		spans []*span
 		want  Report
 	}{
-		"served":               {call: answered(write(), 200), runs: []run{ran}},
-		"ran twice":            {call: answered(write(), 200), runs: []run{ran, ran}, want: Report{Doubled: 1}},
-		"refused, did not run": {call: &call{id: "c", kind: kindWrite, status: 503, sent: at(20), ended: at(20)}},
-		"refused and ran":      {call: &call{id: "c", kind: kindWrite, status: 503, sent: at(20), ended: at(20)}, runs: []run{ran}, want: Report{RanRefused: 1}},
+		"served":                  {call: answered(write(), 200), runs: []run{ran}},
+		"ran twice":               {call: answered(write(), 200), runs: []run{ran, ran}, want: Report{Doubled: 1}},
+		"refused, did not run":    {call: &call{id: "c", kind: kindWrite, status: 503, retry: "0.1", sent: at(20), ended: at(20)}},
+		"not told when to return": {call: &call{id: "c", kind: kindWrite, status: 503, sent: at(20), ended: at(20)}, want: Report{Untold: 1}},
+		"refused and ran":         {call: &call{id: "c", kind: kindWrite, status: 503, retry: "0.1", sent: at(20), ended: at(20)}, runs: []run{ran}, want: Report{RanRefused: 1}},
 		"a repeatable one ran twice": {
 			call: answered(&call{id: "c", kind: kindRead, sent: at(20), ended: at(20)}, 200), runs: []run{ran, ran},
 		},
@@ -70,7 +71,7 @@
 			found := len(s.report.Broken) > 0
 			s.report.Broken = nil
 			c.Check(s.report, qt.DeepEquals, row.want)
-			c.Check(found, qt.Equals, s.report.Doubled+s.report.RanRefused+s.report.Wrong+s.report.Lost+s.report.LateAnswers > 0)
+			c.Check(found, qt.Equals, s.report.Doubled+s.report.RanRefused+s.report.Wrong+s.report.Untold+s.report.Lost+s.report.LateAnswers > 0)
 		})
 	}
 }
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -31,6 +31,7 @@
 			c.Check(report.Doubled, qt.Equals, 0)
 			c.Check(report.RanRefused, qt.Equals, 0)
 			c.Check(report.Wrong, qt.Equals, 0)
+			c.Check(report.Untold, qt.Equals, 0)
 			c.Check(report.Unasked, qt.Equals, 0)
 			c.Check(report.WentBack, qt.Equals, 0)
 		})
