Say "not run" only when every attempt proved it

A request that may be repeated could run at a first instance whose connection then broke (unknown), be refused by a second one (not run), and end as "not run". Seen as RanThoughRefused in TestFaults/ node_paused_and_woken.

Ruled out: load.

Change: an exchange keeps the first attempt that may have run; the one way out for refusals (refuse) words the outcome from it, without a Retry-After.

--- a/internal/proxy/outbound/exchange.go
+++ b/internal/proxy/outbound/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -38,8 +39,11 @@
 	ended     bool
 
 	attempts int // instances asked
-	sends    int // round trips, those on stale connections included
-	tried    []balance.Key
+	// uncertain is the first failed attempt that may have run; nil while each one
+	// proved that it did not.
+	uncertain *outcome.Problem
+	sends     int // round trips, those on stale connections included
+	tried     []balance.Key
 }
 
 func (p *Proxy) newExchange(w http.ResponseWriter, r *http.Request, current *snapshot.Snapshot,
@@ -140,6 +144,7 @@
 			return e.deliver(result.response, choice)
 		}
 		last = result.problem
+		e.noteOutcome(last)
 		if !e.mayTryAgain(last) {
 			return e.refuse(last)
 		}
@@ -147,6 +152,26 @@
 	}
 }
 
+// noteOutcome remembers the first attempt that may have run.
+func (e *exchange) noteOutcome(failed outcome.Problem) {
+	if failed.Outcome != outcome.NotRun && e.uncertain == nil {
+		e.uncertain = &failed
+	}
+}
+
+// overall is what the caller is told when the last attempt, or the refusal of another
+// one, ended with a problem. An attempt that may have run outweighs later ones that did
+// not: "not run" holds only when every attempt proved it.
+func (e *exchange) overall(last outcome.Problem) outcome.Problem {
+	if e.uncertain == nil || last.Outcome != outcome.NotRun {
+		return last
+	}
+	cautious := *e.uncertain
+	cautious.RetryAfter = 0
+	cautious.Detail = fmt.Sprintf("attempt may have run; a later one ended as %s", last.Reason)
+	return cautious
+}
+
 // mayTryAgain asks for the decision on a failed attempt, then the retry budget.
 func (e *exchange) mayTryAgain(last outcome.Problem) bool {
 	verdict := retry.Decide(retry.Attempt{
@@ -190,7 +215,8 @@
 
 // refuse ends the request with an answer of the system, or not at all when the
 // caller has gone.
-func (e *exchange) refuse(problem outcome.Problem) ending {
+func (e *exchange) refuse(last outcome.Problem) ending {
+	problem := e.overall(last)
 	if e.pin != nil && problem.Outcome == outcome.NotRun {
 		e.forgetUnlessSent()
 	}
