Keep a request with the weighted target that was drawn for it

Change: pick and hasOther look at the drawn target only; what does not fit there ends as "not run" with a time to come back.

Tests: TestStaysWithItsTarget (target full, target without instances) failed first: 0 of 400 refused instead of 100, and the order's Last was false. The connections to sidecars are now behind an interface, so that these need no network.

--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -92,29 +92,16 @@
 	return e.refuse()
 }
 
-// pick chooses the instance for the next send. When the chosen part of a split
-// has none left, the other parts may take the request.
+// pick chooses the instance for the next send. A request stays with the target that
+// its weight chose: what does not fit there is refused, so that the targets of a route
+// get their shares also while one of them is short of instances.
 func (e *exchange) pick() (balance.Choice, bool) {
-	choice, found := e.pickOf(e.service)
-	if found || len(e.route.Targets) == 1 {
-		return choice, found
-	}
-	for _, target := range e.route.Targets {
-		if choice, found = e.pickOf(target.Service); found {
-			e.service = target.Service
-			return choice, true
-		}
-	}
-	return choice, false
-}
-
-func (e *exchange) pickOf(service string) (balance.Choice, bool) {
 	return e.proxy.balancer.Pick(balance.Request{
 		Route:     e.route.Name,
 		Target:    e.route.TargetLatency,
 		Waited:    time.Since(e.request.Arrived),
 		Bytes:     len(e.request.Body),
-		Instances: e.current.Instances(service),
+		Instances: e.current.Instances(e.service),
 		Avoid:     func(name string) bool { return e.tried[name] },
 		Now:       time.Now(),
 	})
@@ -211,13 +198,12 @@
 // hasAnother reports whether an instance is left that was not tried.
 func (e *exchange) hasAnother() bool { return e.hasOther("") }
 
-// hasOther reports whether an instance besides one is left that was not tried.
+// hasOther reports whether an instance of the chosen target besides one is left that
+// was not tried.
 func (e *exchange) hasOther(than string) bool {
-	for _, target := range e.route.Targets {
-		for _, instance := range e.current.Instances(target.Service) {
-			if instance.State == snapshot.InstanceReady && instance.Name != than && !e.tried[instance.Name] {
-				return true
-			}
+	for _, instance := range e.current.Instances(e.service) {
+		if instance.State == snapshot.InstanceReady && instance.Name != than && !e.tried[instance.Name] {
+			return true
 		}
 	}
 	return false
--- a/internal/dataplane/outbound/nodes.go
+++ b/internal/dataplane/outbound/nodes.go
@@ -24,7 +24,15 @@
 	NodeServerIdle = time.Minute
 )
 
-// nodes are the ways to the nodes beside other instances.
+// sidecars send requests to the nodes beside other instances.
+type sidecars interface {
+	send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) result
+	// prune closes idle connections that are too old.
+	prune(now time.Time)
+	close()
+}
+
+// nodes keeps connections to the nodes beside other instances.
 type nodes struct {
 	port     int
 	pacer    *transfer.Pacer
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -65,7 +65,7 @@
 type Proxy struct {
 	options  Options
 	balancer *balance.Balancer
-	nodes    *nodes
+	nodes    sidecars
 	splits   splits
 	callers  *returns.Tracker
 	losses   *losses.Ledger
--- /dev/null
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -0,0 +1,183 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// scriptedSidecars ends each delivery as the script says; deliveries beyond the
+// script are answered.
+type scriptedSidecars struct {
+	script []hop.Report
+	made   int
+}
+
+func (n *scriptedSidecars) prune(time.Time) {}
+func (n *scriptedSidecars) close()          {}
+
+// send takes the next report of the script.
+func (n *scriptedSidecars) send(context.Context, *message.Request, snapshot.Instance, hop.Order) result {
+	report := hop.Report{Outcome: hop.Answered}
+	if n.made < len(n.script) {
+		report = n.script[n.made]
+	}
+	n.made++
+	return resultOf(report)
+}
+
+// resultOf is what a report of a sidecar comes to, with an answer when it has one.
+func resultOf(report hop.Report) result {
+	if report.Outcome != hop.Answered {
+		return result{report: report, reported: true}
+	}
+	return result{report: report, reported: true, answer: message.Whole(http.StatusOK, nil, []byte("done"))}
+}
+
+// fixedSource is a configuration that does not change.
+type fixedSource struct{ current *snapshot.Snapshot }
+
+func (s fixedSource) Current() *snapshot.Snapshot { return s.current }
+
+// outboundRig is a Proxy that reaches all instances by the sidecars given.
+func outboundRig(c *qt.C, route snapshot.Route, instances []snapshot.Instance, reached sidecars) *Proxy {
+	version := snapshot.Version{Revision: 1, Hash: snapshot.ContentHash{1}}
+	services := make([]snapshot.Service, 0, len(route.Targets))
+	for _, target := range route.Targets {
+		services = append(services, snapshot.Service{Name: target.Service})
+	}
+	built, err := snapshot.New(version, []snapshot.Route{route}, services, nil)
+	c.Assert(err, qt.IsNil)
+	proxy, err := New(Options{
+		Snapshots:  fixedSource{built.WithFleet(version, instances, nil)},
+		Mechanisms: mechanism.All(), Budget: budget.Options{Ratio: 10, Slack: 1000, Window: 10 * time.Second},
+		Logger: logging.Discard(),
+	})
+	c.Assert(err, qt.IsNil)
+	proxy.nodes = reached
+	return proxy
+}
+
+func instanceOf(service, name string) snapshot.Instance {
+	return snapshot.Instance{Name: name, Service: service, Address: name, Slots: 4, State: snapshot.InstanceReady}
+}
+
+func testRoute(targets ...snapshot.WeightedService) snapshot.Route {
+	return snapshot.Route{
+		Name: "r", Match: snapshot.Match{Host: "h"}, Targets: targets, Timeout: time.Minute,
+		TargetLatency: time.Second, MaxAttempts: 3, RepeatMethods: []string{http.MethodGet},
+	}
+}
+
+func testRequest(method string) *message.Request {
+	return &message.Request{ID: "q", Method: method, Target: "/", Path: "/", Host: "h", Header: http.Header{}, Arrived: time.Now()}
+}
+
+// TestNotRunIsProved: over any sequence of deliveries, the caller is told that its
+// request did not run only when each delivery proved it.
+func TestNotRunIsProved(t *testing.T) {
+	endings := []hop.Report{
+		{Outcome: hop.Refused, Reason: hop.ReasonOverloaded, RetryAfter: time.Second},
+		{Outcome: hop.Refused, Reason: hop.ReasonDraining},
+		{Outcome: hop.Refused, Reason: hop.ReasonConnect},
+		{Outcome: hop.Refused, Reason: hop.ReasonDeadline},
+		{Outcome: hop.Rejected, Reason: hop.ReasonOverloaded},
+		{Outcome: hop.Unknown, Reason: hop.ReasonBroken},
+		{Outcome: hop.Unknown, Reason: hop.ReasonInvalid},
+		{Outcome: hop.Unknown, Reason: hop.ReasonDeadline},
+		{Outcome: "a later version's", Reason: "a later version's"},
+	}
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		method := rapid.SampledFrom([]string{http.MethodGet, http.MethodPost}).Draw(t, "method")
+		sidecars := &scriptedSidecars{script: rapid.SliceOfN(rapid.SampledFrom(endings), 1, 6).Draw(t, "deliveries")}
+		count := rapid.IntRange(1, 6).Draw(t, "instances")
+		var instances []snapshot.Instance
+		for i := range count {
+			instances = append(instances, instanceOf("s", string(rune('a'+i))))
+		}
+		proxy := outboundRig(c, testRoute(snapshot.WeightedService{Service: "s", Weight: 1}), instances, sidecars)
+		answer := proxy.Serve(context.Background(), testRequest(method))
+
+		mayHaveRun := false
+		for _, report := range sidecars.script[:min(sidecars.made, len(sidecars.script))] {
+			proved := report.Outcome == hop.Refused || report.Outcome == hop.Rejected
+			mayHaveRun = mayHaveRun || !proved
+		}
+		notRun := answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusTooManyRequests
+		if notRun && mayHaveRun {
+			t.Fatalf("status %d after %d deliveries of %+v", answer.Status, sidecars.made, sidecars.script)
+		}
+		if mayHaveRun && method == http.MethodPost && sidecars.made > 1 {
+			last := sidecars.script[min(sidecars.made, len(sidecars.script))-1]
+			if last.Outcome == hop.Refused || last.Outcome == hop.Rejected || sidecars.made > len(sidecars.script) {
+				t.Fatalf("sent again after it may have run: %+v", sidecars.script)
+			}
+		}
+	})
+}
+
+// TestStaysWithItsTarget: a request whose weighted target has no room is refused with a
+// time to come back; it never goes to another target, and the others do not count as
+// instances that are left for it.
+func TestStaysWithItsTarget(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		instances []snapshot.Instance
+	}{
+		{"target full", []snapshot.Instance{instanceOf("small", "a"), instanceOf("large", "b"), instanceOf("large", "c")}},
+		{"target without instances", []snapshot.Instance{instanceOf("large", "b"), instanceOf("large", "c")}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := qt.New(t)
+			sidecars := &refusingSidecars{full: "a"}
+			route := testRoute(snapshot.WeightedService{Service: "large", Weight: 3}, snapshot.WeightedService{Service: "small", Weight: 1})
+			proxy := outboundRig(c, route, row.instances, sidecars)
+			const rounds = 100
+			refused := 0
+			for range 4 * rounds {
+				answer := proxy.Serve(context.Background(), testRequest(http.MethodGet))
+				if answer.Status == http.StatusServiceUnavailable {
+					refused++
+					c.Check(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				}
+			}
+			c.Check(refused, qt.Equals, rounds)
+			c.Check(sidecars.servedLarge, qt.Equals, 3*rounds)
+			for _, order := range sidecars.ordersToFull {
+				c.Check(order.Last, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// refusingSidecars refuses what goes to one instance and serves the others.
+type refusingSidecars struct {
+	full         string
+	servedLarge  int
+	ordersToFull []hop.Order
+}
+
+func (n *refusingSidecars) prune(time.Time) {}
+func (n *refusingSidecars) close()          {}
+
+// send refuses or serves by the instance that is meant.
+func (n *refusingSidecars) send(_ context.Context, _ *message.Request, _ snapshot.Instance, order hop.Order) result {
+	if order.Instance == n.full {
+		n.ordersToFull = append(n.ordersToFull, order)
+		return resultOf(hop.Report{Outcome: hop.Refused, Reason: hop.ReasonOverloaded})
+	}
+	n.servedLarge++
+	return resultOf(hop.Report{Outcome: hop.Answered})
+}
