Read the source less often at a start and sooner after its silence

Change: a node that holds a version leaves the source to others for 1.2 to 1.8 s after its start (StartSettle); the first reader gathers news for 0.25 s after the first change (FirstNewsInterval). Cause: a poll lost in the silence is given up after 2.7 s, also when the source is back long since. So a reader whose last poll was not answered polls without a wait, and gives one up after 0.7 s. The price: about three times as many polls while the source is silent.

TestSuspicionNeedsEvidence passed by the random numbers drawn: it made the engine late by the clock, not by the time for which it had asked to be woken; it now does the latter.

--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -124,7 +124,9 @@
 					d.handle(distribution.Tick{})
 				}
 				dialled = d.dial.Link
-				d.now = d.now.Add(test.late)
+				if test.late > 0 { // after the moment for which the engine asked to be woken
+					d.now = d.engine.NextWake().Add(test.late)
+				}
 				d.handle(distribution.DialFailed{Link: dialled, Refused: test.refused})
 			}
 			d.run(time.Second)
--- a/internal/distribution/polling.go
+++ b/internal/distribution/polling.go
@@ -14,7 +14,17 @@
 	r.polledAt = e.now
 	r.pollAt = time.Time{}
 	after := max(e.push.heldVersion().Revision, r.head.Revision)
-	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.timing.SourceWait})
+	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.pollWait()})
+}
+
+// pollWait is how long the source may hold the next poll. A reader whose last poll was
+// not answered asks without a wait: a poll that is lost then costs the time of an
+// answer only, and the source's return shows with the next one.
+func (e *Engine) pollWait() time.Duration {
+	if !e.reading.answered {
+		return 0
+	}
+	return e.timing.SourceWait
 }
 
 func (e *Engine) fetchSource() {
@@ -34,14 +44,19 @@
 	}
 	r.poll = 0
 	if !e.answered(event.Outcome) {
+		r.answered = false
 		r.pollAt = e.now.Add(e.sourceDelay(event.Outcome))
 		return
 	}
 	news := event.Version.Newer(snapshot.Version{Revision: max(e.push.heldVersion().Revision, r.head.Revision)})
 	least := e.timing.SourceWait / 2
-	if news {
+	switch {
+	case news:
 		least = e.newsInterval()
+	case !r.answered:
+		least = 0 // the poll did not wait for news
 	}
+	r.answered = true
 	r.pollAt = latest(e.now, r.polledAt.Add(least))
 	e.headSeen(event.Version, news)
 }
@@ -49,7 +64,7 @@
 // newsInterval is the least time between two polls while there is news.
 func (e *Engine) newsInterval() time.Duration {
 	if e.currentRanking().globalRank(e.options.Self.Node) == 0 {
-		return minPollInterval
+		return max(e.timing.FirstNewsInterval, minPollInterval)
 	}
 	return max(e.timing.NewsInterval, minPollInterval)
 }
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -29,6 +29,8 @@
 	// poll is the running AwaitSource, pollAt when to send the next one.
 	poll     RequestID
 	polledAt time.Time
+	// answered says that the last poll of this turn was answered.
+	answered bool
 	pollAt   time.Time
 	// head is the newest revision that the source spoke of, fetchAt when to fetch
 	// it unless a peer brings it before.
@@ -175,6 +177,7 @@
 	r.active = active
 	r.resigned = false
 	r.failures = 0
+	r.answered = false
 	if active {
 		r.pollAt = e.now
 		e.log(LogInfo, "reads the source")
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -37,7 +37,9 @@
 	// ListDelay is how long the platform takes to answer for the list.
 	ListDelay      time.Duration
 	ReadersPerZone int
-	MaxLinks       int
+	// SourceIsCurrent says that the source never serves an old revision.
+	SourceIsCurrent bool
+	MaxLinks        int
 	// Duplicates is the share of messages that arrive twice.
 	Duplicates float64
 }
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -28,6 +28,7 @@
 	listReads []waitingList
 	maxReads  int
 	askedAt   map[membership.NodeID]time.Time
+	polls     int
 	fetches   int
 }
 
@@ -112,6 +113,9 @@
 	return count
 }
 
+// Polls returns how often processes asked for a new revision.
+func (p *Platform) Polls() int { return p.polls }
+
 // Fetches returns how many whole documents were read.
 func (p *Platform) Fetches() int { return p.fetches }
 
@@ -145,6 +149,7 @@
 
 func (p *Platform) await(from *process, action distribution.AwaitSource) {
 	p.askedAt[from.machine.Name] = p.fleet.now
+	p.polls++
 	from.requests[action.Request] = true
 	if p.down {
 		p.answer(from, action.Request, distribution.SourceRevision{Request: action.Request, Outcome: errUnreachable})
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -68,10 +68,11 @@
 			Node: name, Incarnation: p.incarnation, State: membership.StateReady,
 			Region: p.machine.Region, Zone: p.machine.Zone, PeerAddress: string(name),
 		},
-		Seed:           f.random.Uint64(),
-		Timing:         f.options.Timing,
-		ReadersPerZone: f.options.ReadersPerZone,
-		MaxLinks:       f.options.MaxLinks,
+		Seed:            f.random.Uint64(),
+		Timing:          f.options.Timing,
+		ReadersPerZone:  f.options.ReadersPerZone,
+		SourceIsCurrent: f.options.SourceIsCurrent,
+		MaxLinks:        f.options.MaxLinks,
 	})
 	p.participant = p.engine
 	if p.wrap != nil {
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -26,6 +26,9 @@
 type startState struct {
 	// startedAt is the time of the first event.
 	startedAt time.Time
+	// settledAt is when the node may read the source though it holds a version; it
+	// differs by node, so that readers do not all begin in the same moment.
+	settledAt time.Time
 	// answers holds the members that were asked, since askedAt.
 	answers map[membership.NodeID]answer
 	askedAt time.Time
@@ -41,6 +44,7 @@
 func (e *Engine) begin() {
 	if e.start.startedAt.IsZero() {
 		e.start.startedAt = e.now
+		e.start.settledAt = e.now.Add(e.jittered(e.timing.StartSettle))
 		e.start.answers = make(map[membership.NodeID]answer)
 		e.fleet.expireAt = e.now.Add(e.jittered(e.timing.ExpireInterval))
 		e.overlay.maintainAt = e.now
@@ -125,7 +129,12 @@
 	if e.push.heldVersion().IsZero() {
 		return e.options.SourceIsCurrent || s.peersHoldNothing(e)
 	}
-	return s.fleetKnown(e)
+	return s.fleetKnown(e) && s.settled(e)
+}
+
+// settled reports whether the node has had time to hear of the rest of the fleet.
+func (s *startState) settled(e *Engine) bool {
+	return !e.now.Before(s.settledAt)
 }
 
 // fleetKnown reports whether a node that got its version from a peer knows enough
@@ -178,6 +187,9 @@
 // deadlines tells when waiting may end.
 func (s *startState) deadlines(e *Engine, earlier func(time.Time)) {
 	earlier(s.recheckUntil)
+	if s.settledAt.After(e.now) {
+		earlier(s.settledAt)
+	}
 	if alone := s.startedAt.Add(e.timing.StartListWait); !s.knowsFleet && alone.After(e.now) {
 		earlier(alone)
 	}
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -41,6 +41,10 @@
 	// that starts together the list grows meanwhile, and few take themselves for
 	// readers.
 	ColdWait time.Duration
+	// StartSettle is how long after its start a node that holds a version leaves the
+	// source to others. In a fleet that starts together each list names few nodes, so
+	// that each node takes itself for a reader until the links have told it of the rest.
+	StartSettle time.Duration
 	// RecheckWait is how long a node that slept waits for its peers to answer
 	// before it reads the source again.
 	RecheckWait time.Duration
@@ -65,6 +69,9 @@
 	// NewsInterval is the least time between two polls of a reader that is not the
 	// first in rank, after one that brought news: the first brings the next.
 	NewsInterval time.Duration
+	// FirstNewsInterval is the same for the first in rank. The first change after a
+	// quiet time is read at once; those that follow within the interval come together.
+	FirstNewsInterval time.Duration
 	// MembersWait is how long the platform holds a question for a new list.
 	MembersWait time.Duration
 	// BackoffMin and BackoffMax bound the mean delay before the source or the
@@ -116,6 +123,7 @@
 		FetchStagger:           40 * time.Millisecond,
 		FetchDelayMax:          1500 * time.Millisecond,
 		NewsInterval:           minPollInterval,
+		FirstNewsInterval:      minPollInterval,
 		MembersWait:            20 * time.Second,
 		BackoffMin:             200 * time.Millisecond,
 		BackoffMax:             10 * time.Second,
@@ -143,6 +151,10 @@
 	t.FetchDelay, t.FetchStagger, t.FetchDelayMax = 0, 0, 0
 	t.FetchTimeout = 3 * time.Second
 	t.NewsInterval = 1200 * time.Millisecond
+	t.FirstNewsInterval = 250 * time.Millisecond
+	// Half of the shortest time after a start for which the platform asks nothing of a
+	// node (contactMs of 3 s); links are up and lists passed on after about a second.
+	t.StartSettle = 1500 * time.Millisecond
 	t.BackoffMin, t.BackoffMax = 100*time.Millisecond, 400*time.Millisecond
 	t.RedialMax = time.Second
 	t.DialTimeout = 2 * time.Second
