Let the runtime's memory limit follow the machine's memory

Change: setting node.memory_mb, filled from the machine's limits; the runtime takes up to 70 % of it unless GOMEMLIMIT is given.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(loaded.Node)
 	lines := logging.NewWriter(c.stderr, logging.DefaultBacklogBytes)
 	defer lines.Close(lastLinesWait)
 	logger, err := logging.New(lines, loaded.Log.Level, loaded.Log.Format)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	Name   string `yaml:"name" validate:"required,max=128" help:"name of the node, unique in the fleet"`
 	Region string `yaml:"region" validate:"required,max=128" help:"region the node runs in"`
 	Zone   string `yaml:"zone" validate:"required,max=128" help:"zone the node runs in"`
+	// MemoryMb is the memory that the process may take.
+	MemoryMb float64 `yaml:"memory_mb" validate:"min=0" help:"memory that the process may take in MB, of which the Go runtime takes up to 70 %; 0: no limit"`
 	// LinkMbps is the capacity of the machine's link.
 	LinkMbps float64 `yaml:"link_mbps" validate:"min=0" help:"capacity of the machine's link in Mbit/s (store); 0: learned from what is seen"`
 }
