Draw the sample from the instances that can be chosen

The sample counted instances without a fresh report that were ejected, or full in another zone, and these are not looked at later: with many of them the few sound ones were drawn rarely or not at all, and a request then went to an ejected one. After a loss of power most of the list is ejected.

Change: one rule of eligibility for counting and for choosing. TestSoundInstanceAmongLostOnes failed first (a gone instance was chosen, of 60 gone and one sound).

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -144,19 +144,19 @@
 func (b *Balancer) best(request Request, ejected bool) (best candidate, found bool) {
 	ties := 0
 	spare := !b.isShort(request.Route) && b.hasOwnZone(request)
-	sampled := b.sample(request)
+	eligible := func(instance *snapshot.Instance) bool {
+		known := b.stateOf(instance, request.Now)
+		return instance.State == snapshot.InstanceReady && !request.Avoid(instance.Name) &&
+			known.ejectedUntil.After(request.Now) == ejected &&
+			(!spare || b.isNear(instance) || !known.isFull(instance, request.Now))
+	}
+	sampled := b.sample(request, eligible)
 	for i := range request.Instances {
 		instance := &request.Instances[i]
-		if instance.State != snapshot.InstanceReady || request.Avoid(instance.Name) {
+		if !eligible(instance) {
 			continue
 		}
 		known := b.stateOf(instance, request.Now)
-		if known.ejectedUntil.After(request.Now) != ejected {
-			continue
-		}
-		if spare && !b.isNear(instance) && known.isFull(instance, request.Now) {
-			continue
-		}
 		if !known.isFresh(request.Now) && !sampled.take(b, instance) {
 			continue
 		}
--- a/internal/dataplane/balance/sample.go
+++ b/internal/dataplane/balance/sample.go
@@ -30,16 +30,13 @@
 	farLeft, farWanted   int
 }
 
-// sample counts the instances from which to draw.
-func (b *Balancer) sample(request Request) *sampling {
+// sample counts the eligible instances from which to draw. It must count just those that
+// are later looked at: counting more would draw too few, or none.
+func (b *Balancer) sample(request Request, eligible func(*snapshot.Instance) bool) *sampling {
 	drawn := &sampling{nearWanted: sampleSize, farWanted: sampleSize}
 	for i := range request.Instances {
 		instance := &request.Instances[i]
-		if instance.State != snapshot.InstanceReady || request.Avoid(instance.Name) {
-			continue
-		}
-		known := b.stateOf(instance, request.Now)
-		if known.isFresh(request.Now) {
+		if !eligible(instance) || b.stateOf(instance, request.Now).isFresh(request.Now) {
 			continue
 		}
 		if b.isNear(instance) {
--- a/internal/dataplane/balance/sample_test.go
+++ b/internal/dataplane/balance/sample_test.go
@@ -65,3 +65,24 @@
 	c.Assert(found, qt.IsTrue)
 	c.Check(choice.Instance.Name, qt.Equals, "free")
 }
+
+// TestSoundInstanceAmongLostOnes: after a loss of power most instances of the list are
+// gone. The few that are left are considered each time, however many are ejected.
+func TestSoundInstanceAmongLostOnes(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New(balance.Options{Zone: "near", Mechanisms: mechanism.All()})
+	now := time.Now()
+	all := []snapshot.Instance{instance("sound", "near")}
+	for i := range 60 {
+		gone := instance(fmt.Sprint("gone", i), "near")
+		all = append(all, gone)
+		choice, _ := pick(b, now, "", gone)
+		choice.Done(balance.Leaving, nil, 0, now)
+	}
+	for range 50 {
+		choice, found := pick(b, now, "", all...)
+		c.Assert(found, qt.IsTrue)
+		c.Assert(choice.Instance.Name, qt.Equals, "sound")
+		choice.Done(balance.Abandoned, nil, 0, now)
+	}
+}
