Evacuate zones: their instances get no requests until it is taken back

Change: an evacuation is a resource of the versioned document (kind 7, behind those that routes depend on, so that it compiles nothing), carried and hashed like instances. The inbound proxy refuses as not run on its own knowledge, on arrival and again right before sending, so requests that wait in its queue go elsewhere. A service without a ready instance is refused with a second to come back. Log line and gauge for each change; configuration and explain show it.

--- a/internal/admin/answer.go
+++ b/internal/admin/answer.go
@@ -94,6 +94,8 @@
 	Routes     []Route            `json:"routes"`
 	Services   []snapshot.Service `json:"services"`
 	Secrets    []string           `json:"secrets"`
+	// EvacuatedZones are the zones whose instances get no requests.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // Route is a compiled route whose timeout is written with its unit.
@@ -112,6 +114,8 @@
 	// MayRepeat tells whether the request's method may run more than once.
 	MayRepeat bool     `json:"may_repeat"`
 	Targets   []Target `json:"targets,omitempty"`
+	// EvacuatedZones are the zones whose instances get no requests.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// Considered holds each route in matching order and why it takes the request
 	// or not.
 	Considered []Consideration `json:"considered"`
--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -42,7 +42,7 @@
 
 // explain tells what a node of the given zone would do with a request.
 func explain(question Question, current *snapshot.Snapshot, view *membership.View, zone string) Explanation {
-	explanation := Explanation{Version: current.Version(), Generation: current.Generation(), Considered: consider(question, current)}
+	explanation := Explanation{Version: current.Version(), Generation: current.Generation(), Considered: consider(question, current), EvacuatedZones: current.EvacuatedZones()}
 	route := current.Lookup(question.Method, question.Host, question.Path, question.Header)
 	if route == nil {
 		return explanation
--- a/internal/app/store_rig_test.go
+++ b/internal/app/store_rig_test.go
@@ -35,6 +35,7 @@
 type machine struct {
 	ip       string
 	service  string
+	zone     string
 	instance *instance.Instance
 	node     *App
 	stop     func() error
@@ -71,7 +72,7 @@
 		_, err := emulated.Start()
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(emulated.Close)
-		r.machines = append(r.machines, &machine{ip: ip, service: service, instance: emulated})
+		r.machines = append(r.machines, &machine{ip: ip, service: service, zone: "z", instance: emulated})
 		r.put(i, "ready")
 	}
 	return r
@@ -93,14 +94,20 @@
 func (r *storeRig) put(index int, state string) snapshot.Revision {
 	m := r.machines[index]
 	return snapshot.Revision(r.store.Put("servers/"+m.instance.Name, fmt.Appendf(nil,
-		`{"address":"%s:%d","info":{"service":%q,"zone":"z","slots":4},"status":{"state":%q,"sequence":1}}`, m.ip, r.app, m.service, state)))
+		`{"address":"%s:%d","info":{"service":%q,"zone":%q,"slots":4},"status":{"state":%q,"sequence":1}}`, m.ip, r.app, m.service, m.zone, state)))
+}
+
+// place puts a machine that was not started yet into a zone.
+func (r *storeRig) place(index int, zone string) {
+	r.machines[index].zone = zone
+	r.put(index, "ready")
 }
 
 // settings are those of the node of a machine, which reads the store at the URL.
 func (r *storeRig) settings(index int, url string) settings.Settings {
 	m := r.machines[index]
 	configured := settings.Defaults()
-	configured.Node = settings.Node{Name: m.ip, Region: "r", Zone: "z"}
+	configured.Node = settings.Node{Name: m.ip, Region: "r", Zone: m.zone}
 	configured.Platform.Kind, configured.Platform.URL = settings.PlatformStore, url
 	configured.Platform.Timeout = time.Minute
 	configured.Peers.Listen = fmt.Sprintf("%s:%d", m.ip, r.peers)
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -147,8 +147,8 @@
 // adoptFleet puts a document in force whose routes are those in force already.
 // The mutex is held.
 func (a *Applier) adoptFleet(document *snapshot.Document) error {
-	content := document.Content()
-	next := a.store.Current().WithFleet(document.Version(), content.Instances, content.Limits)
+	former := a.store.Current()
+	next := former.WithFleet(document.Version(), document.Content())
 	adoption, err := a.store.Adopt(next)
 	switch {
 	case err != nil:
@@ -159,7 +159,7 @@
 		return a.refuse(document.Version(), ErrConflict)
 	}
 	a.plan = a.plan.WithDocument(document)
-	a.announce()
+	a.announce(former)
 	return nil
 }
 
@@ -223,6 +223,7 @@
 	if err != nil {
 		return err
 	}
+	former := a.store.Current()
 	adoption, err := a.store.Adopt(built)
 	if err != nil {
 		return err
@@ -235,14 +236,16 @@
 	}
 	a.plan, a.conditions = plan, conditions
 	if adoption == snapshot.Adopted {
-		a.announce()
+		a.announce(former)
 	}
 	return nil
 }
 
-// announce tells logs, metrics and watchers what is in force now.
-func (a *Applier) announce() {
+// announce tells logs, metrics and watchers what is in force now in place of the former
+// snapshot, which is nil at first.
+func (a *Applier) announce(former *snapshot.Snapshot) {
 	current := a.store.Current()
+	a.announceEvacuations(former, current)
 	if a.refusal != nil && current.Version().Newer(a.refusal.Version) {
 		a.refusal, a.refusedFor = nil, nil
 	}
@@ -257,6 +260,26 @@
 	a.watchers.notify(Change{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
 }
 
+// announceEvacuations tells logs and metrics which zones began or ceased to be
+// evacuated.
+func (a *Applier) announceEvacuations(former, current *snapshot.Snapshot) {
+	evacuated := current.EvacuatedZones()
+	a.metrics.evacuatedZones.Set(float64(len(evacuated)))
+	for _, zone := range evacuated {
+		if former == nil || !former.IsEvacuated(zone) {
+			a.logger.WithField("zone", zone).WithField("version", current.Version().String()).Warn("zone evacuated: its instances get no requests")
+		}
+	}
+	if former == nil {
+		return
+	}
+	for _, zone := range former.EvacuatedZones() {
+		if !current.IsEvacuated(zone) {
+			a.logger.WithField("zone", zone).WithField("version", current.Version().String()).Warn("evacuation taken back: the zone's instances get requests again")
+		}
+	}
+}
+
 // refuse records why a document is refused and returns the reason. The mutex is
 // held.
 func (a *Applier) refuse(version snapshot.Version, reason error) error {
--- a/internal/configuration/metrics.go
+++ b/internal/configuration/metrics.go
@@ -7,6 +7,8 @@
 	generation  prometheus.Gauge
 	refusals    prometheus.Counter
 	compilation prometheus.Histogram
+
+	evacuatedZones prometheus.Gauge
 }
 
 // newMetrics registers the metrics; with a nil registerer they count unseen.
@@ -24,6 +26,10 @@
 			Name: "winchhead_configuration_refusals_total",
 			Help: "Documents that this node refused as a whole.",
 		}),
+		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "winchhead_configuration_evacuated_zones",
+			Help: "Zones whose instances get no requests.",
+		}),
 		compilation: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "winchhead_configuration_compilation_seconds",
 			Help:    "Time to compile all policies of a document.",
@@ -33,7 +39,7 @@
 	if registerer == nil {
 		return built, nil
 	}
-	for _, collector := range []prometheus.Collector{built.revision, built.generation, built.refusals, built.compilation} {
+	for _, collector := range []prometheus.Collector{built.revision, built.generation, built.refusals, built.compilation, built.evacuatedZones} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, err
 		}
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -61,7 +61,7 @@
 	created := &Node{options: options}
 	var err error
 	created.inbound, err = inbound.New(inbound.Options{
-		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
+		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend, Zone: options.Zone,
 		Slots: options.Slots, LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
 	if err != nil {
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -45,9 +45,9 @@
 	}.Compile()}
 	built, err := snapshot.New(document.Version(), routes, []snapshot.Service{{Name: "data"}}, nil)
 	c.Assert(err, qt.IsNil)
-	built = built.WithFleet(document.Version(), []snapshot.Instance{
+	built = built.WithFleet(document.Version(), snapshot.Content{Instances: []snapshot.Instance{
 		{Name: "i-1", Service: "data", Address: backend, Slots: 4, State: snapshot.InstanceReady},
-	}, nil)
+	}})
 	node, err = dataplane.New(dataplane.Options{
 		Mechanisms: mechanism.All(),
 		Names:      message.Names{RequestID: instance.HeaderID, ExpectInstance: instance.HeaderExpect, Stamp: instance.HeaderStamp},
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -106,6 +106,7 @@
 	ReasonOverloaded    Reason = "overloaded"
 	ReasonLink          Reason = "link-busy"
 	ReasonDraining      Reason = "draining"
+	ReasonEvacuated     Reason = "evacuated"
 	ReasonWrongInstance Reason = "wrong-instance"
 	ReasonUnconfigured  Reason = "unconfigured"
 	ReasonDeadline      Reason = "deadline"
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -34,6 +34,8 @@
 	Snapshots SnapshotSource
 	// Backend is the address of the instance (IP:port).
 	Backend string
+	// Zone is that of the node, and so of the instance.
+	Zone string
 	// Slots are those of an instance that names none.
 	Slots int
 	// MaxRestOnce is how long a connection to the instance may have rested that a
@@ -269,6 +271,8 @@
 	}
 	instance, listed := current.Instance(order.Instance)
 	switch {
+	case current.IsEvacuated(p.options.Zone):
+		return hop.ReasonEvacuated
 	case !listed && order.Revision > uint64(current.Version().Revision):
 		return hop.ReasonNone // the sender knows more; the instance itself checks its name
 	case !listed, instance.State == snapshot.InstanceDraining:
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -101,9 +101,9 @@
 		RequestID: instance.HeaderID, Deadline: instance.HeaderDeadline, ExpectInstance: instance.HeaderExpect,
 		NotExecuted: instance.HeaderNotExecuted, Stamp: instance.HeaderStamp,
 	}
-	options.Snapshots = fixedSnapshot{built.WithFleet(version, []snapshot.Instance{{
+	options.Snapshots = fixedSnapshot{built.WithFleet(version, snapshot.Content{Instances: []snapshot.Instance{{
 		Name: emulated.Name, Service: "a", Address: address, State: snapshot.InstanceReady, Slots: 4,
-	}}, nil)}
+	}}})}
 	options.Backend, options.Slots, options.Logger = address, 4, logging.Discard()
 	proxy, err := inbound.New(options)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
@@ -30,6 +31,9 @@
 
 	leastRetryAfter   = 50 * time.Millisecond
 	longestRetryAfter = 2 * time.Second
+	// noInstanceRetry is when a request is worth sending again for which no instance is
+	// ready: one starts, or a zone is taken back, within seconds at best.
+	noInstanceRetry = time.Second
 	// retryShare of the caller's time may pass before it comes back, so that enough is
 	// left to be served then.
 	retryShare = 0.25
@@ -220,6 +224,13 @@
 	return false
 }
 
+// hasReady reports whether any instance of the chosen target takes work.
+func (e *exchange) hasReady() bool {
+	return slices.ContainsFunc(e.current.Instances(e.service), func(instance snapshot.Instance) bool {
+		return instance.State == snapshot.InstanceReady
+	})
+}
+
 // refuse is the final answer when no further instance takes the request. One that has
 // not run will not; of one that has, the caller gets what came of it.
 func (e *exchange) refuse() *message.Answer {
@@ -245,6 +256,9 @@
 	if e.proxy.options.Mechanisms.LateReturns {
 		pressure = e.proxy.callers.Pressure(e.route.Name, time.Now())
 	}
+	if !e.hasReady() {
+		return noInstanceRetry
+	}
 	wait := retryAfterOf(e.wait, time.Until(e.request.Arrived.Add(e.callerTime)), pressure)
 	return wait + time.Duration(rand.Float64()*float64(wait)*retryJitter)
 }
--- a/internal/dataplane/outbound/learn.go
+++ b/internal/dataplane/outbound/learn.go
@@ -41,7 +41,7 @@
 		return balance.Served
 	case hop.ReasonOverloaded, hop.ReasonLink:
 		return balance.Busy
-	case hop.ReasonDraining, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
+	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.Leaving
 	case hop.ReasonConnect, hop.ReasonBroken:
 		return balance.Failed
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -30,6 +30,7 @@
 	KindOther         Kind = 0 // of no interest here
 	KindConfiguration Kind = 1
 	KindInstance      Kind = 2
+	KindEvacuation    Kind = 3
 )
 
 // Configuration is what operators submitted as a whole.
@@ -50,9 +51,10 @@
 	Revision uint64
 	// Gone says that the entry was removed.
 	Gone bool
-	// Configuration or Instance is set by Kind, unless Gone or Fault is.
+	// Configuration, Instance or Evacuation is set by Kind, unless Gone or Fault is.
 	Configuration *Configuration
 	Instance      *snapshot.Instance
+	Evacuation    *snapshot.Evacuation
 	// Fault says why the entry cannot be read. What was read before stays.
 	Fault error
 	// Unknown are the words of the entry that the adapter does not know and gave
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -21,19 +21,23 @@
 	// anything which a document holds.
 	documentAt    uint64
 	configuration *Configuration
-	instances     map[string]snapshot.Instance // by key
+	instances     map[string]snapshot.Instance   // by key
+	evacuations   map[string]snapshot.Evacuation // by key
 	// built is the last document, builtFrom the configuration that it has.
 	built     *snapshot.Document
 	builtFrom *Configuration
 }
 
-func newState() state { return state{instances: make(map[string]snapshot.Instance)} }
+func newState() state {
+	return state{instances: make(map[string]snapshot.Instance), evacuations: make(map[string]snapshot.Evacuation)}
+}
 
 // clone copies what changes. The document that was built for former is kept, as most of
 // it still holds.
 func (s *state) clone(former state) state {
 	copied := *s
 	copied.instances = maps.Clone(s.instances)
+	copied.evacuations = maps.Clone(s.evacuations)
 	copied.built, copied.builtFrom = former.built, former.builtFrom
 	return copied
 }
@@ -65,6 +69,8 @@
 		return item.Fault
 	case item.Instance != nil:
 		return item.Instance.Check()
+	case item.Evacuation != nil:
+		return item.Evacuation.Check()
 	case item.Configuration != nil:
 		item.Configuration.setDefaults()
 		if len(item.Configuration.Routes) == 0 {
@@ -105,6 +111,10 @@
 		delete(s.instances, item.Key)
 	case item.Kind == KindInstance && item.Instance != nil:
 		s.instances[item.Key] = *item.Instance
+	case item.Kind == KindEvacuation && item.Gone:
+		delete(s.evacuations, item.Key)
+	case item.Kind == KindEvacuation && item.Evacuation != nil:
+		s.evacuations[item.Key] = *item.Evacuation
 	}
 }
 
@@ -117,7 +127,7 @@
 }
 
 // document returns the document of the state. While the configuration stays, only
-// the instances are encoded anew.
+// the instances and evacuations are encoded anew.
 func (s *state) document() (*snapshot.Document, error) {
 	if s.configuration == nil {
 		return nil, eris.New("the store holds no configuration yet")
@@ -131,7 +141,7 @@
 
 func (s *state) buildDocument() (*snapshot.Document, error) {
 	if s.built != nil && s.builtFrom == s.configuration {
-		return s.built.WithInstances(snapshot.Revision(s.documentAt), s.listedInstances())
+		return s.built.WithFleet(snapshot.Revision(s.documentAt), s.listedInstances(), s.listedEvacuations())
 	}
 	content := snapshot.Content{
 		Revision:  snapshot.Revision(s.documentAt),
@@ -139,10 +149,16 @@
 		Routes:    s.configuration.Routes,
 		Limits:    s.configuration.Limits,
 		Instances: s.listedInstances(),
+
+		Evacuations: s.listedEvacuations(),
 	}
 	return snapshot.NewDocument(content)
 }
 
+func (s *state) listedEvacuations() []snapshot.Evacuation {
+	return slices.Collect(maps.Values(s.evacuations))
+}
+
 func (s *state) listedInstances() []snapshot.Instance {
 	listed := make([]snapshot.Instance, 0, len(s.instances))
 	for _, instance := range s.instances {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return built.WithFleet(p.document.Version(), content.Instances, content.Limits), nil
+	return built.WithFleet(p.document.Version(), content), nil
 }
 
 // choose returns the variant whose answers all hold. The variants are the leaves
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -244,6 +244,8 @@
 		c.Instances = from.Instances
 	case KindLimits:
 		c.Limits = from.Limits
+	case KindEvacuation:
+		c.Evacuations = from.Evacuations
 	}
 }
 
@@ -272,5 +274,7 @@
 		c.Instances = append(c.Instances, from.Instances[at])
 	case KindLimits:
 		c.Limits = from.Limits
+	case KindEvacuation:
+		c.Evacuations = append(c.Evacuations, from.Evacuations[at])
 	}
 }
--- a/internal/snapshot/delta_test.go
+++ b/internal/snapshot/delta_test.go
@@ -25,6 +25,11 @@
 			content.Instances = append(content.Instances, instance)
 		}
 	}
+	for _, zone := range []string{"z-1", "z-2"} {
+		if rapid.Bool().Draw(t, label+" evacuates "+zone) {
+			content.Evacuations = append(content.Evacuations, snapshot.Evacuation{Zone: zone})
+		}
+	}
 	if rapid.Bool().Draw(t, label+" limits") {
 		content.Limits = &snapshot.CallerLimits{MaxHeaderBytes: rapid.IntRange(1, 2).Draw(t, "limit")}
 	}
@@ -42,8 +47,8 @@
 			t.Fatalf("apply: %v", err)
 		}
 		checkSame(t, applied, target)
-		from.Revision, from.Instances = to.Revision, to.Instances
-		got, err := base.WithInstances(to.Revision, to.Instances)
+		from.Revision, from.Instances, from.Evacuations = to.Revision, to.Instances, to.Evacuations
+		got, err := base.WithFleet(to.Revision, to.Instances, to.Evacuations)
 		if err != nil {
 			t.Fatalf("other instances: %v", err)
 		}
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -18,6 +18,11 @@
 	// Connections bounds the connections one instance has open at once. Zero
 	// leaves the bound to the settings of the node beside the instance.
 	Connections int `json:"connections,omitempty"`
+	// ColdRate is how many requests a second an instance bears while it is cold after
+	// its start. Zero means that there is no such bound.
+	ColdRate float64 `json:"cold_rate,omitempty"`
+	// ColdMillis is how long an instance stays cold after its start.
+	ColdMillis int64 `json:"cold_ms,omitempty"`
 }
 
 // Policy is one program, as an operator submitted it to the platform.
@@ -53,6 +58,8 @@
 	Instances []Instance `json:"instances,omitempty"`
 	// Limits bound the connections of callers; nil leaves them to the settings.
 	Limits *CallerLimits `json:"limits,omitempty"`
+	// Evacuations name the zones whose instances get no requests.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // Kind tells the type of a Resource.
@@ -69,6 +76,8 @@
 	KindInstance Kind = 5
 	// KindLimits is the one CallerLimits of a document.
 	KindLimits Kind = 6
+	// KindEvacuation is an Evacuation.
+	KindEvacuation Kind = 7
 )
 
 // Key names one resource of a document.
@@ -133,22 +142,31 @@
 	}, nil
 }
 
-// WithInstances returns the document of another revision that has other instances
-// and is alike in everything else, of which nothing is encoded again.
-func (d *Document) WithInstances(revision Revision, instances []Instance) (*Document, error) {
-	start, end := d.span(KindInstance)
-	encoded, err := encodeTyped(Content{Instances: instances}, nil)
+// WithFleet returns the document of another revision that has other instances and
+// evacuations and is alike in everything else, of which nothing is encoded again.
+func (d *Document) WithFleet(revision Revision, instances []Instance, evacuations []Evacuation) (*Document, error) {
+	instancesStart, instancesEnd := d.span(KindInstance)
+	evacuationsStart, evacuationsEnd := d.span(KindEvacuation)
+	encodedInstances, err := encodeTyped(Content{Instances: instances}, nil)
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(encoded, compareResources)
-	resources := slices.Concat(d.resources[:start], encoded, d.resources[end:])
+	encodedEvacuations, err := encodeTyped(Content{Evacuations: evacuations}, nil)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(encodedInstances, compareResources)
+	slices.SortFunc(encodedEvacuations, compareResources)
+	resources := slices.Concat(d.resources[:instancesStart], encodedInstances,
+		d.resources[instancesEnd:evacuationsStart], encodedEvacuations, d.resources[evacuationsEnd:])
 	if err := checkResources(revision, resources); err != nil {
 		return nil, err
 	}
-	digests := slices.Concat(d.digests[:start], digestsOf(encoded), d.digests[end:])
+	digests := slices.Concat(d.digests[:instancesStart], digestsOf(encodedInstances),
+		d.digests[instancesEnd:evacuationsStart], digestsOf(encodedEvacuations), d.digests[evacuationsEnd:])
 	content := d.content
 	content.Revision, content.Instances = revision, sortedByName(instances, instanceName)
+	content.Evacuations = sortedByName(evacuations, evacuationName)
 	return &Document{
 		version:   Version{Revision: revision, Hash: hashDigests(digests)},
 		content:   content,
@@ -158,7 +176,7 @@
 }
 
 func encodeContent(content Content) ([]Resource, error) {
-	count := len(content.Services) + len(content.Policies) + len(content.Secrets) + len(content.Routes) + len(content.Instances) + 1
+	count := len(content.Services) + len(content.Policies) + len(content.Secrets) + len(content.Routes) + len(content.Instances) + len(content.Evacuations) + 1
 	resources := make([]Resource, 0, count)
 	for _, service := range content.Services {
 		resource, err := checkedResource(KindService, service.Name, service, checkService)
@@ -207,6 +225,13 @@
 		}
 		resources = append(resources, resource)
 	}
+	for _, evacuation := range content.Evacuations {
+		resource, err := checkedResource(KindEvacuation, evacuation.Zone, evacuation, checkEvacuation)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
 	return resources, nil
 }
 
@@ -221,6 +246,8 @@
 		Routes:    sortedByName(content.Routes, typedRouteName),
 		Instances: sortedByName(content.Instances, instanceName),
 		Limits:    content.Limits,
+
+		Evacuations: sortedByName(content.Evacuations, evacuationName),
 	}
 }
 
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -1,6 +1,9 @@
 package snapshot
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // fleet is the part of a snapshot about instances. Snapshots share it while the
 // instances stay the same.
@@ -9,15 +12,21 @@
 	byAddress map[string]Instance // the one created last
 	byName    map[string]Instance
 	limits    *CallerLimits
+	evacuated map[string]bool // by zone
 }
 
-func newFleet(instances []Instance, limits *CallerLimits) fleet {
+func newFleet(content Content) fleet {
 	built := fleet{
 		byService: make(map[string][]Instance),
-		byAddress: make(map[string]Instance, len(instances)),
-		byName:    make(map[string]Instance, len(instances)),
-		limits:    limits,
+		byAddress: make(map[string]Instance, len(content.Instances)),
+		byName:    make(map[string]Instance, len(content.Instances)),
+		limits:    content.Limits,
+		evacuated: make(map[string]bool, len(content.Evacuations)),
 	}
+	for _, evacuation := range content.Evacuations {
+		built.evacuated[evacuation.Zone] = true
+	}
+	instances := built.withEvacuated(content.Instances)
 	for _, instance := range instances {
 		if holder, taken := built.byAddress[instance.Address]; !taken || holder.Created < instance.Created {
 			built.byAddress[instance.Address] = instance
@@ -32,15 +41,38 @@
 	return built
 }
 
+// withEvacuated returns the instances, ready ones in evacuated zones as such.
+func (f *fleet) withEvacuated(instances []Instance) []Instance {
+	if len(f.evacuated) == 0 {
+		return instances
+	}
+	marked := slices.Clone(instances)
+	for i := range marked {
+		if marked[i].State == InstanceReady && f.evacuated[marked[i].Zone] {
+			marked[i].State = InstanceEvacuated
+		}
+	}
+	return marked
+}
+
 // WithFleet returns a snapshot with the same routes, services and secrets for a
-// newer version that differs only in instances and limits.
-func (s *Snapshot) WithFleet(version Version, instances []Instance, limits *CallerLimits) *Snapshot {
+// newer version that differs only in instances, evacuations and limits, which it
+// takes from the content.
+func (s *Snapshot) WithFleet(version Version, content Content) *Snapshot {
 	next := *s
 	next.version = version
-	next.fleet = newFleet(instances, limits)
+	next.fleet = newFleet(content)
 	return &next
 }
 
+// IsEvacuated reports whether the instances of a zone must get no requests.
+func (s *Snapshot) IsEvacuated(zone string) bool { return s.fleet.evacuated[zone] }
+
+// EvacuatedZones returns the zones that are evacuated, sorted.
+func (s *Snapshot) EvacuatedZones() []string {
+	return slices.Sorted(maps.Keys(s.fleet.evacuated))
+}
+
 // Instances returns the instances of a service, draining ones included, sorted by
 // name. An instance whose address a later one has is gone, though it is listed. The
 // caller must not change the slice.
--- a/internal/snapshot/fleet_test.go
+++ b/internal/snapshot/fleet_test.go
@@ -22,7 +22,7 @@
 	c.Assert(err, qt.IsNil)
 	empty, err := snapshot.New(document.Version(), nil, nil, nil)
 	c.Assert(err, qt.IsNil)
-	current := empty.WithFleet(document.Version(), document.Content().Instances, nil)
+	current := empty.WithFleet(document.Version(), document.Content())
 
 	c.Check(current.Instances("a"), qt.DeepEquals, []snapshot.Instance{instances[2]})
 	c.Check(current.Instances("b"), qt.DeepEquals, []snapshot.Instance{instances[0]})
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -74,6 +74,12 @@
 	if service.Connections < 0 || service.Connections > MaxServiceLimit {
 		return eris.Errorf("service %q: connections is %d, want 0 to %d", service.Name, service.Connections, MaxServiceLimit)
 	}
+	if !(service.ColdRate >= 0 && service.ColdRate <= MaxServiceLimit) {
+		return eris.Errorf("service %q: cold_rate is %v, want 0 to %d", service.Name, service.ColdRate, MaxServiceLimit)
+	}
+	if service.ColdMillis < 0 || service.ColdMillis > MaxServiceLimit {
+		return eris.Errorf("service %q: cold_ms is %d, want 0 to %d", service.Name, service.ColdMillis, MaxServiceLimit)
+	}
 	return nil
 }
 
--- a/internal/snapshot/resource.go
+++ b/internal/snapshot/resource.go
@@ -25,6 +25,8 @@
 		return "instance"
 	case KindLimits:
 		return "limits"
+	case KindEvacuation:
+		return "evacuation"
 	default:
 		return "resource of unknown kind"
 	}
@@ -102,6 +104,8 @@
 		return appendValue(&content.Instances, resource, instanceName, checkInstance)
 	case KindLimits:
 		return setLimits(content, resource)
+	case KindEvacuation:
+		return appendValue(&content.Evacuations, resource, evacuationName, checkEvacuation)
 	default:
 		return eris.Errorf("resource %.64q has the unknown kind %d", resource.Key.Name, resource.Key.Kind)
 	}
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -36,6 +36,9 @@
 const (
 	InstanceReady    Lifecycle = "ready"
 	InstanceDraining Lifecycle = "draining"
+	// InstanceEvacuated is the state of a ready instance in a zone that is evacuated.
+	// It is worked out when a snapshot is built and never stands in a document.
+	InstanceEvacuated Lifecycle = "evacuated"
 )
 
 // Instance is one process that runs requests, as the source lists it. A restarted
@@ -56,6 +59,12 @@
 	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
 }
 
+// Evacuation says that the instances of a zone get no requests until it is taken
+// back. Callers in the zone are served on, by instances elsewhere.
+type Evacuation struct {
+	Zone string `json:"zone"`
+}
+
 // CallerLimits bound what a caller may send and how long it may take.
 type CallerLimits struct {
 	MaxHeaderBytes      int   `json:"max_header_bytes"`
@@ -74,6 +83,13 @@
 
 func instanceName(instance Instance) string { return instance.Name }
 
+func evacuationName(evacuation Evacuation) string { return evacuation.Zone }
+
+// Check reports why the evacuation cannot stand in a document, or nil.
+func (e Evacuation) Check() error { return checkEvacuation(e) }
+
+func checkEvacuation(evacuation Evacuation) error { return checkName(KindEvacuation, evacuation.Zone) }
+
 func checkTypedRoute(route TypedRoute) error {
 	if err := checkName(KindRoute, route.Name); err != nil {
 		return err
