Bound what reaches a cold instance, exactly, beside the instance

Ruled out: a limit at the senders, who would have to agree on parts of 16 requests a second; a limit of requests in progress, which does not bound requests a second where they are short. Change: package coldstart. The phase counts from the change of the entry; an instance that is not listed yet, and those of a zone whose evacuation was taken back, count as cold for the time that the service names. A token bucket (rate x overage, slack - 2 at once) paces the queue beside the instance, the most urgent first; it counts also while warm, and starts empty, so that a restart never doubles it. Reports tell how long the instance is cold; a refusal for want of tokens is 'cold', neither full nor failing, and the sender leaves the instance alone until the time that was named.

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -14,6 +14,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
 	"github.com/winchhead/winchhead/internal/logging"
@@ -166,6 +167,7 @@
 		Slots:     configured.Inbound.Slots,
 		NodePort:  outbound.PortOf(configured.Inbound.Listen),
 		Budget:    budgetOf(configured),
+		Cold:      inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
 
 		Mechanisms:         configured.Mechanisms,
 		LinkBytesPerSecond: configured.Node.LinkMbps * bytesPerMegabit,
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -148,7 +148,7 @@
 // The mutex is held.
 func (a *Applier) adoptFleet(document *snapshot.Document) error {
 	former := a.store.Current()
-	next := former.WithFleet(document.Version(), document.Content())
+	next := former.WithFleet(document.Version(), document.Content()).Following(former)
 	adoption, err := a.store.Adopt(next)
 	switch {
 	case err != nil:
@@ -224,7 +224,7 @@
 		return err
 	}
 	former := a.store.Current()
-	adoption, err := a.store.Adopt(built)
+	adoption, err := a.store.Adopt(built.Following(former))
 	if err != nil {
 		return err
 	}
--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -31,6 +31,8 @@
 	Abandoned Result = 5
 	// Erred: the instance failed the request, or did not answer it in its time.
 	Erred Result = 6
+	// Paced: the instance is cold after its start and takes no more requests just now.
+	Paced Result = 7
 )
 
 const (
@@ -147,7 +149,7 @@
 	eligible := func(instance *snapshot.Instance) bool {
 		known := b.stateOf(instance, request.Now)
 		return instance.State == snapshot.InstanceReady && !request.Avoid(instance.Name) &&
-			known.ejectedUntil.After(request.Now) == ejected &&
+			known.ejectedUntil.After(request.Now) == ejected && !known.pacedUntil.After(request.Now) &&
 			(!spare || b.isNear(instance) || !known.isFull(instance, request.Now))
 	}
 	sampled := b.sample(request, eligible)
@@ -174,6 +176,24 @@
 	return best, found
 }
 
+// PacedFor is the time until the first of the instances that were found cold, and to
+// have no room just now, takes a request again; zero when none was.
+func (b *Balancer) PacedFor(instances []snapshot.Instance, now time.Time) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	shortest := time.Duration(0)
+	for i := range instances {
+		known := b.instances[instances[i].Name]
+		if known == nil || !known.pacedUntil.After(now) {
+			continue
+		}
+		if left := known.pacedUntil.Sub(now); shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // isShort reports whether requests of a route take little of an instance's time
 // compared with others: they find a place also where others would wait.
 func (b *Balancer) isShort(route string) bool {
@@ -221,9 +241,10 @@
 func (b *Balancer) stateOf(instance *snapshot.Instance, now time.Time) *state {
 	known := b.instances[instance.Name]
 	if known == nil {
-		known = &state{speed: 1, usedAt: now, warmAt: now.Add(time.Duration(instance.WarmUpMillis) * time.Millisecond)}
+		known = &state{speed: 1, usedAt: now}
 		b.instances[instance.Name] = known
 	}
+	known.cold.Follow(instance.Name, time.Duration(instance.WarmUpMillis)*time.Millisecond, now)
 	return known
 }
 
@@ -270,6 +291,7 @@
 	if report != nil {
 		known.heardAt = now
 		known.reported, known.reportedWith, known.reportedAt = report.Running+report.Waiting, known.outstanding, now
+		known.cold.Report(report.ColdFor, now)
 		known.toldSpeed(report.Speed, now)
 		b.loadOf(c.Instance.Service).note(report, now)
 		known.backlog, known.linkRate = report.Backlog, kibibyte*float64(report.LinkRate)
@@ -288,6 +310,8 @@
 		}
 	case Busy:
 		known.busyUntil = now.Add(busyTime)
+	case Paced:
+		known.pacedUntil = now.Add(report.RetryAfter)
 	case Leaving:
 		known.ejectedUntil = now.Add(leavingTime)
 	case Failed:
--- a/internal/dataplane/balance/state.go
+++ b/internal/dataplane/balance/state.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
@@ -48,8 +49,11 @@
 	failures     int
 	ejectedUntil time.Time
 	busyUntil    time.Time
-	warmAt       time.Time
-	usedAt       time.Time
+	// cold tells until when the instance is cold, by the list and by its node.
+	cold coldstart.Phase
+	// pacedUntil is when the instance, being cold, can take the next request.
+	pacedUntil time.Time
+	usedAt     time.Time
 	// heardAt is when the instance or its node last answered, or when the first of
 	// the requests in progress was sent, if that was later.
 	heardAt time.Time
@@ -110,7 +114,7 @@
 
 // coldness is how many times longer requests take as the instance warms up.
 func (s *state) coldness(now time.Time) float64 {
-	if s.warmAt.After(now) {
+	if s.cold.Until().After(now) {
 		return coldFactor
 	}
 	return 1
--- /dev/null
+++ b/internal/dataplane/coldstart/limit_test.go
@@ -0,0 +1,99 @@
+package coldstart_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestNoSecondHoldsTooMany: whatever the bursts, the restarts of the node and the changes
+// of the entry, no second holds more requests to a cold instance than it bears.
+func TestNoSecondHoldsTooMany(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := coldstart.Bounds{
+			Rate:  rapid.Float64Range(0.5, 30).Draw(t, "rate"),
+			Burst: rapid.Float64Range(1, 20).Draw(t, "burst"),
+		}
+		now, coldUntil := epoch, epoch
+		limit := coldstart.NewLimit(now)
+		limit.Set(bounds, coldUntil, now)
+		var begun []time.Time // while cold
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "pause")))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0: // the node restarts
+				limit = coldstart.NewLimit(now)
+				limit.Set(bounds, coldUntil, now)
+			case 1: // the entry changes
+				coldUntil = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "cold ms")) * time.Millisecond)
+				limit.Set(bounds, coldUntil, now)
+			default:
+				for range rapid.IntRange(1, 12).Draw(t, "requests") {
+					if limit.Begin(now) == 0 && coldUntil.After(now) {
+						begun = append(begun, now)
+					}
+				}
+			}
+		}
+		most := bounds.Rate + bounds.Burst
+		for first := range begun {
+			last := first
+			for last < len(begun) && begun[last].Before(begun[first].Add(time.Second)) {
+				last++
+			}
+			if float64(last-first) > most {
+				t.Fatalf("%d requests in the second from %s, at most %.2f are borne", last-first, begun[first], most)
+			}
+		}
+	})
+}
+
+// TestDelayIsKept: who comes back after the time that was named may begin.
+func TestDelayIsKept(t *testing.T) {
+	c := qt.New(t)
+	limit := coldstart.NewLimit(epoch)
+	limit.Set(coldstart.Bounds{Rate: 4, Burst: 1}, epoch.Add(time.Minute), epoch)
+	delay := limit.Begin(epoch)
+	c.Assert(delay > 0, qt.IsTrue)
+	c.Check(limit.Begin(epoch.Add(delay)), qt.Equals, time.Duration(0))
+	c.Check(limit.Delay(2, epoch.Add(delay)) > limit.Delay(0, epoch.Add(delay)), qt.IsTrue)
+}
+
+// TestWarmInstanceIsNotBounded: the limit ends with the cold, and a service that names no
+// rate has none.
+func TestWarmInstanceIsNotBounded(t *testing.T) {
+	c := qt.New(t)
+	limit := coldstart.NewLimit(epoch)
+	limit.Set(coldstart.Bounds{Rate: 1, Burst: 1}, epoch.Add(100*time.Millisecond), epoch)
+	c.Check(limit.Begin(epoch), qt.Equals, 100*time.Millisecond)
+	warm := epoch.Add(100 * time.Millisecond)
+	for range 50 {
+		c.Check(limit.Begin(warm), qt.Equals, time.Duration(0))
+	}
+	limit.Set(coldstart.Bounds{Burst: 1}, epoch.Add(time.Hour), epoch)
+	c.Check(limit.Begin(warm), qt.Equals, time.Duration(0))
+}
+
+// TestPhaseFollowsTheEntry: the time that is left counts from the change of the entry, not
+// from each look at it; another instance at the place counts anew.
+func TestPhaseFollowsTheEntry(t *testing.T) {
+	c := qt.New(t)
+	var phase coldstart.Phase
+	phase.Follow("i-1", 3*time.Second, epoch)
+	phase.Follow("i-1", 3*time.Second, epoch.Add(2*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(3*time.Second))
+	phase.Follow("i-1", 5*time.Second, epoch.Add(2*time.Second)) // cold for longer than was said
+	c.Check(phase.Until(), qt.Equals, epoch.Add(7*time.Second))
+	phase.Follow("i-1", 0, epoch.Add(4*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(4*time.Second))
+	phase.Presume(time.Second, epoch.Add(5*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(6*time.Second))
+	phase.Follow("i-2", 0, epoch.Add(5*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(5*time.Second))
+}
--- /dev/null
+++ b/internal/dataplane/coldstart/phase.go
@@ -0,0 +1,34 @@
+package coldstart
+
+import "time"
+
+// Phase tells until when an instance is cold, by what its list entry says. An entry
+// names the time that is left; it counts from the moment at which it was first seen,
+// which is a little later than it was written and so on the safe side.
+type Phase struct {
+	name   string
+	listed time.Duration
+	until  time.Time
+}
+
+// Follow takes over what the entry of an instance says now. Another name is another
+// instance at the same place.
+func (p *Phase) Follow(name string, remaining time.Duration, now time.Time) {
+	if name != p.name || remaining != p.listed {
+		p.name, p.listed, p.until = name, remaining, now.Add(remaining)
+	}
+}
+
+// Until is until when the instance is cold.
+func (p *Phase) Until() time.Time { return p.until }
+
+// Report takes over what the node beside the instance says: how long it is cold yet.
+func (p *Phase) Report(remaining time.Duration, now time.Time) { p.until = now.Add(remaining) }
+
+// Presume lets the instance count as cold for so long, whatever its entry says; the
+// next change of the entry counts again.
+func (p *Phase) Presume(duration time.Duration, now time.Time) {
+	if until := now.Add(duration); until.After(p.until) {
+		p.until = until
+	}
+}
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -31,6 +31,8 @@
 	Service, Zone, Backend string
 	// Slots are those of an instance that names none.
 	Slots int
+	// Cold is what a cold instance bears beyond the rate that its service names.
+	Cold inbound.ColdBounds
 	// NodePort is where the nodes beside other instances take requests.
 	NodePort int
 	// LinkBytesPerSecond is the capacity of the machine's link; zero: not known.
@@ -61,7 +63,8 @@
 	created := &Node{options: options}
 	var err error
 	created.inbound, err = inbound.New(inbound.Options{
-		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend, Zone: options.Zone,
+		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
+		Service: options.Service, Zone: options.Zone, Cold: options.Cold,
 		Slots: options.Slots, LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
 	if err != nil {
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -105,6 +105,7 @@
 	ReasonNone          Reason = ""
 	ReasonOverloaded    Reason = "overloaded"
 	ReasonLink          Reason = "link-busy"
+	ReasonCold          Reason = "cold"
 	ReasonDraining      Reason = "draining"
 	ReasonEvacuated     Reason = "evacuated"
 	ReasonWrongInstance Reason = "wrong-instance"
@@ -136,9 +137,11 @@
 	Speed int
 	// Waited is how long the request waited for a slot.
 	Waited time.Duration
+	// ColdFor is how much longer the instance is cold after its start; zero: it is warm.
+	ColdFor time.Duration
 }
 
-const reportFields = 11
+const reportFields = 12
 
 // HeaderPace is the name of the field in which a node that takes a body names the rate
 // at which it does, in bytes a second.
@@ -149,7 +152,7 @@
 	return strings.Join([]string{
 		string(r.Outcome), string(r.Reason), millis(r.RetryAfter),
 		strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), strconv.Itoa(r.Slots), millis(r.Execution),
-		millis(r.Backlog), strconv.Itoa(r.LinkRate), strconv.Itoa(r.Speed), millis(r.Waited),
+		millis(r.Backlog), strconv.Itoa(r.LinkRate), strconv.Itoa(r.Speed), millis(r.Waited), millis(r.ColdFor),
 	}, separator)
 }
 
@@ -164,7 +167,7 @@
 		Outcome: Outcome(fields[0]), Reason: Reason(fields[1]), RetryAfter: reader.duration(),
 		Running: int(reader.number()), Waiting: int(reader.number()), Slots: int(reader.number()),
 		Execution: reader.duration(), Backlog: reader.duration(), LinkRate: int(reader.number()),
-		Speed: int(reader.number()), Waited: reader.duration(),
+		Speed: int(reader.number()), Waited: reader.duration(), ColdFor: reader.duration(),
 	}
 	switch report.Outcome {
 	case Answered, Refused, Rejected, Unknown:
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -28,6 +28,7 @@
 	report := hop.Report{
 		Outcome: hop.Rejected, Reason: hop.ReasonOverloaded, RetryAfter: 1 * time.Millisecond,
 		Running: 2, Waiting: 3, Slots: 4, Execution: 5 * time.Millisecond, Backlog: 6 * time.Millisecond, LinkRate: 7, Speed: 8, Waited: 9 * time.Millisecond,
+		ColdFor: 10 * time.Millisecond,
 	}
 	decoded, err := hop.DecodeReport(report.Encode())
 	c.Assert(err, qt.IsNil)
@@ -41,7 +42,7 @@
 		_, err := hop.DecodeOrder(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
-	for _, text := range []string{"", "a;", "z;;0;0;0;0;0;0;0;0;0", "a;;x;0;0;0;0;0;0;0;0", "a;;0;0;0;0;0"} {
+	for _, text := range []string{"", "a;", "z;;0;0;0;0;0;0;0;0;0;0", "a;;x;0;0;0;0;0;0;0;0;0", "a;;0;0;0;0;0"} {
 		_, err := hop.DecodeReport(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -34,8 +34,10 @@
 	Snapshots SnapshotSource
 	// Backend is the address of the instance (IP:port).
 	Backend string
-	// Zone is that of the node, and so of the instance.
-	Zone string
+	// Service and Zone are those of the instance.
+	Service, Zone string
+	// Cold is what a cold instance bears beyond the rate that its service names.
+	Cold ColdBounds
 	// Slots are those of an instance that names none.
 	Slots int
 	// MaxRestOnce is how long a connection to the instance may have rested that a
@@ -69,6 +71,7 @@
 	queue    *queue.Queue
 	link     *transfer.Gate
 	speed    speed
+	cold     *coldness
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
@@ -90,10 +93,11 @@
 			ConnectTimeout: connectTimeout,
 			IdleTimeout:    idleTimeout,
 		}),
-		queue: queue.New(options.Slots),
 		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
 		lines: boundedlog.New(options.Logger),
 	}
+	created.cold = newColdness(options)
+	created.queue = queue.NewPaced(options.Slots, created.cold.limit)
 	created.slots.Store(int64(options.Slots))
 	var err error
 	created.metrics, err = newMetrics(options.Registerer, created.queue)
@@ -242,6 +246,8 @@
 		return hop.ReasonDeadline
 	case queue.Cancelled:
 		return hop.ReasonCancelled
+	case queue.Paced:
+		return hop.ReasonCold
 	default:
 		return hop.ReasonOverloaded
 	}
@@ -260,6 +266,7 @@
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
 		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), Speed: p.speed.hundredths(),
+		ColdFor: p.cold.limit.ColdFor(time.Now()),
 	}
 }
 
@@ -270,10 +277,12 @@
 		return hop.ReasonUnconfigured
 	}
 	instance, listed := current.Instance(order.Instance)
+	p.cold.follow(current, time.Now())
 	switch {
 	case current.IsEvacuated(p.options.Zone):
 		return hop.ReasonEvacuated
 	case !listed && order.Revision > uint64(current.Version().Revision):
+		p.cold.started(order.Instance, current, time.Now())
 		return hop.ReasonNone // the sender knows more; the instance itself checks its name
 	case !listed, instance.State == snapshot.InstanceDraining:
 		return hop.ReasonDraining
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -168,7 +168,8 @@
 // notRun notes an instance that did not run the request.
 func (e *exchange) notRun(sent result) {
 	e.tried[e.last] = true
-	if sent.report.Reason == hop.ReasonOverloaded || sent.report.Reason == hop.ReasonLink {
+	switch sent.report.Reason {
+	case hop.ReasonOverloaded, hop.ReasonLink, hop.ReasonCold:
 		e.fullTries++
 	}
 	if wait := sent.report.RetryAfter; wait > 0 && (e.wait == 0 || wait < e.wait) {
@@ -259,6 +260,9 @@
 	if !e.hasReady() {
 		return noInstanceRetry
 	}
+	if e.wait == 0 {
+		e.wait = e.proxy.balancer.PacedFor(e.current.Instances(e.service), time.Now())
+	}
 	wait := retryAfterOf(e.wait, time.Until(e.request.Arrived.Add(e.callerTime)), pressure)
 	return wait + time.Duration(rand.Float64()*float64(wait)*retryJitter)
 }
--- a/internal/dataplane/outbound/learn.go
+++ b/internal/dataplane/outbound/learn.go
@@ -41,6 +41,8 @@
 		return balance.Served
 	case hop.ReasonOverloaded, hop.ReasonLink:
 		return balance.Busy
+	case hop.ReasonCold:
+		return balance.Paced
 	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.Leaving
 	case hop.ReasonConnect, hop.ReasonBroken:
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -24,6 +24,8 @@
 	Expired Refusal = 2
 	// Cancelled: the sender left.
 	Cancelled Refusal = 3
+	// Paced: slots are free, but the instance may not begin with so many requests.
+	Paced Refusal = 4
 )
 
 // Value tells what an answer is still worth to its caller.
@@ -67,9 +69,30 @@
 	Running, Waiting, Slots int
 }
 
+// Pace bounds how fast requests begin, besides the slots.
+type Pace interface {
+	// Begin counts a request that begins now, or tells how long until one may.
+	Begin(now time.Time) time.Duration
+	// Delay is how long until a request may begin that has so many before it.
+	Delay(before int, now time.Time) time.Duration
+}
+
+// unpaced begins with each request at once.
+type unpaced struct{}
+
+// Begin implements Pace.
+func (unpaced) Begin(time.Time) time.Duration { return 0 }
+
+// Delay implements Pace.
+func (unpaced) Delay(int, time.Time) time.Duration { return 0 }
+
 // Queue is safe for concurrent use.
 type Queue struct {
-	mutex   sync.Mutex
+	pace Pace
+
+	mutex sync.Mutex
+	// wakes is set while a timer is pending at which the pace lets a waiter begin.
+	wakes   bool
 	slots   int
 	running int
 	waiting waiters
@@ -82,8 +105,11 @@
 const initialService = 100 * time.Millisecond
 
 // New returns a Queue for so many slots.
-func New(slots int) *Queue {
-	return &Queue{slots: max(slots, 1), service: initialService, started: make(map[*Slot]time.Time)}
+func New(slots int) *Queue { return NewPaced(slots, unpaced{}) }
+
+// NewPaced returns a Queue for so many slots whose requests begin as the pace allows.
+func NewPaced(slots int, pace Pace) *Queue {
+	return &Queue{pace: pace, slots: max(slots, 1), service: initialService, started: make(map[*Slot]time.Time)}
 }
 
 // SetSlots changes the number of slots.
@@ -105,10 +131,8 @@
 func (q *Queue) Wait(ticket Ticket) time.Duration {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.running < q.slots && q.waiting.Len() == 0 {
-		return 0
-	}
-	return q.expectedWait(ticket)
+	wait, _ := q.expectedWait(ticket, time.Now())
+	return wait
 }
 
 // Backlog is how long the slots are taken by what holds them and what waits.
@@ -148,7 +172,7 @@
 		q.mutex.Unlock()
 		return nil, Expired, 0
 	}
-	if q.running < q.slots && q.waiting.Len() == 0 {
+	if q.running < q.slots && q.waiting.Len() == 0 && q.pace.Begin(now) == 0 {
 		slot := q.grant(ticket, now)
 		q.mutex.Unlock()
 		return slot, None, 0
@@ -157,12 +181,13 @@
 	if ticket.Stays && q.waiting.hasLessUrgent(ticket) {
 		most = ticket.LatestStart.Sub(now)
 	}
-	if wait := q.expectedWait(ticket); wait > most || now.Add(wait).After(ticket.LatestStart) {
+	if wait, refusal := q.expectedWait(ticket, now); wait > most || now.Add(wait).After(ticket.LatestStart) {
 		q.mutex.Unlock()
-		return nil, Busy, wait
+		return nil, refusal, wait
 	}
 	waiter := &waiter{ticket: ticket, granted: make(chan verdict, 1)}
 	heap.Push(&q.waiting, waiter)
+	q.promote(now)
 	q.mutex.Unlock()
 	return q.await(ctx, waiter)
 }
@@ -232,15 +257,23 @@
 }
 
 // expectedWait is how long a request would wait: until a slot is free, and while
-// those before it begin. The mutex is held.
-func (q *Queue) expectedWait(ticket Ticket) time.Duration {
-	before := q.service // until the first of the slots is free
+// those before it begin; and what it would be refused for. The mutex is held.
+func (q *Queue) expectedWait(ticket Ticket, now time.Time) (time.Duration, Refusal) {
+	count, work := 0, time.Duration(0)
 	for _, other := range q.waiting {
 		if other.ticket.goesBefore(ticket) {
-			before += q.expected(other.ticket)
+			count++
+			work += q.expected(other.ticket)
 		}
 	}
-	return before / time.Duration(q.slots)
+	if q.running >= q.slots {
+		work += q.service // until the first of the slots is free
+	}
+	forSlot, forPace := work/time.Duration(q.slots), q.pace.Delay(count, now)
+	if forPace > forSlot {
+		return forPace, Paced
+	}
+	return forSlot, Busy
 }
 
 func (q *Queue) expected(ticket Ticket) time.Duration {
@@ -277,11 +310,30 @@
 // promote gives free slots to waiters. The mutex is held.
 func (q *Queue) promote(now time.Time) {
 	for q.running < q.slots && q.waiting.Len() > 0 {
-		next := heap.Pop(&q.waiting).(*waiter)
-		if !next.ticket.LatestStart.After(now) {
+		if next := q.waiting[0]; !next.ticket.LatestStart.After(now) {
+			heap.Pop(&q.waiting)
 			next.granted <- verdict{refusal: Expired}
 			continue
 		}
+		if delay := q.pace.Begin(now); delay > 0 {
+			q.promoteAfter(delay)
+			return
+		}
+		next := heap.Pop(&q.waiting).(*waiter)
 		next.granted <- verdict{slot: q.grant(next.ticket, now)}
 	}
 }
+
+// promoteAfter gives slots to waiters once the pace allows it. The mutex is held.
+func (q *Queue) promoteAfter(delay time.Duration) {
+	if q.wakes {
+		return
+	}
+	q.wakes = true
+	time.AfterFunc(delay, func() {
+		q.mutex.Lock()
+		defer q.mutex.Unlock()
+		q.wakes = false
+		q.promote(time.Now())
+	})
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -83,6 +83,9 @@
 	Address string
 	// Plan returns the fault for a request; nil: none.
 	Plan func(id string) Fault
+	// MostPerSecond is how many requests the instance bears in one second, as a cold one
+	// does; with more it falls over: it drops its connections and takes no more. Zero: any.
+	MostPerSecond int
 	// Work is called while a request runs; it returns early when the channel
 	// closes as the sender left. nil: no work.
 	Work func(id string, gone <-chan struct{})
@@ -92,6 +95,7 @@
 	runs     []Run
 	accepted int
 	rejected int
+	fellOver bool
 	serving  sync.WaitGroup
 	conns    map[net.Conn]struct{}
 	// forgotten are connections whose next bytes meet a reset.
@@ -158,6 +162,33 @@
 	return forgotten
 }
 
+// FellOver reports whether the instance got more requests than it bears.
+func (i *Instance) FellOver() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.fellOver
+}
+
+// fallOver drops the connections when too many requests began in the last second. The
+// mutex is held.
+func (i *Instance) fallOver() {
+	if i.MostPerSecond == 0 {
+		return
+	}
+	recent := 0
+	for at := len(i.runs) - 1; at >= 0 && time.Since(i.runs[at].Began) < time.Second; at-- {
+		recent++
+	}
+	if recent <= i.MostPerSecond {
+		return
+	}
+	i.fellOver = true
+	_ = i.listener.Close()
+	for conn := range i.conns {
+		_ = conn.Close()
+	}
+}
+
 // Runs returns what ran so far.
 func (i *Instance) Runs() []Run {
 	i.mutex.Lock()
@@ -290,6 +321,7 @@
 		Caller: request.Header.Get(HeaderCaller), Expected: request.Header.Get(HeaderExpect),
 		DeadlineMillis: deadline, Began: time.Now(),
 	})
+	i.fallOver()
 	return len(i.runs) - 1
 }
 
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -13,6 +13,9 @@
 	byName    map[string]Instance
 	limits    *CallerLimits
 	evacuated map[string]bool // by zone
+	// returns counts, by zone, the evacuations that were taken back while this process
+	// held a configuration.
+	returns map[string]int
 }
 
 func newFleet(content Content) fleet {
@@ -65,6 +68,30 @@
 	return &next
 }
 
+// Following returns the snapshot as the one that comes into force after a former one,
+// which may be nil: it counts the evacuations that were taken back since.
+func (s *Snapshot) Following(former *Snapshot) *Snapshot {
+	if former == nil {
+		return s
+	}
+	next := *s
+	next.fleet.returns = former.fleet.returns
+	for zone := range former.fleet.evacuated {
+		if !s.IsEvacuated(zone) {
+			next.fleet.returns = maps.Clone(next.fleet.returns)
+			if next.fleet.returns == nil {
+				next.fleet.returns = make(map[string]int)
+			}
+			next.fleet.returns[zone]++
+		}
+	}
+	return &next
+}
+
+// ZoneReturns counts how often the evacuation of a zone was taken back while this
+// process held a configuration. Its instances may have turned cold each time.
+func (s *Snapshot) ZoneReturns(zone string) int { return s.fleet.returns[zone] }
+
 // IsEvacuated reports whether the instances of a zone must get no requests.
 func (s *Snapshot) IsEvacuated(zone string) bool { return s.fleet.evacuated[zone] }
 
@@ -85,6 +112,12 @@
 	return listed && s.fleet.byAddress[instance.Address].Name == name
 }
 
+// InstanceAt returns the instance that was created last at an address.
+func (s *Snapshot) InstanceAt(address string) (Instance, bool) {
+	instance, listed := s.fleet.byAddress[address]
+	return instance, listed
+}
+
 // Instance returns the instance of that name, if it is listed.
 func (s *Snapshot) Instance(name string) (Instance, bool) {
 	instance, listed := s.fleet.byName[name]
