Ask before a body of a KiB or more is sent to another node

Cause: on links of 5 Mbit/s the refused bookings (4 KB each, four offers) filled the links of the machines that seemed least loaded. So refusals, calls of instances and everything else were late: an overload that kept itself up after its cause was gone. Change: the question that large bodies ask (16 KiB) is asked from 1 KiB on. Short ones do not wait for a turn on the link: they are granted at once unless the queue would refuse them now. Test: TestStoreRefusedBodyIsNotSent; before, a short body was granted always.

--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -11,10 +11,11 @@
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 )
 
-// Admit decides whether another node may send the large body of a request: once the
-// link is free for it, if the request can then still be in time. One that is refused
+// Admit decides whether another node may send the body of a request: a large one once
+// the link is free for it, if the request can then still be in time; a small one at once. One that is refused
 // has sent nothing of its body and has not run.
 func (p *Proxy) Admit(ctx context.Context, request *message.Request, bytes int64) server.Admission {
 	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
@@ -27,6 +28,9 @@
 	if reason := p.check(order); reason != hop.ReasonNone {
 		return p.notAdmitted(request, p.refuse(reason, 0))
 	}
+	if bytes < transfer.LargeBody {
+		return p.admitSmall(request, order)
+	}
 	grant, refusal, wait := p.link.Acquire(ctx, p.linkTicket(request, order, bytes), bytes)
 	if refusal != queue.None {
 		delivery := p.refuse(linkReasonOf(refusal), wait)
@@ -47,6 +51,17 @@
 	return admission
 }
 
+// admitSmall asks for a body that passes the link in no time at once, unless the request
+// would be refused anyway: a refused body has then cost the link nothing.
+func (p *Proxy) admitSmall(request *message.Request, order hop.Order) server.Admission {
+	if refusal, wait := p.queue.Refusal(p.ticketOf(request, order)); refusal != queue.None {
+		delivery := p.refuse(reasonOf(refusal), wait)
+		p.log(request, order, delivery)
+		return p.notAdmitted(request, delivery)
+	}
+	return server.Admission{}
+}
+
 // linkTicket asks for the link. What the request will need after the body leaves less
 // time to wait for it: the body itself, the wait for a slot, and the work.
 func (p *Proxy) linkTicket(request *message.Request, order hop.Order, bytes int64) queue.Ticket {
--- a/internal/dataplane/outbound/nodes.go
+++ b/internal/dataplane/outbound/nodes.go
@@ -37,7 +37,7 @@
 	port     int
 	pacer    *transfer.Pacer
 	idHeader string
-	// asks says that large bodies are sent only once they are admitted.
+	// asks says that bodies are sent only once they are admitted.
 	asks  bool
 	mutex sync.Mutex
 	pools map[string]*client.Pool
@@ -114,7 +114,7 @@
 	response, err := n.poolOf(n.nodeAddress(instance)).Do(ctx, &client.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host,
 		Header: header, Body: request.Body, ID: request.ID,
-		AskFirst: n.asks && len(request.Body) >= transfer.LargeBody,
+		AskFirst: n.asks && len(request.Body) >= transfer.AskedBody,
 	})
 	if err != nil {
 		return failedSend(err)
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -168,23 +168,15 @@
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (*Slot, Refusal, time.Duration) {
 	now := time.Now()
 	q.mutex.Lock()
-	if !ticket.LatestStart.After(now) {
+	if refusal, wait := q.refusal(ticket, now); refusal != None {
 		q.mutex.Unlock()
-		return nil, Expired, 0
+		return nil, refusal, wait
 	}
 	if q.running < q.slots && q.waiting.Len() == 0 && q.pace.Begin(now) == 0 {
 		slot := q.grant(ticket, now)
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	most := ticket.MaxWait
-	if ticket.Stays && q.waiting.hasLessUrgent(ticket) {
-		most = ticket.LatestStart.Sub(now)
-	}
-	if wait, refusal := q.expectedWait(ticket, now); wait > most || now.Add(wait).After(ticket.LatestStart) {
-		q.mutex.Unlock()
-		return nil, refusal, wait
-	}
 	waiter := &waiter{ticket: ticket, granted: make(chan verdict, 1)}
 	heap.Push(&q.waiting, waiter)
 	q.promote(now)
@@ -192,6 +184,30 @@
 	return q.await(ctx, waiter)
 }
 
+// Refusal tells whether a request would be refused now, why, and after which time a slot
+// is likely to be free. Nothing is taken or kept for it.
+func (q *Queue) Refusal(ticket Ticket) (Refusal, time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.refusal(ticket, time.Now())
+}
+
+// refusal is Refusal at a moment. The mutex is held.
+func (q *Queue) refusal(ticket Ticket, now time.Time) (Refusal, time.Duration) {
+	if !ticket.LatestStart.After(now) {
+		return Expired, 0
+	}
+	most := ticket.MaxWait
+	if ticket.Stays && q.waiting.hasLessUrgent(ticket) {
+		most = ticket.LatestStart.Sub(now)
+	}
+	wait, refusal := q.expectedWait(ticket, now)
+	if wait > most || now.Add(wait).After(ticket.LatestStart) {
+		return refusal, wait
+	}
+	return None, 0
+}
+
 // await waits for the slot of a waiter. More urgent requests may come in between
 // for longer than was expected.
 func (q *Queue) await(ctx context.Context, waiter *waiter) (*Slot, Refusal, time.Duration) {
--- a/internal/dataplane/transfer/gate.go
+++ b/internal/dataplane/transfer/gate.go
@@ -12,7 +12,10 @@
 )
 
 const (
-	// LargeBody is the size, in bytes, from which a body asks before it is sent.
+	// AskedBody is the size, in bytes, from which a body asks before it is sent. Below, the
+	// body costs a link no more than the question.
+	AskedBody = 1 << 10
+	// LargeBody is the size, in bytes, from which a body waits for its turn on the link.
 	LargeBody = 16 << 10
 	// bodyShare is the part of a link that bodies may take. The rest is for calls, the
 	// links between nodes and the instance's own traffic.
