--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -21,6 +21,7 @@
 	}
 	configuration.Version = current.Version()
 	configuration.Generation = current.Generation()
+	configuration.EvacuatedZones = current.EvacuatedZones()
 	for _, route := range current.Routes() {
 		configuration.Routes = append(configuration.Routes, newRoute(route))
 	}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -49,6 +49,9 @@
 
 func writeExplanation(out io.Writer, explanation admin.Explanation) {
 	_, _ = fmt.Fprintf(out, "Node %s holds %s (generation %d).\n", explanation.Node, explanation.Version, explanation.Generation)
+	if len(explanation.EvacuatedZones) > 0 {
+		_, _ = fmt.Fprintf(out, "Evacuated %s: instances there get no requests.\n", strings.Join(explanation.EvacuatedZones, ", "))
+	}
 	route := explanation.Route
 	if route == nil {
 		_, _ = fmt.Fprintln(out, "No route takes this request: it would be answered 404, not run.")
