--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -93,11 +93,11 @@
 	// PaceHeader is the field in which a server that grants a body names the rate at
 	// which it takes it, in bytes a second.
 	PaceHeader string
-	// VerifyAfter is how long nothing may have come from the server for a request to go
-	// out on a kept connection without asking first whether the server is there; zero
-	// never asks. A server that does not answer has not got the request.
+	// VerifyAfter is the time without any answer of the server after which a liveness
+	// check goes out before the next request on a kept connection; zero: never. When the
+	// check fails, the request has not been sent.
 	VerifyAfter time.Duration
-	// VerifyTimeout is how long the server's word is awaited.
+	// VerifyTimeout bounds the wait for the answer to a liveness check.
 	VerifyTimeout time.Duration
 	// Dial makes connections; nil dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/dataplane/client/verify.go
+++ b/internal/dataplane/client/verify.go
@@ -9,16 +9,16 @@
 	"github.com/rotisserie/eris"
 )
 
-// A server is asked whether it is there by a request that concerns nothing but itself
-// (RFC 9110, 9.3.7), which it answers at once.
+// A liveness check is an OPTIONS request for the server itself (RFC 9110, 9.3.7), which
+// the server answers at once.
 const (
 	VerifyMethod = http.MethodOptions
 	VerifyTarget = "*"
 	verifyID     = "verify"
 )
 
-// verify asks the server whether it is there and waits so long for its word. After an
-// error the connection is of no more use.
+// verify sends a liveness check and waits at most the timeout for its answer. After an
+// error the connection cannot be used again.
 func (c *conn) verify(ctx context.Context, timeout time.Duration) error {
 	question := &Request{
 		Method: VerifyMethod, Target: VerifyTarget, Host: c.pool.options.Address,
@@ -32,14 +32,14 @@
 		_ = c.SetDeadline(past)
 	}
 	if failure := c.write(question); failure != nil {
-		return eris.Wrap(failure, "ask whether the server is there")
+		return eris.Wrap(failure, "send the liveness check")
 	}
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: VerifyMethod})
 	if err != nil {
-		return eris.Wrap(err, "await the server's word")
+		return eris.Wrap(err, "wait for the answer to the liveness check")
 	}
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.Close {
-		return eris.New("the server's word closes the connection")
+		return eris.New("the answer to the liveness check closes the connection")
 	}
 	if !c.belongs(answer, question, c.pool.options.IDHeader) {
 		return errStray
--- a/internal/dataplane/coldstart/limit.go
+++ b/internal/dataplane/coldstart/limit.go
@@ -1,6 +1,6 @@
-// Package coldstart knows when an instance is cold after its start, and bounds the
-// requests that reach it meanwhile: a cold instance that gets more than it bears falls
-// over, starts again and is cold again.
+// Package coldstart tracks when an instance is cold after its start, and limits the rate
+// of requests to it meanwhile: a cold instance that is overloaded crashes, starts again
+// and is cold again.
 package coldstart
 
 import (
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// Bounds are what an instance bears while it is cold.
+// Bounds limit the requests to a cold instance.
 type Bounds struct {
-	// Rate is how many requests a second it may get in the mean; zero: any.
+	// Rate is the sustained rate, in requests a second; zero: not limited.
 	Rate float64
-	// Burst is how many it may get at once. In each second it gets at most Burst + Rate.
+	// Burst is how many requests may begin at once. No second has more than Burst + Rate.
 	Burst float64
 }
 
@@ -31,7 +31,7 @@
 // NewLimit returns an empty Limit that holds nothing back.
 func NewLimit(now time.Time) *Limit { return &Limit{countedAt: now} }
 
-// Set tells what the instance bears, and until when it is cold.
+// Set changes the bounds, and until when the instance is cold.
 func (l *Limit) Set(bounds Bounds, until, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -31,7 +31,7 @@
 	Service, Zone, Backend string
 	// Slots are those of an instance that names none.
 	Slots int
-	// Cold is what a cold instance bears beyond the rate that its service names.
+	// Cold is the tolerance above the cold rate of a service.
 	Cold inbound.ColdBounds
 	// NodePort is where the nodes beside other instances take requests.
 	NodePort int
--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -15,7 +15,8 @@
 )
 
 // Admit decides whether another node may send the body of a request: a large one once
-// the link is free for it, if the request can then still be in time; a small one at once. One that is refused
+// the link is free for it, if the request can then still be in time; a small one at
+// once, unless the queue would refuse it. One that is refused
 // has sent nothing of its body and has not run.
 func (p *Proxy) Admit(ctx context.Context, request *message.Request, bytes int64) server.Admission {
 	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
@@ -51,8 +52,8 @@
 	return admission
 }
 
-// admitSmall asks for a body that passes the link in no time at once, unless the request
-// would be refused anyway: a refused body has then cost the link nothing.
+// admitSmall admits a short body at once, unless the queue would refuse the request now:
+// the body of a refused request then never crosses the link.
 func (p *Proxy) admitSmall(request *message.Request, order hop.Order) server.Admission {
 	if refusal, wait := p.queue.Refusal(p.ticketOf(request, order)); refusal != queue.None {
 		delivery := p.refuse(reasonOf(refusal), wait)
--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -8,8 +8,8 @@
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// ColdBounds say what a cold instance bears beyond the rate that its service names.
-// The fleet must stay within Overage x rate + Slack in each second.
+// ColdBounds are the tolerance above the cold rate of a service, as operators set it: in
+// each second the whole fleet may send a cold instance Overage x rate + Slack requests.
 type ColdBounds struct {
 	// Overage multiplies the rate; below 1 counts as 1.
 	Overage float64
@@ -21,7 +21,7 @@
 // on their way to the instance may meet in one second.
 const slackMargin = 2
 
-// boundsOf returns what an instance of a service may get while it is cold.
+// boundsOf returns the bounds for a cold instance of a service.
 func (b ColdBounds) boundsOf(service snapshot.Service) coldstart.Bounds {
 	return coldstart.Bounds{
 		Rate:  service.ColdRate * max(b.Overage, 1),
@@ -55,8 +55,8 @@
 }
 
 // follow takes over what the configuration says of the instance. When the evacuation of
-// the zone was taken back, its instances may have turned cold without a word of it in
-// their entries yet.
+// the zone was taken back, its instances may be cold although their entries do not say
+// so yet.
 func (c *coldness) follow(current *snapshot.Snapshot, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -36,7 +36,7 @@
 	Backend string
 	// Service and Zone are those of the instance.
 	Service, Zone string
-	// Cold is what a cold instance bears beyond the rate that its service names.
+	// Cold is the tolerance above the cold rate of the service.
 	Cold ColdBounds
 	// Slots are those of an instance that names none.
 	Slots int
--- a/internal/dataplane/outbound/nodes.go
+++ b/internal/dataplane/outbound/nodes.go
@@ -19,13 +19,12 @@
 	// nodeConnectTimeout is well above a round trip between regions, and well below the
 	// time after which a lost opening packet is sent again (a second).
 	nodeConnectTimeout = 300 * time.Millisecond
-	// nodeVerifyAfter is how long nothing may have come from a node for a request to go
-	// out to it without asking first whether it is there. Nodes that are cut off are then
-	// found out by a question instead of by requests, of which nobody can say whether
-	// they ran.
+	// nodeVerifyAfter is the time without any answer of a node after which a liveness
+	// check goes out before the next request. Nodes that are cut off are then detected by
+	// the check instead of by requests, of which nobody could say whether they ran.
 	nodeVerifyAfter = 300 * time.Millisecond
-	// nodeVerifyTimeout is how long its word is awaited: many round trips, as the machine
-	// may be busy and its link full.
+	// nodeVerifyTimeout bounds the wait for the answer to the check: many round trips, as
+	// the machine may be busy and its link full.
 	nodeVerifyTimeout = 250 * time.Millisecond
 	// nodeIdleTimeout is below the time after which nodes close connections that
 	// rest (NodeServerIdle).
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,8 +113,8 @@
 	// DrainNotice is how long a planned stop still takes requests, until those who
 	// send them know of it.
 	DrainNotice time.Duration `yaml:"drain_notice" validate:"min=0" help:"how long a planned stop still takes requests, until those who send them know (store)"`
-	// ColdOverage and ColdSlack are what a cold back end bears beyond the rate that its
-	// service names.
+	// ColdOverage and ColdSlack are the tolerance above the rate that its service names
+	// for a cold back end.
 	ColdOverage float64 `yaml:"cold_overage" validate:"min=0,max=100" help:"times the rate of its service that a cold back end may get; below 1: 1 (store)"`
 	ColdSlack   float64 `yaml:"cold_slack" validate:"min=0,max=1000000" help:"requests in a second that a cold back end may get beyond that (store)"`
 	// RepeatMemory is how long an Idempotency-Key is remembered.
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -18,8 +18,8 @@
 	// Connections bounds the connections one instance has open at once. Zero
 	// leaves the bound to the settings of the node beside the instance.
 	Connections int `json:"connections,omitempty"`
-	// ColdRate is how many requests a second an instance bears while it is cold after
-	// its start. Zero means that there is no such bound.
+	// ColdRate limits the requests a second to an instance while it is cold after its
+	// start. Zero means no limit.
 	ColdRate float64 `json:"cold_rate,omitempty"`
 	// ColdMillis is how long an instance stays cold after its start.
 	ColdMillis int64 `json:"cold_ms,omitempty"`
