Tell first sends, repeats and calls of repeated runs apart in logs and metrics

An order between nodes says whether an instance got the request before; a line a second and service counts first sends and repeats by what came before, with what the node had spent of the bound.

Ruled out: sends that no account sees. The estimate of calls of repeated runs (7,578 of 9,709) is wrong: it takes clients' requests for calls of the instance.

--- a/internal/dataplane/budget/budget.go
+++ b/internal/dataplane/budget/budget.go
@@ -54,18 +54,31 @@
 	b.requests[b.newest%buckets]++
 }
 
-// Spend takes one repeat, if the node's part allows it among so many nodes.
-func (b *Budget) Spend(now time.Time, nodes int) bool {
+// State tells how many repeats were spent in the window that ends now, and how many are
+// allowed among so many nodes.
+func (b *Budget) State(now time.Time, nodes int) (spent, allowed float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.advance(now)
+	return b.state(nodes)
+}
+
+// state is State for the buckets as they are. The mutex is held.
+func (b *Budget) state(nodes int) (spent, allowed float64) {
 	requests, repeats := 0, 0
 	for i := range buckets {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	allowed := Share * (b.options.Ratio*float64(requests) + b.options.Slack/float64(max(nodes, 1)))
-	if float64(repeats+1) > allowed {
+	return float64(repeats), Share * (b.options.Ratio*float64(requests) + b.options.Slack/float64(max(nodes, 1)))
+}
+
+// Spend takes one repeat, if the node's part allows it among so many nodes.
+func (b *Budget) Spend(now time.Time, nodes int) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.advance(now)
+	if spent, allowed := b.state(nodes); spent+1 > allowed {
 		return false
 	}
 	b.repeats[b.newest%buckets]++
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -41,9 +41,16 @@
 	Repeatable bool
 	// Last says that no other instance is left that could be asked instead.
 	Last bool
+	// Repeat is the probability, in hundredths, that this send counts as a repeat: 100
+	// when an instance got the request before, otherwise that of its being a call of a
+	// run that was a repeat itself.
+	Repeat int
 }
 
-const orderFields = 12
+// Certain is a Repeat without doubt.
+const Certain = 100
+
+const orderFields = 13
 
 // Marks stand for yes and no in the text of a field.
 const (
@@ -56,7 +63,7 @@
 	return strings.Join([]string{
 		o.Instance, o.CallerService, strconv.Itoa(o.Priority), strconv.Itoa(o.Value),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), millis(o.Ordinary), strconv.FormatUint(o.Revision, 10),
-		mark(o.Repeatable), mark(o.Last),
+		mark(o.Repeatable), mark(o.Last), strconv.Itoa(o.Repeat),
 	}, separator)
 }
 
@@ -71,6 +78,7 @@
 		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()), Value: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
 		Ordinary: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.mark(), Last: reader.mark(),
+		Repeat: int(reader.number()),
 	}
 	return order, reader.err
 }
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -75,6 +75,7 @@
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
+	runs     runs
 	active   atomic.Int64
 	lines    *boundedlog.Lines
 	metrics  *metrics
@@ -219,11 +220,25 @@
 		slot.Release(false)
 		return p.refuse(reason, 0)
 	}
-	delivery := p.send(ctx, request, order, deadline, slot)
+	delivery := p.run(ctx, request, order, deadline, slot)
 	delivery.Report.Waited = waited
 	return delivery
 }
 
+// run sends the request to the instance and counts it as long as the instance works on it.
+func (p *Proxy) run(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time, slot *queue.Slot) Delivery {
+	begun := p.runs.begin(order.Repeat)
+	delivery := p.send(ctx, request, order, deadline, slot)
+	if delivery.Answer != nil {
+		if rest, streams := delivery.Answer.Stream.(*stream); streams {
+			rest.run = begun
+			return delivery
+		}
+	}
+	begun.end()
+	return delivery
+}
+
 // ticketOf asks for a slot for the request.
 func (p *Proxy) ticketOf(request *message.Request, order hop.Order) queue.Ticket {
 	ticket := queue.Ticket{
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -137,6 +137,7 @@
 	response *client.Response
 	slot     *queue.Slot
 	cancel   func()
+	run      *run
 }
 
 // Read reads the answer of the instance.
@@ -147,5 +148,6 @@
 	err := s.response.Close()
 	s.cancel()
 	s.slot.Release(true)
+	s.run.end()
 	return err
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/returns"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
@@ -46,6 +47,12 @@
 	// reached counts the instances that ran the request or may have run it.
 	reached int
 	tries   int
+	// arrivals counts the sends that reached an instance, or may have; lastArrival is
+	// what a further one comes after.
+	arrivals    int
+	lastArrival repeats.Kind
+	// inherited is the probability that the request is a call of a repeated run.
+	inherited float64
 	// fullTries counts the refusals for want of room.
 	fullTries int
 	// failure is the last answer of an instance that was worth another try.
@@ -81,6 +88,7 @@
 		sent := e.send(choice)
 		e.report = sent.report
 		e.learn(choice, sent)
+		e.noteArrival(sent)
 		if answer, final := e.judge(sent); final {
 			return answer
 		}
@@ -189,6 +197,7 @@
 	}
 	if !e.proxy.budgetOf(e.service).Spend(time.Now(), e.current.InstanceCount()) {
 		e.proxy.metrics.budgetEmpty.Inc()
+		e.proxy.sends.Stopped(e.service, time.Now())
 		return false
 	}
 	e.proxy.metrics.repeats.Inc()
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/losses"
+	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 )
 
 // How requests end, as metrics and logs say it.
@@ -25,6 +26,7 @@
 	duration    prometheus.Histogram
 	sends       *prometheus.CounterVec
 	repeats     prometheus.Counter
+	arrivals    *prometheus.CounterVec
 	budgetEmpty prometheus.Counter
 	losses      *prometheus.CounterVec
 	lostTime    *prometheus.HistogramVec
@@ -49,6 +51,10 @@
 			Name: "winchhead_dataplane_repeats_total",
 			Help: "Requests sent to a further instance after one was reached.",
 		}),
+		arrivals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "winchhead_dataplane_arrivals_total",
+			Help: "Sends that reached an instance, by service and by what came before: first, after_rejection, after_failure, after_unknown.",
+		}, []string{"service", "kind"}),
 		budgetEmpty: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "winchhead_dataplane_repeat_budget_empty_total",
 			Help: "Repeats not made because this node's part of the budget was spent.",
@@ -66,7 +72,7 @@
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.budgetEmpty, created.losses, created.lostTime} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
@@ -90,6 +96,10 @@
 	m.lostTime.WithLabelValues("before").Observe(times.Again.Seconds())
 }
 
+func (m *metrics) arrived(service string, kind repeats.Kind) {
+	m.arrivals.WithLabelValues(service, string(kind)).Inc()
+}
+
 func (m *metrics) sent(report hop.Report) {
 	m.sends.WithLabelValues(string(report.Outcome), string(report.Reason)).Inc()
 }
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -44,6 +44,7 @@
 		Revision:      uint64(e.current.Version().Revision),
 		Repeatable:    e.route.MayRepeat(e.request.Method),
 		Last:          !e.hasOther(choice.Instance.Name),
+		Repeat:        e.repeatShare(),
 	}
 }
 
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -23,6 +23,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/losses"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/returns"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
@@ -36,6 +37,8 @@
 // Neighbour is the inbound proxy of the same node.
 type Neighbour interface {
 	Deliver(ctx context.Context, request *message.Request, order hop.Order) inbound.Delivery
+	// RepeatShare is the share of repeats among what the instance beside works on.
+	RepeatShare() float64
 }
 
 // Options set up a Proxy.
@@ -69,6 +72,7 @@
 	splits   splits
 	callers  *returns.Tracker
 	losses   *losses.Ledger
+	sends    *repeats.Ledger
 	log      *requestLog
 	metrics  *metrics
 	// stopAt is when a planned stop ends, in nanoseconds of the process's clock;
@@ -89,7 +93,7 @@
 		return nil, err
 	}
 	stopped, stop := context.WithCancel(context.Background())
-	return &Proxy{
+	created := &Proxy{
 		stopped:  stopped,
 		stop:     stop,
 		options:  options,
@@ -100,7 +104,9 @@
 		log:      newRequestLog(options.Logger),
 		metrics:  registered,
 		budgets:  make(map[string]*budget.Budget),
-	}, nil
+	}
+	created.sends = repeats.New(options.Logger, created.account)
+	return created, nil
 }
 
 // Drain announces the end of a planned stop: from now on, requests that might not
@@ -123,6 +129,7 @@
 func (p *Proxy) Maintain(now time.Time) {
 	p.nodes.prune(now)
 	p.losses.Flush(now)
+	p.sends.Flush(now)
 }
 
 // Close closes the connections that rest.
@@ -186,7 +193,7 @@
 	defer release()
 	running := &exchange{
 		proxy: p, ctx: ctx, request: request, current: current, route: route,
-		deadline: deadline, callerTime: callerTime, caller: p.callers.Arrived(route.Name, callerTime, request.Arrived), service: p.splits.choose(route), tried: make(map[string]bool),
+		deadline: deadline, callerTime: callerTime, caller: p.callers.Arrived(route.Name, callerTime, request.Arrived), service: p.splits.choose(route), inherited: p.inherited(), tried: make(map[string]bool),
 	}
 	answer := running.run()
 	if answer.Stream != nil {
