--- /dev/null
+++ b/internal/dataplane/budget/fleet_test.go
@@ -0,0 +1,312 @@
+package budget_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
+)
+
+// A fleet in virtual time: each node stands beside one instance, services call each other
+// three deep, and the nodes spend what the package lets them. judge counts as the users'
+// bound does.
+
+// graph is the services, each of which calls the next.
+var graph = []string{"first", "second", "third"}
+
+// fleetPlan is what happens to a fleet.
+type fleetPlan struct {
+	Nodes     int
+	PerSecond float64 // requests of clients at one node
+	Calls     int     // that a run makes
+	CallShare float64 // of the runs that call
+	// Ends are the shares of the arrivals that end in each way, by service, in the troubled
+	// seconds.
+	Ends [3]ends
+	// Restarts is the time between two nodes that start again; zero: none.
+	Restarts time.Duration
+	// Listed is the share of the instances that nodes list in the troubled seconds.
+	Listed float64
+	Seed   uint64
+}
+
+type ends struct{ Rejected, Lost, Failed float64 }
+
+const (
+	fleetCalm    = 3 * time.Second
+	fleetTrouble = 12 * time.Second
+	fleetEnd     = 18 * time.Second
+	runTime      = 100 * time.Millisecond
+	mostSends    = 4
+	window       = 10 * time.Second
+)
+
+// fleetNode is one node: its account and what runs on the instance beside it.
+type fleetNode struct {
+	service  int
+	accounts map[int]*budget.Budget
+}
+
+// fleet plays a plan.
+type fleet struct {
+	plan    fleetPlan
+	random  *rand.Rand
+	began   time.Time
+	now     time.Time
+	events  eventHeap
+	nodes   []*fleetNode
+	beside  [3][]*fleetNode
+	judge   [3]judge
+	repeats int
+}
+
+// judge counts the requests for one service and its arrivals beyond the first.
+type judge struct{ requests, beyond []time.Duration }
+
+func playFleet(plan fleetPlan) *fleet {
+	began := time.Now()
+	f := &fleet{plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 1)), began: began, now: began}
+	for i := range plan.Nodes {
+		node := &fleetNode{service: i % len(graph)}
+		node.start()
+		f.nodes = append(f.nodes, node)
+		f.beside[node.service] = append(f.beside[node.service], node)
+		f.after(f.pause(), func() { f.client(node) })
+	}
+	if plan.Restarts > 0 {
+		f.after(plan.Restarts, f.restart)
+	}
+	for len(f.events) > 0 {
+		next := heap.Pop(&f.events).(event)
+		if f.now = next.at; f.now.Sub(began) > fleetEnd {
+			break
+		}
+		next.do()
+	}
+	return f
+}
+
+// start empties the node's accounts, as a process that starts does.
+func (n *fleetNode) start() { n.accounts = make(map[int]*budget.Budget) }
+
+func (n *fleetNode) account(service int) *budget.Budget {
+	if n.accounts[service] == nil {
+		n.accounts[service] = budget.New(fleetBound)
+	}
+	return n.accounts[service]
+}
+
+var fleetBound = budget.Options{Ratio: 0.2, Slack: 62, Window: window}
+
+// pause is the time to a client's next request.
+func (f *fleet) pause() time.Duration {
+	return time.Duration(f.random.ExpFloat64() / f.plan.PerSecond * float64(time.Second))
+}
+
+// client sends the next request at a node, for the first service mostly.
+func (f *fleet) client(node *fleetNode) {
+	f.after(f.pause(), func() { f.client(node) })
+	service := 0
+	if f.random.Float64() < 0.25 {
+		service = 1 + f.random.IntN(2)
+	}
+	f.request(node, service, false, func(bool) {})
+}
+
+func (f *fleet) restart() {
+	f.after(f.plan.Restarts, f.restart)
+	f.nodes[f.random.IntN(len(f.nodes))].start()
+}
+
+func (f *fleet) troubled() bool {
+	since := f.now.Sub(f.began)
+	return since >= fleetCalm && since < fleetTrouble
+}
+
+// listed is how many instances a node lists now.
+func (f *fleet) listed() int {
+	if f.troubled() {
+		return max(int(f.plan.Listed*float64(f.plan.Nodes)), 1)
+	}
+	return f.plan.Nodes
+}
+
+// request takes a request at a node. ofRepeat says that a repeated run sends it.
+func (f *fleet) request(node *fleetNode, service int, ofRepeat bool, done func(ok bool)) {
+	f.judge[service].requests = append(f.judge[service].requests, f.now.Sub(f.began))
+	node.account(service).Request(f.now)
+	f.send(node, service, 0, ofRepeat, done)
+}
+
+// send brings a request to an instance, again while that is allowed.
+func (f *fleet) send(node *fleetNode, service, sends int, ofRepeat bool, done func(ok bool)) {
+	at := f.beside[service][f.random.IntN(len(f.beside[service]))]
+	repeat := ofRepeat || sends > 0
+	if repeat {
+		f.judge[service].beyond = append(f.judge[service].beyond, f.now.Sub(f.began))
+		f.repeats++
+	}
+	again := func() {
+		if sends+1 < mostSends && node.account(service).Spend(f.now, f.listed()) {
+			f.send(node, service, sends+1, ofRepeat, done)
+			return
+		}
+		done(false)
+	}
+	var ending ends
+	if f.troubled() {
+		ending = f.plan.Ends[service]
+	}
+	if f.random.Float64() < ending.Rejected {
+		f.after(time.Millisecond, again)
+		return
+	}
+	f.after(runTime/2, func() {
+		f.call(at, service, repeat, func(ok bool) {
+			f.after(runTime/2, func() {
+				if !ok || f.random.Float64() < ending.Lost+ending.Failed {
+					again()
+					return
+				}
+				done(true)
+			})
+		})
+	})
+}
+
+// call makes the calls of a run and tells whether all of them were answered.
+func (f *fleet) call(at *fleetNode, service int, repeat bool, done func(ok bool)) {
+	if service+1 == len(graph) || f.random.Float64() >= f.plan.CallShare {
+		done(true)
+		return
+	}
+	open, allOK := f.plan.Calls, true
+	for range f.plan.Calls {
+		f.request(at, service+1, repeat, func(ok bool) {
+			allOK = allOK && ok
+			if open--; open == 0 {
+				done(allOK)
+			}
+		})
+	}
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (f *fleet) after(delay time.Duration, do func()) {
+	heap.Push(&f.events, event{f.now.Add(delay), do})
+}
+
+// worst is the greatest share of the bound that was used in any window, and a
+// description of that window. The requests counted are those of the window, of the one
+// before it or of the one half a window before it, whichever holds most.
+func (j judge) worst() (share float64, text string) {
+	for _, from := range j.beyond {
+		beyond := within(j.beyond, from, from+window)
+		requests := max(within(j.requests, from, from+window), within(j.requests, from-window, from),
+			within(j.requests, from-window/2, from+window/2))
+		allowed := fleetBound.Ratio*float64(requests) + fleetBound.Slack
+		if used := float64(beyond) / allowed; used > share {
+			share, text = used, fmt.Sprintf("%d arrivals beyond the first from %v on, for %d requests; allowed %.0f", beyond, from, requests, allowed)
+		}
+	}
+	return share, text
+}
+
+// within counts the moments from one to another; they are in order.
+func within(moments []time.Duration, from, to time.Duration) int {
+	return firstAfter(moments, to) - firstAfter(moments, from-1)
+}
+
+// firstAfter is the place of the first moment after another.
+func firstAfter(moments []time.Duration, moment time.Duration) int {
+	low, high := 0, len(moments)
+	for low < high {
+		if middle := (low + high) / 2; moments[middle] > moment {
+			high = middle
+		} else {
+			low = middle + 1
+		}
+	}
+	return low
+}
+
+// check reports each service whose bound was broken.
+func (f *fleet) check(t interface {
+	Errorf(format string, args ...any)
+}) (worst float64) {
+	for service, each := range f.judge {
+		share, text := each.worst()
+		if share > 1 {
+			t.Errorf("service %s: %s", graph[service], text)
+		}
+		worst = max(worst, share)
+	}
+	return worst
+}
+
+// TestFleetKeepsTheBound: fleets of 13 and 300 nodes in the troubles that the incident had
+// and their neighbours.
+func TestFleetKeepsTheBound(t *testing.T) {
+	for name, ending := range map[string][3]ends{
+		"rejections at the second":              {1: {Rejected: 0.55}},
+		"rejections at the third":               {2: {Rejected: 0.55}},
+		"answers lost at the first":             {0: {Lost: 0.3}},
+		"answers lost at the second":            {1: {Lost: 0.3}},
+		"answers lost at the first and second":  {0: {Lost: 0.3}, 1: {Lost: 0.3}},
+		"answers lost and rejections at all":    {{Lost: 0.3, Rejected: 0.3}, {Lost: 0.3, Rejected: 0.3}, {Lost: 0.3, Rejected: 0.3}},
+		"failures at the first, second rejects": {0: {Failed: 0.4}, 1: {Rejected: 0.5}},
+	} {
+		for _, nodes := range []int{13, 300} {
+			t.Run(fmt.Sprintf("%s, %d nodes", name, nodes), func(t *testing.T) {
+				played := playFleet(fleetPlan{
+					Nodes: nodes, PerSecond: 30, Calls: 2, CallShare: 0.7, Ends: ending,
+					Restarts: 13 * time.Second / time.Duration(nodes), Listed: 0.5, Seed: 7,
+				})
+				t.Logf("worst window: %.2f of the bound, %d repeats", played.check(t), played.repeats)
+				qt.Check(t, played.repeats > 0, qt.IsTrue)
+			})
+		}
+	}
+	t.Run("whatever happens", func(t *testing.T) { rapid.Check(t, drawnFleetKeepsTheBound) })
+}
+
+// drawnFleetKeepsTheBound plays a plan drawn at random.
+func drawnFleetKeepsTheBound(t *rapid.T) {
+	share := func(name string, most float64) float64 { return rapid.Float64Range(0, most).Draw(t, name) }
+	plan := fleetPlan{
+		Nodes:     rapid.SampledFrom([]int{3, 13, 40}).Draw(t, "nodes"),
+		PerSecond: rapid.SampledFrom([]float64{2, 10, 30}).Draw(t, "per second"),
+		Calls:     rapid.IntRange(1, 3).Draw(t, "calls"),
+		CallShare: rapid.SampledFrom([]float64{0.5, 0.7, 1}).Draw(t, "call share"),
+		Restarts:  rapid.SampledFrom([]time.Duration{0, 300 * time.Millisecond, 2 * time.Second}).Draw(t, "restarts"),
+		Listed:    share("listed", 1),
+		Seed:      rapid.Uint64().Draw(t, "seed"),
+	}
+	for i := range plan.Ends {
+		plan.Ends[i] = ends{share("rejected", 0.7), share("lost", 0.4), share("failed", 0.4)}
+	}
+	playFleet(plan).check(t)
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -89,6 +89,9 @@
 	// Work is called while a request runs; it returns early when the channel
 	// closes as the sender left. nil: no work.
 	Work func(id string, gone <-chan struct{})
+	// Judge is called after the work and returns the fault of the answer instead of the
+	// plan's, unless it is None, as for a run whose calls failed. nil: the plan's stays.
+	Judge func(id string) Fault
 
 	listener net.Listener
 	mutex    sync.Mutex
@@ -275,6 +278,11 @@
 	run := i.begin(request, string(body))
 	cancelled := i.work(conn, reader, id, fault == Hangs)
 	i.end(run, cancelled)
+	if i.Judge != nil && !cancelled {
+		if judged := i.Judge(id); judged != None {
+			fault = judged
+		}
+	}
 	return !cancelled && i.spoil(conn, fault, id)
 }
 
