Count repeats over the graph of calls, and none that a restart forgot

A run that fails with its calls is repeated, and calls again: two for each, on top of the repeats of each call.

All that starts at a node is in one set of accounts: its callers' requests, and the calls of the instance beside it. An order says how probably it is a repeat, and whether the request failed before; the calls of a run that is one are taken from the bound of the service that is called when the run begins, and a repeat whose calls do not fit is refused beside the instance, before it waits (reason repeat-bound). Which routes callers send is learned beside the instances: their requests start beside all services alike. A process that starts again has no slack for a window, the window is covered to its end, the slack is divided by the greatest number of instances listed lately, and a repeat that reaches no instance is given back.

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -189,6 +189,7 @@
 func budgetOf(configured settings.Settings) budget.Options {
 	return budget.Options{
 		Ratio: configured.Retries.Ratio, Slack: configured.Retries.Slack, Window: configured.Retries.Window,
+		FirstStart: configured.Retries.FirstStart,
 	}
 }
 
--- a/internal/app/store_rig_test.go
+++ b/internal/app/store_rig_test.go
@@ -116,6 +116,7 @@
 	configured.Inbound.Service, configured.Inbound.Backend = m.service, fmt.Sprintf("%s:%d", m.ip, r.app)
 	configured.Inbound.DrainNotice = 0
 	configured.Admin.Listen = "127.0.0.1:0"
+	configured.Retries.FirstStart = true
 	return configured
 }
 
--- a/internal/dataplane/budget/budget_test.go
+++ b/internal/dataplane/budget/budget_test.go
@@ -9,30 +9,46 @@
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 )
 
-var options = budget.Options{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+const service = "data"
+
+var bound = budget.Options{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+// steady is the share of the slack that a node uses which has run for a window.
+const steady = budget.Share
+
+// repeated is a request that failed at an instance before.
+var repeated = budget.Again{Probability: 1, Failed: true}
 
 // spend counts the repeats that a node may make at a moment.
-func spend(b *budget.Budget, now time.Time, nodes int) (repeats int) {
-	for b.Spend(now, nodes) {
+func spend(a *budget.Accounts, now time.Time) (repeats int) {
+	for a.Repeat(service, now) {
 		repeats++
 	}
 	return repeats
 }
 
+// warm returns the accounts of a node that has run for a window among so many.
+func warm(options budget.Options, nodes int, now time.Time) *budget.Accounts {
+	a := budget.New(options)
+	a.Request(service, false, now.Add(-3*options.Window))
+	a.Listed(nodes, now)
+	return a
+}
+
 // TestNodesTogetherStayBelow: whatever share of the requests each node has, all of
 // them together spend no more than the fleet may.
 func TestNodesTogetherStayBelow(t *testing.T) {
 	now := time.Now()
 	requests, repeats := 0, 0
 	for node := range 12 {
-		b := budget.New(options)
+		a := warm(bound, 12, now)
 		for range node * 20 {
-			b.Request(now)
+			a.Request(service, false, now)
 			requests++
 		}
-		repeats += spend(b, now, 12)
+		repeats += spend(a, now)
 	}
-	allowed := options.Ratio*float64(requests) + options.Slack
+	allowed := bound.Ratio*float64(requests) + bound.Slack
 	qt.Check(t, float64(repeats) <= allowed, qt.IsTrue)
 	qt.Check(t, repeats > 0, qt.IsTrue)
 }
@@ -40,21 +56,130 @@
 func TestWindowForgets(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
-	b := budget.New(options)
+	a := warm(bound, 12, now)
 	for range 100 {
-		b.Request(now)
+		a.Request(service, false, now)
 	}
-	first := spend(b, now, 12)
+	first := spend(a, now)
 	c.Check(first > 0, qt.IsTrue)
-	c.Check(spend(b, now.Add(5*time.Second), 12), qt.Equals, 0)
-	c.Check(spend(b, now.Add(time.Hour), 12), qt.Equals, int(budget.Share*options.Slack/12))
+	c.Check(spend(a, now.Add(5*time.Second)), qt.Equals, 0)
+	a.Listed(12, now.Add(time.Hour))
+	c.Check(spend(a, now.Add(time.Hour)), qt.Equals, int(steady*bound.Slack/12))
+}
+
+// TestWindowHoldsToItsEnd: what was spent counts for the whole window, wherever in a
+// bucket it was; the requests of a bucket that is half over don't count beyond it.
+func TestWindowHoldsToItsEnd(t *testing.T) {
+	c := qt.New(t)
+	for offset := range 25 {
+		now := time.Now().Add(time.Duration(offset) * 40 * time.Millisecond)
+		a := warm(bound, 1, now)
+		c.Assert(spend(a, now), qt.Equals, int(steady*bound.Slack))
+		c.Check(spend(a, now.Add(bound.Window-time.Millisecond)), qt.Equals, 0)
+		b := budget.New(bound)
+		for range 100 {
+			b.Request(service, false, now)
+		}
+		c.Check(spend(b, now.Add(bound.Window+time.Millisecond)), qt.Equals, int(steady*bound.Slack))
+	}
+}
+
+// TestProcessThatStartsHasNoSlack: it doesn't know what the one before it spent, unless
+// there was none.
+func TestProcessThatStartsHasNoSlack(t *testing.T) {
+	for name, row := range map[string]struct {
+		firstStart bool
+		want       int
+	}{
+		"again":              {false, 0},
+		"for the first time": {true, int(steady * bound.Slack)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Now()
+			options := bound
+			options.FirstStart = row.firstStart
+			a := budget.New(options)
+			a.Listed(1, now)
+			a.Request(service, false, now)
+			a.SetOptions(bound)
+			c.Check(spend(a, now.Add(bound.Window-time.Second)), qt.Equals, row.want)
+			c.Check(spend(a, now.Add(3*bound.Window)), qt.Equals, int(steady*bound.Slack))
+		})
+	}
+}
+
+// TestLapsedEntriesDoNotAddSlack: the nodes beside instances that are not listed for a
+// while spend on.
+func TestLapsedEntriesDoNotAddSlack(t *testing.T) {
+	now := time.Now()
+	a := warm(bound, 12, now)
+	a.Listed(1, now.Add(time.Second))
+	qt.Check(t, spend(a, now.Add(time.Second)), qt.Equals, int(steady*bound.Slack/12))
+}
+
+func TestReturnedRepeatsCountNotAsSpent(t *testing.T) {
+	now := time.Now()
+	a := warm(bound, 12, now)
+	first := spend(a, now)
+	a.Return(service, now)
+	qt.Check(t, first > 0, qt.IsTrue)
+	qt.Check(t, spend(a, now), qt.Equals, 1)
+}
+
+// TestCallsOfRepeatedRuns: they are taken from the bound of the service that is called when
+// the run begins, and a run whose calls don't fit is not admitted.
+func TestCallsOfRepeatedRuns(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	a := warm(bound, 12, now) // 4 of 60
+	for range 10 {
+		run, admitted := a.Begin(budget.Again{}, now)
+		c.Assert(admitted, qt.IsTrue)
+		c.Assert(a.Request(service, true, now), qt.Equals, 0.0)
+		run.End()
+	}
+	before, allowed := a.State(service, now)
+	c.Check(before, qt.Equals, 0.0)
+	repeats := 0
+	for a.Fits(repeated, now) {
+		run, admitted := a.Begin(repeated, now)
+		c.Assert(admitted, qt.IsTrue)
+		c.Check(a.Request(service, true, now), qt.Equals, 0.99) // nothing else runs
+		run.End()
+		repeats++
+	}
+	spent, _ := a.State(service, now)
+	c.Check(repeats > 0, qt.IsTrue)
+	c.Check(spent <= allowed, qt.IsTrue)
+	_, admitted := a.Begin(repeated, now)
+	c.Check(admitted, qt.IsFalse)
+	_, admitted = a.Begin(budget.Again{Probability: 0.99, Failed: true}, now) // it may be a first send
+	c.Check(admitted, qt.IsTrue)
+}
+
+// TestCallsInherit: a call is one of a repeated run as probably as such runs are among
+// those in progress, counted by the calls that they make.
+func TestCallsInherit(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	a := budget.New(bound)
+	for range 6 {
+		_, _ = a.Begin(budget.Again{}, now)
+	}
+	run, _ := a.Begin(repeated, now)
+	c.Check(a.Request(service, true, now), qt.Equals, 0.25)
+	c.Check(a.Request(service, false, now), qt.Equals, 0.0)
+	run.End()
+	run.End()
+	c.Check(a.Request(service, true, now), qt.Equals, 0.0)
 }
 
 func TestSetOptions(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
-	b := budget.New(budget.Options{Ratio: 0, Slack: 0, Window: time.Second})
-	c.Check(spend(b, now, 1), qt.Equals, 0)
-	b.SetOptions(budget.Options{Ratio: 0, Slack: 10, Window: time.Second})
-	c.Check(spend(b, now, 1), qt.Equals, int(budget.Share*10))
+	a := warm(budget.Options{Window: time.Second}, 1, now)
+	c.Check(spend(a, now), qt.Equals, 0)
+	a.SetOptions(budget.Options{Slack: 10, Window: time.Second})
+	c.Check(spend(a, now), qt.Equals, int(steady*10))
 }
--- a/internal/dataplane/budget/fleet_test.go
+++ b/internal/dataplane/budget/fleet_test.go
@@ -47,10 +47,10 @@
 	window       = 10 * time.Second
 )
 
-// fleetNode is one node: its account and what runs on the instance beside it.
+// fleetNode is one node: the service of the instance beside it, and its accounts.
 type fleetNode struct {
 	service  int
-	accounts map[int]*budget.Budget
+	accounts *budget.Accounts
 }
 
 // fleet plays a plan.
@@ -93,14 +93,7 @@
 }
 
 // start empties the node's accounts, as a process that starts does.
-func (n *fleetNode) start() { n.accounts = make(map[int]*budget.Budget) }
-
-func (n *fleetNode) account(service int) *budget.Budget {
-	if n.accounts[service] == nil {
-		n.accounts[service] = budget.New(fleetBound)
-	}
-	return n.accounts[service]
-}
+func (n *fleetNode) start() { n.accounts = budget.New(fleetBound) }
 
 var fleetBound = budget.Options{Ratio: 0.2, Slack: 62, Window: window}
 
@@ -116,7 +109,7 @@
 	if f.random.Float64() < 0.25 {
 		service = 1 + f.random.IntN(2)
 	}
-	f.request(node, service, false, func(bool) {})
+	f.request(node, service, false, false, func(bool) {})
 }
 
 func (f *fleet) restart() {
@@ -137,24 +130,32 @@
 	return f.plan.Nodes
 }
 
-// request takes a request at a node. ofRepeat says that a repeated run sends it.
-func (f *fleet) request(node *fleetNode, service int, ofRepeat bool, done func(ok bool)) {
+// request takes a request at a node. isCall says that the instance beside it sends it,
+// ofRepeat that a repeated run does; the latter only the judge knows.
+func (f *fleet) request(node *fleetNode, service int, isCall, ofRepeat bool, done func(ok bool)) {
 	f.judge[service].requests = append(f.judge[service].requests, f.now.Sub(f.began))
-	node.account(service).Request(f.now)
-	f.send(node, service, 0, ofRepeat, done)
+	node.accounts.Listed(f.listed(), f.now)
+	inherited := node.accounts.Request(graph[service], isCall, f.now)
+	f.send(node, service, 0, budget.Again{Probability: inherited}, ofRepeat, done)
 }
 
-// send brings a request to an instance, again while that is allowed.
-func (f *fleet) send(node *fleetNode, service, sends int, ofRepeat bool, done func(ok bool)) {
+// send brings a request to an instance, again while that is allowed. believed is what the
+// node knows of its being a repeat.
+func (f *fleet) send(node *fleetNode, service, sends int, believed budget.Again, ofRepeat bool, done func(ok bool)) {
 	at := f.beside[service][f.random.IntN(len(f.beside[service]))]
 	repeat := ofRepeat || sends > 0
+	if sends > 0 && !at.accounts.Fits(believed, f.now) { // refused beside the instance
+		node.accounts.Return(graph[service], f.now)
+		done(false)
+		return
+	}
 	if repeat {
 		f.judge[service].beyond = append(f.judge[service].beyond, f.now.Sub(f.began))
 		f.repeats++
 	}
-	again := func() {
-		if sends+1 < mostSends && node.account(service).Spend(f.now, f.listed()) {
-			f.send(node, service, sends+1, ofRepeat, done)
+	again := func(failed bool) {
+		if sends+1 < mostSends && node.accounts.Repeat(graph[service], f.now) {
+			f.send(node, service, sends+1, budget.Again{Probability: 1, Failed: failed}, ofRepeat, done)
 			return
 		}
 		done(false)
@@ -164,14 +165,18 @@
 		ending = f.plan.Ends[service]
 	}
 	if f.random.Float64() < ending.Rejected {
-		f.after(time.Millisecond, again)
+		f.after(time.Millisecond, func() { again(false) })
 		return
 	}
+	run, _ := at.accounts.Begin(believed, f.now)
 	f.after(runTime/2, func() {
 		f.call(at, service, repeat, func(ok bool) {
 			f.after(runTime/2, func() {
-				if !ok || f.random.Float64() < ending.Lost+ending.Failed {
-					again()
+				run.End()
+				lost := f.random.Float64() < ending.Lost
+				failed := !ok || f.random.Float64() < ending.Failed
+				if lost || failed {
+					again(!lost)
 					return
 				}
 				done(true)
@@ -188,7 +193,7 @@
 	}
 	open, allOK := f.plan.Calls, true
 	for range f.plan.Calls {
-		f.request(at, service+1, repeat, func(ok bool) {
+		f.request(at, service+1, true, repeat, func(ok bool) {
 			allOK = allOK && ok
 			if open--; open == 0 {
 				done(allOK)
@@ -279,10 +284,10 @@
 		"answers lost and rejections at all":    {{Lost: 0.3, Rejected: 0.3}, {Lost: 0.3, Rejected: 0.3}, {Lost: 0.3, Rejected: 0.3}},
 		"failures at the first, second rejects": {0: {Failed: 0.4}, 1: {Rejected: 0.5}},
 	} {
-		for _, nodes := range []int{13, 300} {
+		for nodes, perSecond := range map[int]float64{13: 30, 300: 4} {
 			t.Run(fmt.Sprintf("%s, %d nodes", name, nodes), func(t *testing.T) {
 				played := playFleet(fleetPlan{
-					Nodes: nodes, PerSecond: 30, Calls: 2, CallShare: 0.7, Ends: ending,
+					Nodes: nodes, PerSecond: perSecond, Calls: 2, CallShare: 0.7, Ends: ending,
 					Restarts: 13 * time.Second / time.Duration(nodes), Listed: 0.5, Seed: 7,
 				})
 				t.Logf("worst window: %.2f of the bound, %d repeats", played.check(t), played.repeats)
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -52,6 +52,7 @@
 // Node is the data plane of one node.
 type Node struct {
 	options  Options
+	accounts *budget.Accounts
 	inbound  *inbound.Proxy
 	outbound *outbound.Proxy
 	callers  *server.Server
@@ -60,11 +61,11 @@
 
 // New returns a Node that takes nothing yet.
 func New(options Options) (*Node, error) {
-	created := &Node{options: options}
+	created := &Node{options: options, accounts: budget.New(options.Budget)}
 	var err error
 	created.inbound, err = inbound.New(inbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
-		Service: options.Service, Zone: options.Zone, Cold: options.Cold,
+		Service: options.Service, Zone: options.Zone, Cold: options.Cold, Budget: created.accounts,
 		Slots: options.Slots, LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
 	if err != nil {
@@ -72,7 +73,7 @@
 	}
 	created.outbound, err = outbound.New(outbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Service: options.Service, Zone: options.Zone,
-		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: options.Budget,
+		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: created.accounts,
 		LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms,
 		Logger: options.Logger.WithField("part", "outbound"), Registerer: options.Registerer,
 	})
@@ -98,7 +99,7 @@
 const idleSlack = time.Second
 
 // SetBudget changes the bounds of repeats.
-func (n *Node) SetBudget(options budget.Options) { n.outbound.SetBudget(options) }
+func (n *Node) SetBudget(options budget.Options) { n.accounts.SetOptions(options) }
 
 // callerLimits are those in force for callers.
 func (n *Node) callerLimits() server.Limits {
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -41,16 +41,18 @@
 	Repeatable bool
 	// Last says that no other instance is left that could be asked instead.
 	Last bool
-	// Repeat is the probability, in hundredths, that this send counts as a repeat: 100
+	// Repeat is the probability, in hundredths, that this send counts as a repeat: Certain
 	// when an instance got the request before, otherwise that of its being a call of a
 	// run that was a repeat itself.
 	Repeat int
+	// Failed says that an instance answered before that the request failed.
+	Failed bool
 }
 
 // Certain is a Repeat without doubt.
 const Certain = 100
 
-const orderFields = 13
+const orderFields = 14
 
 // Marks stand for yes and no in the text of a field.
 const (
@@ -63,7 +65,7 @@
 	return strings.Join([]string{
 		o.Instance, o.CallerService, strconv.Itoa(o.Priority), strconv.Itoa(o.Value),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), millis(o.Ordinary), strconv.FormatUint(o.Revision, 10),
-		mark(o.Repeatable), mark(o.Last), strconv.Itoa(o.Repeat),
+		mark(o.Repeatable), mark(o.Last), strconv.Itoa(o.Repeat), mark(o.Failed),
 	}, separator)
 }
 
@@ -78,7 +80,7 @@
 		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()), Value: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
 		Ordinary: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.mark(), Last: reader.mark(),
-		Repeat: int(reader.number()),
+		Repeat: int(reader.number()), Failed: reader.mark(),
 	}
 	return order, reader.err
 }
@@ -124,6 +126,8 @@
 	ReasonBroken        Reason = "connection-broken"
 	ReasonInvalid       Reason = "invalid-answer"
 	ReasonMalformed     Reason = "malformed"
+	// ReasonRepeats: the calls of a repeated run would go beyond the bound of repeats.
+	ReasonRepeats Reason = "repeat-bound"
 )
 
 // Report is what the node beside an instance tells with an answer.
@@ -147,9 +151,12 @@
 	Waited time.Duration
 	// ColdFor is how much longer the instance is cold after its start; zero: it is warm.
 	ColdFor time.Duration
+	// Shared says that requests of this route start beside all services: callers send them,
+	// not instances.
+	Shared bool
 }
 
-const reportFields = 12
+const reportFields = 13
 
 // HeaderPace is the name of the field in which a node that takes a body names the rate
 // at which it does, in bytes a second.
@@ -161,6 +168,7 @@
 		string(r.Outcome), string(r.Reason), millis(r.RetryAfter),
 		strconv.Itoa(r.Running), strconv.Itoa(r.Waiting), strconv.Itoa(r.Slots), millis(r.Execution),
 		millis(r.Backlog), strconv.Itoa(r.LinkRate), strconv.Itoa(r.Speed), millis(r.Waited), millis(r.ColdFor),
+		mark(r.Shared),
 	}, separator)
 }
 
@@ -176,6 +184,7 @@
 		Running: int(reader.number()), Waiting: int(reader.number()), Slots: int(reader.number()),
 		Execution: reader.duration(), Backlog: reader.duration(), LinkRate: int(reader.number()),
 		Speed: int(reader.number()), Waited: reader.duration(), ColdFor: reader.duration(),
+		Shared: reader.mark(),
 	}
 	switch report.Outcome {
 	case Answered, Refused, Rejected, Unknown:
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -15,7 +15,7 @@
 	order := hop.Order{
 		Instance: "i-1", CallerService: "edge", Priority: 3, Value: 9,
 		Remaining: 4 * time.Millisecond, Due: 5 * time.Millisecond, MaxWait: 6 * time.Millisecond,
-		Expected: 7 * time.Millisecond, Ordinary: 10 * time.Millisecond, Revision: 8, Repeatable: true, Last: true,
+		Expected: 7 * time.Millisecond, Ordinary: 10 * time.Millisecond, Revision: 8, Repeatable: true, Last: true, Repeat: 11, Failed: true,
 	}
 	decoded, err := hop.DecodeOrder(order.Encode())
 	c.Assert(err, qt.IsNil)
@@ -28,7 +28,7 @@
 	report := hop.Report{
 		Outcome: hop.Rejected, Reason: hop.ReasonOverloaded, RetryAfter: 1 * time.Millisecond,
 		Running: 2, Waiting: 3, Slots: 4, Execution: 5 * time.Millisecond, Backlog: 6 * time.Millisecond, LinkRate: 7, Speed: 8, Waited: 9 * time.Millisecond,
-		ColdFor: 10 * time.Millisecond,
+		ColdFor: 10 * time.Millisecond, Shared: true,
 	}
 	decoded, err := hop.DecodeReport(report.Encode())
 	c.Assert(err, qt.IsNil)
@@ -37,12 +37,12 @@
 
 // TestMalformedFields: what a node cannot read is an error, not a default.
 func TestMalformedFields(t *testing.T) {
-	for _, text := range []string{"", "a;b", "i;c;x;1;1;1;1;1;1;1;1;1;1", "i;c;1;x;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;2;1;1", "i;c;1;1;1;1;1;1;1;1;1;2;1",
-		"i;c;1;1;1;1;1;1;1;1;1;1;x", "i;c;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1"} {
+	for _, text := range []string{"", "a;b", "i;c;x;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;x;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;2;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;2;1;1",
+		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1"} {
 		_, err := hop.DecodeOrder(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
-	for _, text := range []string{"", "a;", "z;;0;0;0;0;0;0;0;0;0;0", "a;;x;0;0;0;0;0;0;0;0;0", "a;;0;0;0;0;0"} {
+	for _, text := range []string{"", "a;", "z;;0;0;0;0;0;0;0;0;0;0;0", "a;;x;0;0;0;0;0;0;0;0;0;0", "a;;0;0;0;0;0;0;0;0;0;0;2", "a;;0;0;0;0;0"} {
 		_, err := hop.DecodeReport(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -45,6 +47,9 @@
 	MaxRestOnce time.Duration
 	// LinkBytesPerSecond is the capacity of the machine's link; zero: not known.
 	LinkBytesPerSecond float64
+	// Budget bounds the repeats of what starts at this node, the calls of the instance too;
+	// nil: nothing bounds them.
+	Budget *budget.Accounts
 	// Mechanisms that are on.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -75,7 +80,7 @@
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
-	runs     runs
+	origins  origins
 	active   atomic.Int64
 	lines    *boundedlog.Lines
 	metrics  *metrics
@@ -83,6 +88,9 @@
 
 // New returns a Proxy, or an error when its metrics cannot be registered.
 func New(options Options) (*Proxy, error) {
+	if options.Budget == nil {
+		options.Budget = budget.New(budget.Options{Ratio: math.Inf(1)})
+	}
 	if options.MaxRestOnce == 0 {
 		options.MaxRestOnce = defaultMaxRestOnce
 	}
@@ -168,6 +176,7 @@
 // Deliver brings a request to the instance. Whatever it refuses has not run.
 func (p *Proxy) Deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
 	delivery := p.deliver(ctx, request, order)
+	delivery.Report.Shared = p.isShared(request, order)
 	p.metrics.delivered(delivery.Report)
 	p.log(request, order, delivery)
 	return delivery
@@ -207,6 +216,9 @@
 	if reason := p.check(order); reason != hop.ReasonNone {
 		return p.refuse(reason, 0)
 	}
+	if order.Repeat >= hop.Certain && !p.options.Budget.Fits(againOf(order), time.Now()) {
+		return p.refuse(hop.ReasonRepeats, 0)
+	}
 	asked := time.Now()
 	slot, refusal, wait := p.queue.Acquire(ctx, p.ticketOf(request, order))
 	waited := time.Since(asked)
@@ -227,7 +239,11 @@
 
 // run sends the request to the instance and counts it as long as the instance works on it.
 func (p *Proxy) run(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time, slot *queue.Slot) Delivery {
-	begun := p.runs.begin(order.Repeat)
+	begun, admitted := p.options.Budget.Begin(againOf(order), time.Now())
+	if !admitted {
+		slot.Release(false)
+		return p.refuse(hop.ReasonRepeats, 0)
+	}
 	delivery := p.send(ctx, request, order, deadline, slot)
 	if delivery.Answer != nil {
 		if rest, streams := delivery.Answer.Stream.(*stream); streams {
@@ -235,10 +251,26 @@
 			return delivery
 		}
 	}
-	begun.end()
+	begun.End()
 	return delivery
 }
 
+// againOf is how far a request is a repeat, by what its sender says.
+func againOf(order hop.Order) budget.Again {
+	return budget.Again{Probability: float64(order.Repeat) / hop.Certain, Failed: order.Failed}
+}
+
+// isShared notes where a request starts, and reports whether those of its route start
+// beside all services.
+func (p *Proxy) isShared(request *message.Request, order hop.Order) bool {
+	current := p.options.Snapshots.Current()
+	if current == nil {
+		return false
+	}
+	route := current.Lookup(request.Method, request.Host, request.Path, request.Header)
+	return route != nil && p.origins.note(route.Name, order.CallerService, current)
+}
+
 // ticketOf asks for a slot for the request.
 func (p *Proxy) ticketOf(request *message.Request, order hop.Order) queue.Ticket {
 	ticket := queue.Ticket{
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
@@ -137,7 +138,7 @@
 	response *client.Response
 	slot     *queue.Slot
 	cancel   func()
-	run      *run
+	run      *budget.Run
 }
 
 // Read reads the answer of the instance.
@@ -148,6 +149,6 @@
 	err := s.response.Close()
 	s.cancel()
 	s.slot.Release(true)
-	s.run.end()
+	s.run.End()
 	return err
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -22,6 +22,9 @@
 	// 0.006 more of the day in time and 0.021 more spent on bytes between zones; with 3 two
 	// sites differ from 4 by less than the noise.
 	maxFullTries = 4
+	// maxBoundRefusals bounds the nodes that may refuse a repeat as its run's calls would go
+	// beyond the bound of repeats: where two have no room for them, most have none.
+	maxBoundRefusals = 2
 	// hopMargin is how much earlier the time of the request is over beside the
 	// instance than here, so that what it says then is still in time.
 	hopMargin = 10 * time.Millisecond
@@ -53,6 +56,10 @@
 	lastArrival repeats.Kind
 	// inherited is the probability that the request is a call of a repeated run.
 	inherited float64
+	// reserved is set while a further send is taken from the accounts that reached no
+	// instance yet; boundRefusals counts the refusals for the bound of repeats.
+	reserved      bool
+	boundRefusals int
 	// fullTries counts the refusals for want of room.
 	fullTries int
 	// failure is the last answer of an instance that was worth another try.
@@ -77,7 +84,8 @@
 
 // run sends the request until there is a final answer.
 func (e *exchange) run() *message.Answer {
-	e.proxy.budgetOf(e.service).Request(time.Now())
+	e.enter()
+	defer e.returnRepeat()
 	for e.tries < maxTries && e.fullTries < maxFullTries {
 		choice, found := e.pick()
 		if !found {
@@ -137,7 +145,7 @@
 		return e.judgeAnswer(sent)
 	case hop.Refused:
 		e.notRun(sent)
-		if e.ctx.Err() != nil {
+		if e.ctx.Err() != nil || e.boundRefusals >= maxBoundRefusals {
 			return e.refuse(), true
 		}
 		return nil, false
@@ -163,6 +171,8 @@
 	switch sent.report.Reason {
 	case hop.ReasonOverloaded, hop.ReasonLink, hop.ReasonCold:
 		e.fullTries++
+	case hop.ReasonRepeats:
+		e.boundRefusals++
 	}
 	if wait := sent.report.RetryAfter; wait > 0 && (e.wait == 0 || wait < e.wait) {
 		e.wait = wait
@@ -195,13 +205,7 @@
 	if !e.hasAnother() {
 		return false
 	}
-	if !e.proxy.budgetOf(e.service).Spend(time.Now(), e.current.InstanceCount()) {
-		e.proxy.metrics.budgetEmpty.Inc()
-		e.proxy.sends.Stopped(e.service, time.Now())
-		return false
-	}
-	e.proxy.metrics.repeats.Inc()
-	return true
+	return e.reserveRepeat()
 }
 
 // hasAnother reports whether an instance is left that was not tried.
--- a/internal/dataplane/outbound/learn.go
+++ b/internal/dataplane/outbound/learn.go
@@ -14,6 +14,9 @@
 	var report *hop.Report
 	if sent.reported {
 		report = &sent.report
+		if report.Shared {
+			e.proxy.shared.add(e.route.Name)
+		}
 	}
 	bytes := 0
 	if sent.answer != nil {
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -6,6 +6,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 )
 
 const (
@@ -45,6 +46,7 @@
 		Repeatable:    e.route.MayRepeat(e.request.Method),
 		Last:          !e.hasOther(choice.Instance.Name),
 		Repeat:        e.repeatShare(),
+		Failed:        e.lastArrival == repeats.AfterFailure,
 	}
 }
 
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +36,6 @@
 // Neighbour is the inbound proxy of the same node.
 type Neighbour interface {
 	Deliver(ctx context.Context, request *message.Request, order hop.Order) inbound.Delivery
-	// RepeatShare is the share of repeats among what the instance beside works on.
-	RepeatShare() float64
 }
 
 // Options set up a Proxy.
@@ -58,8 +55,9 @@
 	LinkBytesPerSecond float64
 	// Mechanisms that are on.
 	Mechanisms mechanism.Set
-	Budget     budget.Options
-	Logger     logrus.FieldLogger
+	// Budget bounds the repeats of what starts at this node.
+	Budget *budget.Accounts
+	Logger logrus.FieldLogger
 	// Registerer takes the metrics; nil for none.
 	Registerer prometheus.Registerer
 }
@@ -82,8 +80,7 @@
 	stopped context.Context
 	stop    context.CancelFunc
 
-	mutex   sync.Mutex
-	budgets map[string]*budget.Budget
+	shared sharedRoutes
 }
 
 // New returns a Proxy.
@@ -103,7 +100,6 @@
 		losses:   losses.New(options.Logger),
 		log:      newRequestLog(options.Logger),
 		metrics:  registered,
-		budgets:  make(map[string]*budget.Budget),
 	}
 	created.sends = repeats.New(options.Logger, created.account)
 	return created, nil
@@ -135,27 +131,6 @@
 // Close closes the connections that rest.
 func (p *Proxy) Close() { p.nodes.close() }
 
-// SetBudget changes the bounds of repeats.
-func (p *Proxy) SetBudget(options budget.Options) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.options.Budget = options
-	for _, each := range p.budgets {
-		each.SetOptions(options)
-	}
-}
-
-func (p *Proxy) budgetOf(service string) *budget.Budget {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	found := p.budgets[service]
-	if found == nil {
-		found = budget.New(p.options.Budget)
-		p.budgets[service] = found
-	}
-	return found
-}
-
 // unconfiguredRetry is when a request is worth sending again to a node that holds
 // no configuration yet.
 const unconfiguredRetry = 300 * time.Millisecond
@@ -193,7 +168,7 @@
 	defer release()
 	running := &exchange{
 		proxy: p, ctx: ctx, request: request, current: current, route: route,
-		deadline: deadline, callerTime: callerTime, caller: p.callers.Arrived(route.Name, callerTime, request.Arrived), service: p.splits.choose(route), inherited: p.inherited(), tried: make(map[string]bool),
+		deadline: deadline, callerTime: callerTime, caller: p.callers.Arrived(route.Name, callerTime, request.Arrived), service: p.splits.choose(route), tried: make(map[string]bool),
 	}
 	answer := running.run()
 	if answer.Stream != nil {
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -61,7 +61,7 @@
 	c.Assert(err, qt.IsNil)
 	proxy, err := New(Options{
 		Snapshots:  fixedSource{built.WithFleet(version, snapshot.Content{Instances: instances})},
-		Mechanisms: mechanism.All(), Budget: budget.Options{Ratio: 10, Slack: 1000, Window: 10 * time.Second},
+		Mechanisms: mechanism.All(), Budget: budget.New(budget.Options{Ratio: 10, Slack: 1000, Window: 10 * time.Second}),
 		Logger: logging.Discard(),
 	})
 	c.Assert(err, qt.IsNil)
--- a/internal/dataplane/outbound/repeat.go
+++ b/internal/dataplane/outbound/repeat.go
@@ -9,22 +9,38 @@
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 )
 
-// inherited is the probability that a request which comes now is a call of a run that
-// was a repeat itself, should the instance beside the node have sent it.
-func (p *Proxy) inherited() float64 {
-	if p.options.Neighbour == nil {
-		return 0
+// enter takes the request into the accounts of this node.
+func (e *exchange) enter() {
+	now := time.Now()
+	accounts := e.proxy.options.Budget
+	accounts.Listed(e.current.InstanceCount(), now)
+	e.inherited = accounts.Request(e.service, !e.proxy.shared.has(e.route.Name), now)
+}
+
+// reserveRepeat takes a further send from the accounts, if they allow one. It is given back
+// at the end if it reached no instance.
+func (e *exchange) reserveRepeat() bool {
+	now := time.Now()
+	if !e.reserved && !e.proxy.options.Budget.Repeat(e.service, now) {
+		e.proxy.metrics.budgetEmpty.Inc()
+		e.proxy.sends.Stopped(e.service, now)
+		return false
+	}
+	e.reserved = true
+	return true
+}
+
+// returnRepeat gives back a further send that reached no instance.
+func (e *exchange) returnRepeat() {
+	if e.reserved {
+		e.reserved = false
+		e.proxy.options.Budget.Return(e.service, time.Now())
 	}
-	return p.options.Neighbour.RepeatShare()
 }
 
 // account tells how much of the bound of a service this node used, and may use.
 func (p *Proxy) account(service string, now time.Time) (spent, allowed float64) {
-	nodes := 1
-	if current := p.options.Snapshots.Current(); current != nil {
-		nodes = current.InstanceCount()
-	}
-	return p.budgetOf(service).State(now, nodes)
+	return p.options.Budget.State(service, now)
 }
 
 // repeatShare is the probability, in hundredths, that the next send counts as a repeat.
@@ -32,7 +48,7 @@
 	if e.arrivals > 0 {
 		return hop.Certain
 	}
-	return int(math.Round(e.inherited * hop.Certain))
+	return min(int(math.Round(e.inherited*hop.Certain)), hop.Certain-1)
 }
 
 // noteArrival counts a send that reached an instance, or may have.
@@ -44,6 +60,8 @@
 	kind := repeats.First
 	if e.arrivals > 0 {
 		kind = e.lastArrival
+		e.reserved = false
+		e.proxy.metrics.repeats.Inc()
 	}
 	e.proxy.sends.Sent(e.service, kind, e.inherited, time.Now())
 	e.proxy.metrics.arrived(e.service, kind)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,6 +133,8 @@
 	Slack float64 `yaml:"slack" validate:"min=0" help:"repeats of the whole fleet beyond the ratio in one window (store)"`
 	// Window is the time over which both count.
 	Window time.Duration `yaml:"window" validate:"gt=0" help:"time over which repeats are counted (store)"`
+	// FirstStart says that no process of this node ran before, which may have used the slack.
+	FirstStart bool `yaml:"first_start" help:"the fleet starts for the first time: the node may use its part of the slack at once, not only after a window (store)"`
 }
 
 // Admin sets the operators' HTTP.
