Order the member list by the platform's count; an edge is ready once it knows a back end

An edge that came back was ready with a version and an empty view: it refused 90 of 685 calls for want of instances. It is ready now once a node beside a back end is known (TestFleetIsKnownWithABackEnd). Entries of the list were ordered by the time at which a reader got them, so that an answer which arrived late won for good: the list has the platform's revision now (the store's, or a field of the documents' answer; without one the order is as before), a later entry that says the same moves the one held up, and a reader compares what it reads, or what is confirmed unchanged, with what is held (TestLateAnswerNeverWins: two rows red without the new rule, TestChangeAtOneRevision).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -67,6 +67,8 @@
 	inboundServer *http.Server
 	name          string
 	grace         time.Duration
+	// edge is set on a node that only sends requests to others.
+	edge bool
 }
 
 // New opens the node's ports and builds its parts; nothing runs yet. Call Run or
@@ -88,6 +90,7 @@
 		logger:    logging.Part(options.Logger, "node"),
 		name:      configured.Node.Name,
 		grace:     drainTime(configured),
+		edge:      isEdge(opened, configured),
 	}
 	if built.Inbound != nil {
 		node.inboundServer = built.Inbound.Server()
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -34,6 +34,7 @@
 	Applier   *configuration.Applier
 	Node      *distribution.Node
 	Readiness *readiness
+	Fleet     *fleetWatch
 	Outbound  *outbound.Proxy
 	Inbound   *inbound.Proxy
 	Claims    *claim.Memory
@@ -59,6 +60,7 @@
 		newDistribution,
 		newClaims,
 		newNodeReadiness,
+		newFleetWatch,
 		newOutbound,
 		newInbound,
 		newDataplane,
@@ -129,6 +131,7 @@
 	Keys      *keys.Keys
 	Source    sourceReader
 	Applier   *configuration.Applier
+	Fleet     *fleetWatch
 	Replica   *claim.Replica
 }
 
@@ -150,7 +153,7 @@
 		TLS:            inputs.Keys.NodeConfig(),
 		Configuration:  inputs.Source,
 		Members:        inputs.Source,
-		Adopter:        inputs.Applier,
+		Adopter:        inputs.Fleet,
 		Logger:         logging.Part(inputs.Options.Logger, "distribution"),
 		Seed:           seed,
 		Timing:         timing,
@@ -172,10 +175,21 @@
 	return current.Generation()
 }
 
+// besideBackEnd reports whether the back end beside the node decides when it is ready.
+func besideBackEnd(opened *listeners, configured settings.Settings) bool {
+	return opened.inbound != nil && configured.Platform.Kind == settings.PlatformDocuments
+}
+
+// isEdge reports whether the node sends requests to others only, of which it learns from its
+// peers. Beside a store the configuration in force names the instances.
+func isEdge(opened *listeners, configured settings.Settings) bool {
+	return opened.inbound == nil && opened.outbound != nil && configured.Platform.Kind == settings.PlatformDocuments
+}
+
 func newNodeReadiness(node *distribution.Node, opened *listeners, configured settings.Settings) *readiness {
 	// A store lists the instances themselves: the node's own state says nothing of
 	// the one beside it.
-	return newReadiness(node, opened.inbound != nil && configured.Platform.Kind == settings.PlatformDocuments)
+	return newReadiness(node, besideBackEnd(opened, configured))
 }
 
 // proxyInputs are what both proxies are built from.
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -85,7 +85,8 @@
 	return tasks
 }
 
-// followConfiguration waits for the first version.
+// followConfiguration waits for the first version, and at an edge for the first node to
+// which requests can go.
 func (a *App) followConfiguration(ctx context.Context) error {
 	changes, cancel := a.parts.Applier.Subscribe()
 	defer cancel()
@@ -96,6 +97,13 @@
 		case <-changes:
 		}
 	}
+	if a.edge {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.parts.Fleet.known:
+		}
+	}
 	a.ready.holdVersion()
 	return nil
 }
--- a/internal/distribution/events.go
+++ b/internal/distribution/events.go
@@ -78,8 +78,10 @@
 type MembersListed struct {
 	Request RequestID
 	Members []membership.ListedMember
-	ETag    string
-	Outcome source.Outcome
+	// Revision is that of source.MemberList.
+	Revision uint64
+	ETag     string
+	Outcome  source.Outcome
 }
 
 // AdoptResult answers Adopt.
--- a/internal/distribution/list.go
+++ b/internal/distribution/list.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,15 +20,22 @@
 // differences between two nodes.
 const listBuckets = 16
 
-// listBook holds the platform's list as it is passed on between nodes: per node
-// the entry that was read last.
+// listBook holds the platform's list as it is passed on between nodes: per node the latest
+// entry, by the order that the platform gives them. Where it counts no changes of its list,
+// the order is that in which readers got them.
 type listBook struct {
 	entries map[membership.NodeID]wire.ListedEntry
 	buckets [listBuckets]uint64
-	// read is the list as the own process last read it, nil if it never did.
-	read map[membership.NodeID][]membership.ListedMember
+	// read is the list as the own process last read it, nil if it never did; revision is
+	// that of the list, zero where the platform tells none.
+	read     map[membership.NodeID][]membership.ListedMember
+	revision uint64
 }
 
+// ordersPerRevision leaves room for changes of what is believed of a list that stays the
+// same, such as entries that are no longer awaited.
+const ordersPerRevision = 1024
+
 func newListBook() listBook {
 	return listBook{entries: make(map[membership.NodeID]wire.ListedEntry)}
 }
@@ -54,11 +62,19 @@
 	return xxhash.Sum64(buffer)
 }
 
-// merge takes an entry if it says something else than the one held and was read
-// later, and reports whether it did.
+// merge takes an entry if it says something else than the one held and is later, and
+// reports whether it did. A later one that says the same moves the one held up, so that
+// no answer from between the two wins when it arrives late.
 func (b *listBook) merge(entry wire.ListedEntry) bool {
 	held, known := b.entries[entry.Node]
-	if slices.Equal(held.Members, entry.Members) || known && entry.ReadAt <= held.ReadAt {
+	if known && entry.Order <= held.Order {
+		return false
+	}
+	if slices.Equal(held.Members, entry.Members) {
+		if known {
+			held.Order = entry.Order
+			b.entries[entry.Node] = held
+		}
 		return false
 	}
 	if !known && len(b.entries) >= maxListEntries {
@@ -94,35 +110,74 @@
 	return entries
 }
 
-// changes compares a list that was just read with the one read before, or with
-// what is held if there is none, and returns the entries that are news. An entry
-// that stayed the same is none: another reader may have read a later one.
-func (b *listBook) changes(list []membership.ListedMember, readAt int64) []wire.ListedEntry {
-	read := make(map[membership.NodeID][]membership.ListedMember, len(list))
+// changes takes over a list that was just read and returns the entries that are news.
+func (b *listBook) changes(list []membership.ListedMember, revision uint64, now time.Time) []wire.ListedEntry {
+	before := b.read
+	b.read = make(map[membership.NodeID][]membership.ListedMember, len(list))
 	for _, member := range list {
-		read[member.Node] = append(read[member.Node], member)
+		b.read[member.Node] = append(b.read[member.Node], member)
 	}
-	before := b.read
+	b.revision = max(b.revision, revision)
+	if revision == 0 {
+		return b.changesSince(before, now.UnixMilli())
+	}
+	return b.changesAt(revision)
+}
+
+// confirmed takes over that the list last read is still the platform's, at a revision that
+// may be later, and returns the entries that are news: peers may have told of a list from
+// between.
+func (b *listBook) confirmed(revision uint64) []wire.ListedEntry {
+	if revision = max(revision, b.revision); revision == 0 || b.read == nil {
+		return nil
+	}
+	b.revision = revision
+	return b.changesAt(revision)
+}
+
+// changesAt compares the list last read, which is that of a revision, with what is held.
+func (b *listBook) changesAt(revision uint64) []wire.ListedEntry {
+	order := int64(revision) * ordersPerRevision
+	var changes []wire.ListedEntry
+	for _, node := range allNodes(b.read, b.entries) {
+		held := b.entries[node]
+		switch later := held.Order >= order+ordersPerRevision; {
+		case later:
+		case slices.Equal(held.Members, b.read[node]):
+			if held.Order < order {
+				held.Node, held.Order = node, order
+				b.entries[node] = held
+			}
+		default:
+			changes = append(changes, wire.ListedEntry{Node: node, Members: b.read[node], Order: max(order, held.Order+1)})
+		}
+	}
+	return changes
+}
+
+// changesSince compares the list last read, of which the platform tells no revision, with
+// the one read before, or with what is held if there is none. An entry that stayed the
+// same is no news: another reader may have read a later one.
+func (b *listBook) changesSince(before map[membership.NodeID][]membership.ListedMember, readAt int64) []wire.ListedEntry {
 	if before == nil {
 		before = make(map[membership.NodeID][]membership.ListedMember, len(b.entries))
 		for node, entry := range b.entries {
 			before[node] = entry.Members
 		}
 	}
-	b.read = read
 	var changes []wire.ListedEntry
-	for _, node := range allNodes(read, before) {
-		if slices.Equal(read[node], before[node]) {
+	for _, node := range allNodes(b.read, before) {
+		if slices.Equal(b.read[node], before[node]) {
 			continue
 		}
-		entry := wire.ListedEntry{Node: node, Members: read[node]}
-		entry.ReadAt = max(readAt, b.entries[node].ReadAt+1)
+		entry := wire.ListedEntry{Node: node, Members: b.read[node]}
+		entry.Order = max(readAt, b.entries[node].Order+1)
 		changes = append(changes, entry)
 	}
 	return changes
 }
 
-func allNodes(a, b map[membership.NodeID][]membership.ListedMember) []membership.NodeID {
+func allNodes[A, B any](a map[membership.NodeID]A, b map[membership.NodeID]B) []membership.NodeID {
 	nodes := slices.Collect(maps.Keys(a))
 	for node := range b {
 		if _, both := a[node]; !both {
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -97,12 +97,13 @@
 		m.failures = 0
 		m.answered = true
 		m.etag = event.ETag
-		e.mergeListed(e.list.changes(event.Members, e.now.UnixMilli()), 0)
+		e.mergeListed(e.list.changes(event.Members, event.Revision, e.now), 0)
 		e.markFleetChanged(e.overlay.countLasting() == 0)
 		e.overlayChanged()
 	case source.StatusNotModified:
 		m.failures = 0
 		m.answered = true
+		e.mergeListed(e.list.confirmed(event.Revision), 0)
 	default:
 		m.failures++
 		m.askAt = e.now.Add(event.Outcome.RetryAfter + e.backoff(m.failures, e.timing.BackoffMin, e.timing.BackoffMax))
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -76,20 +76,20 @@
 	return document, source.Outcome{Status: source.StatusFresh}
 }
 
-func (p *fakePlatform) Members(ctx context.Context, etag string, wait time.Duration) ([]membership.ListedMember, string, source.Outcome) {
+func (p *fakePlatform) Members(ctx context.Context, etag string, wait time.Duration) (source.MemberList, source.Outcome) {
 	for {
 		_, members, changed := p.state()
 		if tag := fmt.Sprint(members); tag != etag {
-			return members, tag, source.Outcome{Status: source.StatusFresh}
+			return source.MemberList{Members: members, ETag: tag}, source.Outcome{Status: source.StatusFresh}
 		}
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, etag, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
+			return source.MemberList{ETag: etag}, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
 		case <-timer.C:
-			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+			return source.MemberList{ETag: etag}, source.Outcome{Status: source.StatusNotModified}
 		}
 	}
 }
--- a/internal/distribution/platform.go
+++ b/internal/distribution/platform.go
@@ -51,8 +51,8 @@
 
 func (n *Node) fetchMembers(ctx context.Context, action FetchMembers) {
 	n.request(ctx, action.Request, action.Wait+n.options.Timing.FetchTimeout, func(ctx context.Context) Event {
-		members, etag, outcome := n.options.Members.Members(ctx, action.ETag, action.Wait)
+		list, outcome := n.options.Members.Members(ctx, action.ETag, action.Wait)
 		n.counters.countList(outcome)
-		return MembersListed{Request: action.Request, Members: members, ETag: etag, Outcome: outcome}
+		return MembersListed{Request: action.Request, Members: list.Members, Revision: list.Revision, ETag: list.ETag, Outcome: outcome}
 	})
 }
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -239,15 +239,15 @@
 	})
 }
 
-// shownList returns the list as it was ListLag ago and a tag of it.
-func (p *Platform) shownList() (members []membership.ListedMember, etag string) {
+// shownList returns the list as it was ListLag ago, its revision and a tag of it.
+func (p *Platform) shownList() (members []membership.ListedMember, revision uint64, etag string) {
 	shown := 0
 	for i, list := range p.lists {
 		if !list.from.After(p.fleet.now.Add(-p.fleet.options.ListLag)) {
 			shown = i
 		}
 	}
-	return p.lists[shown].members, fmt.Sprint(shown)
+	return p.lists[shown].members, uint64(shown) + 1, fmt.Sprint(shown)
 }
 
 func (p *Platform) list(from *process, action distribution.FetchMembers) {
@@ -260,14 +260,14 @@
 		p.answer(from, action.Request, event)
 		return
 	}
-	members, etag := p.shownList()
+	members, revision, etag := p.shownList()
 	if etag == action.ETag {
 		p.listReads = append(p.listReads, waitingList{from, action})
 		p.fleet.forProcess(from, action.Wait, func() { p.listUnchanged(from, action) })
 		return
 	}
 	event.Outcome.Status = source.StatusFresh
-	event.Members, event.ETag = members, etag
+	event.Members, event.Revision, event.ETag = members, revision, etag
 	p.fleet.forProcess(from, p.fleet.options.ListDelay, func() { p.answer(from, action.Request, event) })
 }
 
--- a/internal/emulator/platform/members.go
+++ b/internal/emulator/platform/members.go
@@ -22,6 +22,7 @@
 // memberList is the membership as it is and as the list shows it.
 type memberList struct {
 	real       []membership.ListedMember
+	revision   uint64                    // counts the lists that were shown
 	listed     []membership.ListedMember // real as it was one lag ago
 	changes    uint64                    // changes of real
 	shown      uint64                    // the latest change in listed
@@ -117,9 +118,11 @@
 	for _, ghost := range l.distortion.Ghosts {
 		put(&listed, memberName, ghost)
 	}
+	l.revision++
 	body, err := json.Marshal(struct {
-		Members []membership.ListedMember `json:"members"`
-	}{listed})
+		Revision uint64                    `json:"revision"`
+		Members  []membership.ListedMember `json:"members"`
+	}{l.revision, listed})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -191,28 +191,29 @@
 
 // Members returns the nodes beside the listed instances. With a wait it follows
 // the changes that AwaitRevision reads and reads nothing by itself.
-func (m *Mirror) Members(ctx context.Context, etag string, wait time.Duration) ([]membership.ListedMember, string, source.Outcome) {
+func (m *Mirror) Members(ctx context.Context, etag string, wait time.Duration) (source.MemberList, source.Outcome) {
 	if wait <= 0 && m.age() > staleAfter {
 		if outcome := m.listOnce(ctx); !read(outcome) {
-			return nil, "", outcome
+			return source.MemberList{}, outcome
 		}
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		members, current, changed := m.members()
-		if current != etag {
-			return members, current, source.Outcome{Status: source.StatusFresh}
+		list, changed := m.members()
+		if list.ETag != etag {
+			return list, source.Outcome{Status: source.StatusFresh}
 		}
+		unchanged := source.MemberList{Revision: list.Revision, ETag: etag}
 		if wait <= 0 {
-			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+			return unchanged, source.Outcome{Status: source.StatusNotModified}
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, etag, source.Outcome{Status: source.StatusNotModified}
+			return unchanged, source.Outcome{Status: source.StatusNotModified}
 		case <-ctx.Done():
-			return nil, etag, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
+			return unchanged, source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
 		}
 	}
 }
@@ -394,11 +395,12 @@
 	return document, nil
 }
 
-func (m *Mirror) members() (members []membership.ListedMember, etag string, changed <-chan struct{}) {
+func (m *Mirror) members() (list source.MemberList, changed <-chan struct{}) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	members = m.shown.members(m.options.MemberOf)
-	return members, etagOf(members), m.changed
+	list.Members = m.shown.members(m.options.MemberOf)
+	list.Revision, list.ETag = m.shown.documentAt, etagOf(list.Members)
+	return list, m.changed
 }
 
 // read reports whether a read brought an answer.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -284,14 +284,17 @@
 	r.store.Put("op/config", configuration(7, "a"))
 	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
 	first := r.follow(c, 0)
-	members, etag, outcome := r.mirror.Members(context.Background(), "", 0)
+	list, outcome := r.mirror.Members(context.Background(), "", 0)
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
-	c.Assert(members, qt.HasLen, 1)
+	c.Assert(list.Members, qt.HasLen, 1)
 
 	done := make(chan int)
 	go func() {
-		members, _, _ := r.mirror.Members(context.Background(), etag, wait)
-		done <- len(members)
+		next, _ := r.mirror.Members(context.Background(), list.ETag, wait)
+		if next.Revision <= list.Revision {
+			next.Members = nil
+		}
+		done <- len(next.Members)
 	}()
 	r.store.Put("servers/i-2", instance("a", "10.0.0.2:80", "ready"))
 	r.follow(c, first.Version().Revision)
--- a/internal/source/bad_answers_test.go
+++ b/internal/source/bad_answers_test.go
@@ -220,8 +220,8 @@
 		return outcome
 	}
 	members := func(reader *source.Client) source.Outcome {
-		_, etag, outcome := reader.Members(context.Background(), `"held"`, 0)
-		c.Check(etag, qt.Equals, `"held"`)
+		list, outcome := reader.Members(context.Background(), `"held"`, 0)
+		c.Check(list, qt.DeepEquals, source.MemberList{ETag: `"held"`})
 		return outcome
 	}
 	for _, test := range []struct {
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -149,25 +149,26 @@
 	return document, got.outcome
 }
 
-// Members implements MemberReader. On any status but StatusFresh it returns the
-// etag it was given.
-func (c *Client) Members(ctx context.Context, etag string, wait time.Duration) ([]membership.ListedMember, string, Outcome) {
+// Members implements MemberReader.
+func (c *Client) Members(ctx context.Context, etag string, wait time.Duration) (MemberList, Outcome) {
 	query := url.Values{}
 	if wait > 0 {
 		query.Set("wait", wait.String())
 	}
 	got := c.get(ctx, request{path: MembersPath, query: query, etag: etag, wait: wait})
+	unchanged := MemberList{ETag: etag}
 	if got.outcome.Status != StatusFresh {
-		return nil, etag, got.outcome
+		return unchanged, got.outcome
 	}
 	if got.etag == "" {
-		return nil, etag, got.invalid(eris.New("the answer has no ETag"))
+		return unchanged, got.invalid(eris.New("the answer has no ETag"))
 	}
-	members, err := decodeMembers(got.body)
+	list, err := decodeMembers(got.body)
 	if err != nil {
-		return nil, etag, got.invalid(err)
+		return unchanged, got.invalid(err)
 	}
-	return members, got.etag, got.outcome
+	list.ETag = got.etag
+	return list, got.outcome
 }
 
 // ETag returns the entity tag of the document of that version.
--- a/internal/source/contract_test.go
+++ b/internal/source/contract_test.go
@@ -73,9 +73,10 @@
 	c.Assert(got.outcome.Status, qt.Equals, source.StatusFresh)
 	c.Assert(got.version, qt.Equals, submitted)
 
-	members, etag, outcome := reader.Members(ctx, "", longWait)
+	list, outcome := reader.Members(ctx, "", longWait)
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
-	c.Assert(members, qt.DeepEquals, []membership.ListedMember{member})
-	_, _, outcome = reader.Members(ctx, etag, 0)
+	c.Assert(list.Members, qt.DeepEquals, []membership.ListedMember{member})
+	c.Assert(list.Revision > 0, qt.IsTrue)
+	_, outcome = reader.Members(ctx, list.ETag, 0)
 	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
 }
--- a/internal/source/decode.go
+++ b/internal/source/decode.go
@@ -15,7 +15,8 @@
 
 // memberList is the body of the platform's membership answer.
 type memberList struct {
-	Members []membership.ListedMember `json:"members"`
+	Revision uint64                    `json:"revision"`
+	Members  []membership.ListedMember `json:"members"`
 }
 
 // decodeHead reads the body of the head: the platform's current version.
@@ -59,22 +60,22 @@
 }
 
 // decodeMembers reads the body of the membership list.
-func decodeMembers(body []byte) ([]membership.ListedMember, error) {
+func decodeMembers(body []byte) (MemberList, error) {
 	var list memberList
 	if err := decodeStrict(body, &list); err != nil {
-		return nil, err
+		return MemberList{}, err
 	}
 	seen := make(map[membership.NodeID]bool, len(list.Members))
 	for index, member := range list.Members {
 		if err := checkMember(member); err != nil {
-			return nil, eris.Wrapf(err, "member %d", index)
+			return MemberList{}, eris.Wrapf(err, "member %d", index)
 		}
 		if seen[member.Node] {
-			return nil, eris.Errorf("member %d: the node %q is listed twice", index, member.Node)
+			return MemberList{}, eris.Errorf("member %d: the node %q is listed twice", index, member.Node)
 		}
 		seen[member.Node] = true
 	}
-	return list.Members, nil
+	return MemberList{Members: list.Members, Revision: list.Revision}, nil
 }
 
 func checkMember(member membership.ListedMember) error {
--- a/internal/source/decode_test.go
+++ b/internal/source/decode_test.go
@@ -35,12 +35,12 @@
 		if version, err := decodeHead(body); err == nil {
 			c.Assert(version.IsZero(), qt.IsFalse)
 		}
-		if members, err := decodeMembers(body); err == nil {
+		if list, err := decodeMembers(body); err == nil {
 			nodes := map[membership.NodeID]bool{}
-			for _, member := range members {
+			for _, member := range list.Members {
 				nodes[member.Node] = true
 			}
-			c.Assert(nodes, qt.HasLen, len(members))
+			c.Assert(nodes, qt.HasLen, len(list.Members))
 		}
 	})
 }
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -10,7 +10,8 @@
 //	GET /v1/configuration  (If-None-Match: "<revision>-<hash>")
 //	    -> 200 snapshot.Content with ETag, or 304
 //	GET /v1/members  (If-None-Match)
-//	    -> 200 {"members":[membership.ListedMember...]} with ETag, or 304
+//	    -> 200 {"revision":N,"members":[membership.ListedMember...]} with ETag, or 304;
+//	    revision counts the changes of the list and may be left out
 //	    ?wait=20s holds the answer until the list changes
 //	429 and 503 carry Retry-After in seconds or as an HTTP date.
 //	Durations are written as in Go. A reader names its node in Winchhead-Node.
@@ -60,6 +61,17 @@
 
 // MemberReader reads the membership list.
 type MemberReader interface {
-	// Members reads the list; etag is that of the last answer, or empty.
-	Members(ctx context.Context, etag string, wait time.Duration) (members []membership.ListedMember, newETag string, outcome Outcome)
+	// Members reads the list; etag is that of the last answer, or empty. On any status but
+	// StatusFresh the result has no members and the etag that was given.
+	Members(ctx context.Context, etag string, wait time.Duration) (MemberList, Outcome)
+}
+
+// MemberList is the platform's membership list.
+type MemberList struct {
+	Members []membership.ListedMember
+	// Revision counts the changes of the list at the platform: of two answers the one with
+	// the higher revision is the later one. Zero: the platform does not count them, or, on
+	// StatusNotModified, it is that of the last answer.
+	Revision uint64
+	ETag     string
 }
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -61,7 +61,7 @@
 
 func (e encoder) listedEntry(entry ListedEntry) {
 	e.text(string(entry.Node))
-	e.long(entry.ReadAt)
+	e.long(entry.Order)
 	encodeArray(e, entry.Members, e.listedMember)
 }
 
@@ -185,7 +185,7 @@
 func (d decoder) listedEntry() ListedEntry {
 	entry := ListedEntry{
 		Node:    membership.NodeID(d.text()),
-		ReadAt:  d.long(),
+		Order:   d.long(),
 		Members: decodeArray(d, minListedBytes, d.listedMember),
 	}
 	for i := range entry.Members {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -181,8 +181,9 @@
 // ListedEntry is what a reader found of one node in the platform's list.
 type ListedEntry struct {
 	Node membership.NodeID
-	// ReadAt is the reader's clock in Unix milliseconds; the highest wins.
-	ReadAt int64
+	// Order is the place of the entry among those of its node, by the platform's own count
+	// of changes where it tells one; the highest wins.
+	Order int64
 	// Members holds the entries that name the node; empty: not in the list.
 	Members []membership.ListedMember
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -84,7 +84,7 @@
 				SourceAge: anyNumber.Draw(t, "age"), Request: wire.DigestRequest(small.Draw(t, "request"))}
 		case wire.TypeRecords:
 			listed := rapid.Custom(func(t *rapid.T) wire.ListedEntry {
-				entry := wire.ListedEntry{Node: node.Draw(t, "node"), ReadAt: anyNumber.Draw(t, "at")}
+				entry := wire.ListedEntry{Node: node.Draw(t, "node"), Order: anyNumber.Draw(t, "at")}
 				for range rapid.IntRange(0, 2).Draw(t, "members") {
 					entry.Members = append(entry.Members, membership.ListedMember{Node: entry.Node,
 						PeerAddress: text.Draw(t, "peer"), Region: text.Draw(t, "region"), Zone: text.Draw(t, "zone"),
@@ -252,7 +252,7 @@
 		&wire.Announce{}, &wire.Pull{}, &wire.Digest{SourceAge: -1}, &wire.Refusal{Reason: "r"},
 		&wire.Update{Changed: []snapshot.Resource{{Key: snapshot.Key{Kind: 1, Name: "s"}, Body: []byte("{}")}}},
 		&wire.Records{Records: []membership.Record{{Node: "a"}}, Observations: []membership.Observation{{Subject: "b"}},
-			Listed: []wire.ListedEntry{{ReadAt: 5}}},
+			Listed: []wire.ListedEntry{{Order: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
 		&wire.ClaimRequest{Holder: wire.ClaimHolder{Node: "a", Number: 2}, Hold: 1000}, &wire.ClaimReply{Holder: wire.ClaimHolder{Node: "b"}},
 	}
