The simulated fleet goes; winchhead convergence reads the figures from nodes' logs

Convergence time and control bytes come from the logs of real processes: winchhead convergence LOGS reads the lines on versions in force, and a new line each ten seconds with the bytes of distribution.

--- a/internal/app/fleetwatch.go
+++ b/internal/app/fleetwatch.go
@@ -8,12 +8,12 @@
 	"github.com/winchhead/winchhead/internal/membership"
 )
 
-// fleetWatch is the Applier with an eye on the fleet: it tells when the first node beside
-// a back end is known. Without any, a node refuses all requests for want of instances.
+// fleetWatch is the Applier with an eye on the fleet: it tells when the first back end is
+// known that takes work. Without any, a node refuses all requests for want of instances.
 type fleetWatch struct {
 	*configuration.Applier
 	self membership.NodeID
-	// known is closed once another node beside a back end is known.
+	// known is closed once a back end beside another node takes work.
 	known chan struct{}
 	once  sync.Once
 }
@@ -33,10 +33,10 @@
 	}
 }
 
-// holdsBackEnd reports whether a view holds another node beside a back end.
+// holdsBackEnd reports whether a back end beside another node takes work.
 func (w *fleetWatch) holdsBackEnd(view *membership.View) bool {
 	for member := range view.All() {
-		if member.Record.Service != "" && member.Record.Node != w.self {
+		if member.Record.Node != w.self && member.MayTakeWork() {
 			return true
 		}
 	}
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -6,8 +6,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/winchhead/winchhead/internal/convergence"
+	"github.com/winchhead/winchhead/internal/wait"
 )
 
 // errPlannedStop ends all parts after a planned stop.
@@ -57,6 +62,7 @@
 		{"readiness", a.followConfiguration},
 		{"distribution", a.parts.Node.Run},
 		{"keys", a.reloadKeys},
+		{"traffic", a.logTraffic},
 		{"admin", func(ctx context.Context) error {
 			return serve(ctx, a.parts.Admin.HTTPServer(), a.listeners.admin)
 		}},
@@ -118,6 +124,21 @@
 	return nil
 }
 
+// trafficInterval is the time between two lines about the traffic of distribution.
+const trafficInterval = 10 * time.Second
+
+// logTraffic writes what distribution cost so far, for winchhead convergence.
+func (a *App) logTraffic(ctx context.Context) error {
+	for wait.For(ctx, trafficInterval) == nil {
+		stats := a.Stats()
+		a.logger.WithFields(logrus.Fields{
+			convergence.FieldLinkBytes:   stats.LinkBytes(),
+			convergence.FieldSourceBytes: stats.SourceBytes + stats.ListBytes,
+		}).Info(convergence.MessageTraffic)
+	}
+	return nil
+}
+
 // drain is the planned stop up to the point where nothing is in progress.
 func (a *App) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.grace)
--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -64,8 +64,6 @@
 
 func subcommands(env environment) []subcommand {
 	return []subcommand{
-		{"converge", "Measure how fast changes come into force", convergeHelp, &convergeCommand{environment: env}},
-		{"faults", "Run the fault cases of the fleet", faultsHelp, &faultsCommand{environment: env}},
 		{"platform", "Run the emulated platform", platformHelp, &platformCommand{environment: env}},
 		{"demo", "Show the main job on Montevideo", demoHelp, &demoCommand{environment: env}},
 		{"overhead", "Measure what the two hops add", overheadHelp, &overheadCommand{environment: env}},
--- a/internal/bench/command/command_test.go
+++ b/internal/bench/command/command_test.go
@@ -27,8 +27,6 @@
 		{"unknown subcommand", []string{"dance"}, command.ExitUsage, "dance"},
 		{"unknown flag", []string{"demo", "--quickly"}, command.ExitUsage, "quickly"},
 		{"missing flag", []string{"backend"}, command.ExitUsage, "listen"},
-		{"fault cases", []string{"faults", "--list"}, command.ExitOK, "half-killed"},
-		{"unknown fault case", []string{"faults", "--case", "none-such"}, command.ExitBroken, "none-such"},
 		{"unknown examples", []string{"demo", "--examples", "nowhere"}, command.ExitBroken, "nowhere"},
 		{"back end", []string{"backend", "--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"}, command.ExitOK, "back end backend at 127.0.0.1:"},
 		{"platform", []string{"platform", "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--content", "../../../examples/kerlann/content.yaml", "--members", "../../../examples/kerlann/settings/*.yaml"}, command.ExitOK, "platform at"},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,6 +50,7 @@
 		{"status", "Show which version each node holds", statusHelp, &statusCommand{environment: env}},
 		{"watch", "Wait until a revision is in force everywhere", watchHelp, &watchCommand{environment: env}},
 		{"trace", "Show what the logs tell of one request", traceHelp, &traceCommand{environment: env}},
+		{"convergence", "Show how fast changes came into force, and at what cost", convergenceHelp, &convergenceCommand{environment: env}},
 		{"losses", "Show which requests were not served in time, and why", lossesHelp, &lossesCommand{environment: env}},
 		{"settings", "Show the effective settings and their origin", settingsHelp, effective},
 		{"version", "Show the build", "Prints the version of the program and of Go.", &versionCommand{environment: env}},
--- /dev/null
+++ b/internal/convergence/convergence_test.go
@@ -0,0 +1,56 @@
+package convergence_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/convergence"
+)
+
+// Two nodes from the first change on, one that starts after the second and one that
+// starts again right after it.
+const logs = `no line of ours: configuration in force
+ 1.0 a {"msg":"started","time":"2026-01-01T00:00:00Z"}
+ 1.0 a {"msg":"configuration in force","time":"2026-01-01T00:00:01Z","version":"3/aa"}
+ 1.0 a {"msg":"control traffic","time":"2026-01-01T00:00:02Z","link_bytes":100,"source_bytes":50}
+ 1.0 a {"msg":"configuration in force","time":"2026-01-01T00:00:10Z","version":"5/bb"}
+ 1.0 a {"msg":"control traffic","time":"2026-01-01T00:00:12Z","link_bytes":1100,"source_bytes":50}
+ 1.0 a {"msg":"configuration in force","time":"2026-01-01T00:00:20.5Z","version":"6/cc"}
+ 1.0 a {"msg":"control traffic","time":"2026-01-01T00:00:22Z","link_bytes":1110,"source_bytes":140}
+ 1.0 a {"msg":"control traffic","time":"2026-01-01T00:00:32Z","link_bytes":1130,"source_bytes":150}
+{"msg":"started","time":"2026-01-01T00:00:00Z"}
+{"msg":"configuration in force","time":"2026-01-01T00:00:02Z","version":"3/aa"}
+{"msg":"configuration in force","time":"2026-01-01T00:00:10.25Z","version":"5/bb"}
+{"msg":"configuration in force","time":"2026-01-01T00:00:20Z","version":"6/cc"}
+{"msg":"configuration in force", broken
+ 1.0 c {"msg":"started","time":"2026-01-01T00:00:15Z"}
+ 1.0 c {"msg":"configuration in force","time":"2026-01-01T00:00:16Z","version":"5/bb"}
+ 1.0 d {"msg":"started","time":"2026-01-01T00:00:00Z"}
+ 1.0 d {"msg":"configuration in force","time":"2026-01-01T00:00:01Z","version":"3/aa"}
+ 1.0 d {"msg":"started","time":"2026-01-01T00:00:11Z"}
+ 1.0 d {"msg":"configuration in force","time":"2026-01-01T00:00:12Z","version":"5/bb"}
+`
+
+func TestReport(t *testing.T) {
+	c := qt.New(t)
+	read := convergence.New()
+	c.Assert(read.Read("b", strings.NewReader(logs)), qt.IsNil)
+	report := read.Report()
+	c.Check(report.Nodes, qt.Equals, 4)
+	c.Check(report.Changes, qt.Equals, 2)
+	// Revision 5: a at once, b after 0.25 s, d starts again. Revision 6: b at once, a after
+	// 0.5 s, c and d never.
+	c.Check(report.Seconds, qt.Equals, convergence.Spread{P50: 0.25, P99: 0.5, Max: 0.5})
+	c.Check(report.Slowest, qt.Equals, uint64(6))
+	c.Check(report.Missing, qt.Equals, 2)
+	c.Check(report.Changing, qt.Equals, convergence.Spread{P50: 100, P99: 100, Max: 100})
+	c.Check(report.Idle, qt.Equals, convergence.Spread{P50: 3, P99: 3, Max: 3})
+}
+
+func TestNothingToReport(t *testing.T) {
+	report := convergence.New().Report()
+	qt.Check(t, report.Changes, qt.Equals, 0)
+	qt.Check(t, report.Seconds, qt.Equals, convergence.Spread{})
+}
--- a/internal/distribution/stats.go
+++ b/internal/distribution/stats.go
@@ -37,6 +37,17 @@
 	SlowPeers int64 `json:"slow_peers"`
 }
 
+// LinkBytes adds up what was sent and received on links.
+func (s Stats) LinkBytes() (bytes int64) {
+	for _, traffic := range s.Sent {
+		bytes += traffic.Bytes
+	}
+	for _, traffic := range s.Received {
+		bytes += traffic.Bytes
+	}
+	return bytes
+}
+
 type counter struct{ frames, bytes atomic.Int64 }
 
 func (c *counter) add(bytes int64) {
