--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -80,7 +80,7 @@
 		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()), Value: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), Expected: reader.duration(),
 		Ordinary: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.mark(), Last: reader.mark(),
-		Repeat: int(reader.number()), Failed: reader.mark(),
+		Repeat: reader.hundredths(), Failed: reader.mark(),
 	}
 	return order, reader.err
 }
@@ -221,6 +221,15 @@
 	return text == markYes
 }
 
+// hundredths reads a probability, from 0 to Certain.
+func (r *fieldReader) hundredths() int {
+	value := r.number()
+	if (value < 0 || value > Certain) && r.err == nil {
+		r.err = eris.Errorf("%s: %d is not a probability in hundredths", Header, value)
+	}
+	return int(value)
+}
+
 func (r *fieldReader) duration() time.Duration { return time.Duration(r.number()) * time.Millisecond }
 
 func millis(duration time.Duration) string {
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -38,7 +38,7 @@
 // TestMalformedFields: what a node cannot read is an error, not a default.
 func TestMalformedFields(t *testing.T) {
 	for _, text := range []string{"", "a;b", "i;c;x;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;x;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;2;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;2;1;1",
-		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1"} {
+		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;101;1", "i;c;1;1;1;1;1;1;1;1;1;1;-1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1"} {
 		_, err := hop.DecodeOrder(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -89,7 +89,7 @@
 // New returns a Proxy, or an error when its metrics cannot be registered.
 func New(options Options) (*Proxy, error) {
 	if options.Budget == nil {
-		options.Budget = budget.New(budget.Options{Ratio: math.Inf(1)})
+		options.Budget = budget.New(budget.Options{Slack: math.MaxInt32, FirstStart: true})
 	}
 	if options.MaxRestOnce == 0 {
 		options.MaxRestOnce = defaultMaxRestOnce
