The soak judges repeats over a call graph; one judge for soak and property test

Instances of the soak call another service as they run, and fail when a call does; a fault rejects at all instances of a service. Arrivals beyond the first, those of calls of repeated runs all, are judged against the bound in each window (bench/repeatjudge, which the property test of the accounts uses too).

--- a/internal/bench/command/store_soak.go
+++ b/internal/bench/command/store_soak.go
@@ -61,10 +61,10 @@
 		return printJSON(c.stdout, reports)
 	}
 	table := newTable(c.stdout, "SEED", "SECONDS", "FAULTS", "CHANGES", "SENT", "SERVED", "REFUSED", "FAILED",
-		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES")
+		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "REPEATS")
 	for _, r := range reports {
 		table.row(r.Seed, fmt.Sprintf("%.0f", r.Seconds), r.Faults, r.Changes, r.Sent, r.Served, r.Refused, r.Failed,
-			r.Doubled, r.RanRefused, r.Wrong, r.Untold, r.Unasked, r.WentBack, r.Lost, r.LateAnswers, r.LateChanges)
+			r.Doubled, r.RanRefused, r.Wrong, r.Untold, r.Unasked, r.WentBack, r.Lost, r.LateAnswers, r.LateChanges, fmt.Sprintf("%.2f", r.Repeats))
 	}
 	table.flush()
 	for _, r := range reports {
--- /dev/null
+++ b/internal/bench/repeatjudge/repeatjudge_test.go
@@ -0,0 +1,48 @@
+package repeatjudge_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/bench/repeatjudge"
+)
+
+// every returns moments each step, from one to another.
+func every(step, from, to time.Duration) (moments []time.Duration) {
+	for at := from; at < to; at += step {
+		moments = append(moments, at)
+	}
+	return moments
+}
+
+func TestWorst(t *testing.T) {
+	bound := repeatjudge.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+	for name, row := range map[string]struct {
+		seen repeatjudge.Seen
+		want repeatjudge.Worst
+	}{
+		"nothing": {},
+		"all in one window": {
+			repeatjudge.Seen{Requests: every(100*time.Millisecond, 0, 10*time.Second), Beyond: every(time.Second, 0, 10*time.Second)},
+			repeatjudge.Worst{Share: 10.0 / 30, Beyond: 10, Requests: 100, Allowed: 30},
+		},
+		"requests of the window before": {
+			repeatjudge.Seen{Requests: every(100*time.Millisecond, 0, 10*time.Second), Beyond: every(100*time.Millisecond, 10*time.Second, 14*time.Second)},
+			repeatjudge.Worst{Share: 40.0 / 30, From: 10 * time.Second, Beyond: 40, Requests: 100, Allowed: 30},
+		},
+		"both ends of a window count": {
+			repeatjudge.Seen{Beyond: []time.Duration{0, 10 * time.Second}},
+			repeatjudge.Worst{Share: 0.2, Beyond: 2, Allowed: 10},
+		},
+		"two windows": {
+			repeatjudge.Seen{Beyond: []time.Duration{0, 10*time.Second + 1}},
+			repeatjudge.Worst{Share: 0.1, Beyond: 1, Allowed: 10},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, row.seen.Worst(bound), qt.Equals, row.want)
+		})
+	}
+}
--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -9,9 +9,11 @@
 
 // The routes that exist from the start, and the prefix of those added later.
 const (
-	host        = "soak.example"
-	pathRead    = "/read/"
-	pathWrite   = "/write/"
+	host      = "soak.example"
+	pathRead  = "/read/"
+	pathWrite = "/write/"
+	// pathCheck is called by the instances of serviceRead.
+	pathCheck   = "/check/"
 	routeMillis = 2000
 )
 
@@ -49,6 +51,7 @@
 	paths := []store.Route{
 		newRoute("read", pathRead, store.KindSafe, serviceRead),
 		newRoute("write", pathWrite, store.KindUnsafe, serviceWrite),
+		newRoute("check", pathCheck, store.KindSafe, serviceWrite),
 	}
 	for n := 1; n <= c.added; n++ {
 		paths = append(paths, newRoute(fmt.Sprint("added-", n), addedPath(n), store.KindSafe, serviceRead))
--- a/internal/bench/storesoak/faults.go
+++ b/internal/bench/storesoak/faults.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/bench/faultproxy"
@@ -35,7 +36,7 @@
 	hopFault("cut within an answer", faultproxy.Fault{Kind: faultproxy.CutAfter, Direction: faultproxy.TowardsClient, Bytes: 300}),
 	hopFault("half dead", faultproxy.Fault{Kind: faultproxy.Stall, Direction: faultproxy.TowardsClient}),
 	hopFault("slow", faultproxy.Fault{Kind: faultproxy.Delay, Direction: faultproxy.TowardsServer, Delay: 100 * time.Millisecond}),
-	cutFromPeers,
+	cutFromPeers, rejectAcross,
 }
 
 // someOf draws count different machines.
@@ -214,6 +215,34 @@
 	}
 }
 
+// rejectAcross has all instances of a service reject a part of what they get.
+func rejectAcross(random *rand.Rand, f *fleet) fault {
+	const rejected, of = 11, 20
+	service := []string{serviceRead, serviceWrite}[random.IntN(2)]
+	var numbers []int
+	for _, m := range f.machines {
+		if m.service == service {
+			numbers = append(numbers, m.number)
+		}
+	}
+	var count atomic.Int64
+	set := func(plan func(string) instance.Fault) func(context.Context) error {
+		return func(context.Context) error {
+			return f.forAll(numbers, func(m *machine) error { m.current().SetPlan(plan); return nil })
+		}
+	}
+	return fault{
+		name: "rejections of all " + service, machines: numbers,
+		begin: set(func(string) instance.Fault {
+			if count.Add(1)*7%of < rejected {
+				return instance.Reject
+			}
+			return instance.None
+		}),
+		undo: set(nil),
+	}
+}
+
 func forgetConnections(random *rand.Rand, f *fleet) fault {
 	m := oneOf(random, f)
 	forget := func(context.Context) error { m.current().ForgetConnections(); return nil }
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -52,6 +52,7 @@
 	host     string // first three numbers of all addresses
 	catalog  *catalog
 	work     func(id string, gone <-chan struct{})
+	inner    *innerCalls
 }
 
 // ports are alike on all machines.
@@ -109,7 +110,7 @@
 func startFleet(ctx context.Context, binary string, logs io.Writer, work func(id string, gone <-chan struct{})) (*fleet, error) {
 	const octets, usable = 250, 250
 	f := &fleet{
-		store: store.New(), catalog: newCatalog(), work: work,
+		store: store.New(), catalog: newCatalog(), work: work, inner: newInnerCalls(),
 		host: fmt.Sprintf("127.%d.%d", 1+os.Getpid()%octets, 1+startedFleets.Add(1)%usable),
 	}
 	for _, port := range []*int{&f.ports.outbound, &f.ports.inbound, &f.ports.peers, &f.ports.application, &f.ports.ready} {
@@ -189,6 +190,7 @@
 	created := &instance.Instance{
 		Name: fmt.Sprintf("i-%d-%d", m.number, len(m.former)), Address: application, Work: f.work,
 	}
+	f.inner.attach(created, m, f.work)
 	if _, err := created.Start(); err != nil {
 		return eris.Wrap(err, "start an instance")
 	}
--- a/internal/bench/storesoak/judge.go
+++ b/internal/bench/storesoak/judge.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/bench/repeatjudge"
 	"github.com/winchhead/winchhead/internal/emulator/instance"
+	"github.com/winchhead/winchhead/internal/settings"
 )
 
 // Report is the result of one soak. Counts are of calls.
@@ -38,6 +40,9 @@
 	LateAnswers int `json:"late_answers"`
 	LateChanges int `json:"late_changes"`
 
+	// Repeats is the greatest share of the bound on repeats that was used in any window.
+	Repeats float64 `json:"repeats"`
+
 	// Broken names each broken promise; empty is the only good result.
 	Broken []string `json:"broken"`
 }
@@ -70,6 +75,9 @@
 	}
 	for id, found := range runs {
 		for _, each := range found {
+			if machine, made := s.fleet.inner.sentBy(id); made && each.isInner(s.fleet.machines[machine]) {
+				continue
+			}
 			if sent := byID[id]; sent == nil || !each.isAsked(sent, s.fleet) {
 				s.report.Unasked++
 				s.broken("%s ran at %s as %s %s for %s, which was not sent so", id, each.name, each.Method, each.Target, each.Caller)
@@ -78,6 +86,7 @@
 	}
 	s.judgeOrder(calls)
 	s.judgeRecovery(calls)
+	s.judgeRepeats(calls)
 }
 
 func (s *soak) runs() map[string][]run {
@@ -101,6 +110,37 @@
 		r.Caller == f.machines[sent.machine].service && r.Expected == r.name
 }
 
+// isInner reports whether a run is one of a call that the instance beside a machine made.
+func (r run) isInner(caller *machine) bool {
+	return r.Method == http.MethodGet && r.Target == pathCheck+r.ID && r.machine.service == serviceWrite &&
+		r.Caller == caller.service && r.Expected == r.name
+}
+
+// service is the one that the call is for.
+func (c *call) service() string {
+	if c.kind == kindWrite {
+		return serviceWrite
+	}
+	return serviceRead
+}
+
+// judgeRepeats checks each service against the bound that the nodes' settings name, over
+// the calls of instances too.
+func (s *soak) judgeRepeats(calls []*call) {
+	if len(calls) == 0 {
+		return
+	}
+	named := settings.Defaults().Retries
+	bound := repeatjudge.Bound{Ratio: named.Ratio, Slack: named.Slack, Window: named.Window}
+	for _, service := range []string{serviceRead, serviceWrite} {
+		worst := s.fleet.inner.seen(service, calls[0].sent, calls).Worst(bound)
+		s.report.Repeats = max(s.report.Repeats, worst.Share)
+		if worst.Share > 1 {
+			s.broken("service %s: %s", service, worst)
+		}
+	}
+}
+
 func (s *soak) count(c *call) {
 	s.report.Sent++
 	switch {
--- a/internal/bench/storesoak/judge_test.go
+++ b/internal/bench/storesoak/judge_test.go
@@ -18,7 +18,7 @@
 // judged returns a soak with a machine for each service, whose calls and faults the
 // test sets.
 func judged() *soak {
-	f := &fleet{catalog: newCatalog()}
+	f := &fleet{catalog: newCatalog(), inner: newInnerCalls()}
 	for number, service := range []string{serviceFront, serviceRead, serviceWrite} {
 		f.machines = append(f.machines, &machine{number: number, service: service})
 	}
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -34,6 +34,7 @@
 			c.Check(report.Untold, qt.Equals, 0)
 			c.Check(report.Unasked, qt.Equals, 0)
 			c.Check(report.WentBack, qt.Equals, 0)
+			c.Check(report.Repeats <= 1, qt.IsTrue)
 		})
 	}
 }
--- a/internal/dataplane/budget/fleet_test.go
+++ b/internal/dataplane/budget/fleet_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/winchhead/winchhead/internal/bench/repeatjudge"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 )
 
@@ -62,13 +63,10 @@
 	events  eventHeap
 	nodes   []*fleetNode
 	beside  [3][]*fleetNode
-	judge   [3]judge
+	seen    [3]repeatjudge.Seen
 	repeats int
 }
 
-// judge counts the requests for one service and its arrivals beyond the first.
-type judge struct{ requests, beyond []time.Duration }
-
 func playFleet(plan fleetPlan) *fleet {
 	began := time.Now()
 	f := &fleet{plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 1)), began: began, now: began}
@@ -133,7 +131,7 @@
 // request takes a request at a node. isCall says that the instance beside it sends it,
 // ofRepeat that a repeated run does; the latter only the judge knows.
 func (f *fleet) request(node *fleetNode, service int, isCall, ofRepeat bool, done func(ok bool)) {
-	f.judge[service].requests = append(f.judge[service].requests, f.now.Sub(f.began))
+	f.seen[service].Requests = append(f.seen[service].Requests, f.now.Sub(f.began))
 	node.accounts.Listed(f.listed(), f.now)
 	inherited := node.accounts.Request(graph[service], isCall, f.now)
 	f.send(node, service, 0, budget.Again{Probability: inherited}, ofRepeat, done)
@@ -150,7 +148,7 @@
 		return
 	}
 	if repeat {
-		f.judge[service].beyond = append(f.judge[service].beyond, f.now.Sub(f.began))
+		f.seen[service].Beyond = append(f.seen[service].Beyond, f.now.Sub(f.began))
 		f.repeats++
 	}
 	again := func(failed bool) {
@@ -224,50 +222,17 @@
 	heap.Push(&f.events, event{f.now.Add(delay), do})
 }
 
-// worst is the greatest share of the bound that was used in any window, and a
-// description of that window. The requests counted are those of the window, of the one
-// before it or of the one half a window before it, whichever holds most.
-func (j judge) worst() (share float64, text string) {
-	for _, from := range j.beyond {
-		beyond := within(j.beyond, from, from+window)
-		requests := max(within(j.requests, from, from+window), within(j.requests, from-window, from),
-			within(j.requests, from-window/2, from+window/2))
-		allowed := fleetBound.Ratio*float64(requests) + fleetBound.Slack
-		if used := float64(beyond) / allowed; used > share {
-			share, text = used, fmt.Sprintf("%d arrivals beyond the first from %v on, for %d requests; allowed %.0f", beyond, from, requests, allowed)
-		}
-	}
-	return share, text
-}
-
-// within counts the moments from one to another; they are in order.
-func within(moments []time.Duration, from, to time.Duration) int {
-	return firstAfter(moments, to) - firstAfter(moments, from-1)
-}
-
-// firstAfter is the place of the first moment after another.
-func firstAfter(moments []time.Duration, moment time.Duration) int {
-	low, high := 0, len(moments)
-	for low < high {
-		if middle := (low + high) / 2; moments[middle] > moment {
-			high = middle
-		} else {
-			low = middle + 1
-		}
-	}
-	return low
-}
-
 // check reports each service whose bound was broken.
 func (f *fleet) check(t interface {
 	Errorf(format string, args ...any)
 }) (worst float64) {
-	for service, each := range f.judge {
-		share, text := each.worst()
-		if share > 1 {
-			t.Errorf("service %s: %s", graph[service], text)
+	bound := repeatjudge.Bound{Ratio: fleetBound.Ratio, Slack: fleetBound.Slack, Window: fleetBound.Window}
+	for service, each := range f.seen {
+		found := each.Worst(bound)
+		if found.Share > 1 {
+			t.Errorf("service %s: %s", graph[service], found)
 		}
-		worst = max(worst, share)
+		worst = max(worst, found.Share)
 	}
 	return worst
 }
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -83,6 +83,8 @@
 	Address string
 	// Plan returns the fault for a request; nil: none.
 	Plan func(id string) Fault
+	// Arrived is called for each request that comes, before anything else. nil: nothing.
+	Arrived func(id string)
 	// MostPerSecond is how many requests the instance bears in one second, as a cold one
 	// does; with more it falls over: it drops its connections and takes no more. Zero: any.
 	MostPerSecond int
@@ -254,6 +256,9 @@
 // answer runs one request and reports whether the connection goes on.
 func (i *Instance) answer(conn net.Conn, reader *bufio.Reader, request *http.Request) bool {
 	id := request.Header.Get(HeaderID)
+	if i.Arrived != nil {
+		i.Arrived(id)
+	}
 	fault := i.faultFor(id)
 	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != i.Name || fault == OtherInstance {
 		_, _ = io.Copy(io.Discard, request.Body)
