An instance that was cold is chosen as soon as it is warm

Cause: a sender that was told of a cold instance's next free moment kept to it, seconds ahead, also once the instance's entry said that it was warm. TestWarmInstanceIsNotPaced fails without the change and needs no timing.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -149,7 +149,7 @@
 	eligible := func(instance *snapshot.Instance) bool {
 		known := b.stateOf(instance, request.Now)
 		return instance.State == snapshot.InstanceReady && !request.Avoid(instance.Name) &&
-			known.ejectedUntil.After(request.Now) == ejected && !known.pacedUntil.After(request.Now) &&
+			known.ejectedUntil.After(request.Now) == ejected && !known.isPaced(request.Now) &&
 			(!spare || b.isNear(instance) || !known.isFull(instance, request.Now))
 	}
 	sampled := b.sample(request, eligible)
@@ -184,7 +184,7 @@
 	shortest := time.Duration(0)
 	for i := range instances {
 		known := b.instances[instances[i].Name]
-		if known == nil || !known.pacedUntil.After(now) {
+		if known == nil || !known.isPaced(now) {
 			continue
 		}
 		if left := known.pacedUntil.Sub(now); shortest == 0 || left < shortest {
--- a/internal/dataplane/balance/balance_test.go
+++ b/internal/dataplane/balance/balance_test.go
@@ -191,3 +191,24 @@
 	c.Check(at(1200), qt.Equals, "home")
 	c.Check(at(5000), qt.Equals, "home") // nothing is in progress
 }
+
+// TestWarmInstanceIsNotPaced: an instance that was cold, and had no room for a while, is
+// chosen as soon as it is warm.
+func TestWarmInstanceIsNotPaced(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	b := balance.New(balance.Options{Zone: "near", Mechanisms: mechanism.All()})
+	cold := instance("home", "near")
+	cold.WarmUpMillis = time.Minute.Milliseconds()
+	choice, found := pick(b, now, "", cold)
+	c.Assert(found, qt.IsTrue)
+	choice.Done(balance.Paced, &hop.Report{Outcome: hop.Refused, Reason: hop.ReasonCold, RetryAfter: 5 * time.Second, ColdFor: time.Minute, Slots: 4}, 0, now)
+	soon := now.Add(time.Second)
+	_, found = pick(b, soon, "", cold)
+	c.Check(found, qt.IsFalse)
+	c.Check(b.PacedFor([]snapshot.Instance{cold}, soon), qt.Equals, 4*time.Second)
+	warm := instance("home", "near")
+	_, found = pick(b, soon, "", warm)
+	c.Check(found, qt.IsTrue)
+	c.Check(b.PacedFor([]snapshot.Instance{warm}, soon), qt.Equals, time.Duration(0))
+}
--- a/internal/dataplane/balance/state.go
+++ b/internal/dataplane/balance/state.go
@@ -159,3 +159,9 @@
 	}
 	return s.trouble * math.Exp2(-float64(now.Sub(s.troubleAt))/float64(troubleHalfLife))
 }
+
+// isPaced reports whether the instance is cold and can't take the next request yet. What
+// was said while it was cold doesn't count once it is warm.
+func (s *state) isPaced(now time.Time) bool {
+	return s.pacedUntil.After(now) && s.cold.Until().After(now)
+}
