A reader that the platform turns away lets another one read

A refusal did not make a reader resign, so the next in rank waited until its confirmation was five seconds old. Ruled out: the new order of the member list (the untouched code does the same); the store itself (others were served).

Change: the second refusal in a row makes a reader resign, as any other failure does at once. TestReaderThatIsTurnedAwayResigns fails without it.

--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -20,6 +20,7 @@
 	await  distribution.AwaitSource
 	fetch  distribution.FetchSource
 	list   distribution.FetchMembers
+	logs   []string
 }
 
 func newDriver() *driver {
@@ -43,6 +44,8 @@
 			d.fetch = action
 		case distribution.FetchMembers:
 			d.list = action
+		case distribution.Log:
+			d.logs = append(d.logs, action.Text)
 		}
 	}
 }
@@ -135,3 +138,23 @@
 		})
 	}
 }
+
+// TestReaderThatIsTurnedAwayResigns: the platform may turn one node away and serve the
+// others, so a reader that gets only refusals for two seconds lets another read.
+func TestReaderThatIsTurnedAwayResigns(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.handle(distribution.Tick{})
+	d.handle(distribution.MembersListed{Request: d.list.Request, Members: listed("self"), ETag: "1", Outcome: answeredWell})
+	d.run(2 * time.Second)
+	c.Assert(d.await.Request, qt.Not(qt.Equals), distribution.RequestID(0))
+	answered := distribution.RequestID(0)
+	for range 40 {
+		if d.await.Request != answered {
+			answered = d.await.Request
+			d.handle(distribution.SourceRevision{Request: answered, Outcome: source.Outcome{Status: source.StatusBusy, Err: errRefused}})
+		}
+		d.run(50 * time.Millisecond)
+	}
+	c.Check(d.logs, qt.Contains, "cannot read the source: "+errRefused.Error())
+}
--- a/internal/distribution/polling.go
+++ b/internal/distribution/polling.go
@@ -116,6 +116,10 @@
 	}
 }
 
+// busyBeforeResigning is how many times in a row a reader is turned away before another one
+// tries: one refusal may be for a moment's load.
+const busyBeforeResigning = 2
+
 // answered notes how a read of the source ended. A reader whose reads fail
 // resigns, so that the next in its group reads, and goes on trying.
 func (e *Engine) answered(outcome source.Outcome) bool {
@@ -128,7 +132,10 @@
 		r.resigned = false
 		r.confirmedAt = e.now
 	case outcome.Status == source.StatusBusy:
-		r.failures++ // the source lives; another reader would add to its load
+		// The source lives, and another reader would add to its load, unless it turns away
+		// this node alone.
+		r.failures++
+		r.resigned = r.resigned || r.failures >= busyBeforeResigning
 	default:
 		r.failures++
 		r.resigned = true
