The node beside an instance tells its crash from a lost connection

Sight for the requests that crash instances; no decision changes. A broken connection said "connection-broken", whatever had ended. After a crash nothing listens at the instance's address, and node and instance share a machine: one connect tells them apart. The crash is logged with all requests that were in progress (those that had been given up within a second too) and their fingerprints, which stand in the lines of failed requests as well; a counter.

Ruled out: to go by several connections that break at once (an instance with one request in progress shows one), and by its entry (gone three heartbeats later).

--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -124,8 +124,10 @@
 	ReasonCancelled     Reason = "cancelled"
 	ReasonConnect       Reason = "connect-failed"
 	ReasonBroken        Reason = "connection-broken"
-	ReasonInvalid       Reason = "invalid-answer"
-	ReasonMalformed     Reason = "malformed"
+	// ReasonCrashed: the instance crashed while it worked on the request.
+	ReasonCrashed   Reason = "instance-crashed"
+	ReasonInvalid   Reason = "invalid-answer"
+	ReasonMalformed Reason = "malformed"
 	// ReasonRepeats: the calls of a repeated run would go beyond the bound of repeats.
 	ReasonRepeats Reason = "repeat-bound"
 )
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -80,6 +80,7 @@
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
+	ends     *endWatch
 	origins  origins
 	active   atomic.Int64
 	lines    *boundedlog.Lines
@@ -105,6 +106,7 @@
 		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
 		lines: boundedlog.New(options.Logger),
 	}
+	created.ends = &endWatch{isGone: created.instance.IsGone, crashed: created.crashed}
 	created.cold = newColdness(options)
 	created.queue = queue.NewPaced(options.Slots, created.cold.limit)
 	created.slots.Store(int64(options.Slots))
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -13,6 +13,7 @@
 type metrics struct {
 	deliveries *prometheus.CounterVec
 	waits      prometheus.Histogram
+	crashes    prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue) (*metrics, error) {
@@ -27,11 +28,15 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
 		}),
 	}
+	created.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_instance_crashes_total",
+		Help: "Crashes of the instance beside the node while it worked on requests.",
+	})
 	if registerer == nil {
 		return created, nil
 	}
 	collectors := []prometheus.Collector{
-		created.deliveries, created.waits,
+		created.deliveries, created.waits, created.crashes,
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
 		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -22,7 +22,7 @@
 	response, err := p.instance.Do(ctx, p.outgoing(request, order, deadline))
 	if err != nil {
 		cancel()
-		delivery := p.failed(err, slot)
+		delivery := p.failed(err, request, order, slot)
 		delivery.Report.Execution = time.Since(started)
 		return delivery
 	}
@@ -41,7 +41,7 @@
 		slot.Release(true)
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: errNoStamp}
 	}
-	return p.passOn(response, order, started, slot, cancel)
+	return p.passOn(response, request, order, started, slot, cancel)
 }
 
 var errNoStamp = errors.New("the answer does not bear the instance's mark")
@@ -87,7 +87,7 @@
 }
 
 // failed judges a send without an answer.
-func (p *Proxy) failed(err error, slot *queue.Slot) Delivery {
+func (p *Proxy) failed(err error, request *message.Request, order hop.Order, slot *queue.Slot) Delivery {
 	var failure *client.Error
 	if !errors.As(err, &failure) {
 		failure = &client.Error{Progress: client.SentWhole, Err: err}
@@ -97,19 +97,30 @@
 	case failure.Progress == client.NotSent:
 		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
 	case errors.Is(err, context.DeadlineExceeded):
+		p.ends.givenUp(progressOf(request, order.Instance), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonDeadline), Err: err}
 	case errors.Is(err, context.Canceled):
+		p.ends.givenUp(progressOf(request, order.Instance), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonCancelled), Err: err}
 	case failure.Invalid:
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: err}
 	default:
-		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+		return p.broken(err, request, order)
 	}
 }
 
+// broken judges a send whose connection broke before the whole answer was there.
+func (p *Proxy) broken(err error, request *message.Request, order hop.Order) Delivery {
+	reason := hop.ReasonBroken
+	if p.ends.broken(progressOf(request, order.Instance)) {
+		reason = hop.ReasonCrashed
+	}
+	return Delivery{Report: p.report(hop.Unknown, reason), Err: err}
+}
+
 // passOn passes an answer on: a short one once it is whole, a long one or a
 // stream of events as it comes.
-func (p *Proxy) passOn(response *client.Response, order hop.Order, started time.Time, slot *queue.Slot, cancel func()) Delivery {
+func (p *Proxy) passOn(response *client.Response, request *message.Request, order hop.Order, started time.Time, slot *queue.Slot, cancel func()) Delivery {
 	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
 	body, whole, err := response.Hold()
@@ -121,7 +132,7 @@
 	cancel()
 	slot.Release(true)
 	if err != nil {
-		return Delivery{Report: p.report(hop.Unknown, hop.ReasonBroken), Err: err}
+		return p.broken(err, request, order)
 	}
 	answer.Body, answer.Length = body, int64(len(body))
 	execution := time.Since(started)
--- a/internal/dataplane/outbound/learn.go
+++ b/internal/dataplane/outbound/learn.go
@@ -48,7 +48,7 @@
 		return balance.Paced
 	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.Leaving
-	case hop.ReasonConnect, hop.ReasonBroken:
+	case hop.ReasonConnect, hop.ReasonBroken, hop.ReasonCrashed:
 		return balance.Failed
 	default:
 		return balance.Abandoned
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -9,6 +9,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // requestLog writes a line for the end of each request, within its bounds.
@@ -33,7 +34,8 @@
 		"since_first_ms": e.caller.Elapsed.Milliseconds(), "retries_refused": e.caller.RetriesRefused,
 	})
 	if failed {
-		entry.Warn("request ended")
+		content := suspects.Of(e.request.Method, e.request.Host, e.request.Target, e.request.Body)
+		entry.WithFields(logrus.Fields{"target": e.request.Target, "fingerprint": content.String()}).Warn("request ended")
 		return
 	}
 	entry.Info("request ended")
--- /dev/null
+++ b/internal/suspects/fingerprint_test.go
@@ -0,0 +1,25 @@
+package suspects
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFingerprint: it depends on method, host, target and body, and on where each ends.
+func TestFingerprint(t *testing.T) {
+	c := qt.New(t)
+	base := Of("GET", "h", "/a?x", []byte("body"))
+	c.Check(Of("GET", "h", "/a?x", []byte("body")), qt.Equals, base)
+	c.Check(base.String(), qt.HasLen, 2*FingerprintBytes)
+	for name, other := range map[string]Fingerprint{
+		"method": Of("PUT", "h", "/a?x", []byte("body")),
+		"host":   Of("GET", "g", "/a?x", []byte("body")),
+		"query":  Of("GET", "h", "/a?y", []byte("body")),
+		"body":   Of("GET", "h", "/a?x", []byte("bodz")),
+		"border": Of("GET", "h/", "a?x", []byte("body")),
+		"ending": Of("GET", "h", "/a?xb", []byte("ody")),
+	} {
+		c.Check(other, qt.Not(qt.Equals), base, qt.Commentf(name))
+	}
+}
