--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -62,6 +62,9 @@
 	CloseAfter Fault = 14
 	// Hangs begins the request and says nothing until the sender leaves.
 	Hangs Fault = 15
+	// Crashes ends the instance after the work: it drops its connections and takes no more
+	// until Restart.
+	Crashes Fault = 16
 )
 
 // Run is one request that the instance ran.
@@ -101,8 +104,11 @@
 	accepted int
 	rejected int
 	fellOver bool
-	serving  sync.WaitGroup
-	conns    map[net.Conn]struct{}
+	// down is set while the instance is crashed; crashes counts how often it did.
+	down    bool
+	crashes int
+	serving sync.WaitGroup
+	conns   map[net.Conn]struct{}
 	// forgotten are connections whose next bytes meet a reset.
 	forgotten map[net.Conn]struct{}
 }
@@ -118,14 +124,14 @@
 		return "", err
 	}
 	i.listener, i.conns, i.forgotten = listener, make(map[net.Conn]struct{}), make(map[net.Conn]struct{})
-	i.serving.Go(i.accept)
+	i.serving.Go(func() { i.accept(listener) })
 	return listener.Addr().String(), nil
 }
 
 // Close ends the instance and its connections.
 func (i *Instance) Close() {
-	_ = i.listener.Close()
 	i.mutex.Lock()
+	_ = i.listener.Close()
 	for conn := range i.conns {
 		_ = conn.Close()
 	}
@@ -201,6 +207,45 @@
 	}
 }
 
+// crash ends the instance as a process that dies: nothing is answered any more.
+func (i *Instance) crash() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.down {
+		return
+	}
+	i.down = true
+	i.crashes++
+	_ = i.listener.Close()
+	for conn := range i.conns {
+		_ = conn.Close()
+	}
+}
+
+// Crashes returns how often the instance crashed.
+func (i *Instance) Crashes() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.crashes
+}
+
+// Restart starts an instance that crashed again, under its name and address. It does
+// nothing for one that serves.
+func (i *Instance) Restart() error {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if !i.down {
+		return nil
+	}
+	listener, err := net.Listen("tcp", i.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	i.listener, i.down = listener, false
+	i.serving.Go(func() { i.accept(listener) })
+	return nil
+}
+
 // Runs returns what ran so far.
 func (i *Instance) Runs() []Run {
 	i.mutex.Lock()
@@ -222,13 +267,16 @@
 	return i.accepted
 }
 
-func (i *Instance) accept() {
+func (i *Instance) accept(listener net.Listener) {
 	for {
-		conn, err := i.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		i.mutex.Lock()
+		if i.down {
+			_ = conn.Close()
+		}
 		i.accepted++
 		i.conns[conn] = struct{}{}
 		i.mutex.Unlock()
@@ -290,6 +338,10 @@
 	run := i.begin(request, string(body))
 	cancelled := i.work(conn, reader, id, fault == Hangs)
 	i.end(run, cancelled)
+	if fault == Crashes && !cancelled {
+		i.crash()
+		return false
+	}
 	if i.Judge != nil && !cancelled {
 		if judged := i.Judge(id); judged != None {
 			fault = judged
