Requests that crash the instances which run them are found, tried and refused

Cause: a send whose connection broke counted against the instance and never against the request; sends of one attempt are bounded, those of the same content that comes again, at any node, were not. Class: a request of death, amplified by retries and by failover to the instances that are left.

Change, package suspects: each crash of an instance is a record of the contents in progress, merged in any order and any number of times, passed on over the links between nodes at once and whole to each new link (nodes that start, cuts that heal). All of them are suspects. A suspect runs at one instance that all nodes choose alike, one at a time there. An answer clears it. A crash under such a trial convicts it, and explains the other crashes it was in progress at, so that their victims need no trial. While nothing is suspected it costs an atomic load a request and no bytes.

A row of TestMalformedFields said that an order of 15 fields is malformed; the 15th is the mark of a suspect now, so the row has 16, and one more has a 15th that is no mark.

--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -22,6 +22,7 @@
 	"github.com/winchhead/winchhead/internal/proxy/outbound"
 	"github.com/winchhead/winchhead/internal/settings"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // parts are what the container builds. Outbound, Inbound and Claims are nil when
@@ -39,6 +40,7 @@
 	Inbound   *inbound.Proxy
 	Claims    *claim.Memory
 	Dataplane *dataplane.Node
+	Suspects  *suspects.Ledger
 	Admin     *admin.Server
 }
 
@@ -57,6 +59,7 @@
 		newSource,
 		newApplier,
 		newReplica,
+		suspects.NewLedger,
 		newDistribution,
 		newClaims,
 		newNodeReadiness,
@@ -133,6 +136,7 @@
 	Applier   *configuration.Applier
 	Fleet     *fleetWatch
 	Replica   *claim.Replica
+	Suspects  *suspects.Ledger
 }
 
 func newDistribution(inputs distributionInputs) (*distribution.Node, error) {
@@ -147,7 +151,7 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	return distribution.NewNode(distribution.Options{
+	node, err := distribution.NewNode(distribution.Options{
 		Self:           inputs.Self,
 		Listener:       inputs.Listeners.peers,
 		TLS:            inputs.Keys.NodeConfig(),
@@ -163,7 +167,12 @@
 
 		SourceIsCurrent: inputs.Settings.Platform.Kind == settings.PlatformStore,
 		ServeClaims:     func(stream *distribution.ClaimStream) { inputs.Replica.Serve(stream) },
+		CrashesLearned:  learnCrashes(inputs.Suspects, logging.Part(inputs.Options.Logger, "suspects")),
 	})
+	if err == nil {
+		inputs.Suspects.SpreadBy(node.TellCrashes)
+	}
+	return node, err
 }
 
 // generation returns that of the snapshot in force, or 0.
--- a/internal/app/metrics.go
+++ b/internal/app/metrics.go
@@ -7,14 +7,18 @@
 
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/keys"
+	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
 // registerMetrics registers the metrics of parts that only count.
-func registerMetrics(registerer prometheus.Registerer, node *distribution.Node, held *keys.Keys) error {
+func registerMetrics(registerer prometheus.Registerer, node *distribution.Node, held *keys.Keys, ledger *suspects.Ledger) error {
 	if err := registerer.Register(newDistributionCollector(node)); err != nil {
 		return err
 	}
+	if err := registerSuspects(registerer, ledger); err != nil {
+		return err
+	}
 	if held == nil {
 		return nil
 	}
--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -24,6 +24,7 @@
 	"github.com/winchhead/winchhead/internal/settings"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/platform"
 )
 
@@ -141,6 +142,7 @@
 	Settings   settings.Settings
 	Listeners  *listeners
 	Applier    *configuration.Applier
+	Suspects   *suspects.Ledger
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
 }
@@ -167,6 +169,7 @@
 		Slots:     configured.Inbound.Slots,
 		NodePort:  outbound.PortOf(configured.Inbound.Listen),
 		Budget:    budgetOf(configured),
+		Suspects:  inputs.Suspects,
 		Cold:      inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
 
 		Mechanisms:         configured.Mechanisms,
--- a/internal/app/store_crash_test.go
+++ b/internal/app/store_crash_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 )
 
@@ -85,3 +89,109 @@
 		})
 	}
 }
+
+// TestStoreVictimsOfCrashesAreServed: a request that many callers send was in progress at each
+// crash which another request caused. It must not be taken for the one at fault: it is served
+// while that one is refused.
+func TestStoreVictimsOfCrashesAreServed(t *testing.T) {
+	const popular = 3 // fewer than an instance has slots
+	var (
+		mutex   sync.Mutex
+		begun   = make(map[string]bool)
+		started = make(chan string, popular)
+		release = make(chan struct{})
+	)
+	r := newCrashRig(t, func(id string, gone <-chan struct{}) {
+		mutex.Lock()
+		isFirst := strings.HasPrefix(id, "popular-") && !begun[id]
+		begun[id] = true
+		mutex.Unlock()
+		if isFirst {
+			started <- id
+			select {
+			case <-gone:
+			case <-release:
+			}
+		}
+	})
+	for _, m := range r.machines {
+		m.node.parts.Dataplane.SetBudget(budget.Options{Ratio: 1, Slack: 1000, Window: time.Hour})
+	}
+	var waiting sync.WaitGroup
+	statuses := make([]int, popular)
+	for i := range popular {
+		waiting.Go(func() {
+			statuses[i] = r.ask(i%len(r.machines), http.MethodGet, "/read/popular", fmt.Sprintf("popular-%d", i)).status
+		})
+	}
+	for range popular {
+		<-started
+	}
+	for i := range 20 {
+		r.ask(i%len(r.machines), http.MethodGet, "/read/the-one", fmt.Sprintf("%s%d", crashingPrefix, i))
+		r.restart()
+	}
+	close(release)
+	waiting.Wait()
+	for i, status := range statuses {
+		r.c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("popular request %d", i))
+	}
+	for i := range 20 {
+		got := r.ask(i%len(r.machines), http.MethodGet, "/read/popular", fmt.Sprintf("later-%d", i))
+		r.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+	r.c.Check(r.crashes() <= 3, qt.IsTrue, qt.Commentf("%d crashes", r.crashes()))
+}
+
+// TestStoreOrdinaryCrashesShutNobodyOut: instances crash by themselves, again and again, with
+// the same request in progress each time. It is served all the same.
+func TestStoreOrdinaryCrashesShutNobodyOut(t *testing.T) {
+	const times = 12
+	var (
+		mutex sync.Mutex
+		begun = make(map[string]bool)
+		inRun = make(chan struct{}, times)
+		rig   *storeRig
+	)
+	rig = newCrashRig(t, func(id string, gone <-chan struct{}) {
+		mutex.Lock()
+		isFirst := strings.HasPrefix(id, "held-") && !begun[id]
+		begun[id] = true
+		mutex.Unlock()
+		if isFirst {
+			inRun <- struct{}{}
+			<-gone
+		}
+	})
+	for _, m := range rig.machines {
+		m.node.parts.Dataplane.SetBudget(budget.Options{Ratio: 1, Slack: 1000, Window: time.Hour})
+	}
+	for i := range times {
+		id := fmt.Sprintf("held-%d", i)
+		done := make(chan answer, 1)
+		go func() { done <- rig.ask(i%2, http.MethodGet, "/read/same", id) }()
+		select {
+		case <-inRun:
+		case got := <-done:
+			rig.c.Fatalf("crash %d: it did not run: %d %s", i, got.status, got.body)
+		}
+		for _, m := range rig.machines {
+			if len(rig.runsAt(m, id)) > 0 {
+				m.instance.Crash()
+			}
+		}
+		got := <-done
+		rig.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("crash %d: %s", i, got.body))
+		rig.restart()
+		rig.awaitClear()
+	}
+}
+
+// awaitClear waits until all nodes know that nothing stands against any request.
+func (r *storeRig) awaitClear() {
+	for _, m := range r.machines {
+		for !m.node.parts.Suspects.IsEmpty() {
+			runtime.Gosched()
+		}
+	}
+}
--- a/internal/app/store_rig_test.go
+++ b/internal/app/store_rig_test.go
@@ -203,10 +203,16 @@
 // runs returns what ran with that id, on all instances.
 func (r *storeRig) runs(id string) (found []instance.Run) {
 	for _, m := range r.machines {
-		for _, run := range m.instance.Runs() {
-			if run.ID == id {
-				found = append(found, run)
-			}
+		found = append(found, r.runsAt(m, id)...)
+	}
+	return found
+}
+
+// runsAt returns what ran with that id on the instance of a machine.
+func (r *storeRig) runsAt(m *machine, id string) (found []instance.Run) {
+	for _, run := range m.instance.Runs() {
+		if run.ID == id {
+			found = append(found, run)
 		}
 	}
 	return found
--- /dev/null
+++ b/internal/app/suspects.go
@@ -0,0 +1,51 @@
+package app
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/suspects"
+)
+
+// learnCrashes returns what takes over the records of other nodes and logs them.
+func learnCrashes(ledger *suspects.Ledger, logger logrus.FieldLogger) func([]suspects.Crash) {
+	return func(crashes []suspects.Crash) {
+		ledger.Learn(crashes)
+		for _, crash := range crashes {
+			logger.WithFields(describeCrash(crash)).Info("another node tells of the crash of an instance")
+		}
+	}
+}
+
+// describeCrash returns the fields of a line about a record.
+func describeCrash(crash suspects.Crash) logrus.Fields {
+	cleared, tried := 0, ""
+	for _, request := range crash.Requests {
+		if request.Cleared {
+			cleared++
+		}
+		if request.Tried {
+			tried = request.Fingerprint.String()
+		}
+	}
+	return logrus.Fields{
+		"instance": crash.Instance, "at": crash.At.UTC(), "in_progress": len(crash.Requests), "cleared": cleared, "tried": tried,
+	}
+}
+
+// registerSuspects registers gauges of the contents that something stands against.
+func registerSuspects(registerer prometheus.Registerer, ledger *suspects.Ledger) error {
+	for name, gauge := range map[string]struct {
+		standing suspects.Standing
+		help     string
+	}{
+		"winchhead_suspected_requests": {suspects.Suspected, "Contents of requests that may have crashed an instance and are tried one at a time."},
+		"winchhead_guilty_requests":    {suspects.Guilty, "Contents of requests that crashed instances under trials and are refused."},
+	} {
+		count := func() float64 { return float64(ledger.Count(gauge.standing)) }
+		if err := registerer.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: gauge.help}, count)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -21,6 +21,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/wait"
 )
 
@@ -39,6 +40,8 @@
 	// LinkBytesPerSecond is the capacity of the machine's link; zero: not known.
 	LinkBytesPerSecond float64
 	Budget             budget.Options
+	// Suspects knows the requests that may crash instances; nil: they are known here alone.
+	Suspects *suspects.Ledger
 	// Mechanisms that are on.
 	Mechanisms mechanism.Set
 	// Limits hold until the configuration names others.
@@ -62,11 +65,14 @@
 
 // New returns a Node that takes nothing yet.
 func New(options Options) (*Node, error) {
+	if options.Suspects == nil {
+		options.Suspects = suspects.NewLedger()
+	}
 	created := &Node{options: options, accounts: budget.New(options.Budget)}
 	var err error
 	created.inbound, err = inbound.New(inbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
-		Service: options.Service, Zone: options.Zone, Cold: options.Cold, Budget: created.accounts,
+		Service: options.Service, Zone: options.Zone, Cold: options.Cold, Budget: created.accounts, Suspects: options.Suspects,
 		Slots: options.Slots, LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
 	if err != nil {
@@ -74,7 +80,7 @@
 	}
 	created.outbound, err = outbound.New(outbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Service: options.Service, Zone: options.Zone,
-		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: created.accounts,
+		Backend: options.Backend, Neighbour: created.inbound, NodePort: options.NodePort, Budget: created.accounts, Suspects: options.Suspects,
 		LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms,
 		Logger: options.Logger.WithField("part", "outbound"), Registerer: options.Registerer,
 	})
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -47,11 +47,15 @@
 	Repeat int
 	// Failed says that an instance answered before that the request failed.
 	Failed bool
+	// Suspected says that the request may have crashed an instance before.
+	Suspected bool
 }
 
 // Certain is a Repeat without doubt.
 const Certain = 100
 
+// orderFields are those of an order. One more follows where the request is suspected, so that
+// nodes of earlier versions read all other orders.
 const orderFields = 14
 
 // Marks stand for yes and no in the text of a field.
@@ -62,17 +66,21 @@
 
 // Encode returns the text of the field.
 func (o Order) Encode() string {
-	return strings.Join([]string{
+	text := strings.Join([]string{
 		o.Instance, o.CallerService, strconv.Itoa(o.Priority), strconv.Itoa(o.Value),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.Expected), millis(o.Ordinary), strconv.FormatUint(o.Revision, 10),
 		mark(o.Repeatable), mark(o.OnlyCandidate), strconv.Itoa(o.Repeat), mark(o.Failed),
 	}, separator)
+	if o.Suspected {
+		text += separator + mark(true)
+	}
+	return text
 }
 
 // DecodeOrder reads the text of the field.
 func DecodeOrder(text string) (Order, error) {
 	fields := strings.Split(text, separator)
-	if len(fields) != orderFields {
+	if len(fields) != orderFields && len(fields) != orderFields+1 {
 		return Order{}, eris.Errorf("%s has %d fields, want %d", Header, len(fields), orderFields)
 	}
 	reader := fieldReader{fields: fields[2:]}
@@ -82,6 +90,9 @@
 		Ordinary: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.mark(), OnlyCandidate: reader.mark(),
 		Repeat: reader.hundredths(), Failed: reader.mark(),
 	}
+	if len(fields) > orderFields {
+		order.Suspected = reader.mark()
+	}
 	return order, reader.err
 }
 
@@ -128,6 +139,10 @@
 	ReasonCrashed   Reason = "instance-crashed"
 	ReasonInvalid   Reason = "invalid-answer"
 	ReasonMalformed Reason = "malformed"
+	// ReasonCrashesInstances: requests of this content crash the instances that run them.
+	ReasonCrashesInstances Reason = "crashes-instances"
+	// ReasonTrial: another suspected request is tried at the instance.
+	ReasonTrial Reason = "trial"
 	// ReasonRepeats: the calls of a repeated run would go beyond the bound of repeats.
 	ReasonRepeats Reason = "repeat-bound"
 )
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -17,9 +17,11 @@
 		Remaining: 4 * time.Millisecond, Due: 5 * time.Millisecond, MaxWait: 6 * time.Millisecond,
 		Expected: 7 * time.Millisecond, Ordinary: 10 * time.Millisecond, Revision: 8, Repeatable: true, OnlyCandidate: true, Repeat: 11, Failed: true,
 	}
-	decoded, err := hop.DecodeOrder(order.Encode())
-	c.Assert(err, qt.IsNil)
-	c.Assert(decoded, qt.Equals, order)
+	for _, order.Suspected = range []bool{false, true} {
+		decoded, err := hop.DecodeOrder(order.Encode())
+		c.Assert(err, qt.IsNil)
+		c.Assert(decoded, qt.Equals, order)
+	}
 }
 
 // TestReportRoundTrip has another value in each field.
@@ -38,7 +40,7 @@
 // TestMalformedFields: what a node cannot read is an error, not a default.
 func TestMalformedFields(t *testing.T) {
 	for _, text := range []string{"", "a;b", "i;c;x;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;x;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;2;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;2;1;1",
-		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;101;1", "i;c;1;1;1;1;1;1;1;1;1;1;-1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1"} {
+		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;101;1", "i;c;1;1;1;1;1;1;1;1;1;1;-1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;2"} {
 		_, err := hop.DecodeOrder(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
--- a/internal/dataplane/inbound/ends.go
+++ b/internal/dataplane/inbound/ends.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/suspects"
 )
@@ -24,6 +25,8 @@
 // progressRun is one request that the instance worked on.
 type progressRun struct {
 	fingerprint suspects.Fingerprint
+	// trial says that it was sent under suspicion.
+	trial bool
 	// id, method and target are for logs.
 	id, method, target string
 	instance           string
@@ -107,19 +110,28 @@
 }
 
 // progressOf describes a request to the instance.
-func progressOf(request *message.Request, instance string) progressRun {
+func progressOf(request *message.Request, order hop.Order) progressRun {
 	return progressRun{
-		fingerprint: suspects.Of(request.Method, request.Host, request.Target, request.Body),
-		id:          request.ID, method: request.Method, target: request.Target, instance: instance,
+		fingerprint: contentOf(request), trial: order.Suspected,
+		id: request.ID, method: request.Method, target: request.Target, instance: order.Instance,
 	}
 }
 
+func contentOf(request *message.Request) suspects.Fingerprint {
+	return suspects.Of(request.Method, request.Host, request.Target, request.Body)
+}
+
 // maxLoggedRuns bounds the requests that the line about a crash names.
 const maxLoggedRuns = 32
 
-// crashed logs the crash of the instance with the requests that were in progress.
+// crashed notes the crash of the instance with the requests that were in progress, and logs it.
 func (p *Proxy) crashed(runs []progressRun) {
 	p.metrics.crashes.Inc()
+	running := make([]suspects.InProgress, len(runs))
+	for i, run := range runs {
+		running[i] = suspects.InProgress{Fingerprint: run.fingerprint, Trial: run.trial}
+	}
+	p.options.Suspects.Crashed(runs[0].instance, running)
 	named := make([]string, 0, min(len(runs), maxLoggedRuns))
 	for _, run := range runs[:min(len(runs), maxLoggedRuns)] {
 		named = append(named, run.id+" "+run.method+" "+run.target+" "+run.fingerprint.String())
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -22,6 +22,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // SnapshotSource gives the configuration in force.
@@ -50,6 +51,8 @@
 	// Budget bounds the repeats of what starts at this node, the calls of the instance too;
 	// nil: nothing bounds them.
 	Budget *budget.Accounts
+	// Suspects knows the requests that may crash instances; nil: they are known here alone.
+	Suspects *suspects.Ledger
 	// Mechanisms that are on.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -81,6 +84,7 @@
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
 	ends     *endWatch
+	trials   trials
 	origins  origins
 	active   atomic.Int64
 	lines    *boundedlog.Lines
@@ -92,6 +96,9 @@
 	if options.Budget == nil {
 		options.Budget = budget.New(budget.Options{Slack: math.MaxInt32, FirstStart: true})
 	}
+	if options.Suspects == nil {
+		options.Suspects = suspects.NewLedger()
+	}
 	if options.MaxRestOnce == 0 {
 		options.MaxRestOnce = defaultMaxRestOnce
 	}
@@ -106,6 +113,7 @@
 		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
 		lines: boundedlog.New(options.Logger),
 	}
+	created.trials = newTrials()
 	created.ends = &endWatch{isGone: created.instance.IsGone, crashed: created.crashed}
 	created.cold = newColdness(options)
 	created.queue = queue.NewPaced(options.Slots, created.cold.limit)
@@ -218,6 +226,19 @@
 	if reason := p.check(order); reason != hop.ReasonNone {
 		return p.refuse(reason, 0)
 	}
+	switch standing := p.standing(request); {
+	case standing == suspects.Guilty:
+		return p.refuse(hop.ReasonCrashesInstances, 0)
+	case standing == suspects.Suspected, order.Suspected:
+		order.Suspected = true
+		return p.deliverSuspect(ctx, request, order)
+	}
+	return p.deliverAdmitted(ctx, request, order)
+}
+
+// deliverAdmitted waits for a slot and sends the request.
+func (p *Proxy) deliverAdmitted(ctx context.Context, request *message.Request, order hop.Order) Delivery {
+	deadline := request.Arrived.Add(order.Remaining)
 	if order.Repeat >= hop.Certain && !p.options.Budget.Fits(againOf(order), time.Now()) {
 		return p.refuse(hop.ReasonRepeats, 0)
 	}
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -97,10 +97,10 @@
 	case failure.Progress == client.NotSent:
 		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
 	case errors.Is(err, context.DeadlineExceeded):
-		p.ends.givenUp(progressOf(request, order.Instance), time.Now())
+		p.ends.givenUp(progressOf(request, order), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonDeadline), Err: err}
 	case errors.Is(err, context.Canceled):
-		p.ends.givenUp(progressOf(request, order.Instance), time.Now())
+		p.ends.givenUp(progressOf(request, order), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonCancelled), Err: err}
 	case failure.Invalid:
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: err}
@@ -112,7 +112,7 @@
 // broken judges a send whose connection broke before the whole answer was there.
 func (p *Proxy) broken(err error, request *message.Request, order hop.Order) Delivery {
 	reason := hop.ReasonBroken
-	if p.ends.broken(progressOf(request, order.Instance)) {
+	if p.ends.broken(progressOf(request, order)) {
 		reason = hop.ReasonCrashed
 	}
 	return Delivery{Report: p.report(hop.Unknown, reason), Err: err}
@@ -124,6 +124,9 @@
 	answer := &message.Answer{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
 	body, whole, err := response.Hold()
+	if err == nil {
+		p.answered(request)
+	}
 	if err == nil && !whole {
 		answer.Body, answer.Stream = body, &stream{response: response, slot: slot, cancel: cancel}
 		return Delivery{Report: p.report(hop.Answered, hop.ReasonNone), Answer: answer}
--- /dev/null
+++ b/internal/dataplane/inbound/trial.go
@@ -0,0 +1,70 @@
+package inbound
+
+import (
+	"context"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/suspects"
+)
+
+// trials lets one suspected request at a time run on the instance: when it crashes, there is
+// one to blame. Without them, of the requests that are in progress at each crash of a request
+// that comes again and again, nothing tells victims from the one at fault.
+type trials struct{ free chan struct{} }
+
+func newTrials() trials {
+	created := trials{free: make(chan struct{}, 1)}
+	created.free <- struct{}{}
+	return created
+}
+
+// acquire waits for the end of the trial in progress, no longer than the patience.
+func (t trials) acquire(ctx context.Context, patience time.Duration) bool {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-t.free:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t trials) release() { t.free <- struct{}{} }
+
+// deliverSuspect brings a request to the instance that may have crashed one before.
+func (p *Proxy) deliverSuspect(ctx context.Context, request *message.Request, order hop.Order) Delivery {
+	if !p.trials.acquire(ctx, order.MaxWait) {
+		return p.refuse(hop.ReasonTrial, trialRetry)
+	}
+	defer p.trials.release()
+	switch p.standing(request) {
+	case suspects.Guilty:
+		return p.refuse(hop.ReasonCrashesInstances, 0)
+	case suspects.Clear: // what was tried before it was of the same content
+		order.Suspected = false
+	}
+	return p.deliverAdmitted(ctx, request, order)
+}
+
+// trialRetry is when a request is worth sending again that found another on trial.
+const trialRetry = 200 * time.Millisecond
+
+// standing judges a request by what this node knows.
+func (p *Proxy) standing(request *message.Request) suspects.Standing {
+	if p.options.Suspects.IsEmpty() {
+		return suspects.Clear
+	}
+	return p.options.Suspects.Judge(contentOf(request)).Standing
+}
+
+// answered clears the content of a request that the instance answered.
+func (p *Proxy) answered(request *message.Request) {
+	if !p.options.Suspects.IsEmpty() {
+		p.options.Suspects.Answered(contentOf(request))
+	}
+}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/returns"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 const (
@@ -68,6 +69,8 @@
 	wait   time.Duration
 	reason hop.Reason
 	last   string // the instance tried last
+	// suspicion is what is known of the content of the request.
+	suspicion suspicion
 	// report is the last one, lastSent when its send began.
 	report   hop.Report
 	lastSent time.Time
@@ -87,6 +90,9 @@
 	e.enter()
 	defer e.returnRepeat()
 	for e.tries < maxTries && e.fullTries < maxFullTries {
+		if e.judgeContent() == suspects.Guilty {
+			return e.refuseGuilty()
+		}
 		choice, found := e.pick()
 		if !found {
 			return e.refuse()
@@ -113,7 +119,7 @@
 		Target:    e.route.TargetLatency,
 		Waited:    time.Since(e.request.Arrived),
 		Bytes:     len(e.request.Body),
-		Instances: e.current.Instances(e.service),
+		Instances: e.candidates(),
 		Avoid:     func(name string) bool { return e.tried[name] },
 		Now:       time.Now(),
 	})
@@ -145,7 +151,10 @@
 		return e.judgeAnswer(sent)
 	case hop.Refused:
 		e.notRun(sent)
-		if e.ctx.Err() != nil || e.boundRefusals >= maxBoundRefusals {
+		switch {
+		case sent.report.Reason == hop.ReasonCrashesInstances:
+			return e.refuseGuilty(), true
+		case e.ctx.Err() != nil, e.boundRefusals >= maxBoundRefusals, e.staysOnTrial(sent.report.Reason):
 			return e.refuse(), true
 		}
 		return nil, false
@@ -158,6 +167,9 @@
 	default:
 		e.reached++
 		e.tried[e.last] = true
+		if sent.report.Reason == hop.ReasonCrashed {
+			e.suspicion.told = true
+		}
 		if e.route.MayRepeat(e.request.Method) && e.mayReachAgain() {
 			return nil, false
 		}
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -7,6 +7,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 const (
@@ -47,6 +48,7 @@
 		OnlyCandidate: !e.hasOther(choice.Instance.Name),
 		Repeat:        e.repeatShare(),
 		Failed:        e.lastArrival == repeats.AfterFailure,
+		Suspected:     e.suspicion.standing == suspects.Suspected,
 	}
 }
 
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -25,6 +25,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/returns"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // SnapshotSource gives the configuration in force.
@@ -57,7 +58,9 @@
 	Mechanisms mechanism.Set
 	// Budget bounds the repeats of what starts at this node.
 	Budget *budget.Accounts
-	Logger logrus.FieldLogger
+	// Suspects knows the requests that may crash instances; nil: none is known.
+	Suspects *suspects.Ledger
+	Logger   logrus.FieldLogger
 	// Registerer takes the metrics; nil for none.
 	Registerer prometheus.Registerer
 }
@@ -89,6 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.Suspects == nil {
+		options.Suspects = suspects.NewLedger()
+	}
 	stopped, stop := context.WithCancel(context.Background())
 	created := &Proxy{
 		stopped:  stopped,
--- a/internal/distribution/dispatch.go
+++ b/internal/distribution/dispatch.go
@@ -65,6 +65,8 @@
 		e.onRecordPull(l, m)
 	case *wire.Refusal:
 		e.onRefusal(l, m)
+	case *wire.Crashes:
+		e.onCrashes(l, m)
 	case *wire.Goodbye:
 		e.goodbye(l, m.Reason)
 	default:
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -56,6 +57,7 @@
 	reading readingState
 	members membersState
 	start   startState
+	crashes *suspects.Book
 }
 
 // NewEngine returns an engine that knows only itself.
@@ -78,6 +80,7 @@
 		outbox:  newOutbox(),
 		overlay: newOverlay(),
 		push:    newPushState(),
+		crashes: suspects.NewBook(),
 	}
 }
 
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -249,6 +249,7 @@
 		e.pullRecords(l)
 	}
 	e.sendRefusal(l)
+	e.sendCrashes(l)
 	e.overlayChanged()
 }
 
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/source"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 const (
@@ -55,6 +56,9 @@
 	// ServeClaims, if set, serves an incoming connection of wire.PurposeClaim until
 	// the stream ends; nil refuses such connections.
 	ServeClaims func(stream *ClaimStream)
+	// CrashesLearned, if set, takes records of crashed instances that came from other nodes.
+	// It must not block.
+	CrashesLearned func(crashes []suspects.Crash)
 	// Generation tells the local generation for Status; nil: none.
 	Generation func() uint64
 }
@@ -148,6 +152,15 @@
 	}
 }
 
+// TellCrashes tells the other nodes of crashes of instances. It has no effect once Run has
+// ended.
+func (n *Node) TellCrashes(crashes []suspects.Crash) {
+	select {
+	case n.events <- CrashesFound{Crashes: crashes}:
+	case <-n.done:
+	}
+}
+
 // Run links the node with its peers until ctx ends. It then publishes that the
 // instance is gone, closes the links with Goodbye and returns nil.
 func (n *Node) Run(ctx context.Context) error {
@@ -253,6 +266,10 @@
 		case FleetChanged:
 			n.view.Store(action.View)
 			n.options.Adopter.FleetChanged(action.View)
+		case CrashesLearned:
+			if n.options.CrashesLearned != nil {
+				n.options.CrashesLearned(action.Crashes)
+			}
 		case Log:
 			n.log(action)
 		}
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // maxSpins is how often a participant may ask to be woken at once in a row.
@@ -127,6 +129,17 @@
 	f.processes[name].handle(distribution.SelfState{State: state})
 }
 
+// TellCrashes has a machine find crashes of its instance.
+func (f *Fleet) TellCrashes(name membership.NodeID, crashes ...suspects.Crash) {
+	f.processes[name].handle(distribution.CrashesFound{Crashes: crashes})
+}
+
+// KnowsCrash reports whether a machine's process runs and holds the record of a crash.
+func (f *Fleet) KnowsCrash(name membership.NodeID, id suspects.CrashID) bool {
+	p := f.processes[name]
+	return p.alive && slices.ContainsFunc(p.engine.Crashes(), func(crash suspects.Crash) bool { return crash.ID == id })
+}
+
 // SetSlow makes a machine stop, or go on, taking what peers send to it.
 func (f *Fleet) SetSlow(name membership.NodeID, slow bool) {
 	f.processes[name].slow = slow
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -207,8 +207,8 @@
 	}
 }
 
-// crash ends the instance as a process that dies: nothing is answered any more.
-func (i *Instance) crash() {
+// Crash ends the instance as a process that dies: nothing is answered any more.
+func (i *Instance) Crash() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.down {
@@ -339,7 +339,7 @@
 	cancelled := i.work(conn, reader, id, fault == Hangs)
 	i.end(run, cancelled)
 	if fault == Crashes && !cancelled {
-		i.crash()
+		i.Crash()
 		return false
 	}
 	if i.Judge != nil && !cancelled {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // encodeBufferBytes holds most messages without growing.
@@ -20,6 +21,8 @@
 	minResourceBytes    = 3
 	minKeyBytes         = 2
 	digestBytes         = 8
+	minCrashBytes       = 11
+	crashRequestBytes   = suspects.FingerprintBytes + 2
 )
 
 // Encode returns a whole frame, ready to be written to many links.
@@ -98,6 +101,8 @@
 		e.small(uint8(m.Verdict))
 		e.claimHolder(m.Holder)
 		e.boolean(m.Running)
+	case *Crashes:
+		encodeArray(e, m.Crashes, e.crash)
 	default:
 		return false
 	}
@@ -185,6 +190,8 @@
 			Holder:  d.claimHolder(),
 			Running: d.boolean(),
 		}
+	case TypeCrashes:
+		return &Crashes{Crashes: decodeArray(d, minCrashBytes, d.crash)}
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/wire/crash.go
@@ -0,0 +1,48 @@
+package wire
+
+import "github.com/winchhead/winchhead/internal/suspects"
+
+// Crashes carries records of crashed instances that are new to the receiver, or that changed.
+type Crashes struct{ Crashes []Crash }
+
+// Crash is a suspects.Crash whose time is told as an age, as the clocks of nodes differ.
+type Crash struct {
+	ID       suspects.CrashID
+	Instance string
+	// Age is in milliseconds.
+	Age      int64
+	Requests []suspects.Request
+}
+
+// Type returns TypeCrashes.
+func (*Crashes) Type() Type { return TypeCrashes }
+
+func (e encoder) crash(crash Crash) {
+	e.fixed64(uint64(crash.ID))
+	e.text(crash.Instance)
+	e.long(crash.Age)
+	encodeArray(e, crash.Requests, e.crashRequest)
+}
+
+func (e encoder) crashRequest(request suspects.Request) {
+	e.fixed(request.Fingerprint[:])
+	e.boolean(request.Tried)
+	e.boolean(request.Cleared)
+}
+
+func (d decoder) crash() Crash {
+	return Crash{
+		ID:       suspects.CrashID(d.fixed64()),
+		Instance: d.text(),
+		Age:      d.long(),
+		Requests: decodeArray(d, crashRequestBytes, d.crashRequest),
+	}
+}
+
+func (d decoder) crashRequest() suspects.Request {
+	var request suspects.Request
+	d.Read(request.Fingerprint[:])
+	request.Tried = d.boolean()
+	request.Cleared = d.boolean()
+	return request
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -34,6 +34,7 @@
 	TypeGoodbye       Type = 12
 	TypeClaimRequest  Type = 13
 	TypeClaimReply    Type = 14
+	TypeCrashes       Type = 15
 )
 
 // Message is one of the types below.
--- a/internal/wire/type_name.go
+++ b/internal/wire/type_name.go
@@ -16,6 +16,7 @@
 	TypeGoodbye:       "goodbye",
 	TypeClaimRequest:  "claim_request",
 	TypeClaimReply:    "claim_reply",
+	TypeCrashes:       "crashes",
 }
 
 // String returns the name of the type in lower case.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/wire"
 )
 
@@ -63,7 +64,7 @@
 		return wire.ClaimHolder{Node: node.Draw(t, "node"), Incarnation: incarnation.Draw(t, "i"), Number: number.Draw(t, "claim")}
 	})
 	return rapid.Custom(func(t *rapid.T) wire.Message {
-		switch wire.Type(rapid.IntRange(1, 14).Draw(t, "type")) {
+		switch wire.Type(rapid.IntRange(1, int(wire.TypeCrashes)).Draw(t, "type")) {
 		case wire.TypeHello:
 			return &wire.Hello{Protocol: int(positive.Draw(t, "p")), Self: record.Draw(t, "self"),
 				Held: short.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
@@ -115,6 +116,16 @@
 		case wire.TypeClaimReply:
 			return &wire.ClaimReply{Number: number.Draw(t, "number"), Verdict: wire.ClaimVerdict(small.Draw(t, "verdict")),
 				Holder: holder.Draw(t, "holder"), Running: rapid.Bool().Draw(t, "running")}
+		case wire.TypeCrashes:
+			request := rapid.Custom(func(t *rapid.T) suspects.Request {
+				return suspects.Request{Fingerprint: suspects.Fingerprint(rapid.SliceOfN(rapid.Byte(), suspects.FingerprintBytes, suspects.FingerprintBytes).Draw(t, "fingerprint")),
+					Tried: rapid.Bool().Draw(t, "tried"), Cleared: rapid.Bool().Draw(t, "cleared")}
+			})
+			crash := rapid.Custom(func(t *rapid.T) wire.Crash {
+				return wire.Crash{ID: suspects.CrashID(number.Draw(t, "id")), Instance: text.Draw(t, "instance"),
+					Age: anyNumber.Draw(t, "age"), Requests: orNil(request).Draw(t, "requests")}
+			})
+			return &wire.Crashes{Crashes: orNil(crash).Draw(t, "crashes")}
 		default:
 			return &wire.StatusRequest{}
 		}
@@ -255,6 +266,7 @@
 			Listed: []wire.ListedEntry{{Order: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
 		&wire.ClaimRequest{Holder: wire.ClaimHolder{Node: "a", Number: 2}, Hold: 1000}, &wire.ClaimReply{Holder: wire.ClaimHolder{Node: "b"}},
+		&wire.Crashes{Crashes: []wire.Crash{{ID: 1, Instance: "i", Age: 5, Requests: []suspects.Request{{Tried: true}}}}},
 	}
 	for _, message := range seeds {
 		frame, err := wire.Encode(message)
