Entries of other writers name no instance; an instance's life is its name and its start

Two faults of what is read from the store, each with a test that failed first.

Entries: an unreadable one over an instance's key left the instance in use ("the last good entry stays" is right for the configuration and wrong here), and one without a service, of a service or in a state that is not named took a living instance's address. Now such an entry counts as gone, one line a key and revision and a counter.

Where entries name the start (born), it and the name are the life, and what is held belongs to one: cold phase, "is another instance", the balancer's state with requests in progress, who holds the address. Without born all stays as it was.

Tests changed, with the reason: TestUnknownWords and two more said that an instance in a state that is not known counts as leaving, and TestBadEntriesKeepTheLastGood that an instance whose entry cannot be read stays. The users now say that such an entry names no instance to use; the tests assert that.

Not done: a late write of a former life over a newer entry is taken as it stands in the store. Readers must agree on the content at a revision, and one that lists sees that write only.

--- a/internal/app/store_test.go
+++ b/internal/app/store_test.go
@@ -262,7 +262,7 @@
 	r.c.Check(r.machines[1].instance.Rejections(), qt.Equals, rejected)
 }
 
-// TestStoreBadEntries: an entry that cannot come into force changes nothing, and
+// TestStoreBadEntries: an entry that cannot be used changes nothing for others, and
 // what comes after it is followed.
 func TestStoreBadEntries(t *testing.T) {
 	rows := map[string]struct{ key, value string }{
--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -115,6 +115,9 @@
 
 	balancer *Balancer
 	route    string
+	// counted is where the request counts as in progress: what becomes of it says nothing of
+	// a later life of the instance.
+	counted *state
 }
 
 // Pick chooses an instance, or none when there is none left.
@@ -137,7 +140,7 @@
 	chosen.usedAt = request.Now
 	return Choice{
 		Instance: best.instance, Expected: best.expected, Service: best.service, Ordinary: b.timingOf(request.Route).mean,
-		balancer: b, route: request.Route,
+		balancer: b, route: request.Route, counted: chosen,
 		Local: b.isLocal(&best.instance),
 	}, true
 }
@@ -240,18 +243,12 @@
 
 // stateOf is what is known of an instance, with what its entry says now.
 func (b *Balancer) stateOf(instance *snapshot.Instance, now time.Time) *state {
-	known := b.stateAt(instance.Name, now)
-	known.cold.Follow(instance.Name, time.Duration(instance.WarmUpMillis)*time.Millisecond, now)
-	return known
-}
-
-// stateAt is stateOf for those whose entry of the instance may be out of date.
-func (b *Balancer) stateAt(name string, now time.Time) *state {
-	known := b.instances[name]
-	if known == nil {
-		known = &state{speed: 1, usedAt: now}
-		b.instances[name] = known
+	known := b.instances[instance.Name]
+	if known == nil || known.born < instance.Born {
+		known = &state{speed: 1, usedAt: now, born: instance.Born}
+		b.instances[instance.Name] = known
 	}
+	known.cold.Follow(*instance, now)
 	return known
 }
 
@@ -293,7 +290,7 @@
 	b := c.balancer
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	known := b.stateAt(c.Instance.Name, now)
+	known := c.counted
 	known.outstanding = max(known.outstanding-1, 0)
 	if report != nil {
 		known.heardAt = now
--- a/internal/dataplane/balance/state.go
+++ b/internal/dataplane/balance/state.go
@@ -31,6 +31,8 @@
 
 // state is what is known of one instance.
 type state struct {
+	// born tells the life of the instance that all of this is about.
+	born        int64
 	outstanding int
 	// reported is the load of the last report, reportedWith what this node had in
 	// progress then.
--- a/internal/dataplane/coldstart/limit_test.go
+++ b/internal/dataplane/coldstart/limit_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
+	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -85,15 +86,18 @@
 func TestPhaseFollowsTheEntry(t *testing.T) {
 	c := qt.New(t)
 	var phase coldstart.Phase
-	phase.Follow("i-1", 3*time.Second, epoch)
-	phase.Follow("i-1", 3*time.Second, epoch.Add(2*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 3000}, epoch)
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 3000}, epoch.Add(2*time.Second))
 	c.Check(phase.Until(), qt.Equals, epoch.Add(3*time.Second))
-	phase.Follow("i-1", 5*time.Second, epoch.Add(2*time.Second)) // cold for longer than was said
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 5000}, epoch.Add(2*time.Second)) // cold for longer than was said
 	c.Check(phase.Until(), qt.Equals, epoch.Add(7*time.Second))
-	phase.Follow("i-1", 0, epoch.Add(4*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-1"}, epoch.Add(4*time.Second))
 	c.Check(phase.Until(), qt.Equals, time.Time{})
 	phase.Presume(time.Second, epoch.Add(5*time.Second))
 	c.Check(phase.Until(), qt.Equals, epoch.Add(6*time.Second))
-	phase.Follow("i-2", 0, epoch.Add(5*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-2"}, epoch.Add(5*time.Second))
 	c.Check(phase.Until(), qt.Equals, time.Time{})
+	phase.Follow(snapshot.Instance{Name: "i-2", Born: 1, WarmUpMillis: 3000}, epoch.Add(6*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-2", Born: 2, WarmUpMillis: 3000}, epoch.Add(20*time.Second)) // it started again
+	c.Check(phase.Until(), qt.Equals, epoch.Add(23*time.Second))
 }
--- a/internal/dataplane/coldstart/phase.go
+++ b/internal/dataplane/coldstart/phase.go
@@ -1,21 +1,26 @@
 package coldstart
 
-import "time"
+import (
+	"time"
+
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
 
 // Phase tells until when an instance is cold, by what its list entry says. An entry
 // names the time that is left; it counts from the moment at which it was first seen,
 // which is a little later than it was written and so on the safe side.
 type Phase struct {
-	name   string
+	life   snapshot.Life
 	listed time.Duration
 	until  time.Time
 }
 
-// Follow takes over what the entry of an instance says now. Another name is another
-// instance at the same place.
-func (p *Phase) Follow(name string, remaining time.Duration, now time.Time) {
-	if name != p.name || remaining != p.listed {
-		p.name, p.listed, p.until = name, remaining, endOf(remaining, now)
+// Follow takes over what the entry of an instance says now. Another life is another process
+// at the same place, cold anew even if its entry reads like that of the former one.
+func (p *Phase) Follow(instance snapshot.Instance, now time.Time) {
+	remaining := time.Duration(instance.WarmUpMillis) * time.Millisecond
+	if life := instance.Life(); life != p.life || remaining != p.listed {
+		p.life, p.listed, p.until = life, remaining, endOf(remaining, now)
 	}
 }
 
--- a/internal/dataplane/inbound/check.go
+++ b/internal/dataplane/inbound/check.go
@@ -25,7 +25,7 @@
 		return hop.ReasonNone // the sender knows more; the instance itself checks its name
 	case !listed, instance.State == snapshot.InstanceDraining:
 		return hop.ReasonDraining
-	case instance.Address != p.options.Backend, !current.HoldsAddress(order.Instance), p.ended.has(order.Instance):
+	case instance.Address != p.options.Backend, !current.HoldsAddress(order.Instance), p.ended.has(instance.Life()):
 		return hop.ReasonWrongInstance
 	}
 	p.follow(instance.Slots)
--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -65,7 +65,7 @@
 	}
 	c.version = current.Version()
 	if instance, listed := current.InstanceAt(c.backend); listed {
-		c.phase.Follow(instance.Name, time.Duration(instance.WarmUpMillis)*time.Millisecond, now)
+		c.phase.Follow(instance, now)
 	}
 	service, _ := current.Service(c.service)
 	if returns := current.ZoneReturns(c.zone); returns != c.returns {
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -13,6 +13,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
 // send sends the request to the instance and judges its answer.
@@ -31,7 +32,7 @@
 		cancel()
 		slot.Release(false)
 		if reason == hop.ReasonWrongInstance {
-			p.ended.add(order.Instance)
+			p.ended.add(p.lifeOf(order.Instance))
 		}
 		return Delivery{Report: p.report(hop.Rejected, reason)}
 	}
@@ -44,6 +45,16 @@
 	return p.passOn(response, request, order, started, slot, cancel)
 }
 
+// lifeOf returns the life of an instance that is listed now.
+func (p *Proxy) lifeOf(name string) snapshot.Life {
+	if current := p.options.Snapshots.Current(); current != nil {
+		if instance, listed := current.Instance(name); listed {
+			return instance.Life()
+		}
+	}
+	return snapshot.Life{Name: name}
+}
+
 var errNoStamp = errors.New("the answer does not bear the instance's mark")
 
 // outgoing is the request as the instance gets it.
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -107,7 +107,7 @@
 // all, is this process's own time: it does not count as silence of the store.
 func (m *Mirror) take(ctx context.Context, next *state, items []Item) {
 	defer source.Pause(ctx)()
-	next.apply(items, m.options)
+	next.apply(items, m.options, m.faults)
 }
 
 func (m *Mirror) listPage(ctx context.Context, after string) (Page, source.Outcome) {
@@ -152,7 +152,7 @@
 	if events.At <= m.state.at {
 		return
 	}
-	if m.state.apply(events.Items, m.options) {
+	if m.state.apply(events.Items, m.options, m.faults) {
 		m.state.documentAt = events.At
 		m.show(m.readAt)
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,7 +54,8 @@
 	Configuration *Configuration
 	Instance      *snapshot.Instance
 	Evacuation    *snapshot.Evacuation
-	// Fault says why the entry cannot be read. What was read before stays.
+	// Fault says why the entry cannot be used. Of a configuration, what was read before stays;
+	// an entry of an instance then names none.
 	Fault error
 	// Unknown are the words of the entry that the adapter does not know and gave
 	// their careful meaning.
@@ -114,6 +115,7 @@
 type Mirror struct {
 	options Options
 	unknown *unknownWords
+	faults  *faultReports
 
 	reading chan struct{} // holds a token while the store is read
 	// behind is set after a watch that broke off in its answer or would have brought a backlog;
@@ -148,7 +150,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Mirror{options: options, unknown: unknown, reading: make(chan struct{}, 1), changed: make(chan struct{})}, nil
+	faults, err := newFaultReports(options.Registerer, options.Logger)
+	if err != nil {
+		return nil, err
+	}
+	return &Mirror{options: options, unknown: unknown, faults: faults, reading: make(chan struct{}, 1), changed: make(chan struct{})}, nil
 }
 
 // AwaitRevision returns once the store is above the revision, the wait is over
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -181,13 +181,18 @@
 	c.Assert(instances[0].State, qt.Equals, snapshot.InstanceDraining)
 }
 
-// TestBadEntriesKeepTheLastGood: one entry that cannot be read changes nothing.
-func TestBadEntriesKeepTheLastGood(t *testing.T) {
-	rows := map[string]struct{ key, value string }{
-		"configuration cut short": {"op/config", `{"version":8,"serv`},
-		"no routes":               {"op/config", `{"version":8,"virtualHosts":[{"host":"h","paths":[]}]}`},
-		"instance not JSON":       {"servers/i-1", `nonsense`},
-		"instance at no address":  {"servers/i-1", `{"address":"nowhere","info":{"service":"a"},"status":{"state":"ready"}}`},
+// TestBadEntries: a configuration that cannot be used changes nothing. An entry of an instance
+// that cannot be used comes from another writer and names no instance: the one before is gone.
+func TestBadEntries(t *testing.T) {
+	both, oneGone := []string{"i-1", "i-2"}, []string{"i-2"}
+	rows := map[string]struct {
+		key, value string
+		left       []string
+	}{
+		"configuration cut short": {"op/config", `{"version":8,"serv`, both},
+		"no routes":               {"op/config", `{"version":8,"virtualHosts":[{"host":"h","paths":[]}]}`, both},
+		"instance not JSON":       {"servers/i-1", `nonsense`, oneGone},
+		"instance at no address":  {"servers/i-1", `{"address":"nowhere","info":{"service":"a","zone":"z"},"status":{"state":"ready"}}`, oneGone},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
@@ -203,13 +208,18 @@
 				second = r.follow(c, second.Version().Revision)
 			}
 			c.Assert(snapshot.SameRouting(first, second), qt.IsTrue)
-			c.Assert(second.Content().Instances, qt.HasLen, 2)
+			var left []string
+			for _, instance := range second.Content().Instances {
+				left = append(left, instance.Name)
+			}
+			c.Assert(left, qt.DeepEquals, row.left)
 		})
 	}
 }
 
-// TestUnknownWords: a word that the adapter does not know is read carefully, logged
-// once for its key, and does not keep out what stands beside it.
+// TestUnknownWords: a kind of request that the adapter does not know is read carefully, logged
+// once for its key, and does not keep out what stands beside it. An instance in a state that
+// is not known is none to use; that is logged once for its key and revision.
 func TestUnknownWords(t *testing.T) {
 	c := qt.New(t)
 	emulated := store.New()
@@ -232,7 +242,7 @@
 	second := r.follow(c, first.Version().Revision)
 	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "asleep"))
 	content := r.follow(c, second.Version().Revision).Content()
-	c.Check(content.Instances[0].State, qt.Equals, snapshot.InstanceDraining)
+	c.Check(content.Instances, qt.HasLen, 0)
 	c.Assert(content.Routes, qt.HasLen, 2)
 	c.Check(content.Routes[0].Repeatable, qt.IsFalse)
 	c.Check(content.Routes[0].MaxAttempts, qt.Equals, 1)
@@ -245,14 +255,17 @@
 			warnings = append(warnings, entry)
 		}
 	}
-	c.Assert(warnings, qt.HasLen, 2)
+	c.Assert(warnings, qt.HasLen, 3)
 	c.Check(warnings[0].Data["key"], qt.Equals, "op/config")
 	c.Check(warnings[0].Data["revision"], qt.Equals, uint64(1))
 	c.Check(warnings[1].Data["word"], qt.Equals, "asleep")
+	c.Check(warnings[2].Level, qt.Equals, logrus.ErrorLevel)
+	c.Check(warnings[2].Data["key"], qt.Equals, "servers/i-1")
 	families, err := registry.Gather()
 	c.Assert(err, qt.IsNil)
-	c.Assert(families, qt.HasLen, 1)
+	c.Assert(families, qt.HasLen, 2)
 	c.Check(families[0].Metric, qt.HasLen, 2) // the fields kind and state
+	c.Check(families[1].Metric[0].Counter.GetValue(), qt.Equals, 1.0)
 }
 
 // TestFaultsOfTheStore: a read that fails says so, and the next one goes on.
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -44,16 +44,17 @@
 
 func (s *state) empty() bool { return s.at == 0 }
 
-// apply takes items over and reports whether anything changed. An item that
-// cannot be read is logged, and what was read before stays.
-func (s *state) apply(items []Item, options Options) (changed bool) {
+// apply takes items over and reports whether anything changed. Of a configuration that cannot
+// be used the last good one stays. An entry of an instance that cannot be used names none:
+// what was there before is gone.
+func (s *state) apply(items []Item, options Options, faults *faultReports) (changed bool) {
 	checked := checkItems(items, options)
 	for i, item := range items {
 		switch {
 		case item.Kind == KindOther, checked[i].replaced:
 		case checked[i].fault != nil:
-			options.Logger.WithField("key", item.Key).WithField("revision", item.Revision).
-				WithError(checked[i].fault).Error("an entry of the store cannot be read, the last good one stays")
+			faults.report(item, checked[i].fault)
+			changed = s.dropInstance(item) || changed
 		default:
 			s.applyOne(item)
 			changed = true
@@ -127,6 +128,16 @@
 	}
 }
 
+// dropInstance removes an instance whose entry cannot be used, and reports whether there was
+// one.
+func (s *state) dropInstance(item Item) bool {
+	if _, held := s.instances[item.Key]; !held || item.Kind != KindInstance {
+		return false
+	}
+	delete(s.instances, item.Key)
+	return true
+}
+
 func (s *state) applyOne(item Item) {
 	switch {
 	case item.Kind == KindConfiguration && item.Configuration != nil:
@@ -183,10 +194,18 @@
 	return slices.Collect(maps.Values(s.evacuations))
 }
 
+// listedInstances are those of the services that the configuration names, if it names any: an
+// entry of another service must not take the address of an instance that lives.
 func (s *state) listedInstances() []snapshot.Instance {
+	named := make(map[string]bool, len(s.configuration.Services))
+	for _, service := range s.configuration.Services {
+		named[service.Name] = true
+	}
 	listed := make([]snapshot.Instance, 0, len(s.instances))
 	for _, instance := range s.instances {
-		listed = append(listed, instance)
+		if len(named) == 0 || named[instance.Service] {
+			listed = append(listed, instance)
+		}
 	}
 	return listed
 }
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -9,7 +9,7 @@
 // instances stay the same.
 type fleet struct {
 	byService map[string][]Instance
-	byAddress map[string]Instance // the one created last
+	byAddress map[string]Instance // the last one there
 	byName    map[string]Instance
 	limits    *CallerLimits
 	evacuated map[string]bool // by zone
@@ -31,7 +31,7 @@
 	}
 	instances := built.withEvacuated(content.Instances)
 	for _, instance := range instances {
-		if holder, taken := built.byAddress[instance.Address]; !taken || holder.Created < instance.Created {
+		if holder, taken := built.byAddress[instance.Address]; !taken || instance.follows(holder) {
 			built.byAddress[instance.Address] = instance
 		}
 	}
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -41,10 +41,10 @@
 	InstanceEvacuated Lifecycle = "evacuated"
 )
 
-// Instance is one process that runs requests, as the source lists it. A restarted
-// process is another instance with another name.
+// Instance is one process that runs requests, as the source lists it. A restarted process
+// has another name, or the same one and another Born.
 type Instance struct {
-	// Name is unique among all instances that ever were.
+	// Name and Born together are unique among all instances that ever were.
 	Name    string `json:"name"`
 	Service string `json:"service"`
 	// Address is where the instance takes requests of the node beside it (IP:port).
@@ -57,6 +57,29 @@
 	Created Revision `json:"created,omitempty"`
 	// WarmUpMillis is how long the instance stays slow from its entry on.
 	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
+	// Born is when the process started, in Unix milliseconds; zero where the source does not
+	// tell, as names are not used again there.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Life is one process under the name of an instance. What is known of an instance holds for
+// one life of it: the next one knows nothing of before.
+type Life struct {
+	Name string
+	Born int64
+}
+
+// Life returns that of the instance.
+func (i Instance) Life() Life { return Life{Name: i.Name, Born: i.Born} }
+
+// follows reports whether the instance has its address after another one had it. Starts are
+// compared where both are known: an instance that starts again keeps the revision at which it
+// was first listed.
+func (i Instance) follows(other Instance) bool {
+	if i.Born > 0 && other.Born > 0 && i.Born != other.Born {
+		return i.Born > other.Born
+	}
+	return i.Created > other.Created
 }
 
 // Evacuation says that the instances of a zone get no requests until it is taken
