The soak has requests that crash instances, which start again under their names

--crash-rate N: two contents, one that may be repeated and one that may run once, from all machines beside all other faults. Judged: at most three arrivals at machines in touch later than contact after the third crash, and no other request refused as if it crashed instances.

--- a/internal/bench/command/store_soak.go
+++ b/internal/bench/command/store_soak.go
@@ -26,6 +26,7 @@
 	Busy     int     `long:"busy" description:"processes that use processors beside the fleet"`
 	Faults   int     `long:"faults" default:"20" description:"faults of each soak"`
 	Rate     float64 `long:"rate" default:"150" description:"calls per second"`
+	Crash    float64 `long:"crash-rate" description:"calls per second that crash the instances which run them; these start again under their names"`
 	Again    bool    `long:"regressions" description:"play the soaks that once broke a promise, as they were played"`
 	JSON     bool    `long:"json" description:"print the reports as JSON"`
 	Chart    string  `long:"report" value-name:"FILE" description:"draw how long changes took and what was served, over time (.png, .svg, .pdf)"`
@@ -81,7 +82,7 @@
 	for i := range c.Seeds {
 		soaks = append(soaks, storesoak.Options{
 			Seed: c.Seed + uint64(i), Machines: c.Machines, Zones: c.Zones, Routes: c.Routes, SlowestLink: c.Link,
-			Busy: c.Busy, Faults: c.Faults, Rate: c.Rate,
+			Busy: c.Busy, Faults: c.Faults, Rate: c.Rate, CrashRate: c.Crash,
 		})
 	}
 	return soaks
@@ -113,10 +114,10 @@
 		return printJSON(c.stdout, reports)
 	}
 	table := newTable(c.stdout, "SEED", "SECONDS", "FAULTS", "CHANGES", "SENT", "SERVED", "REFUSED", "FAILED",
-		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "IN FORCE P50", "P99", "MAX", "REPEATS")
+		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "CRASHES", "AFTER THIRD", "SHUT OUT", "IN FORCE P50", "P99", "MAX", "REPEATS")
 	for _, r := range reports {
 		table.row(r.Seed, fmt.Sprintf("%.0f", r.Seconds), r.Faults, r.Changes, r.Sent, r.Served, r.Refused, r.Failed,
-			r.Doubled, r.RanRefused, r.Wrong, r.Untold, r.Unasked, r.WentBack, r.Lost, r.LateAnswers, r.LateChanges, r.Invalid, r.FellOver,
+			r.Doubled, r.RanRefused, r.Wrong, r.Untold, r.Unasked, r.WentBack, r.Lost, r.LateAnswers, r.LateChanges, r.Invalid, r.FellOver, r.Crashes, r.AfterThirdCrash, r.ShutOut,
 			fmt.Sprintf("%.3f", r.InForce.P50), fmt.Sprintf("%.3f", r.InForce.P99), fmt.Sprintf("%.3f", r.InForce.Max), fmt.Sprintf("%.2f", r.Repeats))
 	}
 	table.flush()
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -72,6 +72,8 @@
 	mutex    sync.Mutex
 	instance *instance.Instance
 	former   []*instance.Instance
+	// born is when the instance started last.
+	born time.Time
 }
 
 // startFleet starts everything and returns once all nodes are ready.
@@ -162,6 +164,7 @@
 		Name: fmt.Sprintf("i-%d-%d", m.number, len(m.former)), Address: application, Work: f.work,
 	}
 	f.inner.attach(created, m, f.work)
+	f.crashable(created, m)
 	if _, err := created.Start(); err != nil {
 		return eris.Wrap(err, "start an instance")
 	}
@@ -170,6 +173,7 @@
 		created.Name = fmt.Sprintf("i-%d-%d", m.number, len(m.former))
 	}
 	m.instance = created
+	m.born = time.Now()
 	if coldFor > 0 {
 		created.SetMostPerSecond(coldMost)
 		time.AfterFunc(coldFor, func() { created.SetMostPerSecond(0) })
@@ -184,6 +188,7 @@
 // listFor is list for an instance that stays cold for so long.
 func (f *fleet) listFor(m *machine, state string, coldFor time.Duration) {
 	f.store.PutJSON(store.KeyInstances+m.instance.Name, store.Entry{
+		Born:    m.born.UnixMilli(),
 		Address: m.instance.Address,
 		Info:    store.EntryInfo{Service: m.service, Zone: m.zone, Slots: instanceSlots},
 		Status:  store.EntryStatus{State: state, Sequence: 1, ColdRemainingMs: coldFor.Milliseconds()},
--- a/internal/bench/storesoak/judge.go
+++ b/internal/bench/storesoak/judge.go
@@ -41,6 +41,12 @@
 	Lost int `json:"lost"`
 	// FellOver are instances that got more than they bore while they were cold.
 	FellOver int `json:"fell_over"`
+	// Crashes counts the crashes under requests that crash the instances which run them,
+	// AfterThirdCrash what reached instances later than allowed after the third, at most of
+	// one content; ShutOut the others that were refused as if they did.
+	Crashes         int `json:"crashes"`
+	AfterThirdCrash int `json:"after_third_crash"`
+	ShutOut         int `json:"shut_out"`
 	// LateAnswers and LateChanges broke a time bound, with nothing wrong around.
 	LateAnswers int `json:"late_answers"`
 	LateChanges int `json:"late_changes"`
@@ -116,6 +122,7 @@
 	s.judgeChanges(calls, runs)
 	s.judgeRecovery(calls)
 	s.judgeCold()
+	s.judgeCrashes(calls, runs)
 	s.report.ServedShare = servedShares(calls)
 	s.judgeRepeats(calls)
 }
@@ -274,7 +281,7 @@
 		if c.sent.Before(s.history.calmFrom.Add(finalCalm / 2)) {
 			continue
 		}
-		if c.kind == kindProbe && c.status == http.StatusNotFound {
+		if c.crashes() || c.kind == kindProbe && c.status == http.StatusNotFound {
 			continue // its route may have been removed, which judgeChanges knows
 		}
 		sent++
--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -8,6 +8,8 @@
 	SlowestLink             float64
 	Busy, Faults            int
 	Rate                    float64
+	// CrashRate is that of Options.
+	CrashRate float64
 	// Kinds is how many kinds of faults there were then.
 	Kinds int
 	// Cause is what was wrong, in one line.
@@ -18,7 +20,7 @@
 func (r Regression) Options() Options {
 	return Options{
 		Seed: r.Seed, Machines: r.Machines, Zones: r.Zones, Routes: r.Routes, SlowestLink: r.SlowestLink, Busy: r.Busy,
-		Faults: r.Faults, Rate: r.Rate, Kinds: r.Kinds,
+		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, Kinds: r.Kinds,
 	}
 }
 
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -33,6 +33,8 @@
 	Faults int
 	// Rate is the calls a second.
 	Rate float64
+	// CrashRate is how many calls a second crash the instances that run them; zero: none.
+	CrashRate float64
 	// Progress takes one line a fault, Logs what the nodes log; nil drops them.
 	Progress, Logs io.Writer
 	// Kinds is how many kinds of faults are drawn from; zero: all. Later kinds come behind
@@ -114,7 +116,18 @@
 		s.callers.run(calling, s.options.Rate)
 	}()
 	began := time.Now()
+	crashing, stopCrashing := context.WithCancel(calling)
+	defer stopCrashing()
+	crashed := make(chan struct{})
+	go func() {
+		defer close(crashed)
+		if s.options.CrashRate > 0 {
+			s.callers.runCrashing(crashing, s.options.CrashRate, s.options.Seed)
+		}
+	}()
 	err := s.disturb(ctx)
+	stopCrashing()
+	<-crashed
 	if err == nil {
 		s.history.calmFrom = time.Now()
 		err = wait.For(ctx, finalCalm)
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -22,6 +22,8 @@
 		Seed: 1, Machines: storesoak.LeastMachines, Zones: 2, Routes: 20, Faults: 3, Rate: 60, Cause: "a short soak",
 	}, {
 		Seed: 2, Machines: 12, Zones: 3, Routes: 1000, SlowestLink: 10, Faults: 8, Rate: 60, Cause: "large documents on slow links",
+	}, {
+		Seed: 3, Machines: 12, Zones: 3, Routes: 20, Faults: 5, Rate: 60, CrashRate: 6, Cause: "requests that crash instances",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.LeastMachines { // the command plays the larger ones
@@ -46,6 +48,9 @@
 			c.Check(report.Invalid, qt.Equals, 0)
 			c.Check(report.FellOver, qt.Equals, 0)
 			c.Check(report.Repeats <= 1, qt.IsTrue)
+			c.Check(report.Crashes > 0, qt.Equals, each.CrashRate > 0)
+			c.Check(report.AfterThirdCrash <= 3, qt.IsTrue)
+			c.Check(report.ShutOut, qt.Equals, 0)
 		})
 	}
 }
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -98,14 +98,21 @@
 	// plan's, unless it is None, as for a run whose calls failed. nil: the plan's stays.
 	Judge func(id string) Fault
 
+	// CrashesOn reports the requests that crash the instance, whatever the plan says; nil:
+	// none. Crashed is called after each crash.
+	CrashesOn func(id string) bool
+	Crashed   func()
+
 	listener net.Listener
 	mutex    sync.Mutex
 	runs     []Run
 	accepted int
 	rejected int
 	fellOver bool
-	// down is set while the instance is crashed; crashes counts how often it did.
+	// down is set while the instance is crashed, closed for good; crashes counts how often
+	// it crashed.
 	down    bool
+	closed  bool
 	crashes int
 	serving sync.WaitGroup
 	conns   map[net.Conn]struct{}
@@ -131,6 +138,7 @@
 // Close ends the instance and its connections.
 func (i *Instance) Close() {
 	i.mutex.Lock()
+	i.closed = true
 	_ = i.listener.Close()
 	for conn := range i.conns {
 		_ = conn.Close()
@@ -211,7 +219,7 @@
 func (i *Instance) Crash() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.down {
+	if i.down || i.closed {
 		return
 	}
 	i.down = true
@@ -220,6 +228,9 @@
 	for conn := range i.conns {
 		_ = conn.Close()
 	}
+	if i.Crashed != nil {
+		i.Crashed()
+	}
 }
 
 // Crashes returns how often the instance crashed.
@@ -230,11 +241,11 @@
 }
 
 // Restart starts an instance that crashed again, under its name and address. It does
-// nothing for one that serves.
+// nothing for one that serves or that was closed.
 func (i *Instance) Restart() error {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if !i.down {
+	if !i.down || i.closed {
 		return nil
 	}
 	listener, err := net.Listen("tcp", i.listener.Addr().String())
@@ -315,6 +326,9 @@
 		i.Arrived(id)
 	}
 	fault := i.faultFor(id)
+	if i.CrashesOn != nil && i.CrashesOn(id) {
+		fault = Crashes
+	}
 	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != i.Name || fault == OtherInstance {
 		_, _ = io.Copy(io.Discard, request.Body)
 		i.mutex.Lock()
--- a/internal/emulator/store/content.go
+++ b/internal/emulator/store/content.go
@@ -9,6 +9,8 @@
 
 // Entry is what an instance writes about itself.
 type Entry struct {
+	// Born is the Unix millisecond of the start; zero: not told.
+	Born    int64       `json:"born,omitempty"`
 	Address string      `json:"address"`
 	Info    EntryInfo   `json:"info"`
 	Status  EntryStatus `json:"status"`
