--- a/internal/app/store_crash_test.go
+++ b/internal/app/store_crash_test.go
@@ -195,3 +195,42 @@
 		}
 	}
 }
+
+// TestStoreCrashOfManyAtOnce: instances of one domain crash at the same moment, all with the
+// same request in progress. That is one cause and many crashes: the request is served after.
+func TestStoreCrashOfManyAtOnce(t *testing.T) {
+	const held = 3
+	var (
+		mutex   sync.Mutex
+		begun   = make(map[string]bool)
+		started = make(chan struct{}, held)
+	)
+	r := newCrashRig(t, func(id string, gone <-chan struct{}) {
+		mutex.Lock()
+		isFirst := strings.HasPrefix(id, "held-") && !begun[id]
+		begun[id] = true
+		mutex.Unlock()
+		if isFirst {
+			started <- struct{}{}
+			<-gone
+		}
+	})
+	var waiting sync.WaitGroup
+	for i := range held {
+		waiting.Go(func() { r.ask(i, http.MethodPost, "/write/same", fmt.Sprintf("held-%d", i)) })
+	}
+	for range held {
+		<-started
+	}
+	for _, m := range r.machines {
+		if m.service == "data" {
+			m.instance.Crash()
+		}
+	}
+	waiting.Wait()
+	r.restart()
+	for i := range 3 * len(r.machines) {
+		got := r.ask(i%len(r.machines), http.MethodPost, "/write/same", fmt.Sprintf("later-%d", i))
+		r.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+	}
+}
