--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -100,9 +100,13 @@
 }
 
 func get[T any](ctx context.Context, client *Client, path string, query url.Values) (T, error) {
+	return ask[T](ctx, client, http.MethodGet, path, query)
+}
+
+func ask[T any](ctx context.Context, client *Client, method, path string, query url.Values) (T, error) {
 	var answer T
 	target := url.URL{Scheme: "http", Host: client.address, Path: path, RawQuery: query.Encode()}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
 	if err != nil {
 		return answer, eris.Wrap(err, "build the request")
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -1,7 +1,7 @@
 // Package admin owns the operators' HTTP of a node: health, readiness, metrics,
 // status, the effective configuration and explanations, and the client of it
-// that the command line uses. It only reads, and never shows the value of a
-// secret.
+// that the command line uses. It changes nothing but what is held against requests
+// that crash instances, and never shows the value of a secret.
 package admin
 
 import (
@@ -20,6 +20,7 @@
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
 )
 
 // Paths of the operators' HTTP.
@@ -60,8 +61,10 @@
 	Snapshots Snapshots
 	Fleet     distribution.Fleet
 	Status    distribution.StatusSource
-	Gatherer  prometheus.Gatherer
-	Logger    logrus.FieldLogger
+	// Suspects knows the requests that may crash instances; nil: none.
+	Suspects *suspects.Ledger
+	Gatherer prometheus.Gatherer
+	Logger   logrus.FieldLogger
 }
 
 // Server answers operators. It is an http.Handler.
@@ -72,6 +75,9 @@
 
 // New returns the operators' HTTP of one node.
 func New(options Options) *Server {
+	if options.Suspects == nil {
+		options.Suspects = suspects.NewLedger()
+	}
 	server := &Server{options: options, router: chi.NewRouter()}
 	server.router.Group(func(router chi.Router) {
 		router.Use(middleware.Throttle(maxRequests))
@@ -82,6 +88,8 @@
 		router.Get(pathConfiguration, server.configuration)
 		router.Get(pathExplain, server.explain)
 		router.Get(pathMembers, server.members)
+		router.Get(pathSuspects, server.suspects)
+		router.Post(pathClearSuspect, server.clearSuspect)
 	})
 	server.router.With(middleware.Throttle(maxFleetQueries)).Get(pathFleet, server.fleet)
 	return server
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -258,6 +258,7 @@
 	Settings settings.Settings
 	Applier  *configuration.Applier
 	Node     *distribution.Node
+	Suspects *suspects.Ledger
 	Registry *prometheus.Registry
 	Logger   logrus.FieldLogger
 }
@@ -268,6 +269,7 @@
 		Snapshots: inputs.Applier,
 		Fleet:     inputs.Node,
 		Status:    inputs.Node,
+		Suspects:  inputs.Suspects,
 		Gatherer:  inputs.Registry,
 		Logger:    logging.Part(inputs.Logger, "admin"),
 	})
--- /dev/null
+++ b/internal/cli/suspects.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/admin"
+)
+
+const suspectsHelp = `Lists the requests that may crash the instances which run them, by the fingerprint of their content that logs show, or lets one in again at all nodes. Exit codes: 0 done, 1 nothing stands against that fingerprint, 3 the node gave no answer.`
+
+type suspectsCommand struct {
+	environment
+	adminFlags
+	outputFlags
+	Clear string `long:"clear" value-name:"FINGERPRINT" description:"let the requests of this fingerprint in again"`
+}
+
+// suspectsAnswer is the output of suspects.
+type suspectsAnswer struct{ admin.SuspectList }
+
+// Execute prints the suspects, after it cleared one if asked to.
+func (c *suspectsCommand) Execute([]string) error {
+	client := admin.NewClient(c.Admin)
+	list, err := client.Suspects(c.ctx)
+	if c.Clear != "" {
+		list, err = client.ClearSuspect(c.ctx, c.Clear)
+	}
+	if err != nil {
+		return err
+	}
+	answer := suspectsAnswer{list}
+	return c.print(c.stdout, answer, answer.write)
+}
+
+func (a suspectsAnswer) write(out io.Writer) {
+	lines := newTable(out, "FINGERPRINT", "STANDING", "CRASHES", "UNDER TRIAL", "REFUSED UNTIL")
+	for _, each := range a.Suspects {
+		until := ""
+		if !each.RefusedUntil.IsZero() {
+			until = each.RefusedUntil.UTC().Format(time.RFC3339)
+		}
+		lines.row(each.Fingerprint, each.Standing, strconv.Itoa(each.Crashes), strconv.Itoa(each.Trials), until)
+	}
+	lines.flush()
+}
--- a/internal/suspects/fingerprint.go
+++ b/internal/suspects/fingerprint.go
@@ -8,6 +8,8 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 // FingerprintBytes is the size of a Fingerprint. Half of a SHA-256 keeps it out of reach
@@ -31,5 +33,14 @@
 	return Fingerprint(hash.Sum(nil)[:FingerprintBytes])
 }
 
+// ParseFingerprint reads a fingerprint as String writes it.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	decoded, err := hex.DecodeString(text)
+	if err != nil || len(decoded) != FingerprintBytes {
+		return Fingerprint{}, eris.Errorf("%q is no fingerprint: %d hexadecimal digits", text, 2*FingerprintBytes)
+	}
+	return Fingerprint(decoded), nil
+}
+
 // String returns the fingerprint in hexadecimal digits, as logs show it.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/internal/suspects/fingerprint_test.go
+++ b/internal/suspects/fingerprint_test.go
@@ -12,6 +12,13 @@
 	base := Of("GET", "h", "/a?x", []byte("body"))
 	c.Check(Of("GET", "h", "/a?x", []byte("body")), qt.Equals, base)
 	c.Check(base.String(), qt.HasLen, 2*FingerprintBytes)
+	parsed, err := ParseFingerprint(base.String())
+	c.Assert(err, qt.IsNil)
+	c.Check(parsed, qt.Equals, base)
+	for _, text := range []string{"", "zz", base.String()[2:], base.String() + "00"} {
+		_, err := ParseFingerprint(text)
+		c.Check(err, qt.IsNotNil)
+	}
 	for name, other := range map[string]Fingerprint{
 		"method": Of("PUT", "h", "/a?x", []byte("body")),
 		"host":   Of("GET", "g", "/a?x", []byte("body")),
