A node notices that its machine was suspended

Cause: Go's steady clock stands still while a machine is suspended, so that after seconds of it each age in a node counted as if no time had gone: what it held was as fresh as before, and it did not ask its peers as it does after a pause.

Change: package clock, a steady time that counts suspensions (CLOCK_BOOTTIME, read only when the time of day has moved against the steady clock). The engine of the distribution, the mirror of the store and the suspects count in it.

Ruled out: reading CLOCK_BOOTTIME each time (a system call for each of tens of thousands of reads a second), and the time of day (it jumps).

TestSuspendedMachineAsksItsPeers (with the clock as it was nothing tells the engine), TestClock.

--- a/internal/dataplane/outbound/suspicion.go
+++ b/internal/dataplane/outbound/suspicion.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -103,7 +104,7 @@
 	}
 	e.finish(outcomeNotRun, http.StatusServiceUnavailable)
 	answer := e.proxy.problem(e.request, http.StatusServiceUnavailable, "not run: it crashes the instances that run it", 0)
-	wait := max(math.Ceil(time.Until(e.suspicion.until).Seconds()), 1)
+	wait := max(math.Ceil(clock.Until(e.suspicion.until).Seconds()), 1)
 	answer.Header[headerRetryAfter] = []string{strconv.FormatFloat(wait, 'f', 0, 64)}
 	return answer
 }
--- a/internal/distribution/node.go
+++ b/internal/distribution/node.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/source"
 	"github.com/winchhead/winchhead/internal/suspects"
@@ -43,6 +44,9 @@
 	// Seed makes random choices differ between nodes; zero takes the incarnation.
 	Seed   uint64
 	Timing Timing
+	// Now tells the time; nil takes clock.Now, so that a node notices when its machine was
+	// suspended and asks its peers before it relies on what it believes.
+	Now func() time.Time
 	// Dial opens connections to peers; nil dials TCP.
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
 	ReadersPerZone int
@@ -93,6 +97,9 @@
 	if options.Seed == 0 {
 		options.Seed = uint64(options.Self.Incarnation)
 	}
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
 	if options.Dial == nil {
 		options.Dial = dialTCP
 	}
@@ -171,7 +178,7 @@
 	n.running.Go(func() { n.accept(links) })
 	n.loop(ctx, links)
 	_ = n.listener.Close()
-	n.perform(links, n.engine.Handle(time.Now(), Stop{}))
+	n.perform(links, n.engine.Handle(n.options.Now(), Stop{}))
 	cancel()
 	n.running.Wait()
 	return nil
@@ -180,7 +187,7 @@
 // loop feeds the engine until ctx ends.
 func (n *Node) loop(ctx, links context.Context) {
 	n.handle(links, Tick{})
-	timer := time.NewTimer(time.Until(n.engine.NextWake()))
+	timer := time.NewTimer(n.untilWake())
 	defer timer.Stop()
 	for {
 		select {
@@ -191,17 +198,20 @@
 		case <-timer.C:
 			n.handle(links, Tick{})
 		}
-		timer.Reset(time.Until(n.engine.NextWake()))
+		timer.Reset(n.untilWake())
 	}
 }
 
+// untilWake is how long the engine wants to be left alone.
+func (n *Node) untilWake() time.Duration { return n.engine.NextWake().Sub(n.options.Now()) }
+
 func (n *Node) handle(ctx context.Context, event Event) {
 	if n.options.Hold != nil {
 		n.options.Hold()
 	}
 	for event != nil {
 		n.track(event)
-		n.perform(ctx, n.engine.Handle(time.Now(), event))
+		n.perform(ctx, n.engine.Handle(n.options.Now(), event))
 		if begun, ok := event.(opened); ok && !n.engine.hasLink(begun.connection.id) {
 			n.closeLink(begun.connection.id) // given up while it was being opened
 		}
--- a/internal/distribution/node_test.go
+++ b/internal/distribution/node_test.go
@@ -154,6 +154,11 @@
 
 // startNode runs a node until the test ends or stop is called.
 func startNode(c *qt.C, platform *fakePlatform, name, zone string, config *tls.Config) *testNode {
+	return startNodeWith(c, platform, name, zone, func(options *distribution.Options) { options.TLS = config })
+}
+
+// startNodeWith is startNode with changed options.
+func startNodeWith(c *qt.C, platform *fakePlatform, name, zone string, change func(*distribution.Options)) *testNode {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	recorder := &recorder{adopted: make(chan snapshot.Version, 64), views: make(chan *membership.View, 1)}
@@ -161,10 +166,12 @@
 		Node: membership.NodeID(name), Incarnation: 1, State: membership.StateReady,
 		Region: "south", Zone: zone, PeerAddress: listener.Addr().String(),
 	}
-	node, err := distribution.NewNode(distribution.Options{
+	options := distribution.Options{
 		Self: self, Listener: listener, Configuration: platform, Members: platform,
-		Adopter: recorder, Logger: logging.Discard(), TLS: config, Timing: quickTiming(),
-	})
+		Adopter: recorder, Logger: logging.Discard(), Timing: quickTiming(),
+	}
+	change(&options)
+	node, err := distribution.NewNode(options)
 	c.Assert(err, qt.IsNil)
 	platform.update(func() {
 		platform.members = append(slices.Clone(platform.members), membership.ListedMember{
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -59,7 +59,7 @@
 	status := n.status.Load()
 	reply := status.reply
 	if !status.confirmedAt.IsZero() {
-		reply.SourceAge = time.Since(status.confirmedAt).Milliseconds()
+		reply.SourceAge = n.options.Now().Sub(status.confirmedAt).Milliseconds()
 	}
 	if n.options.Generation != nil {
 		reply.Generation = n.options.Generation()
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/source"
 )
 
@@ -52,7 +53,7 @@
 
 // listOnce lists, unless another read did so while this one waited for its turn.
 func (m *Mirror) listOnce(ctx context.Context) source.Outcome {
-	asked := time.Now()
+	asked := clock.Now()
 	if !m.lock(ctx) {
 		return source.Outcome{Status: source.StatusUnreachable, Err: ctx.Err()}
 	}
@@ -113,7 +114,7 @@
 func (m *Mirror) listPage(ctx context.Context, after string) (Page, source.Outcome) {
 	ctx, end := source.WithPatience(ctx, m.options.Timeout, m.options.Timeout)
 	defer end()
-	began := time.Now()
+	began := clock.Now()
 	page, outcome := m.options.Store.List(ctx, after)
 	m.noteRead(storeRead{call: callList, began: began, items: len(page.Items)}, outcome)
 	m.unknown.report(page.Items)
@@ -123,7 +124,7 @@
 func (m *Mirror) watchOnce(ctx context.Context, after uint64, wait time.Duration, limit int64) (Events, source.Outcome) {
 	ctx, end := source.WithPatience(ctx, wait+m.options.Timeout, m.options.Timeout)
 	defer end()
-	began := time.Now()
+	began := clock.Now()
 	events, outcome := m.options.Store.Watch(ctx, after, wait, limit)
 	m.noteRead(storeRead{call: callWatch, after: after, wait: wait, began: began, items: len(events.Items)}, outcome)
 	m.unknown.report(events.Items)
@@ -148,7 +149,7 @@
 func (m *Mirror) applyEvents(events Events) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.readAt = time.Now()
+	m.readAt = clock.Now()
 	if events.At <= m.state.at {
 		return
 	}
@@ -169,6 +170,6 @@
 	}
 	next.documentAt = next.at
 	next.keepLastGood(m.state)
-	m.state, m.readAt = next, time.Now()
+	m.state, m.readAt = next, clock.Now()
 	m.show(m.readAt)
 }
--- a/internal/mirror/lapse.go
+++ b/internal/mirror/lapse.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
 )
@@ -48,10 +49,10 @@
 func (m *Mirror) noteRead(done storeRead, outcome source.Outcome) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.reads.note(m.options.Logger, done, outcome, m.lapse.answeredAt, time.Now())
+	m.reads.note(m.options.Logger, done, outcome, m.lapse.answeredAt, clock.Now())
 	switch {
 	case read(outcome), outcome.Status == source.StatusBacklog:
-		m.lapse.answered(time.Now())
+		m.lapse.answered(clock.Now())
 	case !errors.Is(outcome.Err, context.Canceled):
 		m.lapse.failed = true
 	}
@@ -80,7 +81,7 @@
 func (m *Mirror) endLapse() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if now := time.Now(); m.lapse.awaited && !now.Before(m.lapse.until) {
+	if now := clock.Now(); m.lapse.awaited && !now.Before(m.lapse.until) {
 		m.options.Logger.WithField("missing", m.shown.missingFrom(m.state)).
 			Warn("instances that vanished while the store was away have not come back: they are gone")
 		m.show(now)
@@ -94,7 +95,7 @@
 	if !m.lapse.awaited {
 		return wait
 	}
-	return min(wait, max(time.Until(m.lapse.until), 0))
+	return min(wait, max(clock.Until(m.lapse.until), 0))
 }
 
 // missingFrom counts the ready instances that a newer state lacks.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
@@ -266,7 +267,7 @@
 func (m *Mirror) age() time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return time.Since(m.readAt)
+	return clock.Since(m.readAt)
 }
 
 // currentDocument builds the document of the state at most once a change.
--- a/internal/suspects/ledger.go
+++ b/internal/suspects/ledger.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/clock"
 )
 
 // InProgress is a request that was in progress at a crash.
@@ -28,7 +30,7 @@
 
 // NewLedger returns an empty Ledger that tells nobody.
 func NewLedger() *Ledger {
-	return &Ledger{spread: func([]Crash) {}, now: time.Now, book: NewBook()}
+	return &Ledger{spread: func([]Crash) {}, now: clock.Now, book: NewBook()}
 }
 
 // SpreadBy sets what tells other nodes of records that change here. It is called before the
