A sender's word that a request is suspected makes it a trial

Cause: where the record of a crash had not reached the node beside the next instance, that node took the sender's mark for an outdated one and ran the request as any other: its crash then convicted nobody, and one more instance was lost. Found while reading.

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -230,8 +230,7 @@
 	case standing == suspects.Guilty:
 		return p.refuse(hop.ReasonCrashesInstances, 0)
 	case standing == suspects.Suspected, order.Suspected:
-		order.Suspected = true
-		return p.deliverSuspect(ctx, request, order)
+		return p.deliverSuspect(ctx, request, order, standing == suspects.Suspected)
 	}
 	return p.deliverAdmitted(ctx, request, order)
 }
--- a/internal/dataplane/inbound/trial.go
+++ b/internal/dataplane/inbound/trial.go
@@ -36,18 +36,19 @@
 
 func (t trials) release() { t.free <- struct{}{} }
 
-// deliverSuspect brings a request to the instance that may have crashed one before.
-func (p *Proxy) deliverSuspect(ctx context.Context, request *message.Request, order hop.Order) Delivery {
+// deliverSuspect brings a request to the instance that may have crashed one before. known says
+// that this node knows of that too; otherwise the record of the crash is still on its way.
+func (p *Proxy) deliverSuspect(ctx context.Context, request *message.Request, order hop.Order, known bool) Delivery {
 	if !p.trials.acquire(ctx, order.MaxWait) {
 		return p.refuse(hop.ReasonTrial, trialRetry)
 	}
 	defer p.trials.release()
-	switch p.standing(request) {
-	case suspects.Guilty:
+	standing := p.standing(request)
+	if standing == suspects.Guilty {
 		return p.refuse(hop.ReasonCrashesInstances, 0)
-	case suspects.Clear: // what was tried before it was of the same content
-		order.Suspected = false
 	}
+	cleared := known && standing == suspects.Clear // what was tried before it was of the same content
+	order.Suspected = !cleared
 	return p.deliverAdmitted(ctx, request, order)
 }
 
