Refusals of guilty requests say nothing of the room for others

Cause: they counted as refusals for want of room, and the more of those, the later all callers of the route are asked to come back: pressure 0.95 after 20 of them (TestGuiltyIsRefused, failed before), so that a request that crashes instances kept other callers waiting.

Change: an outcome of its own, shut-out. TestSuspectsAreTriedAtOneInstance holds what was there: one instance for all nodes, the next only if it cannot be reached.

--- a/internal/dataplane/outbound/loss.go
+++ b/internal/dataplane/outbound/loss.go
@@ -33,7 +33,7 @@
 		return losses.Unknown
 	case outcome == outcomeNotRun && e.caller.Elapsed > 0:
 		return losses.RefusedAgain
-	case outcome == outcomeNotRun:
+	case outcome == outcomeNotRun, outcome == outcomeShutOut:
 		return losses.Refused
 	case status >= http.StatusInternalServerError:
 		return losses.Failed
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -19,6 +19,9 @@
 	outcomeCallerGone = "caller-gone"
 	outcomeNoRoute    = "no-route"
 	outcomeMalformed  = "malformed"
+	// outcomeShutOut: not run, as such requests crash instances. It says nothing of the room
+	// for others, whose callers come back the later the more is refused for want of it.
+	outcomeShutOut = "shut-out"
 )
 
 type metrics struct {
--- a/internal/dataplane/outbound/suspicion.go
+++ b/internal/dataplane/outbound/suspicion.go
@@ -102,7 +102,7 @@
 	if e.reached > 0 || e.callerGone() {
 		return e.refuse()
 	}
-	e.finish(outcomeNotRun, http.StatusServiceUnavailable)
+	e.finish(outcomeShutOut, http.StatusServiceUnavailable)
 	answer := e.proxy.problem(e.request, http.StatusServiceUnavailable, "not run: it crashes the instances that run it", 0)
 	wait := max(math.Ceil(clock.Until(e.suspicion.until).Seconds()), 1)
 	answer.Header[headerRetryAfter] = []string{strconv.FormatFloat(wait, 'f', 0, 64)}
