--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -139,10 +139,7 @@
 func (i *Instance) Close() {
 	i.mutex.Lock()
 	i.closed = true
-	_ = i.listener.Close()
-	for conn := range i.conns {
-		_ = conn.Close()
-	}
+	i.drop()
 	i.mutex.Unlock()
 	i.serving.Wait()
 }
@@ -209,6 +206,11 @@
 		return
 	}
 	i.fellOver = true
+	i.drop()
+}
+
+// drop ends all connections and takes no more. The mutex is held.
+func (i *Instance) drop() {
 	_ = i.listener.Close()
 	for conn := range i.conns {
 		_ = conn.Close()
@@ -224,10 +226,7 @@
 	}
 	i.down = true
 	i.crashes++
-	_ = i.listener.Close()
-	for conn := range i.conns {
-		_ = conn.Close()
-	}
+	i.drop()
 	if i.Crashed != nil {
 		i.Crashed()
 	}
