A guilty request is tried again after two minutes, not after 30 s

Cause: each retrial of a request that does crash instances costs one for some seconds, with all that is in progress there; a false conviction needs an instance to end by itself within the tenths of a second of a trial. After a loss of power of all nodes two more instances end, so that early retrials bring the count near the bound of three.

--- a/internal/suspects/book.go
+++ b/internal/suspects/book.go
@@ -17,8 +17,10 @@
 	GuiltyFor = 24 * time.Hour
 	// RetrialAfter is how long a request is refused after its first trial ended in a crash.
 	// Another cause may have ended the instance just then, so it gets one more; with the
-	// second crash it is refused for GuiltyFor.
-	RetrialAfter = 30 * time.Second
+	// second crash it is refused for GuiltyFor. A trial takes tenths of a second, in which
+	// an instance rarely ends by itself, while a retrial of one that is guilty costs an
+	// instance for seconds and breaks off all that is in progress there.
+	RetrialAfter = 2 * time.Minute
 	// finalTrials is how many trials that end in a crash leave no doubt.
 	finalTrials = 2
 	// maxCrashes bounds the records that are held: about 1 MB with MaxRequests each.
