--- a/internal/dataplane/inbound/ends.go
+++ b/internal/dataplane/inbound/crash.go
@@ -22,8 +22,8 @@
 	maxAbandoned = 64
 )
 
-// progressRun is one request that the instance worked on.
-type progressRun struct {
+// runInProgress is one request that the instance worked on.
+type runInProgress struct {
 	fingerprint suspects.Fingerprint
 	// trial says that it was sent under suspicion.
 	trial bool
@@ -33,33 +33,33 @@
 	givenUpAt          time.Time // zero: its connection broke
 }
 
-// endWatch tells the crash of the instance from the loss of one connection: after a crash
+// crashWatch tells the crash of the instance from the loss of one connection: after a crash
 // nothing listens at the instance's address. Node and instance share a machine, so that no
 // network lies between them.
-type endWatch struct {
+type crashWatch struct {
 	isGone func() bool
 	// crashed takes the requests that were in progress.
-	crashed func(runs []progressRun)
+	crashed func(runs []runInProgress)
 
 	mutex sync.Mutex
 	// check is the one in progress, nil for none.
-	check     *endCheck
-	abandoned []progressRun
+	check     *crashCheck
+	abandoned []runInProgress
 }
 
-// endCheck finds out whether the instance crashed.
-type endCheck struct {
+// crashCheck finds out whether the instance crashed.
+type crashCheck struct {
 	done  chan struct{}
-	runs  []progressRun
+	runs  []runInProgress
 	ended bool
 }
 
 // broken takes a request whose connection broke, and reports whether the instance crashed.
-func (w *endWatch) broken(run progressRun) bool {
+func (w *crashWatch) broken(run runInProgress) bool {
 	w.mutex.Lock()
 	check := w.check
 	if check == nil {
-		check = &endCheck{done: make(chan struct{})}
+		check = &crashCheck{done: make(chan struct{})}
 		w.check = check
 		go w.run(check)
 	}
@@ -70,7 +70,7 @@
 }
 
 // run makes the check and tells of the crash before anybody who waits for it goes on.
-func (w *endWatch) run(check *endCheck) {
+func (w *crashWatch) run(check *crashCheck) {
 	defer close(check.done)
 	ended := w.isGone()
 	if ended {
@@ -91,7 +91,7 @@
 }
 
 // givenUp notes a request that was given up while the instance worked on it.
-func (w *endWatch) givenUp(run progressRun, now time.Time) {
+func (w *crashWatch) givenUp(run runInProgress, now time.Time) {
 	run.givenUpAt = now
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -102,16 +102,16 @@
 }
 
 // recentlyAbandoned returns what was given up a short while ago. The mutex is held.
-func (w *endWatch) recentlyAbandoned(now time.Time) []progressRun {
+func (w *crashWatch) recentlyAbandoned(now time.Time) []runInProgress {
 	for len(w.abandoned) > 0 && now.Sub(w.abandoned[0].givenUpAt) > abandonedMemory {
 		w.abandoned = w.abandoned[1:]
 	}
 	return w.abandoned
 }
 
-// progressOf describes a request to the instance.
-func progressOf(request *message.Request, order hop.Order) progressRun {
-	return progressRun{
+// inProgress describes a request to the instance.
+func inProgress(request *message.Request, order hop.Order) runInProgress {
+	return runInProgress{
 		fingerprint: contentOf(request), trial: order.Suspected,
 		id: request.ID, method: request.Method, target: request.Target, instance: order.Instance,
 	}
@@ -125,7 +125,7 @@
 const maxLoggedRuns = 32
 
 // crashed notes the crash of the instance with the requests that were in progress, and logs it.
-func (p *Proxy) crashed(runs []progressRun) {
+func (p *Proxy) crashed(runs []runInProgress) {
 	p.metrics.crashes.Inc()
 	running := make([]suspects.InProgress, len(runs))
 	for i, run := range runs {
--- a/internal/dataplane/inbound/ends_test.go
+++ b/internal/dataplane/inbound/crash_test.go
@@ -8,24 +8,24 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestEndOfTheInstance: all requests whose connections break at a crash are told of together,
+// TestCrashOfTheInstance: all requests whose connections break at a crash are told of together,
 // with those that were given up shortly before; the loss of one connection tells of nothing.
-func TestEndOfTheInstance(t *testing.T) {
+func TestCrashOfTheInstance(t *testing.T) {
 	for name, gone := range map[string]bool{"crashed": true, "lost a connection": false} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			asked, verdict := make(chan struct{}, 1), make(chan bool)
-			var told [][]progressRun
-			watch := &endWatch{
+			var told [][]runInProgress
+			watch := &crashWatch{
 				isGone:  func() bool { asked <- struct{}{}; return <-verdict },
-				crashed: func(runs []progressRun) { told = append(told, runs) },
+				crashed: func(runs []runInProgress) { told = append(told, runs) },
 			}
-			watch.givenUp(progressRun{id: "long ago"}, time.Now().Add(-2*abandonedMemory))
-			watch.givenUp(progressRun{id: "given up"}, time.Now())
+			watch.givenUp(runInProgress{id: "long ago"}, time.Now().Add(-2*abandonedMemory))
+			watch.givenUp(runInProgress{id: "given up"}, time.Now())
 			var waiting sync.WaitGroup
 			ended := make([]bool, 3)
 			join := func(index int, id string) {
-				waiting.Go(func() { ended[index] = watch.broken(progressRun{id: id}) })
+				waiting.Go(func() { ended[index] = watch.broken(runInProgress{id: id}) })
 			}
 			join(0, "first")
 			<-asked
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -83,7 +83,7 @@
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
-	ends     *endWatch
+	crashes  *crashWatch
 	trials   trials
 	origins  origins
 	active   atomic.Int64
@@ -114,7 +114,7 @@
 		lines: boundedlog.New(options.Logger),
 	}
 	created.trials = newTrials()
-	created.ends = &endWatch{isGone: created.instance.IsGone, crashed: created.crashed}
+	created.crashes = &crashWatch{isGone: created.instance.IsGone, crashed: created.crashed}
 	created.cold = newColdness(options)
 	created.queue = queue.NewPaced(options.Slots, created.cold.limit)
 	created.slots.Store(int64(options.Slots))
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -108,10 +108,10 @@
 	case failure.Progress == client.NotSent:
 		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
 	case errors.Is(err, context.DeadlineExceeded):
-		p.ends.givenUp(progressOf(request, order), time.Now())
+		p.crashes.givenUp(inProgress(request, order), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonDeadline), Err: err}
 	case errors.Is(err, context.Canceled):
-		p.ends.givenUp(progressOf(request, order), time.Now())
+		p.crashes.givenUp(inProgress(request, order), time.Now())
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonCancelled), Err: err}
 	case failure.Invalid:
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: err}
@@ -123,7 +123,7 @@
 // broken judges a send whose connection broke before the whole answer was there.
 func (p *Proxy) broken(err error, request *message.Request, order hop.Order) Delivery {
 	reason := hop.ReasonBroken
-	if p.ends.broken(progressOf(request, order)) {
+	if p.crashes.broken(inProgress(request, order)) {
 		reason = hop.ReasonCrashed
 	}
 	return Delivery{Report: p.report(hop.Unknown, reason), Err: err}
