A test of ordinary crashes no longer awaits what one answer may not bring

No stack was kept. Suspected by reading: an answer that comes to a node before the record of the crash clears nothing until the next answer, and the test awaited that in a loop.

--- a/internal/app/store_crash_test.go
+++ b/internal/app/store_crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -181,15 +180,19 @@
 		got := <-done
 		rig.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("crash %d: %s", i, got.body))
 		rig.restart()
-		rig.awaitClear()
+		rig.clear(fmt.Sprintf("clear-%d", i))
 	}
 }
 
-// awaitClear waits until all nodes know that nothing stands against any request.
-func (r *storeRig) awaitClear() {
+// clear sends the same request until all nodes know that nothing stands against it. One answer
+// does where the record of the crash has come to the instance's node before it; a busy machine
+// may bring the record later.
+func (r *storeRig) clear(id string) {
+	r.c.Helper()
 	for _, m := range r.machines {
-		for !m.node.parts.Suspects.IsEmpty() {
-			runtime.Gosched()
+		for number := 0; !m.node.parts.Suspects.IsEmpty(); number++ {
+			got := r.ask(0, http.MethodGet, "/read/same", fmt.Sprintf("%s-%d", id, number))
+			r.c.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 		}
 	}
 }
