Logs tell when a leaving was first read, and when each node had it

Nothing in the logs told when which reader read that an instance leaves, nor when it came into force at a node, so that the delay of a reader, of the links and of a node could not be told apart. No logic is changed.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -246,6 +246,7 @@
 func (a *Applier) announce(former *snapshot.Snapshot) {
 	current := a.store.Current()
 	a.announceEvacuations(former, current)
+	a.announceEndings(former, current)
 	if a.refusal != nil && current.Version().Newer(a.refusal.Version) {
 		a.refusal, a.refusedFor = nil, nil
 	}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -153,6 +153,7 @@
 	if events.At <= m.state.at {
 		return
 	}
+	logEndings(m.options.Logger, events.Items)
 	if m.state.apply(events.Items, m.options, m.faults) {
 		m.state.documentAt = events.At
 		m.show(m.readAt)
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"iter"
 	"maps"
 	"slices"
 )
@@ -124,6 +125,9 @@
 	return instance, listed
 }
 
+// AllInstances yields the instances that are listed, in no order.
+func (s *Snapshot) AllInstances() iter.Seq[Instance] { return maps.Values(s.fleet.byName) }
+
 // InstanceCount returns how many instances are listed.
 func (s *Snapshot) InstanceCount() int { return len(s.fleet.byName) }
 
