Two tests that fail: leavings wait behind a large configuration, and after an outage

What callers saw: requests at an instance 2.55 s after it had said that it leaves. Real nodes beside an emulated store whose answers come at 100 kB/s: the leaving is in force only together with the configuration that was written before it, in all three ways to leave; and after an outage only once the entries that lapsed are given up.

--- /dev/null
+++ b/internal/app/store_leaving_test.go
@@ -0,0 +1,118 @@
+package app
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/emulator/store"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// takesNone reports whether no running node gives requests to the instance of a machine.
+func (r *storeRig) takesNone(index int) bool {
+	name := r.machines[index].instance.Name
+	for _, m := range r.machines {
+		if m.node == nil {
+			continue
+		}
+		instance, listed := m.node.Current().Instance(name)
+		if listed && instance.State == snapshot.InstanceReady {
+			return false
+		}
+	}
+	return true
+}
+
+// inForce reports whether any running node holds the revision.
+func (r *storeRig) inForce(revision snapshot.Revision) bool {
+	for _, m := range r.machines {
+		if m.node != nil && m.node.Current().Version().Revision >= revision {
+			return true
+		}
+	}
+	return false
+}
+
+// TestStoreLeavingWhileAConfigurationIsRead: a request reached an instance 2.55 s after the
+// store had acknowledged that it leaves. Neither its sender nor the node beside the instance
+// knew: configurations of hundreds of kilobytes were written one after the other, and a reader
+// reads nothing else while one of them is on its way. An instance that leaves, or a zone that
+// is evacuated, must be known before the large answer has come, whichever was written first.
+func TestStoreLeavingWhileAConfigurationIsRead(t *testing.T) {
+	const (
+		routes = 1000
+		// bytesPerSecond lets the configuration take some four seconds.
+		bytesPerSecond = 100_000
+		leaver         = 3
+	)
+	for name, write := range map[string]func(r *storeRig){
+		"it says that it leaves": func(r *storeRig) { r.put(leaver, "draining") },
+		"its entry goes":         func(r *storeRig) { r.store.Delete("servers/" + r.machines[leaver].instance.Name) },
+		"its zone is evacuated":  func(r *storeRig) { r.evacuate("y") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newStoreRig(t, []string{"front", "front", "data", "data"}, nil)
+			r.place(1, "y")
+			r.place(leaver, "y")
+			r.startAll()
+			r.await(snapshot.Revision(r.store.Put("op/config", fmt.Appendf(nil, configurationOf, 2, ""))))
+			r.store.SetRate(bytesPerSecond)
+			large := snapshot.Revision(r.store.Put("op/config", fmt.Appendf(nil, configurationOf, 3, manyRoutes(routes))))
+			write(r)
+			for !r.takesNone(leaver) {
+				runtime.Gosched()
+			}
+			r.c.Check(r.inForce(large), qt.IsFalse, qt.Commentf("the leaving was known only once the large answer had come"))
+			r.c.Check(r.ask(0, http.MethodGet, "/read/x", "after").status, qt.Equals, http.StatusOK)
+			r.c.Check(r.runsAt(r.machines[leaver], "after"), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestStoreLeavingAfterAnOutage: entries of instances that live lapse while the store is away,
+// and are awaited at its return. What else is written then must not wait with them: an instance
+// that says just then that it leaves got requests for 1.4 s more.
+func TestStoreLeavingAfterAnOutage(t *testing.T) {
+	const (
+		lapsed, leaver = 1, 3
+		// outage is above the time from which entries may have lapsed.
+		outage = 1200 * time.Millisecond
+	)
+	r := newStoreRig(t, []string{"front", "data", "data", "data", "data"}, nil)
+	r.startAll()
+	r.await(snapshot.Revision(r.store.Put("op/config", fmt.Appendf(nil, configurationOf, 2, ""))))
+	r.store.SetFault(func(*http.Request) store.Fault { return store.Reset })
+	for _, m := range r.machines {
+		for time.Duration(m.node.parts.Node.Status().SourceAge)*time.Millisecond < outage {
+			runtime.Gosched()
+		}
+	}
+	for _, index := range []int{lapsed, lapsed + 1} {
+		r.store.Delete("servers/" + r.machines[index].instance.Name)
+	}
+	r.store.SetFault(nil)
+	for !r.anyReads() {
+		runtime.Gosched()
+	}
+	r.put(leaver, "draining")
+	for !r.takesNone(leaver) {
+		runtime.Gosched()
+	}
+	r.c.Check(r.takesNone(lapsed), qt.IsFalse, qt.Commentf("the leaving was known only once the entries that lapsed counted as gone"))
+}
+
+// anyReads reports whether a reader has had an answer of the store within the last tenth of a
+// second.
+func (r *storeRig) anyReads() bool {
+	for _, m := range r.machines {
+		if age := m.node.parts.Node.Status().SourceAge; age >= 0 && age < 100 {
+			return true
+		}
+	}
+	return false
+}
