Changes of instances pass large documents on the links between nodes

What callers saw: requests at instances that had said that they leave. Of the way from the first node that reads of a leaving to the last one, 0.16 s at the 99th percentile (6 ms at the median) were spent behind a document on the same connection, on links of 5 Mbit/s.

Cause: head-of-line blocking within a link: frames go out in their order, and a document is one frame.

A large frame is written in parts of 16 KB, between which changes of instances, records of crashes and heartbeats go out; none of these depends on the order of messages, all else keeps its order. What the operating system holds of a link is bounded to 32 KB, as what it holds can no longer be passed. Weighed: a second connection for small frames (twice the connections and handshakes of the fleet).

--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -16,11 +16,14 @@
 	// maxQueuedBytes bounds what waits to be written on one link. A single frame
 	// may be larger when nothing else waits.
 	maxQueuedBytes = 1 << 20
-	// writeTimeout is how long a peer may take to accept one frame.
+	// writeTimeout is how long a peer may take to accept one frame, or one part of a large one.
 	writeTimeout = 10 * time.Second
 	// closeTimeout is how long a link that is closed on purpose may take to write
 	// what is queued.
 	closeTimeout = time.Second
+	// sendBufferBytes is what the operating system may hold of what is written: 52 ms on a
+	// link of 5 Mbit/s. What it holds can no longer be passed by small frames.
+	sendBufferBytes = 32 << 10
 	// greetingFrameBytes bounds the first frame of a peer that is not known yet.
 	greetingFrameBytes = 4 << 10
 )
@@ -40,12 +43,13 @@
 	readBefore    int64
 	writtenBefore int64
 
-	mutex   sync.Mutex
-	queue   []queuedFrame
-	queued  int
-	closing bool
-	closeBy time.Time
-	wake    chan struct{}
+	mutex sync.Mutex
+	// queue holds frames in their order, urgent those that go ahead of them.
+	queue, urgent []queuedFrame
+	queued        int
+	closing       bool
+	closeBy       time.Time
+	wake          chan struct{}
 }
 
 type queuedFrame struct {
@@ -53,8 +57,18 @@
 	frame       []byte
 }
 
+// isUrgent reports whether a message goes ahead of others on its link. Changes of instances
+// must not wait behind a document that takes seconds on a slow link, nor must the sign of
+// life. None of these depends on the order in which messages arrive.
+func isUrgent(messageType wire.Type) bool {
+	return messageType == wire.TypeFleetChanges || messageType == wire.TypeCrashes || messageType == wire.TypeHeartbeat
+}
+
 // newConnection wraps an open socket. A nil config leaves it plain.
 func newConnection(socket net.Conn, config *tls.Config, client bool, counters *counters) *connection {
+	if buffered, ok := socket.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = buffered.SetWriteBuffer(sendBufferBytes) // small frames wait longer where it is refused
+	}
 	raw := socketbytes.Wrap(socket, &socketbytes.Counter{})
 	c := &connection{counters: counters, raw: raw, conn: raw, wake: make(chan struct{}, 1)}
 	if config != nil && client {
@@ -88,12 +102,18 @@
 
 // write sends one frame now.
 func (c *connection) write(messageType wire.Type, frame []byte) error {
+	c.counters.sent[messageType].frames.Add(1)
+	return c.writePart(messageType, frame)
+}
+
+// writePart sends a frame, or a part of one, and counts its bytes.
+func (c *connection) writePart(messageType wire.Type, part []byte) error {
 	if err := c.raw.SetWriteDeadline(c.writeBy()); err != nil {
 		return err
 	}
-	_, err := c.conn.Write(frame)
+	_, err := c.conn.Write(part)
 	_, written := c.raw.Counter().Totals()
-	c.counters.sent[messageType].add(written - c.writtenBefore)
+	c.counters.sent[messageType].bytes.Add(written - c.writtenBefore)
 	c.writtenBefore = written
 	return err
 }
@@ -128,7 +148,11 @@
 	if c.queued > 0 && c.queued+len(frame) > maxQueuedBytes {
 		return errSlow
 	}
-	c.queue = append(c.queue, queuedFrame{messageType, frame})
+	if isUrgent(messageType) {
+		c.urgent = append(c.urgent, queuedFrame{messageType, frame})
+	} else {
+		c.queue = append(c.queue, queuedFrame{messageType, frame})
+	}
 	c.queued += len(frame)
 	c.signal()
 	return nil
@@ -166,12 +190,30 @@
 	_ = c.raw.Close()
 }
 
-func (c *connection) take() (frames []queuedFrame, closing bool) {
+// takeUrgent returns the next frame that goes ahead of others.
+func (c *connection) takeUrgent() (frame queuedFrame, found bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	frames = c.queue
-	c.queue = nil
-	return frames, c.closing
+	return takeFirst(&c.urgent)
+}
+
+// take returns the next frame, and whether the connection is to be closed once there is none.
+func (c *connection) take() (frame queuedFrame, found, closing bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if frame, found = takeFirst(&c.urgent); !found {
+		frame, found = takeFirst(&c.queue)
+	}
+	return frame, found, c.closing
+}
+
+func takeFirst(queue *[]queuedFrame) (frame queuedFrame, found bool) {
+	if len(*queue) == 0 {
+		return queuedFrame{}, false
+	}
+	frame = (*queue)[0]
+	*queue = (*queue)[1:]
+	return frame, true
 }
 
 func (c *connection) written(frame []byte) {
@@ -185,17 +227,14 @@
 func (c *connection) writeQueued(ended <-chan struct{}) {
 	defer c.raw.Close()
 	for {
-		frames, closing := c.take()
-		for _, queued := range frames {
-			if c.write(queued.messageType, queued.frame) != nil {
+		next, found, closing := c.take()
+		switch {
+		case found:
+			if c.writeInParts(next) != nil {
 				return
 			}
-			c.written(queued.frame)
-		}
-		if len(frames) > 0 {
 			continue
-		}
-		if closing {
+		case closing:
 			c.closeWrite()
 			<-ended
 			return
@@ -207,3 +246,33 @@
 		}
 	}
 }
+
+// writeInParts writes a frame, a large one in parts, between which urgent frames go out.
+func (c *connection) writeInParts(next queuedFrame) error {
+	c.counters.sent[next.messageType].frames.Add(1)
+	for i, part := range wire.Split(next.frame) {
+		if i > 0 {
+			if err := c.writeUrgent(); err != nil {
+				return err
+			}
+		}
+		if err := c.writePart(next.messageType, part); err != nil {
+			return err
+		}
+	}
+	c.written(next.frame)
+	return nil
+}
+
+func (c *connection) writeUrgent() error {
+	for {
+		urgent, found := c.takeUrgent()
+		if !found {
+			return nil
+		}
+		if err := c.write(urgent.messageType, urgent.frame); err != nil {
+			return err
+		}
+		c.written(urgent.frame)
+	}
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -38,6 +38,9 @@
 type Reader struct {
 	source *bufio.Reader
 	limits Limits
+	// parts are those of a large frame that have come, isWhole is set where none may come.
+	parts   []byte
+	isWhole bool
 }
 
 // NewReader returns a Reader of r.
@@ -55,26 +58,49 @@
 	r.limits = limits
 }
 
-// Next returns the next message and the size of its frame in bytes. After an
-// error the connection is of no further use. The error wraps ErrFrame when the
-// peer broke the protocol.
+// Next returns the next message and the bytes read for it, parts of a larger one included
+// that came before it. After an error the connection is of no further use. The error wraps
+// ErrFrame when the peer broke the protocol.
 func (r *Reader) Next() (message Message, frameBytes int, err error) {
+	for {
+		messageType, body, size, err := r.nextFrame()
+		if err != nil {
+			return nil, 0, err
+		}
+		frameBytes += size
+		if isPart := messageType == TypePart || messageType == TypeLastPart; isPart && !r.isWhole {
+			message, err = r.addPart(messageType, body)
+		} else {
+			message, err = r.decode(messageType, body)
+		}
+		if message != nil || err != nil {
+			return message, frameBytes, err
+		}
+	}
+}
+
+// nextFrame returns the type and the body of a frame, and the size of the frame.
+func (r *Reader) nextFrame() (messageType Type, body []byte, size int, err error) {
 	length, lengthBytes, err := r.readLength()
 	if err != nil {
-		return nil, 0, err
+		return 0, nil, 0, err
 	}
 	content, err := r.readContent(length)
 	if err != nil {
-		return nil, 0, err
+		return 0, nil, 0, err
 	}
-	messageType, body := Type(content[0]), content[typeBytes:]
+	return Type(content[0]), content[typeBytes:], lengthBytes + length, nil
+}
+
+func (r *Reader) decode(messageType Type, body []byte) (Message, error) {
 	if messageType&Compressed != 0 {
-		if body, err = decompress(body, r.limits.MaxFrameBytes); err != nil {
-			return nil, 0, err
+		unpacked, err := decompress(body, r.limits.MaxFrameBytes)
+		if err != nil {
+			return nil, err
 		}
+		body = unpacked
 	}
-	message, err = Decode(messageType&^Compressed, body)
-	return message, lengthBytes + length, err
+	return Decode(messageType&^Compressed, body)
 }
 
 func (r *Reader) readLength() (length, lengthBytes int, err error) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -4,7 +4,8 @@
 //
 // A frame is the length of what follows as an unsigned variable-length integer
 // (as in protocol buffers, at most 4 bytes), a 1-byte Type and the Avro encoding
-// of the message. protocol.avsc holds the schemas.
+// of the message. protocol.avsc holds the schemas. A large frame may come in parts
+// (Split), with other frames in between.
 package wire
 
 import (
@@ -36,6 +37,9 @@
 	TypeClaimReply    Type = 14
 	TypeCrashes       Type = 15
 	TypeFleetChanges  Type = 16
+	// TypePart and TypeLastPart carry a piece of a frame in place of a message.
+	TypePart     Type = 17
+	TypeLastPart Type = 18
 )
 
 // Message is one of the types below.
