Instances are watched apart for 2 s after bytes of a large answer

Now they go on for 2 s after the last bytes of a large answer, and gather what comes within 0.25 s, as the first reader does. They also cover the time between two large answers.

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -41,8 +41,11 @@
 	store *platform.Store
 }
 
-// Close closes the connections to the store.
-func (r storeReader) Close() { r.store.Close() }
+// Close ends the reads and closes the connections to the store.
+func (r storeReader) Close() {
+	r.Mirror.Close()
+	r.store.Close()
+}
 
 func newSource(configured settings.Settings, self membership.Record, logger logrus.FieldLogger, registerer prometheus.Registerer) (sourceReader, error) {
 	if configured.Platform.Kind != settings.PlatformStore {
--- a/internal/mirror/apart.go
+++ b/internal/mirror/apart.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/source"
 	"github.com/winchhead/winchhead/internal/wait"
@@ -15,60 +16,79 @@
 	// largeAnswer is the size in bytes from which an answer holds up what was written after
 	// it: some 35 entries of instances, or 26 ms on a link of 5 Mbit/s.
 	largeAnswer = 16 << 10
-	// apartWait is how long the store may hold a watch beside a large answer. Few take longer.
-	apartWait = 2 * time.Second
-	// apartInterval is the least time between two watches of one kind beside a large answer:
-	// changes that come together are read together.
-	apartInterval = 100 * time.Millisecond
+	// apartTime is how long instances and evacuations are watched apart after bytes of a large
+	// answer have come. Large answers come in series, as operators change a configuration in
+	// steps; ended with each answer, the watches cost 1.5 times the calls to the store.
+	apartTime = 2 * time.Second
+	// apartInterval is the least time between two watches of one kind: changes that come
+	// together are read together, as the first reader gathers news.
+	apartInterval = 250 * time.Millisecond
 	// apartFailures is how many watches in a row may fail before it is left to the large
 	// answer.
 	apartFailures = 3
 )
 
-// apart follows instances and evacuations while a large answer is on its way. A configuration
+// apart follows instances and evacuations while large answers are on their way. A configuration
 // of 640 KB takes a second and more over 5 Mbit/s; instances that said meanwhile that they
 // leave got requests until all of it had come.
 type apart struct {
 	mirror *Mirror
-	cancel context.CancelFunc
-	begin  sync.Once
-	ended  sync.WaitGroup
+	// lifetime ends with the mirror.
+	lifetime context.Context
+	end      context.CancelFunc
+	watching sync.WaitGroup
+
+	mutex  sync.Mutex // guards the rest
+	until  time.Time
+	scopes map[Scope]bool // those that are watched
+}
+
+func newApart(mirror *Mirror) *apart {
+	lifetime, end := context.WithCancel(context.Background())
+	return &apart{mirror: mirror, lifetime: lifetime, end: end, scopes: make(map[Scope]bool)}
+}
+
+// Close ends what the mirror does by itself.
+func (m *Mirror) Close() {
+	m.apart.end()
+	m.apart.watching.Wait()
 }
 
-// followApart returns a context for reads. Once one of them has a large answer, instances and
-// evacuations are watched beside it until stop is called.
-func (m *Mirror) followApart(ctx context.Context) (reads context.Context, stop func()) {
+// withApart returns a context for reads: while one of them has a large answer, instances and
+// evacuations are watched beside it.
+func (m *Mirror) withApart(ctx context.Context) context.Context {
 	after := m.revision()
 	if after == 0 || m.options.Changes == nil {
-		return ctx, func() {}
+		return ctx
 	}
-	// The watches have a patience of their own, and outlive the read's.
-	watches, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	a := &apart{mirror: m, cancel: cancel}
-	reads = source.OnceLarge(ctx, largeAnswer, func() {
-		a.begin.Do(func() {
-			for _, scope := range []Scope{ScopeInstances, ScopeEvacuations} {
-				a.ended.Go(func() { a.follow(watches, scope, after) })
-			}
-		})
-	})
-	return reads, a.stop
+	return source.WhileLarge(ctx, largeAnswer, func() { m.apart.watch(after) })
 }
 
-// stop ends the watches.
-func (a *apart) stop() {
-	a.cancel()
-	a.begin.Do(func() {}) // none begins from now on
-	a.ended.Wait()
+// watch goes on with the watches, or begins them after a revision.
+func (a *apart) watch(after uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.until = clock.Now().Add(apartTime)
+	for _, scope := range []Scope{ScopeInstances, ScopeEvacuations} {
+		if a.scopes[scope] || a.lifetime.Err() != nil {
+			continue
+		}
+		a.scopes[scope] = true
+		a.watching.Go(func() { a.follow(scope, after) })
+	}
 }
 
 // follow watches one kind of entries from a revision on.
-func (a *apart) follow(ctx context.Context, scope Scope, after uint64) {
-	for failures := 0; failures < apartFailures; {
-		events, outcome := a.mirror.watchScope(ctx, scope, after, apartWait, math.MaxInt64)
-		switch {
-		case ctx.Err() != nil || events.Compacted:
+func (a *apart) follow(scope Scope, after uint64) {
+	for failures := 0; ; {
+		left := a.timeLeft(scope, failures)
+		if left <= 0 {
 			return
+		}
+		events, outcome := a.mirror.watchScope(a.lifetime, scope, after, left, math.MaxInt64)
+		switch {
+		case events.Compacted:
+			failures = apartFailures
 		case !read(outcome):
 			failures++
 		default:
@@ -76,10 +96,20 @@
 			after = max(after, events.At)
 			a.mirror.tellChanges(scope.call(), events.Items)
 		}
-		if wait.For(ctx, apartInterval) != nil {
-			return
-		}
+		_ = wait.For(a.lifetime, apartInterval) // timeLeft sees the end
+	}
+}
+
+// timeLeft returns how long a scope is to be watched on. Zero: it no longer is.
+func (a *apart) timeLeft(scope Scope, failures int) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	left := clock.Until(a.until)
+	if left <= 0 || failures >= apartFailures || a.lifetime.Err() != nil {
+		delete(a.scopes, scope)
+		return 0
 	}
+	return left
 }
 
 // tellChanges tells of changes of instances and evacuations, ahead of the document that holds
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -35,8 +35,7 @@
 // only. A list where the watch would be small holds that up: changes of instances came a
 // second late over links of 5 Mbit/s. The lock on reading is held.
 func (m *Mirror) catchUp(ctx context.Context, after uint64, wait time.Duration) source.Outcome {
-	ctx, stop := m.followApart(ctx)
-	defer stop()
+	ctx = m.withApart(ctx)
 	if m.isEmpty() || m.behind {
 		if outcome := m.list(ctx); !read(outcome) {
 			return outcome
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -133,6 +133,7 @@
 	options Options
 	unknown *unknownWords
 	faults  *faultReports
+	apart   *apart
 
 	reading chan struct{} // holds a token while the store is read
 	// behind is set after a watch that broke off in its answer or would have brought a backlog;
@@ -171,7 +172,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Mirror{options: options, unknown: unknown, faults: faults, reading: make(chan struct{}, 1), changed: make(chan struct{})}, nil
+	created := &Mirror{options: options, unknown: unknown, faults: faults, reading: make(chan struct{}, 1), changed: make(chan struct{})}
+	created.apart = newApart(created)
+	return created, nil
 }
 
 // TellChanges sets Options.Changes, before the first read.
--- a/internal/source/large_test.go
+++ b/internal/source/large_test.go
@@ -10,8 +10,8 @@
 	"github.com/winchhead/winchhead/internal/source"
 )
 
-// TestOnceLarge: it is told once, by all reads taken together, and not for small ones.
-func TestOnceLarge(t *testing.T) {
+// TestWhileLarge: it is told again and again, by all reads taken together, and not for small ones.
+func TestWhileLarge(t *testing.T) {
 	const large = 100
 	for name, row := range map[string]struct {
 		reads []int
@@ -20,13 +20,14 @@
 		"small":           {[]int{0, 50, 49}, 0},
 		"just large":      {[]int{100}, 1},
 		"in several":      {[]int{60, 0, 60}, 1},
-		"large for long":  {[]int{1000, 1000, 1000}, 1},
+		"all at once":     {[]int{1000}, 1},
+		"large for long":  {[]int{100, 50, 50, 10, 90}, 3},
 		"nothing at all":  {nil, 0},
 		"only its header": {[]int{0}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			calls := 0
-			ctx := source.OnceLarge(context.Background(), large, func() { calls++ })
+			ctx := source.WhileLarge(context.Background(), large, func() { calls++ })
 			patient, end := source.WithPatience(ctx, time.Minute, time.Minute)
 			defer end()
 			for _, bytes := range row.reads {
--- a/internal/source/patience.go
+++ b/internal/source/patience.go
@@ -68,7 +68,7 @@
 }
 
 // Progress tells the patience of a context, if it has one, that bytes of the answer came, and
-// what was asked for by OnceLarge. The header of an answer counts as progress of its own, with
+// what was asked for by WhileLarge. The header of an answer counts as progress of its own, with
 // zero bytes.
 func Progress(ctx context.Context, bytes int) {
 	if large, asked := ctx.Value(largeKey{}).(*largeRead); asked {
