The soak judges when the last request reached an instance that leaves

Each ending (an instance says that it leaves, its entry goes, its zone is evacuated, the last two new as faults) is noted when the store has acknowledged it; a request that reaches such an instance later than a change may take is a broken promise, and the report has the quantiles of the last arrivals. Soaks of the past keep their kinds of faults.

--- a/internal/bench/storesoak/cold.go
+++ b/internal/bench/storesoak/cold.go
@@ -21,12 +21,7 @@
 	m := oneOf(random, f)
 	return fault{
 		name: "replace an instance by a cold one", machines: []int{m.number},
-		begin: func(context.Context) error {
-			m.mutex.Lock()
-			defer m.mutex.Unlock()
-			f.list(m, store.StateDraining)
-			return nil
-		},
+		begin: func(context.Context) error { f.drain(m); return nil },
 		undo: func(context.Context) error {
 			gone := m.current()
 			gone.Close()
--- a/internal/bench/storesoak/crash.go
+++ b/internal/bench/storesoak/crash.go
@@ -47,7 +47,8 @@
 		return
 	}
 	m.born = time.Now()
-	f.list(m, store.StateReady)
+	f.endings.endLife(emulated.Name)
+	f.listFor(m, store.StateReady, 0)
 }
 
 // crashKinds are the two contents that crash instances.
--- a/internal/bench/storesoak/faults.go
+++ b/internal/bench/storesoak/faults.go
@@ -44,6 +44,7 @@
 	hopFault("half dead", faultproxy.Fault{Kind: faultproxy.Stall, Direction: faultproxy.TowardsClient}),
 	hopFault("slow", faultproxy.Fault{Kind: faultproxy.Delay, Direction: faultproxy.TowardsServer, Delay: 100 * time.Millisecond}),
 	cutFromPeers, rejectAcross, silenceConnections, startCold,
+	leaveSilently, evacuateZone,
 }
 
 // someOf draws count different machines.
@@ -139,13 +140,8 @@
 	m := oneOf(random, f)
 	return fault{
 		name: "replace an instance", machines: []int{m.number}, planned: true,
-		begin: func(context.Context) error {
-			m.mutex.Lock()
-			defer m.mutex.Unlock()
-			f.list(m, store.StateDraining)
-			return nil
-		},
-		undo: func(context.Context) error { return f.replaceInstance(m) },
+		begin: func(context.Context) error { f.drain(m); return nil },
+		undo:  func(context.Context) error { return f.replaceInstance(m) },
 	}
 }
 
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -32,6 +32,7 @@
 	logs     *nodeLogs
 	work     func(id string, gone <-chan struct{})
 	inner    *innerCalls
+	endings  endings
 }
 
 // ports are alike on all machines. The last two are where what comes for inbound and peers
@@ -182,10 +183,16 @@
 	return nil
 }
 
-// list writes the entry of a machine's instance. The mutex of the machine is held.
-func (f *fleet) list(m *machine, state string) { f.listFor(m, state, 0) }
+// drain has a machine's instance say that it leaves.
+func (f *fleet) drain(m *machine) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	f.listFor(m, store.StateDraining, 0)
+	f.endings.note("said that it leaves", m.instance.Name, m.zone)
+}
 
-// listFor is list for an instance that stays cold for so long.
+// listFor writes the entry of a machine's instance, which stays cold for so long. The mutex of
+// the machine is held.
 func (f *fleet) listFor(m *machine, state string, coldFor time.Duration) {
 	f.store.PutJSON(store.KeyInstances+m.instance.Name, store.Entry{
 		Born:    m.born.UnixMilli(),
--- a/internal/bench/storesoak/judge.go
+++ b/internal/bench/storesoak/judge.go
@@ -51,6 +51,13 @@
 	LateAnswers int `json:"late_answers"`
 	LateChanges int `json:"late_changes"`
 
+	// Endings counts how often instances were to get no new requests, LateArrivals the requests
+	// that reached them later than allowed after that.
+	Endings      int `json:"endings"`
+	LateArrivals int `json:"late_arrivals"`
+	// LastArrival is when the last request came after each ending, where nothing else struck.
+	LastArrival Quantiles `json:"seconds_until_the_last_arrival"`
+
 	// InForce is how long changes took from their acknowledgement, at machines that nothing
 	// struck meanwhile.
 	InForce Quantiles `json:"seconds_until_in_force"`
@@ -120,6 +127,7 @@
 		}
 	}
 	s.judgeChanges(calls, runs)
+	s.judgeEndings(calls, runs)
 	s.judgeRecovery(calls)
 	s.judgeCold()
 	s.judgeCrashes(calls, runs)
--- a/internal/bench/storesoak/judge_changes.go
+++ b/internal/bench/storesoak/judge_changes.go
@@ -160,12 +160,17 @@
 			At: written.sent.Sub(calls[0].sent).Seconds(), Kind: written.kind, Slowest: slices.Max(append(seconds, 0)),
 		})
 	}
+	s.report.InForce = quantilesOf(all)
+}
+
+// quantilesOf returns those of times in seconds, zero of none.
+func quantilesOf(all []float64) Quantiles {
 	if len(all) == 0 {
-		return
+		return Quantiles{}
 	}
 	slices.Sort(all)
 	at := func(quantile float64) float64 { return all[int(quantile*float64(len(all)-1))] }
-	s.report.InForce = Quantiles{P50: at(0.5), P99: at(0.99), Max: all[len(all)-1]}
+	return Quantiles{P50: at(0.5), P99: at(0.99), Max: all[len(all)-1]}
 }
 
 // secondsToForce is how long a version took at each machine that was not struck meanwhile.
