--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -64,6 +64,7 @@
 		newClaims,
 		newNodeReadiness,
 		newFleetWatch,
+		newFleetChanges,
 		newOutbound,
 		newInbound,
 		newDataplane,
@@ -137,6 +138,7 @@
 	Fleet     *fleetWatch
 	Replica   *claim.Replica
 	Suspects  *suspects.Ledger
+	Changes   *fleetChanges
 }
 
 func newDistribution(inputs distributionInputs) (*distribution.Node, error) {
@@ -169,7 +171,7 @@
 		ServeClaims:     func(stream *distribution.ClaimStream) { inputs.Replica.Serve(stream) },
 		CrashesLearned:  learnCrashes(inputs.Suspects, logging.Part(inputs.Options.Logger, "suspects")),
 
-		FleetChangesLearned: learnFleetChanges(inputs.Applier),
+		FleetChangesLearned: inputs.Changes.learn,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/app/fleetchanges.go
+++ b/internal/app/fleetchanges.go
@@ -1,18 +1,44 @@
 package app
 
 import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/clock"
 	"github.com/winchhead/winchhead/internal/configuration"
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// learnFleetChanges returns what puts changes of instances and evacuations in force.
-func learnFleetChanges(applier *configuration.Applier) func([]distribution.AgedChange) {
-	return func(learned []distribution.AgedChange) {
-		changes := make([]snapshot.Change, len(learned))
-		for i, change := range learned {
-			changes[i] = change.Change
-		}
-		applier.ChangeFleet(changes)
+// fleetChanges puts changes of instances and evacuations in force that came ahead of their
+// documents, and measures how old they were.
+type fleetChanges struct {
+	applier *configuration.Applier
+	age     prometheus.Histogram
+}
+
+// changeAges are the bounds of the ages in seconds: links take milliseconds, a reader gathers
+// for 0.25 s, and 2 s is what operators allow.
+var changeAges = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2}
+
+func newFleetChanges(applier *configuration.Applier, registerer prometheus.Registerer) (*fleetChanges, error) {
+	created := &fleetChanges{applier: applier, age: prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "winchhead_fleet_change_age_seconds",
+		Help:    "Time from the reading of a change of an instance or evacuation until this node had it ahead of a document.",
+		Buckets: changeAges,
+	})}
+	return created, eris.Wrap(registerer.Register(created.age), "register the metrics of changes")
+}
+
+// learn takes over changes that are new to this node. It does not block for long.
+func (f *fleetChanges) learn(learned []distribution.AgedChange) {
+	now := clock.Now()
+	changes := make([]snapshot.Change, len(learned))
+	for i, change := range learned {
+		changes[i] = change.Change
+		f.age.Observe(max(now.Sub(change.ReadAt), time.Duration(0)).Seconds())
 	}
+	f.applier.ChangeFleet(changes)
 }
--- a/internal/configuration/changes.go
+++ b/internal/configuration/changes.go
@@ -20,6 +20,6 @@
 		return // the next document brings them
 	}
 	current := a.store.Current()
-	a.announceFleet(former, current)
+	a.announceFleet(former, current, wayChange)
 	a.watchers.notify(Change{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
 }
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -270,7 +270,7 @@
 // snapshot, which is nil at first.
 func (a *Applier) announce(former *snapshot.Snapshot) {
 	current := a.store.Current()
-	a.announceFleet(former, current)
+	a.announceFleet(former, current, wayDocument)
 	if a.refusal != nil && current.Version().Newer(a.refusal.Version) {
 		a.refusal, a.refusedFor = nil, nil
 	}
@@ -285,10 +285,10 @@
 }
 
 // announceFleet tells logs and metrics what is new of instances and evacuations.
-func (a *Applier) announceFleet(former, current *snapshot.Snapshot) {
+func (a *Applier) announceFleet(former, current *snapshot.Snapshot, way string) {
 	a.metrics.generation.Set(float64(current.Generation()))
 	a.announceEvacuations(former, current)
-	a.announceEndings(former, current)
+	a.announceEndings(former, current, way)
 }
 
 // announceEvacuations tells logs and metrics which zones began or ceased to be
--- a/internal/configuration/endings.go
+++ b/internal/configuration/endings.go
@@ -3,22 +3,32 @@
 import (
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
 // maxNamesOfALine bounds the instances that one line names.
 const maxNamesOfALine = 8
 
-// announceEndings tells the log which instances get no new requests from now on: with the
-// line of the reader that first read of it, it shows how long this node took to know.
-func (a *Applier) announceEndings(former, current *snapshot.Snapshot) {
+// The ways in which a node learns of instances.
+const (
+	wayDocument = "document"
+	wayChange   = "change"
+)
+
+// announceEndings tells the log which instances get no new requests from now on, and by which
+// way this node learned it: with the line of the reader that first read of it, it shows how
+// long this node took to know.
+func (a *Applier) announceEndings(former, current *snapshot.Snapshot, way string) {
 	ended := endedBetween(former, current)
 	if len(ended) == 0 {
 		return
 	}
-	a.logger.WithField("version", current.Version().String()).WithField("count", len(ended)).
-		WithField("instances", strings.Join(ended[:min(len(ended), maxNamesOfALine)], ",")).
-		Info("instances leave or are gone: they get no new requests")
+	a.logger.WithFields(logrus.Fields{
+		"version": current.Version().String(), "way": way, "count": len(ended),
+		"instances": strings.Join(ended[:min(len(ended), maxNamesOfALine)], ","),
+	}).Info("instances leave or are gone: they get no new requests")
 }
 
 // endedBetween returns the names of the instances that took requests by the former snapshot
