Watches beside large answers gather news as long as their reader does

All readers watched apart each 0.25 s while an answer was large. Only the first in rank brings news that soon otherwise; the others, which take over from it, gather for 1.2 s.

--- a/internal/distribution/actions.go
+++ b/internal/distribution/actions.go
@@ -34,6 +34,8 @@
 	Request RequestID
 	After   snapshot.Revision
 	Wait    time.Duration
+	// Gather is the least time between two reads of news.
+	Gather time.Duration
 }
 
 // FetchSource asks the source for the whole document.
--- a/internal/distribution/polling.go
+++ b/internal/distribution/polling.go
@@ -14,7 +14,7 @@
 	r.polledAt = e.now
 	r.pollAt = time.Time{}
 	after := max(e.push.heldVersion().Revision, r.head.Revision)
-	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.pollWait()})
+	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.pollWait(), Gather: e.newsInterval()})
 }
 
 // pollWait is how long the source may hold the next poll. A reader whose last poll was
--- a/internal/mirror/apart.go
+++ b/internal/mirror/apart.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"sync"
@@ -20,8 +21,8 @@
 	// answer have come. Large answers come in series, as operators change a configuration in
 	// steps; ended with each answer, the watches cost 1.5 times the calls to the store.
 	apartTime = 2 * time.Second
-	// apartInterval is the least time between two watches of one kind: changes that come
-	// together are read together, as the first reader gathers news.
+	// apartInterval is the least time between two watches of one kind where the read names no
+	// time for which it gathers news.
 	apartInterval = 250 * time.Millisecond
 	// apartFailures is how many watches in a row may fail before it is left to the large
 	// answer.
@@ -40,6 +41,7 @@
 
 	mutex  sync.Mutex // guards the rest
 	until  time.Time
+	gather time.Duration  // the least time between two watches of one kind
 	scopes map[Scope]bool // those that are watched
 }
 
@@ -61,14 +63,15 @@
 	if after == 0 || m.options.Changes == nil {
 		return ctx
 	}
-	return source.WhileLarge(ctx, largeAnswer, func() { m.apart.watch(after) })
+	gather := cmp.Or(source.GatherTime(ctx), apartInterval)
+	return source.WhileLarge(ctx, largeAnswer, func() { m.apart.watch(after, gather) })
 }
 
 // watch goes on with the watches, or begins them after a revision.
-func (a *apart) watch(after uint64) {
+func (a *apart) watch(after uint64, gather time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.until = clock.Now().Add(apartTime)
+	a.until, a.gather = clock.Now().Add(apartTime), gather
 	for _, scope := range []Scope{ScopeInstances, ScopeEvacuations} {
 		if a.scopes[scope] || a.lifetime.Err() != nil {
 			continue
@@ -81,7 +84,7 @@
 // follow watches one kind of entries from a revision on.
 func (a *apart) follow(scope Scope, after uint64) {
 	for failures := 0; ; {
-		left := a.timeLeft(scope, failures)
+		left, gather := a.timeLeft(scope, failures)
 		if left <= 0 {
 			return
 		}
@@ -96,20 +99,21 @@
 			after = max(after, events.At)
 			a.mirror.tellChanges(scope.call(), events.Items)
 		}
-		_ = wait.For(a.lifetime, apartInterval) // timeLeft sees the end
+		_ = wait.For(a.lifetime, gather) // timeLeft sees the end
 	}
 }
 
-// timeLeft returns how long a scope is to be watched on. Zero: it no longer is.
-func (a *apart) timeLeft(scope Scope, failures int) time.Duration {
+// timeLeft returns how long a scope is to be watched on, and the least time between two
+// watches. Zero: it no longer is.
+func (a *apart) timeLeft(scope Scope, failures int) (left, gather time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	left := clock.Until(a.until)
+	left = clock.Until(a.until)
 	if left <= 0 || failures >= apartFailures || a.lifetime.Err() != nil {
 		delete(a.scopes, scope)
-		return 0
+		return 0, 0
 	}
-	return left
+	return left, a.gather
 }
 
 // tellChanges tells of changes of instances and evacuations, ahead of the document that holds
