What a list changes of instances is told ahead of the document as well

What callers would have seen: after an outage of the store in which it also dropped its history, an instance that leaves gets requests for 2 s more. Found while reading: only what watches brought was told ahead of documents, and a reader that must list the store told nothing while entries that lapsed were awaited. What a list shows differently from what was read before is told as of the list's revision; the rows of TestChangesAfterAnOutage with a list fail without it. A node that takes up reading again leaves out what its document holds already: it reads of all that was written since.

--- a/internal/distribution/fleet_changes.go
+++ b/internal/distribution/fleet_changes.go
@@ -32,10 +32,14 @@
 
 func (FleetChangesLearned) isAction() {}
 
+// apply leaves out what the document in force holds: a node that takes up reading again reads
+// of all that was written since it read last.
 func (event FleetChangesRead) apply(e *Engine) {
-	read := make([]AgedChange, len(event.Changes))
-	for i, change := range event.Changes {
-		read[i] = AgedChange{Change: change, ReadAt: e.now}
+	var read []AgedChange
+	for _, change := range event.Changes {
+		if change.Revision > e.push.heldVersion().Revision {
+			read = append(read, AgedChange{Change: change, ReadAt: e.now})
+		}
 	}
 	e.takeFleetChanges(read, 0)
 }
--- a/internal/distribution/fleet_changes_test.go
+++ b/internal/distribution/fleet_changes_test.go
@@ -60,6 +60,14 @@
 			}
 		}
 	})
+	t.Run("one that the document holds is not told", func(t *testing.T) {
+		s := newScenario(qt.New(t), simulation.Options{Seed: 8}, nil)
+		s.Run(time.Second)
+		held, _ := s.Held(machine(0).Name)
+		s.ReadChanges(machine(0).Name, leaving(held.Revision, "i"))
+		s.Run(soon)
+		s.c.Check(s.KnowsChange(machine(0).Name, leaving(held.Revision, "i")), qt.IsFalse)
+	})
 	t.Run("two readers at once", func(t *testing.T) {
 		s := newScenario(qt.New(t), simulation.Options{Seed: 3}, nil)
 		s.ReadChanges(machine(0).Name, leaving(7, "i"), leaving(8, "j"))
--- a/internal/mirror/apart_test.go
+++ b/internal/mirror/apart_test.go
@@ -91,22 +91,29 @@
 		outage  time.Duration
 		removed []string // by the return
 		told    []string // after the return
+		// compacted says that the store has dropped its history, so that it is listed.
+		compacted bool
 	}{
-		"half of them lapse":       {4 * time.Second, names[:4], nil},
-		"one left meanwhile":       {4 * time.Second, names[:1], names[:1]},
-		"the store was there":      {0, names[:4], names[:4]},
-		"a read failed, many left": {100 * time.Millisecond, names[:4], names[:4]},
+		"half of them lapse":       {4 * time.Second, names[:4], nil, false},
+		"half lapse, then a list":  {4 * time.Second, names[:4], nil, true},
+		"one left meanwhile":       {4 * time.Second, names[:1], names[:1], false},
+		"one left, then a list":    {4 * time.Second, names[:1], names[:1], true},
+		"the store was there":      {0, names[:4], names[:4], false},
+		"there, then a list":       {0, names[:4], names[:4], true},
+		"a read failed, many left": {100 * time.Millisecond, names[:4], names[:4], false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				emulated := &scriptedStore{c: c}
-				var gone, draining []string
+				var gone, draining, evacuated []string
 				followed, err := mirror.New(mirror.Options{
 					Store: emulated, Logger: logging.Discard(), Timeout: time.Minute,
 					Changes: func(changes []snapshot.Change) {
 						for _, change := range changes {
 							switch {
+							case change.Evacuated:
+								evacuated = append(evacuated, change.Key.Name)
 							case change.Instance == nil:
 								gone = append(gone, change.Key.Name)
 							case change.Instance.State == snapshot.InstanceDraining:
@@ -129,10 +136,15 @@
 				}
 				known := emulated.revision
 				emulated.remove(row.removed...)
-				_, _ = followed.AwaitRevision(ctx, known, 0)
+				emulated.evacuate("y")
+				if !row.compacted {
+					_, _ = followed.AwaitRevision(ctx, known, 0)
+				}
 				known = emulated.revision
 				emulated.drain(names[7])
+				emulated.compacted = row.compacted
 				_, _ = followed.AwaitRevision(ctx, known, 0)
+				c.Check(evacuated, qt.DeepEquals, []string{"y"})
 				slices.Sort(gone)
 				c.Check(gone, qt.DeepEquals, row.told)
 				c.Check(draining, qt.DeepEquals, []string{names[7]})
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -100,7 +100,7 @@
 		m.take(ctx, &next, events.Items)
 		next.at = max(events.At, next.at+1)
 	}
-	m.replace(next)
+	m.tellChanges(callList, m.replace(next))
 	m.behind, m.listBytes = false, bytes
 	return source.Outcome{Status: source.StatusFresh}
 }
@@ -166,16 +166,20 @@
 	m.state.at = events.At
 }
 
-// replace takes a state that was listed. The store never goes back, so an older
-// one, such as a late answer, is dropped.
-func (m *Mirror) replace(next state) {
+// replace takes a state that was listed, and returns what it changed of instances and
+// evacuations. The store never goes back, so an older one, such as a late answer, is dropped.
+func (m *Mirror) replace(next state) (changed []Item) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if next.at < m.state.at {
-		return
+		return nil
+	}
+	if !m.state.empty() {
+		changed = next.changedSince(m.state)
 	}
 	next.documentAt = next.at
 	next.keepLastGood(m.state)
 	m.state, m.readAt = next, clock.Now()
 	m.show(m.readAt)
+	return changed
 }
--- a/internal/mirror/scripted_test.go
+++ b/internal/mirror/scripted_test.go
@@ -30,6 +30,11 @@
 // drain has an instance say that it leaves.
 func (s *scriptedStore) drain(name string) { s.write(instanceItem(name, snapshot.InstanceDraining)) }
 
+// evacuate has the instances of a zone get no requests.
+func (s *scriptedStore) evacuate(zone string) {
+	s.write(mirror.Item{Kind: mirror.KindEvacuation, Key: "evacuate/" + zone, Name: zone, Evacuation: &snapshot.Evacuation{Zone: zone}})
+}
+
 func instanceItem(name string, state snapshot.Lifecycle) mirror.Item {
 	return mirror.Item{Kind: mirror.KindInstance, Key: name, Name: name, Instance: &snapshot.Instance{
 		Name: name, Service: "a", Address: "10.0.0.1:80", State: state,
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -161,6 +161,32 @@
 	}
 }
 
+// changedSince returns what is different from a former state, as entries of the revision of
+// this one.
+func (s *state) changedSince(former state) (changed []Item) {
+	for key, instance := range s.instances {
+		if before, listed := former.instances[key]; !listed || before != instance {
+			changed = append(changed, Item{Kind: KindInstance, Key: key, Name: instance.Name, Revision: s.at, Instance: &instance})
+		}
+	}
+	for key, instance := range former.instances {
+		if _, listed := s.instances[key]; !listed {
+			changed = append(changed, Item{Kind: KindInstance, Key: key, Name: instance.Name, Revision: s.at, Gone: true})
+		}
+	}
+	for key, evacuation := range s.evacuations {
+		if _, listed := former.evacuations[key]; !listed {
+			changed = append(changed, Item{Kind: KindEvacuation, Key: key, Name: evacuation.Zone, Revision: s.at, Evacuation: &evacuation})
+		}
+	}
+	for key, evacuation := range former.evacuations {
+		if _, listed := s.evacuations[key]; !listed {
+			changed = append(changed, Item{Kind: KindEvacuation, Key: key, Name: evacuation.Zone, Revision: s.at, Gone: true})
+		}
+	}
+	return changed
+}
+
 // document returns the document of the state. While the configuration stays, only
 // the instances and evacuations are encoded anew.
 func (s *state) document() (*snapshot.Document, error) {
