--- a/internal/admin/suspects.go
+++ b/internal/admin/suspects.go
@@ -22,13 +22,13 @@
 // Suspect is the content of requests that may crash the instances which run them.
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
-	// Standing is "suspected" or "guilty".
+	// Standing is "suspected" or "quarantined".
 	Standing string `json:"standing"`
-	// Crashes counts the crashes at which such a request was in progress, Trials those under
-	// a trial.
+	// Crashes counts the crashes at which such a request was in progress, Probes those under
+	// a probe.
 	Crashes int `json:"crashes"`
-	Trials  int `json:"trials"`
-	// RefusedUntil is when a guilty one may be sent again; zero for others.
+	Probes  int `json:"probes"`
+	// RefusedUntil is when a quarantined one may be sent again; zero for others.
 	RefusedUntil time.Time `json:"refused_until,omitzero"`
 }
 
@@ -39,10 +39,10 @@
 
 func (s *Server) suspects(w http.ResponseWriter, _ *http.Request) {
 	list := SuspectList{Suspects: []Suspect{}}
-	for _, judged := range s.options.Suspects.Judged() {
+	for _, assessed := range s.options.Suspects.Assessed() {
 		list.Suspects = append(list.Suspects, Suspect{
-			Fingerprint: judged.Fingerprint.String(), Standing: judged.Standing.String(),
-			Crashes: judged.Crashes, Trials: judged.Trials, RefusedUntil: judged.Until,
+			Fingerprint: assessed.Fingerprint.String(), Standing: assessed.Standing.String(),
+			Crashes: assessed.Crashes, Probes: assessed.Probes, RefusedUntil: assessed.Until,
 		})
 	}
 	s.write(w, http.StatusOK, list)
@@ -55,7 +55,7 @@
 		s.write(w, http.StatusBadRequest, Failure{Error: err.Error()})
 		return
 	}
-	if s.options.Suspects.Judge(content).Standing == suspects.Clear {
+	if s.options.Suspects.Assess(content).Standing == suspects.Clear {
 		s.write(w, http.StatusNotFound, Failure{Error: "nothing stands against requests of that fingerprint"})
 		return
 	}
--- a/internal/admin/suspects_test.go
+++ b/internal/admin/suspects_test.go
@@ -16,8 +16,8 @@
 func TestSuspects(t *testing.T) {
 	c := qt.New(t)
 	ledger := suspects.NewLedger()
-	guilty, victim := suspects.Of("GET", "h", "/a", nil), suspects.Of("GET", "h", "/b", nil)
-	ledger.Crashed("i-1", []suspects.InProgress{{Fingerprint: guilty}, {Fingerprint: victim}})
+	quarantined, victim := suspects.Of("GET", "h", "/a", nil), suspects.Of("GET", "h", "/b", nil)
+	ledger.Crashed("i-1", []suspects.InProgress{{Fingerprint: quarantined}, {Fingerprint: victim}})
 	node := newFakeNode(c)
 	server := httptest.NewServer(admin.New(admin.Options{Snapshots: node, Fleet: node, Status: node, Suspects: ledger,
 		Gatherer: prometheus.NewRegistry(), Logger: logging.Discard()}))
@@ -29,12 +29,12 @@
 	c.Assert(list.Suspects, qt.HasLen, 2)
 	c.Check(list.Suspects[0].Standing, qt.Equals, "suspected")
 
-	ledger.Crashed("i-2", []suspects.InProgress{{Fingerprint: guilty, Trial: true}})
+	ledger.Crashed("i-2", []suspects.InProgress{{Fingerprint: quarantined, Probe: true}})
 	list, err = client.Suspects(t.Context())
 	c.Assert(err, qt.IsNil)
 	c.Assert(list.Suspects, qt.HasLen, 1) // the crash is explained
-	c.Check(list.Suspects[0].Fingerprint, qt.Equals, guilty.String())
-	c.Check(list.Suspects[0].Standing, qt.Equals, "guilty")
+	c.Check(list.Suspects[0].Fingerprint, qt.Equals, quarantined.String())
+	c.Check(list.Suspects[0].Standing, qt.Equals, "quarantined")
 	c.Check(list.Suspects[0].Crashes, qt.Equals, 2)
 	c.Check(list.Suspects[0].RefusedUntil.IsZero(), qt.IsFalse)
 
@@ -42,8 +42,8 @@
 	c.Check(err, qt.ErrorMatches, ".*400.*is no fingerprint.*")
 	_, err = client.ClearSuspect(t.Context(), suspects.Of("GET", "h", "/c", nil).String())
 	c.Check(err, qt.ErrorMatches, ".*404: nothing stands against.*")
-	_, err = client.ClearSuspect(t.Context(), guilty.String())
+	_, err = client.ClearSuspect(t.Context(), quarantined.String())
 	c.Assert(err, qt.IsNil)
-	c.Check(ledger.Judge(guilty).Standing, qt.Equals, suspects.Clear)
-	c.Check(ledger.Judge(victim).Standing, qt.Equals, suspects.Suspected) // nothing explains the first crash now
+	c.Check(ledger.Assess(quarantined).Standing, qt.Equals, suspects.Clear)
+	c.Check(ledger.Assess(victim).Standing, qt.Equals, suspects.Suspected) // nothing explains the first crash now
 }
--- a/internal/app/suspects.go
+++ b/internal/app/suspects.go
@@ -19,17 +19,17 @@
 
 // describeCrash returns the fields of a line about a record.
 func describeCrash(crash suspects.Crash) logrus.Fields {
-	cleared, tried := 0, ""
+	cleared, probed := 0, ""
 	for _, request := range crash.Requests {
 		if request.Cleared {
 			cleared++
 		}
-		if request.Tried {
-			tried = request.Fingerprint.String()
+		if request.Probed {
+			probed = request.Fingerprint.String()
 		}
 	}
 	return logrus.Fields{
-		"instance": crash.Instance, "at": crash.At.UTC(), "in_progress": len(crash.Requests), "cleared": cleared, "tried": tried,
+		"instance": crash.Instance, "at": crash.At.UTC(), "in_progress": len(crash.Requests), "cleared": cleared, "probed": probed,
 	}
 }
 
@@ -39,8 +39,8 @@
 		standing suspects.Standing
 		help     string
 	}{
-		"winchhead_suspected_requests": {suspects.Suspected, "Contents of requests that may have crashed an instance and are tried one at a time."},
-		"winchhead_guilty_requests":    {suspects.Guilty, "Contents of requests that crashed instances under trials and are refused."},
+		"winchhead_suspected_requests":   {suspects.Suspected, "Contents of requests that may have crashed an instance and are probed one at a time."},
+		"winchhead_quarantined_requests": {suspects.Quarantined, "Contents of requests that crashed instances under probes and are refused."},
 	} {
 		count := func() float64 { return float64(ledger.Count(gauge.standing)) }
 		if err := registerer.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: gauge.help}, count)); err != nil {
--- a/internal/cli/suspects.go
+++ b/internal/cli/suspects.go
@@ -35,13 +35,13 @@
 }
 
 func (a suspectsAnswer) write(out io.Writer) {
-	lines := newTable(out, "FINGERPRINT", "STANDING", "CRASHES", "UNDER TRIAL", "REFUSED UNTIL")
+	lines := newTable(out, "FINGERPRINT", "STANDING", "CRASHES", "UNDER PROBE", "REFUSED UNTIL")
 	for _, each := range a.Suspects {
 		until := ""
 		if !each.RefusedUntil.IsZero() {
 			until = each.RefusedUntil.UTC().Format(time.RFC3339)
 		}
-		lines.row(each.Fingerprint, each.Standing, strconv.Itoa(each.Crashes), strconv.Itoa(each.Trials), until)
+		lines.row(each.Fingerprint, each.Standing, strconv.Itoa(each.Crashes), strconv.Itoa(each.Probes), until)
 	}
 	lines.flush()
 }
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -141,8 +141,8 @@
 	ReasonMalformed Reason = "malformed"
 	// ReasonCrashesInstances: requests of this content crash the instances that run them.
 	ReasonCrashesInstances Reason = "crashes-instances"
-	// ReasonTrial: another suspected request is tried at the instance.
-	ReasonTrial Reason = "trial"
+	// ReasonProbe: another suspected request is tried at the instance.
+	ReasonProbe Reason = "probe"
 	// ReasonRepeats: the calls of a repeated run would go beyond the bound of repeats.
 	ReasonRepeats Reason = "repeat-bound"
 )
--- a/internal/dataplane/inbound/crash.go
+++ b/internal/dataplane/inbound/crash.go
@@ -25,8 +25,8 @@
 // runInProgress is one request that the instance worked on.
 type runInProgress struct {
 	fingerprint suspects.Fingerprint
-	// trial says that it was sent under suspicion.
-	trial bool
+	// probe says that it was sent under suspicion.
+	probe bool
 	// id, method and target are for logs.
 	id, method, target string
 	instance           string
@@ -112,7 +112,7 @@
 // inProgress describes a request to the instance.
 func inProgress(request *message.Request, order hop.Order) runInProgress {
 	return runInProgress{
-		fingerprint: contentOf(request), trial: order.Suspected,
+		fingerprint: contentOf(request), probe: order.Suspected,
 		id: request.ID, method: request.Method, target: request.Target, instance: order.Instance,
 	}
 }
@@ -129,7 +129,7 @@
 	p.metrics.crashes.Inc()
 	running := make([]suspects.InProgress, len(runs))
 	for i, run := range runs {
-		running[i] = suspects.InProgress{Fingerprint: run.fingerprint, Trial: run.trial}
+		running[i] = suspects.InProgress{Fingerprint: run.fingerprint, Probe: run.probe}
 	}
 	p.options.Suspects.Crashed(runs[0].instance, running)
 	named := make([]string, 0, min(len(runs), maxLoggedRuns))
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -84,7 +84,7 @@
 	stop     atomic.Pointer[plannedStop]
 	ended    endedInstances
 	crashes  *crashWatch
-	trials   trials
+	probes   probes
 	origins  origins
 	active   atomic.Int64
 	lines    *boundedlog.Lines
@@ -113,7 +113,7 @@
 		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
 		lines: boundedlog.New(options.Logger),
 	}
-	created.trials = newTrials()
+	created.probes = newProbes()
 	created.crashes = &crashWatch{isGone: created.instance.IsGone, crashed: created.crashed}
 	created.cold = newColdness(options)
 	created.queue = queue.NewPaced(options.Slots, created.cold.limit)
@@ -227,7 +227,7 @@
 		return p.refuse(reason, 0)
 	}
 	switch standing := p.standing(request); {
-	case standing == suspects.Guilty:
+	case standing == suspects.Quarantined:
 		return p.refuse(hop.ReasonCrashesInstances, 0)
 	case standing == suspects.Suspected, order.Suspected:
 		return p.deliverSuspect(ctx, request, order, standing == suspects.Suspected)
--- a/internal/dataplane/inbound/trial_test.go
+++ b/internal/dataplane/inbound/probe_test.go
@@ -22,19 +22,19 @@
 
 func (s oneSnapshot) Current() *snapshot.Snapshot { return s.snapshot }
 
-// TestTrial: what a crash of the instance says of the request that was in progress depends on
+// TestProbe: what a crash of the instance says of the request that was in progress depends on
 // whether it ran under suspicion, by what this node knows or by the sender's word: the record
 // of an earlier crash may still be on its way here.
-func TestTrial(t *testing.T) {
+func TestProbe(t *testing.T) {
 	other := []suspects.InProgress{{Fingerprint: suspects.Of(http.MethodGet, "h", "/x", nil)}}
 	for name, row := range map[string]struct {
 		known, bySender bool
 		want            suspects.Standing
 	}{
 		"under no suspicion":    {false, false, suspects.Suspected},
-		"this node knows":       {true, false, suspects.Guilty},
-		"only the sender knows": {false, true, suspects.Guilty},
-		"both know":             {true, true, suspects.Guilty},
+		"this node knows":       {true, false, suspects.Quarantined},
+		"only the sender knows": {false, true, suspects.Quarantined},
+		"both know":             {true, true, suspects.Quarantined},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -62,7 +62,7 @@
 				Instance: "i-1", Remaining: time.Minute, MaxWait: time.Minute, Suspected: row.bySender, Repeatable: true,
 			})
 			c.Check(delivery.Report.Reason, qt.Equals, hop.ReasonCrashed)
-			c.Check(ledger.Judge(other[0].Fingerprint).Standing, qt.Equals, row.want)
+			c.Check(ledger.Assess(other[0].Fingerprint).Standing, qt.Equals, row.want)
 		})
 	}
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -90,8 +90,8 @@
 	e.enter()
 	defer e.returnRepeat()
 	for e.tries < maxTries && e.fullTries < maxFullTries {
-		if e.judgeContent() == suspects.Guilty {
-			return e.refuseGuilty()
+		if e.assessContent() == suspects.Quarantined {
+			return e.refuseQuarantined()
 		}
 		choice, found := e.pick()
 		if !found {
@@ -153,8 +153,8 @@
 		e.notRun(sent)
 		switch {
 		case sent.report.Reason == hop.ReasonCrashesInstances:
-			return e.refuseGuilty(), true
-		case e.ctx.Err() != nil, e.boundRefusals >= maxBoundRefusals, e.staysOnTrial(sent.report.Reason):
+			return e.refuseQuarantined(), true
+		case e.ctx.Err() != nil, e.boundRefusals >= maxBoundRefusals, e.staysOnProbe(sent.report.Reason):
 			return e.refuse(), true
 		}
 		return nil, false
--- a/internal/dataplane/outbound/suspicion.go
+++ b/internal/dataplane/outbound/suspicion.go
@@ -21,20 +21,20 @@
 	content  suspects.Fingerprint
 	known    bool
 	standing suspects.Standing
-	// until is when a guilty one may be sent again.
+	// until is when a quarantined one may be sent again.
 	until time.Time
 	// told is set when a send of this exchange met the crash of its instance: other nodes'
 	// records of that may still be on their way.
 	told bool
 }
 
-// judgeContent returns the standing of the request as it is now.
-func (e *exchange) judgeContent() suspects.Standing {
+// assessContent returns the standing of the request as it is now.
+func (e *exchange) assessContent() suspects.Standing {
 	s := &e.suspicion
 	s.standing = suspects.Clear
 	if ledger := e.proxy.options.Suspects; !ledger.IsEmpty() {
-		judgement := ledger.Judge(e.content())
-		s.standing, s.until = judgement.Standing, judgement.Until
+		assessment := ledger.Assess(e.content())
+		s.standing, s.until = assessment.Standing, assessment.Until
 	}
 	if s.standing == suspects.Clear && s.told {
 		s.standing = suspects.Suspected
@@ -63,7 +63,7 @@
 		if all[i].State != snapshot.InstanceReady || e.tried[all[i].Name] {
 			continue
 		}
-		if weight := trialWeight(e.content(), all[i].Address); best < 0 || weight > highest {
+		if weight := probeWeight(e.content(), all[i].Address); best < 0 || weight > highest {
 			best, highest = i, weight
 		}
 	}
@@ -73,8 +73,8 @@
 	return all[best : best+1]
 }
 
-// trialWeight ranks the instances for the trial of a content (rendezvous hashing).
-func trialWeight(content suspects.Fingerprint, address string) uint64 {
+// probeWeight ranks the instances for the probe of a content (rendezvous hashing).
+func probeWeight(content suspects.Fingerprint, address string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(address))
 	sum := hash.Sum64() ^ binary.BigEndian.Uint64(content[:])
@@ -82,11 +82,11 @@
 	return sum ^ sum>>32
 }
 
-// staysOnTrial reports whether a suspected request that was refused must not be offered to
+// staysOnProbe reports whether a suspected request that was refused must not be offered to
 // another instance: two nodes would then try it at two instances at the same time.
-func (e *exchange) staysOnTrial(reason hop.Reason) bool {
+func (e *exchange) staysOnProbe(reason hop.Reason) bool {
 	switch reason {
-	case hop.ReasonTrial:
+	case hop.ReasonProbe:
 		return true
 	case hop.ReasonOverloaded, hop.ReasonCold, hop.ReasonLink:
 		return e.suspicion.standing == suspects.Suspected
@@ -95,9 +95,9 @@
 	}
 }
 
-// refuseGuilty is the final answer to a request that crashes instances. If this attempt has
+// refuseQuarantined is the final answer to a request that crashes instances. If this attempt has
 // not run, it says when it may be tried again: not before the doubt is looked at once more.
-func (e *exchange) refuseGuilty() *message.Answer {
+func (e *exchange) refuseQuarantined() *message.Answer {
 	e.reason = hop.ReasonCrashesInstances
 	if e.reached > 0 || e.callerGone() {
 		return e.refuse()
--- a/internal/dataplane/outbound/suspicion_test.go
+++ b/internal/dataplane/outbound/suspicion_test.go
@@ -41,24 +41,24 @@
 	return []suspects.InProgress{{Fingerprint: suspects.Of(request.Method, request.Host, request.Target, request.Body)}}
 }
 
-// TestGuiltyIsRefused: a request that crashes instances is refused without being sent, and told
+// TestQuarantinedIsRefused: a request that crashes instances is refused without being sent, and told
 // when it may come back. That says nothing of the room for others: they must not be asked to
 // come back later than they would be.
-func TestGuiltyIsRefused(t *testing.T) {
+func TestQuarantinedIsRefused(t *testing.T) {
 	c := qt.New(t)
 	proxy, reached := suspectRig(c)
 	request := testRequest(http.MethodGet)
 	proxy.options.Suspects.Crashed("i", contentOf(request))
-	trial := contentOf(request)
-	trial[0].Trial = true
-	proxy.options.Suspects.Crashed("j", trial)
+	probe := contentOf(request)
+	probe[0].Probe = true
+	proxy.options.Suspects.Crashed("j", probe)
 	for range 20 {
 		answer := proxy.Serve(t.Context(), testRequest(http.MethodGet))
 		c.Assert(answer.Status, qt.Equals, http.StatusServiceUnavailable)
 		c.Check(string(answer.Body), qt.Contains, "not run")
 		seconds, err := strconv.Atoi(answer.Header.Get(headerRetryAfter))
 		c.Assert(err, qt.IsNil)
-		c.Check(seconds > 1 && seconds <= int(suspects.RetrialAfter.Seconds()), qt.IsTrue, qt.Commentf("%d s", seconds))
+		c.Check(seconds > 1 && seconds <= int(suspects.ProbeAgainAfter.Seconds()), qt.IsTrue, qt.Commentf("%d s", seconds))
 	}
 	c.Check(reached.orders, qt.HasLen, 0)
 	c.Check(proxy.callers.Pressure("r", time.Now()), qt.Equals, 0.0)
@@ -67,10 +67,10 @@
 	c.Check(proxy.Serve(t.Context(), other).Status, qt.Equals, http.StatusOK)
 }
 
-// TestSuspectsAreTriedAtOneInstance: all nodes send a suspected request to the same instance, to
+// TestSuspectsAreProbedAtOneInstance: all nodes send a suspected request to the same instance, to
 // the next one only if that cannot be reached, and never to a second one because the first is
 // busy with it or with another.
-func TestSuspectsAreTriedAtOneInstance(t *testing.T) {
+func TestSuspectsAreProbedAtOneInstance(t *testing.T) {
 	c := qt.New(t)
 	refused := func(reason hop.Reason) hop.Report { return hop.Report{Outcome: hop.Refused, Reason: reason} }
 	crashed := hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonCrashed}
@@ -96,7 +96,7 @@
 	unreachable, _ := at(true, refused(hop.ReasonConnect))
 	c.Assert(unreachable, qt.HasLen, 2)
 	c.Check(unreachable[0], qt.Equals, first[0])
-	for _, reason := range []hop.Reason{hop.ReasonTrial, hop.ReasonOverloaded, hop.ReasonCold, hop.ReasonCrashesInstances} {
+	for _, reason := range []hop.Reason{hop.ReasonProbe, hop.ReasonOverloaded, hop.ReasonCold, hop.ReasonCrashesInstances} {
 		busy, _ := at(true, refused(reason))
 		c.Check(busy, qt.DeepEquals, first, qt.Commentf("%s", reason))
 	}
--- a/internal/distribution/crashes.go
+++ b/internal/distribution/crashes.go
@@ -26,7 +26,7 @@
 func (e *Engine) onCrashes(l *link, m *wire.Crashes) {
 	received := make([]suspects.Crash, len(m.Crashes))
 	for i, crash := range m.Crashes {
-		age := time.Duration(min(max(crash.Age, 0), suspects.GuiltyFor.Milliseconds())) * time.Millisecond
+		age := time.Duration(min(max(crash.Age, 0), suspects.QuarantineFor.Milliseconds())) * time.Millisecond
 		received[i] = suspects.Crash{ID: crash.ID, Instance: crash.Instance, At: e.now.Add(-age), Requests: crash.Requests}
 	}
 	news := e.crashes.Merge(received, e.now)
--- a/internal/suspects/book.go
+++ b/internal/suspects/book.go
@@ -12,17 +12,17 @@
 	// SuspectFor is how long a crash counts against the requests that were in progress.
 	// Requests that come again and again do so within minutes.
 	SuspectFor = time.Hour
-	// GuiltyFor is the same for a crash under a trial. Nothing tells when the software of
+	// QuarantineFor is the same for a crash under a probe. Nothing tells when the software of
 	// the instances is repaired: a request that crashes them ends two of them a day.
-	GuiltyFor = 24 * time.Hour
-	// RetrialAfter is how long a request is refused after its first trial ended in a crash.
+	QuarantineFor = 24 * time.Hour
+	// ProbeAgainAfter is how long a request is refused after its first probe ended in a crash.
 	// Another cause may have ended the instance just then, so it gets one more; with the
-	// second crash it is refused for GuiltyFor. A trial takes tenths of a second, in which
-	// an instance rarely ends by itself, while a retrial of one that is guilty costs an
+	// second crash it is refused for QuarantineFor. A probe takes tenths of a second, in which
+	// an instance rarely ends by itself, while a further probe of one that is quarantined costs an
 	// instance for seconds and breaks off all that is in progress there.
-	RetrialAfter = 2 * time.Minute
-	// finalTrials is how many trials that end in a crash leave no doubt.
-	finalTrials = 2
+	ProbeAgainAfter = 2 * time.Minute
+	// finalProbes is how many probes that end in a crash leave no doubt.
+	finalProbes = 2
 	// maxCrashes bounds the records that are held: about 1 MB with MaxRequests each.
 	maxCrashes = 256
 )
@@ -34,41 +34,41 @@
 const (
 	// Clear: nothing stands against them.
 	Clear Standing = 0
-	// Suspected: they may have crashed an instance. They are tried, one at a time.
+	// Suspected: they may have crashed an instance. They are probed, one at a time.
 	Suspected Standing = 1
-	// Guilty: they crash the instances that run them, and are refused.
-	Guilty Standing = 2
+	// Quarantined: they crash the instances that run them, and are refused.
+	Quarantined Standing = 2
 )
 
 // String returns the standing in lower case, as logs show it.
 func (s Standing) String() string {
-	return map[Standing]string{Clear: "clear", Suspected: "suspected", Guilty: "guilty"}[s]
+	return map[Standing]string{Clear: "clear", Suspected: "suspected", Quarantined: "quarantined"}[s]
 }
 
-// Judgement is the standing of one content with what it rests on.
-type Judgement struct {
+// Assessment is the standing of one content with what it rests on.
+type Assessment struct {
 	Standing Standing
-	// Crashes counts the crashes that stand against it, Trials those under a trial.
-	Crashes, Trials int
-	// Until is when a guilty one may be sent again.
+	// Crashes counts the crashes that stand against it, Probes those under a probe.
+	Crashes, Probes int
+	// Until is when a quarantined one may be sent again.
 	Until time.Time
 }
 
 // Book holds the crashes that a node knows of. Books of different nodes that hold the same
-// records judge alike. It is for one goroutine.
+// records assess alike. It is for one goroutine.
 type Book struct {
 	crashes map[CrashID]*Crash
-	// accused maps each content that is not cleared to the crashes it was in progress at.
-	accused map[Fingerprint][]*Crash
+	// suspected maps each content that is not cleared to the crashes it was in progress at.
+	suspected map[Fingerprint][]*Crash
 }
 
 // NewBook returns an empty Book.
 func NewBook() *Book {
-	return &Book{crashes: make(map[CrashID]*Crash), accused: make(map[Fingerprint][]*Crash)}
+	return &Book{crashes: make(map[CrashID]*Crash), suspected: make(map[Fingerprint][]*Crash)}
 }
 
 // IsEmpty reports whether nothing stands against any content.
-func (b *Book) IsEmpty() bool { return len(b.accused) == 0 }
+func (b *Book) IsEmpty() bool { return len(b.suspected) == 0 }
 
 // Merge takes over records and returns those that told something new, as they are now.
 func (b *Book) Merge(crashes []Crash, now time.Time) (news []Crash) {
@@ -108,7 +108,7 @@
 // Answered clears a content, as an instance has answered a request of it: it does not crash
 // those that run it. It returns the records that changed.
 func (b *Book) Answered(content Fingerprint) (news []Crash) {
-	for _, crash := range b.accused[content] {
+	for _, crash := range b.suspected[content] {
 		crash.find(content).Cleared = true
 		news = append(news, crash.clone())
 	}
@@ -118,17 +118,17 @@
 	return news
 }
 
-// Judge returns the standing of a content.
-func (b *Book) Judge(content Fingerprint, now time.Time) Judgement {
-	var found Judgement
+// Assess returns the standing of a content.
+func (b *Book) Assess(content Fingerprint, now time.Time) Assessment {
+	var found Assessment
 	var last time.Time
-	for _, crash := range b.accused[content] {
+	for _, crash := range b.suspected[content] {
 		request := crash.find(content)
 		switch {
 		case !now.Before(expiry(crash)):
 			continue
-		case request.Tried:
-			found.Trials++
+		case request.Probed:
+			found.Probes++
 			last = later(last, crash.At)
 		case b.isExplained(crash, content):
 			continue
@@ -138,10 +138,10 @@
 	switch {
 	case found.Crashes == 0:
 		return found
-	case found.Trials >= finalTrials:
-		found.Standing, found.Until = Guilty, last.Add(GuiltyFor)
-	case found.Trials > 0 && now.Before(last.Add(RetrialAfter)):
-		found.Standing, found.Until = Guilty, last.Add(RetrialAfter)
+	case found.Probes >= finalProbes:
+		found.Standing, found.Until = Quarantined, last.Add(QuarantineFor)
+	case found.Probes > 0 && now.Before(last.Add(ProbeAgainAfter)):
+		found.Standing, found.Until = Quarantined, last.Add(ProbeAgainAfter)
 	default:
 		found.Standing = Suspected
 	}
@@ -149,28 +149,28 @@
 }
 
 // isExplained reports whether another content that was in progress at the crash has crashed
-// an instance under a trial: the crash then says nothing of this one. So the victims of a
-// request that crashes instances need no trial of their own.
+// an instance under a probe: the crash then says nothing of this one. So the victims of a
+// request that crashes instances need no probe of their own.
 func (b *Book) isExplained(crash *Crash, content Fingerprint) bool {
 	return slices.ContainsFunc(crash.Requests, func(other Request) bool {
-		return other.Fingerprint != content && !other.Cleared && b.wasTried(other.Fingerprint)
+		return other.Fingerprint != content && !other.Cleared && b.wasProbed(other.Fingerprint)
 	})
 }
 
-// wasTried reports whether a trial of a content that is not cleared ended in a crash.
-func (b *Book) wasTried(content Fingerprint) bool {
-	return slices.ContainsFunc(b.accused[content], func(crash *Crash) bool { return crash.find(content).Tried })
+// wasProbed reports whether a probe of a content that is not cleared ended in a crash.
+func (b *Book) wasProbed(content Fingerprint) bool {
+	return slices.ContainsFunc(b.suspected[content], func(crash *Crash) bool { return crash.find(content).Probed })
 }
 
-// judged returns all contents that something stands against, in the order of their
+// assessed returns all contents that something stands against, in the order of their
 // fingerprints.
-func (b *Book) judged(now time.Time) (found []Judged) {
-	for content := range b.accused {
-		if judgement := b.Judge(content, now); judgement.Standing != Clear {
-			found = append(found, Judged{Fingerprint: content, Judgement: judgement})
+func (b *Book) assessed(now time.Time) (found []Assessed) {
+	for content := range b.suspected {
+		if assessment := b.Assess(content, now); assessment.Standing != Clear {
+			found = append(found, Assessed{Fingerprint: content, Assessment: assessment})
 		}
 	}
-	slices.SortFunc(found, func(a, b Judged) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	slices.SortFunc(found, func(a, b Assessed) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return found
 }
 
@@ -195,8 +195,8 @@
 
 // expiry is when a record counts no more.
 func expiry(crash *Crash) time.Time {
-	if slices.ContainsFunc(crash.Requests, func(request Request) bool { return request.Tried }) {
-		return crash.At.Add(GuiltyFor)
+	if slices.ContainsFunc(crash.Requests, func(request Request) bool { return request.Probed }) {
+		return crash.At.Add(QuarantineFor)
 	}
 	return crash.At.Add(SuspectFor)
 }
@@ -211,7 +211,7 @@
 }
 
 // limit drops the records that would be missed least: those in which all are cleared, then
-// the oldest without a trial, then the oldest.
+// the oldest without a probe, then the oldest.
 func (b *Book) limit() {
 	if len(b.crashes) <= maxCrashes {
 		return
@@ -234,7 +234,7 @@
 	for _, request := range c.Requests {
 		switch {
 		case request.Cleared:
-		case request.Tried:
+		case request.Probed:
 			return 2
 		default:
 			weight = 1
@@ -243,13 +243,13 @@
 	return weight
 }
 
-// index finds the contents that are accused. Records change a few times a crash.
+// index finds the contents that are suspected. Records change a few times a crash.
 func (b *Book) index() {
-	clear(b.accused)
+	clear(b.suspected)
 	for _, crash := range b.crashes {
 		for _, request := range crash.Requests {
 			if !request.Cleared {
-				b.accused[request.Fingerprint] = append(b.accused[request.Fingerprint], crash)
+				b.suspected[request.Fingerprint] = append(b.suspected[request.Fingerprint], crash)
 			}
 		}
 	}
--- a/internal/suspects/book_test.go
+++ b/internal/suspects/book_test.go
@@ -15,21 +15,21 @@
 // content is the fingerprint of a request to a path.
 func content(path string) Fingerprint { return Of("GET", "h", path, nil) }
 
-// crashOf is a crash with the contents in progress; those with a star were tried.
+// crashOf is a crash with the contents in progress; those with a star were probed.
 func crashOf(id CrashID, after time.Duration, paths ...string) Crash {
 	crash := Crash{ID: id, Instance: "i", At: start.Add(after)}
 	for _, path := range paths {
-		tried := path[0] == '*'
-		if tried {
+		probed := path[0] == '*'
+		if probed {
 			path = path[1:]
 		}
-		crash.Requests = append(crash.Requests, Request{Fingerprint: content(path), Tried: tried})
+		crash.Requests = append(crash.Requests, Request{Fingerprint: content(path), Probed: probed})
 	}
 	return crash
 }
 
-// TestJudge is the table of what stands against a request.
-func TestJudge(t *testing.T) {
+// TestAssess is the table of what stands against a request.
+func TestAssess(t *testing.T) {
 	const second = time.Second
 	type want = map[string]Standing
 	for name, row := range map[string]struct {
@@ -40,15 +40,15 @@
 	}{
 		"nothing":                             {at: second, want: want{"a": Clear}},
 		"all in progress are suspect":         {crashes: []Crash{crashOf(1, 0, "a", "b")}, at: second, want: want{"a": Suspected, "b": Suspected, "c": Clear}},
-		"many crashes without a trial":        {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "a"), crashOf(3, 0, "a")}, at: second, want: want{"a": Suspected}},
+		"many crashes without a probe":        {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "a"), crashOf(3, 0, "a")}, at: second, want: want{"a": Suspected}},
 		"an answer clears":                    {crashes: []Crash{crashOf(1, 0, "a", "b")}, answered: []string{"a"}, at: second, want: want{"a": Clear, "b": Suspected}},
-		"a trial convicts and explains":       {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, second, "*a", "c")}, at: 2 * second, want: want{"a": Guilty, "b": Clear, "c": Clear}},
-		"a second trial after a while":        {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "*a")}, at: RetrialAfter, want: want{"a": Suspected}},
-		"two trials convict for long":         {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "*a"), crashOf(3, RetrialAfter, "*a")}, at: SuspectFor + second, want: want{"a": Guilty}},
-		"and not for good":                    {crashes: []Crash{crashOf(2, 0, "*a"), crashOf(3, 0, "*a")}, at: GuiltyFor, want: want{"a": Clear}},
-		"an answer clears what was convicted": {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, second, "*a")}, answered: []string{"a"}, at: 2 * second, want: want{"a": Clear, "b": Suspected}},
+		"a probe confirms and explains":       {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, second, "*a", "c")}, at: 2 * second, want: want{"a": Quarantined, "b": Clear, "c": Clear}},
+		"a second probe after a while":        {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "*a")}, at: ProbeAgainAfter, want: want{"a": Suspected}},
+		"two probes confirm for long":         {crashes: []Crash{crashOf(1, 0, "a"), crashOf(2, 0, "*a"), crashOf(3, ProbeAgainAfter, "*a")}, at: SuspectFor + second, want: want{"a": Quarantined}},
+		"and not for good":                    {crashes: []Crash{crashOf(2, 0, "*a"), crashOf(3, 0, "*a")}, at: QuarantineFor, want: want{"a": Clear}},
+		"an answer clears what was confirmed": {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, second, "*a")}, answered: []string{"a"}, at: 2 * second, want: want{"a": Clear, "b": Suspected}},
 		"suspicion ends":                      {crashes: []Crash{crashOf(1, 0, "a")}, at: SuspectFor, want: want{"a": Clear}},
-		"two that crash instances":            {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, 0, "*a", "c"), crashOf(3, 0, "*b")}, at: second, want: want{"a": Guilty, "b": Guilty, "c": Clear}},
+		"two that crash instances":            {crashes: []Crash{crashOf(1, 0, "a", "b"), crashOf(2, 0, "*a", "c"), crashOf(3, 0, "*b")}, at: second, want: want{"a": Quarantined, "b": Quarantined, "c": Clear}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -58,14 +58,14 @@
 				book.Answered(content(path))
 			}
 			for path, want := range row.want {
-				c.Check(book.Judge(content(path), start.Add(row.at)).Standing, qt.Equals, want, qt.Commentf(path))
+				c.Check(book.Assess(content(path), start.Add(row.at)).Standing, qt.Equals, want, qt.Commentf(path))
 			}
 		})
 	}
 }
 
 // TestBooksAgree: books that got the same records and answers, in any order, some of them
-// twice, judge all contents alike.
+// twice, assess all contents alike.
 func TestBooksAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		paths := []string{"a", "b", "c", "d"}
@@ -74,7 +74,7 @@
 		var told []Crash
 		for id := range rapid.IntRange(1, 8).Draw(t, "crashes") {
 			in := rapid.SliceOfNDistinct(path, 1, 3, func(p string) string { return p }).Draw(t, "paths")
-			if rapid.Bool().Draw(t, "tried") {
+			if rapid.Bool().Draw(t, "probed") {
 				in[0] = "*" + in[0]
 			}
 			at := rapid.IntRange(0, len(books)-1).Draw(t, "book")
@@ -91,9 +91,9 @@
 			}
 		}
 		for _, path := range paths {
-			first := books[0].Judge(content(path), start.Add(10*time.Second))
+			first := books[0].Assess(content(path), start.Add(10*time.Second))
 			for _, book := range books[1:] {
-				if other := book.Judge(content(path), start.Add(10*time.Second)); other != first {
+				if other := book.Assess(content(path), start.Add(10*time.Second)); other != first {
 					t.Fatalf("%s: %+v and %+v", path, first, other)
 				}
 			}
@@ -101,19 +101,19 @@
 	})
 }
 
-// TestBookIsBounded: with more crashes than there is room for, those that convict stay, and
+// TestBookIsBounded: with more crashes than there is room for, those that confirms stay, and
 // what was dropped is no news when it comes again.
 func TestBookIsBounded(t *testing.T) {
 	c := qt.New(t)
 	book := NewBook()
-	book.Merge([]Crash{crashOf(0, 0, "*guilty"), crashOf(1, 0, "*guilty")}, start)
+	book.Merge([]Crash{crashOf(0, 0, "*quarantined"), crashOf(1, 0, "*quarantined")}, start)
 	all := []Crash{}
 	for i := range 2 * maxCrashes {
 		all = append(all, crashOf(CrashID(10+i), time.Duration(i)*time.Millisecond, fmt.Sprint(i)))
 	}
 	c.Check(len(book.Merge(all, start)) <= maxCrashes, qt.IsTrue)
 	c.Check(book.All(start), qt.HasLen, maxCrashes)
-	c.Check(book.Judge(content("guilty"), start.Add(time.Hour)).Standing, qt.Equals, Guilty)
+	c.Check(book.Assess(content("quarantined"), start.Add(time.Hour)).Standing, qt.Equals, Quarantined)
 	c.Check(book.Merge(all, start), qt.HasLen, 0)
 	long := crashOf(9000, time.Hour)
 	for i := range 2 * MaxRequests {
@@ -124,18 +124,18 @@
 	c.Check(news[0].Requests, qt.HasLen, MaxRequests)
 }
 
-// TestLedgerTrials: a crash convicts only a request that was sent under suspicion, and only
+// TestLedgerProbes: a crash confirms only a request that was sent under suspicion, and only
 // if no other suspect was in progress there.
-func TestLedgerTrials(t *testing.T) {
+func TestLedgerProbes(t *testing.T) {
 	a, b := content("a"), content("b")
 	for name, row := range map[string]struct {
 		running []InProgress
-		tried   bool
+		probed  bool
 	}{
 		"alone":                         {[]InProgress{{a, true}}, true},
 		"beside others":                 {[]InProgress{{content("x"), false}, {a, true}, {content("y"), false}}, true},
 		"beside a suspect":              {[]InProgress{{a, true}, {b, false}}, false},
-		"beside another trial":          {[]InProgress{{a, true}, {b, true}}, false},
+		"beside another probe":          {[]InProgress{{a, true}, {b, true}}, false},
 		"it began before it was one":    {[]InProgress{{a, false}}, false},
 		"twice, given up in between":    {[]InProgress{{a, true}, {a, true}}, true},
 		"none of them is under a doubt": {[]InProgress{{content("x"), false}}, false},
@@ -149,10 +149,10 @@
 			ledger.Crashed("i", []InProgress{{a, false}, {b, false}})
 			c.Check(ledger.IsEmpty(), qt.IsFalse)
 			ledger.Crashed("j", row.running)
-			c.Check(ledger.Judge(a).Standing == Guilty, qt.Equals, row.tried)
+			c.Check(ledger.Assess(a).Standing == Quarantined, qt.Equals, row.probed)
 			c.Check(told, qt.HasLen, 2)
 			ledger.Answered(a)
-			c.Check(ledger.Judge(a).Standing, qt.Equals, Clear)
+			c.Check(ledger.Assess(a).Standing, qt.Equals, Clear)
 		})
 	}
 }
--- a/internal/suspects/crash.go
+++ b/internal/suspects/crash.go
@@ -24,9 +24,9 @@
 // Request is the part of one content in a crash.
 type Request struct {
 	Fingerprint Fingerprint
-	// Tried says that the request was a trial: it ran under suspicion, and no other suspect
+	// Probed says that the request was a probe: it ran under suspicion, and no other suspect
 	// was in progress at the instance.
-	Tried bool
+	Probed bool
 	// Cleared says that an instance has answered a request of this content since.
 	Cleared bool
 }
--- a/internal/suspects/ledger.go
+++ b/internal/suspects/ledger.go
@@ -12,8 +12,8 @@
 // InProgress is a request that was in progress at a crash.
 type InProgress struct {
 	Fingerprint Fingerprint
-	// Trial says that it was sent under suspicion.
-	Trial bool
+	// Probe says that it was sent under suspicion.
+	Probe bool
 }
 
 // Ledger is the Book of one node with what it tells the others. It is safe for concurrent
@@ -40,14 +40,14 @@
 // IsEmpty reports whether nothing stands against any request.
 func (l *Ledger) IsEmpty() bool { return !l.occupied.Load() }
 
-// Judge returns the standing of requests of a content.
-func (l *Ledger) Judge(content Fingerprint) Judgement {
+// Assess returns the standing of requests of a content.
+func (l *Ledger) Assess(content Fingerprint) Assessment {
 	if l.IsEmpty() {
-		return Judgement{}
+		return Assessment{}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.book.Judge(content, l.now())
+	return l.book.Assess(content, l.now())
 }
 
 // Crashed notes the crash of an instance. It returns the record.
@@ -55,10 +55,10 @@
 	l.mutex.Lock()
 	now := l.now()
 	crash := Crash{ID: CrashID(rand.Uint64()), Instance: instance, At: now}
-	tried := l.onlyTrial(running, now)
+	probed := l.onlyProbe(running, now)
 	for _, each := range running {
 		if len(crash.Requests) < MaxRequests && crash.find(each.Fingerprint) == nil {
-			crash.Requests = append(crash.Requests, Request{Fingerprint: each.Fingerprint, Tried: tried != nil && *tried == each.Fingerprint})
+			crash.Requests = append(crash.Requests, Request{Fingerprint: each.Fingerprint, Probed: probed != nil && *probed == each.Fingerprint})
 		}
 	}
 	news := l.book.Merge([]Crash{crash}, now)
@@ -68,21 +68,21 @@
 	return crash
 }
 
-// onlyTrial returns the content on trial, if no other suspect was in progress beside it. The
+// onlyProbe returns the content on probe, if no other suspect was in progress beside it. The
 // mutex is held.
-func (l *Ledger) onlyTrial(running []InProgress, now time.Time) *Fingerprint {
-	var tried *Fingerprint
+func (l *Ledger) onlyProbe(running []InProgress, now time.Time) *Fingerprint {
+	var probed *Fingerprint
 	for i := range running {
 		each := &running[i]
 		switch {
-		case tried != nil && *tried == each.Fingerprint:
-		case each.Trial && tried == nil:
-			tried = &each.Fingerprint
-		case each.Trial, l.book.Judge(each.Fingerprint, now).Standing != Clear:
+		case probed != nil && *probed == each.Fingerprint:
+		case each.Probe && probed == nil:
+			probed = &each.Fingerprint
+		case each.Probe, l.book.Assess(each.Fingerprint, now).Standing != Clear:
 			return nil
 		}
 	}
-	return tried
+	return probed
 }
 
 // Answered clears the content of a request that an instance answered.
@@ -107,23 +107,23 @@
 	l.occupied.Store(!l.book.IsEmpty())
 }
 
-// Judged is a content with its judgement.
-type Judged struct {
+// Assessed is a content with its assessment.
+type Assessed struct {
 	Fingerprint Fingerprint
-	Judgement
+	Assessment
 }
 
-// Judged returns all contents that something stands against, in the order of their
+// Assessed returns all contents that something stands against, in the order of their
 // fingerprints.
-func (l *Ledger) Judged() []Judged {
+func (l *Ledger) Assessed() []Assessed {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.book.judged(l.now())
+	return l.book.assessed(l.now())
 }
 
 // Count returns how many contents have a standing.
 func (l *Ledger) Count(standing Standing) (count int) {
-	for _, each := range l.Judged() {
+	for _, each := range l.Assessed() {
 		if each.Standing == standing {
 			count++
 		}
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -26,7 +26,7 @@
 
 func (e encoder) crashRequest(request suspects.Request) {
 	e.fixed(request.Fingerprint[:])
-	e.boolean(request.Tried)
+	e.boolean(request.Probed)
 	e.boolean(request.Cleared)
 }
 
@@ -42,7 +42,7 @@
 func (d decoder) crashRequest() suspects.Request {
 	var request suspects.Request
 	d.Read(request.Fingerprint[:])
-	request.Tried = d.boolean()
+	request.Probed = d.boolean()
 	request.Cleared = d.boolean()
 	return request
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -119,7 +119,7 @@
 		case wire.TypeCrashes:
 			request := rapid.Custom(func(t *rapid.T) suspects.Request {
 				return suspects.Request{Fingerprint: suspects.Fingerprint(rapid.SliceOfN(rapid.Byte(), suspects.FingerprintBytes, suspects.FingerprintBytes).Draw(t, "fingerprint")),
-					Tried: rapid.Bool().Draw(t, "tried"), Cleared: rapid.Bool().Draw(t, "cleared")}
+					Probed: rapid.Bool().Draw(t, "probed"), Cleared: rapid.Bool().Draw(t, "cleared")}
 			})
 			crash := rapid.Custom(func(t *rapid.T) wire.Crash {
 				return wire.Crash{ID: suspects.CrashID(number.Draw(t, "id")), Instance: text.Draw(t, "instance"),
@@ -271,7 +271,7 @@
 			Listed: []wire.ListedEntry{{Order: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
 		&wire.ClaimRequest{Holder: wire.ClaimHolder{Node: "a", Number: 2}, Hold: 1000}, &wire.ClaimReply{Holder: wire.ClaimHolder{Node: "b"}},
-		&wire.Crashes{Crashes: []wire.Crash{{ID: 1, Instance: "i", Age: 5, Requests: []suspects.Request{{Tried: true}}}}},
+		&wire.Crashes{Crashes: []wire.Crash{{ID: 1, Instance: "i", Age: 5, Requests: []suspects.Request{{Probed: true}}}}},
 		&wire.FleetChanges{Changes: []wire.FleetChange{{Revision: 7, Resource: snapshot.Resource{Key: snapshot.Key{Kind: 5, Name: "i"}}, Age: 3}}},
 	}
 	for _, message := range seeds {
