No watches apart before the first configuration

All nodes read the first configuration then, a large answer, and each watched instances and evacuations apart for 2 s, though nothing was in force that a change could precede. TestNothingApartBeforeTheFirstConfiguration fails without the condition.

--- a/internal/bench/storesoak/cold.go
+++ b/internal/bench/storesoak/cold.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"time"
-
-	"github.com/winchhead/winchhead/internal/emulator/store"
 )
 
 const (
@@ -21,13 +19,8 @@
 	m := oneOf(random, f)
 	return fault{
 		name: "replace an instance by a cold one", machines: []int{m.number},
-		begin: func(context.Context) error { f.drain(m); return nil },
-		undo: func(context.Context) error {
-			gone := m.current()
-			gone.Close()
-			f.store.Delete(store.KeyInstances + gone.Name)
-			return f.newInstance(m, gone.Address, coldStart)
-		},
+		begin: func(context.Context) error { m.replacing.Lock(); f.drain(m); return nil },
+		undo:  func(context.Context) error { return f.endReplacement(m, coldStart) },
 	}
 }
 
--- a/internal/bench/storesoak/faults.go
+++ b/internal/bench/storesoak/faults.go
@@ -140,8 +140,8 @@
 	m := oneOf(random, f)
 	return fault{
 		name: "replace an instance", machines: []int{m.number}, planned: true,
-		begin: func(context.Context) error { f.drain(m); return nil },
-		undo:  func(context.Context) error { return f.replaceInstance(m) },
+		begin: func(context.Context) error { m.replacing.Lock(); f.drain(m); return nil },
+		undo:  func(context.Context) error { return f.endReplacement(m, 0) },
 	}
 }
 
@@ -151,8 +151,9 @@
 	m := oneOf(random, f)
 	return fault{
 		name: "crash an instance", machines: []int{m.number},
-		begin: func(context.Context) error { m.current().Close(); return nil },
+		begin: func(context.Context) error { m.replacing.Lock(); m.current().Close(); return nil },
 		undo: func(context.Context) error {
+			defer m.replacing.Unlock()
 			gone := m.current()
 			if err := f.newInstance(m, gone.Address, 0); err != nil {
 				return err
@@ -163,13 +164,6 @@
 	}
 }
 
-func (f *fleet) replaceInstance(m *machine) error {
-	gone := m.current()
-	gone.Close()
-	f.store.Delete(store.KeyInstances + gone.Name)
-	return f.newInstance(m, gone.Address, 0)
-}
-
 // spoilAnswers has an instance lose, cut or mix up some of its answers.
 func spoilAnswers(random *rand.Rand, f *fleet) fault {
 	kinds := []instance.Fault{
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -70,6 +70,9 @@
 	// life counts the runs of the process.
 	life atomic.Int64
 
+	// replacing is held while the instance leaves and another one takes its place.
+	replacing sync.Mutex
+
 	mutex    sync.Mutex
 	instance *instance.Instance
 	former   []*instance.Instance
--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -10,6 +10,8 @@
 	Rate                    float64
 	// CrashRate is that of Options.
 	CrashRate float64
+	// LeaveRate is that of Options.
+	LeaveRate float64
 	// Kinds is how many kinds of faults there were then.
 	Kinds int
 	// Cause is what was wrong, in one line.
@@ -20,7 +22,7 @@
 func (r Regression) Options() Options {
 	return Options{
 		Seed: r.Seed, Machines: r.Machines, Zones: r.Zones, Routes: r.Routes, SlowestLink: r.SlowestLink, Busy: r.Busy,
-		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, Kinds: r.Kinds,
+		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, LeaveRate: r.LeaveRate, Kinds: r.Kinds,
 	}
 }
 
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -35,6 +35,9 @@
 	Rate float64
 	// CrashRate is how many calls a second crash the instances that run them; zero: none.
 	CrashRate float64
+	// LeaveRate is how many instances a second say that they leave and are replaced, beside
+	// the faults; changes then come in quick succession. Zero: none.
+	LeaveRate float64
 	// Progress takes one line a fault, Logs what the nodes log; nil drops them.
 	Progress, Logs io.Writer
 	// Kinds is how many kinds of faults are drawn from; zero: all. Later kinds come behind
@@ -116,18 +119,26 @@
 		s.callers.run(calling, s.options.Rate)
 	}()
 	began := time.Now()
-	crashing, stopCrashing := context.WithCancel(calling)
-	defer stopCrashing()
+	beside, stopBeside := context.WithCancel(calling)
+	defer stopBeside()
 	crashed := make(chan struct{})
 	go func() {
 		defer close(crashed)
 		if s.options.CrashRate > 0 {
-			s.callers.runCrashing(crashing, s.options.CrashRate, s.options.Seed)
+			s.callers.runCrashing(beside, s.options.CrashRate, s.options.Seed)
+		}
+	}()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		if s.options.LeaveRate > 0 {
+			s.runLeaving(beside, s.options.LeaveRate)
 		}
 	}()
 	err := s.disturb(ctx)
-	stopCrashing()
+	stopBeside()
 	<-crashed
+	<-left
 	if err == nil {
 		s.history.calmFrom = time.Now()
 		err = wait.For(ctx, finalCalm)
@@ -205,7 +216,7 @@
 	const oneIn = 3
 	end := time.Now().Add(lasting)
 	shortest, longest := shortestCalm, longestCalm
-	if s.random.IntN(oneIn) == 0 {
+	if s.random.IntN(oneIn) == 0 || s.options.LeaveRate > 0 {
 		shortest, longest = shortestGap, longestGap
 	}
 	for change && time.Now().Before(end) {
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -24,6 +24,8 @@
 		Seed: 2, Machines: 12, Zones: 3, Routes: 1000, SlowestLink: 10, Faults: 8, Rate: 60, Cause: "large documents on slow links",
 	}, {
 		Seed: 3, Machines: 12, Zones: 3, Routes: 20, Faults: 5, Rate: 60, CrashRate: 6, Cause: "requests that crash instances",
+	}, {
+		Seed: 4, Machines: 12, Zones: 3, Routes: 1000, SlowestLink: 10, Faults: 4, Rate: 100, LeaveRate: 1.5, Cause: "instances that leave beside large configurations",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.LeastMachines { // the command plays the larger ones
@@ -51,6 +53,7 @@
 			c.Check(report.Crashes > 0, qt.Equals, each.CrashRate > 0)
 			c.Check(report.AfterThirdCrash <= 3, qt.IsTrue)
 			c.Check(report.ShutOut, qt.Equals, 0)
+			c.Check(report.Endings > 0 || each.LeaveRate == 0, qt.IsTrue)
 		})
 	}
 }
--- a/internal/mirror/apart.go
+++ b/internal/mirror/apart.go
@@ -57,12 +57,13 @@
 }
 
 // withApart returns a context for reads: while one of them has a large answer, instances and
-// evacuations are watched beside it.
+// evacuations are watched beside it. Before the first configuration there is nothing that
+// changes could precede; in a fleet that starts, all nodes read that at once.
 func (m *Mirror) withApart(ctx context.Context) context.Context {
-	after := m.revision()
-	if after == 0 || m.options.Changes == nil {
+	if m.options.Changes == nil || !m.isComplete() {
 		return ctx
 	}
+	after := m.revision()
 	gather := cmp.Or(source.GatherTime(ctx), apartInterval)
 	return source.WhileLarge(ctx, largeAnswer, func() { m.apart.watch(after, gather) })
 }
--- a/internal/mirror/apart_test.go
+++ b/internal/mirror/apart_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/mirror"
 	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
 )
 
 // TestChangesBesideALargeAnswer: what is written of instances and zones while a configuration
@@ -152,3 +155,29 @@
 		})
 	}
 }
+
+// TestNothingApartBeforeTheFirstConfiguration: a fleet that starts reads its first
+// configuration, which is large, at all nodes at once. Nothing is in force that a change could
+// precede, so that none of them watches instances apart; 80 nodes made some 800 calls to the
+// store so in three seconds.
+func TestNothingApartBeforeTheFirstConfiguration(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.mirror.TellChanges(func([]snapshot.Change) {})
+	var apart atomic.Int64
+	r.store.SetFault(func(request *http.Request) store.Fault {
+		if prefix := request.URL.Query().Get("pathPrefix"); prefix != "" {
+			apart.Add(1)
+		}
+		return store.NoFault
+	})
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	_, outcome := r.mirror.AwaitRevision(context.Background(), 0, 0)
+	c.Assert(outcome.Status, qt.Equals, source.StatusNotModified)
+	large := append(configuration(1, "a"), bytes.Repeat([]byte(" "), 200<<10)...)
+	r.store.Put("op/config", large)
+	first := r.follow(c, 0)
+	r.mirror.Close()
+	c.Check(apart.Load(), qt.Equals, int64(0))
+	c.Check(first.Content().Instances, qt.HasLen, 1)
+}
