--- a/internal/distribution/crashes_test.go
+++ b/internal/distribution/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,20 +19,21 @@
 	return suspects.Crash{ID: id, Instance: "i", At: at, Requests: []suspects.Request{{Fingerprint: suspects.Of("GET", "h", fmt.Sprint(id), nil)}}}
 }
 
-// allKnow reports whether all machines but those named hold the record of a crash.
-func (s *scenario) allKnow(id suspects.CrashID, except ...membership.NodeID) bool {
-	skipped := make(map[membership.NodeID]bool)
-	for _, name := range except {
-		skipped[name] = true
-	}
+// allBut reports whether something holds for all machines but those named.
+func (s *scenario) allBut(except []membership.NodeID, holds func(name membership.NodeID) bool) bool {
 	for _, name := range s.Machines() {
-		if !skipped[name] && !s.KnowsCrash(name, id) {
+		if !slices.Contains(except, name) && !holds(name) {
 			return false
 		}
 	}
 	return true
 }
 
+// allKnow reports whether all machines but those named hold the record of a crash.
+func (s *scenario) allKnow(id suspects.CrashID, except ...membership.NodeID) bool {
+	return s.allBut(except, func(name membership.NodeID) bool { return s.KnowsCrash(name, id) })
+}
+
 // TestCrashesReachAllNodes: a request that crashes instances comes at any node, so that all
 // have to know of a crash soon: at once over the links, those that start from their first
 // peer, those that were cut off when the cut heals, those that were paused when they wake.
--- a/internal/distribution/fleet_changes_test.go
+++ b/internal/distribution/fleet_changes_test.go
@@ -25,16 +25,7 @@
 
 // allLearned reports whether all running machines but those named have learned of a change.
 func (s *scenario) allLearned(change snapshot.Change, except ...membership.NodeID) bool {
-	skipped := make(map[membership.NodeID]bool)
-	for _, name := range except {
-		skipped[name] = true
-	}
-	for _, name := range s.Machines() {
-		if !skipped[name] && !s.KnowsChange(name, change) {
-			return false
-		}
-	}
-	return true
+	return s.allBut(except, func(name membership.NodeID) bool { return s.KnowsChange(name, change) })
 }
 
 // TestFleetChangesReachAllNodes: requests start at any node and end at any instance, so that
