--- a/internal/distribution/fleet_changes.go
+++ b/internal/distribution/fleet_changes.go
@@ -14,8 +14,9 @@
 	// that come up. Documents bring it within two seconds; a link that was cut for longer
 	// brings the newest document.
 	changeMemory = 10 * time.Second
-	// maxRememberedChanges bounds the changes that are remembered: some 4 MB.
-	maxRememberedChanges = 10_000
+	// maxRememberedChanges bounds the changes that are remembered, as many as a document may
+	// have instances.
+	maxRememberedChanges = snapshot.MaxTypedResources
 )
 
 // AgedChange is a change with the time at which a reader read of it, by this node's clock.
--- a/internal/snapshot/change.go
+++ b/internal/snapshot/change.go
@@ -74,8 +74,8 @@
 }
 
 // maxChanges bounds the changes that are held ahead of documents. A document holds no more
-// instances.
-const maxChanges = 10_000
+// instances than that.
+const maxChanges = MaxTypedResources
 
 // Changes are the newest changes ahead of a document, by key. The zero value holds none.
 type Changes struct{ byKey map[Key]Change }
--- a/internal/source/large.go
+++ b/internal/source/large.go
@@ -3,26 +3,10 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
-// largeKey finds the largeRead of a context, gatherKey how long news are gathered.
-type (
-	largeKey  struct{}
-	gatherKey struct{}
-)
-
-// WithGatherTime returns a context for reads that names the least time between two reads of
-// news: what comes meanwhile is gathered.
-func WithGatherTime(parent context.Context, least time.Duration) context.Context {
-	return context.WithValue(parent, gatherKey{}, least)
-}
-
-// GatherTime returns the least time between two reads of news; zero: none is named.
-func GatherTime(ctx context.Context) time.Duration {
-	least, _ := ctx.Value(gatherKey{}).(time.Duration)
-	return least
-}
+// largeKey finds the largeRead of a context.
+type largeKey struct{}
 
 // largeRead counts the bytes of reads.
 type largeRead struct {
