--- a/internal/distribution/freshness_test.go
+++ b/internal/distribution/freshness_test.go
@@ -25,9 +25,14 @@
 }
 
 func newFreshnessFleet(nodes int, seed uint64) *freshnessFleet {
+	return newFreshnessFleetOn(nodes, seed, 0)
+}
+
+// newFreshnessFleetOn is newFreshnessFleet on links of a rate in bytes a second.
+func newFreshnessFleetOn(nodes int, seed uint64, linkRate int64) *freshnessFleet {
 	f := &freshnessFleet{Fleet: simulation.New(simulation.Options{
 		Seed: seed, Timing: distribution.DefaultTiming().ForCurrentSource(), ReadersPerZone: 1, SourceIsCurrent: true,
-		Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond,
+		Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond, LinkRate: linkRate,
 	})}
 	f.publish()
 	for i := range nodes {
@@ -116,6 +121,54 @@
 	}
 }
 
+// TestLeavingsKnownWhileReadersFail: while documents of 60 KB follow each other on links of
+// 5 Mbit/s and the source fails the first readers of each zone in any way, all nodes know in
+// time that an instance leaves.
+func TestLeavingsKnownWhileReadersFail(t *testing.T) {
+	const (
+		// within is the users' target with any two readers of a zone failing.
+		within        = 1500 * time.Millisecond
+		linkRate      = 5_000_000 / 8
+		documentBytes = 60 << 10
+		changes       = 4
+		longest       = 600 * time.Millisecond
+	)
+	for _, nodes := range []int{13, 80, 300} {
+		for name, treatment := range sourceTreatments() {
+			if treatment.Behind != nil {
+				continue // where all zones are served old answers, nobody can tell
+			}
+			t.Run(fmt.Sprintf("%d nodes, %s", nodes, name), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				var worst time.Duration
+				for seed := range uint64(max(1, 2*80/nodes)) {
+					f := newFreshnessFleetOn(nodes, seed, linkRate)
+					f.treatFirst(2, treatment)
+					random := rand.New(rand.NewPCG(seed, 2))
+					for i := range changes {
+						f.revision++
+						leaves := leaving(f.revision, fmt.Sprint("i-", i))
+						f.Platform.PublishChanges(largeDocument(f.revision, documentBytes), leaves)
+						began := f.Now()
+						s := &scenario{c: c, Fleet: f.Fleet}
+						known := func(name membership.NodeID) bool {
+							held, _ := f.Held(name)
+							return held.Revision >= leaves.Revision || f.KnowsChange(name, leaves)
+						}
+						c.Check(f.RunUntil(10*time.Second, func() bool { return s.allBut(nil, known) }), qt.IsTrue)
+						worst = max(worst, f.Now()-began)
+						f.Run(time.Duration(random.Int64N(int64(longest))))
+					}
+					c.Check(f.Broken(), qt.HasLen, 0)
+				}
+				c.Logf("worst %s", worst)
+				c.Check(worst <= within, qt.IsTrue, qt.Commentf("worst %s", worst))
+			})
+		}
+	}
+}
+
 // treatOneZone treats the first nodes of one zone that read from now on, so many of them.
 func (f *freshnessFleet) treatOneZone(zone string, count int, treatment simulation.Treatment) {
 	treated := make(map[membership.NodeID]bool)
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -31,6 +31,7 @@
 	polls     int
 	pollsOf   map[membership.NodeID]int
 	fetches   int
+	changes   []snapshot.Change
 }
 
 type waitingRead struct {
@@ -70,6 +71,24 @@
 	p.wakeReaders()
 }
 
+// PublishChanges makes a document the current one that holds changes of instances: whoever
+// reads of it tells of them ahead of it.
+func (p *Platform) PublishChanges(document *snapshot.Document, changes ...snapshot.Change) {
+	p.changes = append(p.changes, changes...)
+	p.Publish(document, "")
+}
+
+// changesBetween are those that a reader learns of which knew of a revision and reads of
+// another.
+func (p *Platform) changesBetween(known, read snapshot.Revision) (found []snapshot.Change) {
+	for _, change := range p.changes {
+		if change.Revision > known && change.Revision <= read {
+			found = append(found, change)
+		}
+	}
+	return found
+}
+
 // Current returns the version published last.
 func (p *Platform) Current() snapshot.Version { return p.current.Version() }
 
@@ -247,8 +266,19 @@
 	if failed, fails := p.treatment(from.machine).fails(); fails {
 		outcome = failed
 	}
-	p.answer(from, action.Request, distribution.SourceRevision{
-		Request: action.Request, Version: p.servedVersion(from.machine), Outcome: outcome,
+	version := p.servedVersion(from.machine)
+	if changes := p.changesBetween(action.After, version.Revision); outcome.Status == source.StatusFresh && len(changes) > 0 {
+		p.answerAlso(from, action.Request, distribution.FleetChangesRead{Changes: changes})
+	}
+	p.answer(from, action.Request, distribution.SourceRevision{Request: action.Request, Version: version, Outcome: outcome})
+}
+
+// answerAlso brings what a read tells besides its answer, at the earliest moment of that.
+func (p *Platform) answerAlso(to *process, request distribution.RequestID, event distribution.Event) {
+	p.fleet.forProcess(to, p.fleet.options.Latency/2+p.treatment(to.machine).Delay, func() {
+		if to.requests[request] {
+			to.handle(event)
+		}
 	})
 }
 
