The test of changes beside documents reads them while documents are on their way

The revisions lie above all documents' now. They are read within 0.15 s of a publication now, 24 in place of 12: 0.05, 0.06 and 0.09 s at 13, 80 and 300 nodes, and 0.21, 0.45 and 0.53 s without the priority, which fails the bound at each size.

--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -59,7 +59,7 @@
 
 // IsUrgent reports whether a message goes ahead of others on its link. Changes of instances
 // must not wait behind documents: with one of 60 KB each 0.3 s on links of 5 Mbit/s, the last of
-// 80 nodes knew after 0.29 s, and ahead of them after 0.04 s (virtual time). Nor must the sign of
+// 80 nodes knew after 0.45 s, and ahead of them after 0.06 s (virtual time). Nor must the sign of
 // life. None of these depends on the order in which messages arrive, but that all come after
 // the greeting, which therefore goes with them.
 func IsUrgent(messageType wire.Type) bool {
--- a/internal/distribution/fleet_changes_test.go
+++ b/internal/distribution/fleet_changes_test.go
@@ -143,15 +143,20 @@
 
 // TestFleetChangesPassLargeDocuments: on links of 5 Mbit/s, while a document that takes each of
 // them 0.1 s changes each 0.3 s, all nodes know of a change within 0.2 s of its reading: 0.05,
-// 0.04 and 0.07 s for 13, 80 and 300 nodes; 0.13, 0.29 and 0.33 s where frames go one after the
+// 0.06 and 0.09 s for 13, 80 and 300 nodes; 0.21, 0.45 and 0.53 s where frames go one after the
 // other.
 func TestFleetChangesPassLargeDocuments(t *testing.T) {
 	const (
 		linkRate      = 5_000_000 / 8
 		documentBytes = 60 << 10
 		interval      = 300 * time.Millisecond
-		changes       = 12
-		known         = 200 * time.Millisecond
+		// onItsWay is the time after its publication in which a document fills the links.
+		onItsWay = 150 * time.Millisecond
+		changes  = 24
+		known    = 200 * time.Millisecond
+		// ahead is above the revisions of all documents: a reader tells of nothing that its
+		// document holds.
+		ahead = 1000
 	)
 	for _, count := range []int{13, 80, 300} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
@@ -170,12 +175,13 @@
 			slowest := time.Duration(0)
 			for i := range changes {
 				f.Platform.Publish(largeDocument(snapshot.Revision(2+i), documentBytes), "")
-				f.Run(time.Duration(random.Int64N(int64(interval))))
-				change := leaving(snapshot.Revision(2+i), fmt.Sprint("i-", i))
+				f.Run(time.Duration(random.Int64N(int64(onItsWay))))
+				change := leaving(snapshot.Revision(ahead+i), fmt.Sprint("i-", i))
 				began := f.Now()
 				f.ReadChanges(f.Machines()[random.IntN(count)], change)
 				c.Check(f.RunUntil(2*time.Second, func() bool { return s.allLearned(change) }), qt.IsTrue)
 				slowest = max(slowest, f.Now()-began)
+				f.Run(interval - onItsWay)
 			}
 			t.Logf("%d nodes: the slowest of %d changes was known after %s", count, changes, slowest)
 			c.Check(slowest <= known, qt.IsTrue, qt.Commentf("%s", slowest))
