A list with a configuration that cannot be used makes no document of an old one

The logs: routes=2971 at version 137, routes=1003 at version 143.

Cause: a node that had last read the store at its start took up reading again, listed it, as the store had dropped its history, and met a configuration that cannot be used, which lies there for a moment in the soak. The list kept the last good configuration of that node, the one of the start, and its document of revision 143 reached all others as the newest. 'The last good one' is a function of all that was written, and a list shows the newest only. Class: a local fallback in what must be alike everywhere.

Now such a list makes no document until a good configuration is read; the one in force stays, instances are told ahead of documents. TestListWithABadConfigurationIsNotOlder fails without it. Ruled out: changes ahead of documents and their watches, which touch no configuration.

--- a/internal/mirror/behind_test.go
+++ b/internal/mirror/behind_test.go
@@ -132,3 +132,41 @@
 		})
 	}
 }
+
+// TestListWithABadConfigurationIsNotOlder: a node that had last read the store at its start took
+// up reading again, the store had dropped its history, and just then a configuration lay there
+// that could not be used. Its list kept the configuration of its start as the last good one, and
+// 80 nodes put it in force as the newest: requests to routes that had been there for seconds got
+// 404. The log said
+//
+//	"configuration in force" routes=2971 version=137/8b7d042e
+//	"configuration in force" routes=1003 version=143/acdc8066
+//
+// What the last good one is, is known to those that read all that was written. One that lists
+// makes no document until a good one is there; it tells of instances all the same.
+func TestListWithABadConfigurationIsNotOlder(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	r.store.Put("op/config", configuration(1, "a"))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready"))
+	first := r.follow(c, 0)
+	told := make(chan snapshot.Change, 10)
+	r.mirror.TellChanges(func(changes []snapshot.Change) {
+		for _, change := range changes {
+			told <- change
+		}
+	})
+	r.store.Put("op/config", configuration(2, "b"))
+	r.store.Put("op/config", []byte(`{"version":3,"serv`))
+	r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "draining"))
+	r.store.Compact()
+	version, outcome := r.mirror.AwaitRevision(context.Background(), first.Version().Revision, 0)
+	c.Check(outcome.Err, qt.IsNil)
+	c.Check(version.Revision <= first.Version().Revision, qt.IsTrue, qt.Commentf("%s", version))
+	c.Check((<-told).Instance.State, qt.Equals, snapshot.Lifecycle(snapshot.InstanceDraining))
+
+	r.store.Put("op/config", configuration(4, "b"))
+	last := r.follow(c, first.Version().Revision)
+	c.Check(last.Content().Routes[0].Targets[0].Service, qt.Equals, "b")
+	c.Check(last.Content().Instances[0].State, qt.Equals, snapshot.Lifecycle(snapshot.InstanceDraining))
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -178,7 +178,6 @@
 		changed = next.changedSince(m.state)
 	}
 	next.documentAt = next.at
-	next.keepLastGood(m.state)
 	m.state, m.readAt = next, clock.Now()
 	m.show(m.readAt)
 	return changed
--- a/internal/mirror/lapse.go
+++ b/internal/mirror/lapse.go
@@ -60,9 +60,14 @@
 	}
 }
 
-// show makes what was read count, unless entries lapsed and are awaited. The mutex is
-// held.
+// show makes what was read count, unless entries lapsed and are awaited, or the last good
+// configuration is not known: a list may bring one that cannot be used, and what was good before
+// it may have been written since the last read. The mutex is held.
 func (m *Mirror) show(now time.Time) {
+	if m.state.configuration == nil && m.shown.configuration != nil {
+		m.options.Logger.WithField("revision", m.state.at).Warn("no usable configuration was listed: awaits one")
+		return
+	}
 	missing := m.shown.missingFrom(m.state)
 	switch {
 	case missing == 0 || m.options.NoGrace || !now.Before(m.lapse.until):
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -153,14 +153,6 @@
 	}
 }
 
-// keepLastGood takes the configuration of an older state over when the newer one
-// was read without a good one.
-func (s *state) keepLastGood(former state) {
-	if s.configuration == nil {
-		s.configuration = former.configuration
-	}
-}
-
 // changedSince returns what is different from a former state, as entries of the revision of
 // this one.
 func (s *state) changedSince(former state) (changed []Item) {
