--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -38,4 +38,8 @@
 		Seed: 42, Machines: 74, Zones: 3, Routes: 3000, SlowestLink: 10, Busy: 8, Faults: 14, Rate: 300, Kinds: 20,
 		Cause: "readers that were told to come back after 5 s all waited for that (TestSourceReturnsBeforeItSaid)",
 	},
+	{
+		Seed: 5002, Machines: 80, Zones: 4, Routes: 3000, SlowestLink: 5, Faults: 10, Rate: 200, LeaveRate: 3, Kinds: 22,
+		Cause: "a list with a configuration that cannot be used kept an old one (TestListWithABadConfigurationIsNotOlder)",
+	},
 }
