--- a/internal/bench/storesoak/cold.go
+++ b/internal/bench/storesoak/cold.go
@@ -14,6 +14,10 @@
 	coldStart = 3 * time.Second
 )
 
+// kindsWithoutCold is how many kinds of faults there were before cold instances: soaks of that
+// time play as they did.
+const kindsWithoutCold = 20
+
 // startCold ends an instance as planned and starts a cold one at its address.
 func startCold(random *rand.Rand, f *fleet) fault {
 	m := oneOf(random, f)
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	const startsWith = 3 // a third of the most
-	f.catalog.namesCold = options.Kinds == 0
+	f.catalog.namesCold = options.Kinds == 0 || options.Kinds > kindsWithoutCold
 	f.catalog.begin(options.Routes/startsWith, f.writeConfiguration)
 	if err := f.startMachines(ctx, options, places); err != nil {
 		f.close()
