New instances come with documents; what changes or ends travels ahead of them

Suspected cause: while a fleet starts, each instance is new, and each node told all others of each over all its links. A new instance that takes requests is in no hurry. It comes with the document now; what is known already and changes (it leaves, is gone, turns cold, starts again) and what is new and takes none travel ahead as before.

--- a/internal/mirror/apart.go
+++ b/internal/mirror/apart.go
@@ -102,7 +102,7 @@
 		default:
 			failures = 0
 			after = max(after, events.At)
-			a.mirror.tellChanges(scope.call(), events.Items)
+			a.mirror.tellChanges(scope.call(), a.mirror.withoutNewcomers(events.Items))
 		}
 		_ = wait.For(a.lifetime, gather) // timeLeft sees the end
 	}
@@ -121,6 +121,26 @@
 	return left, a.gather
 }
 
+// withoutNewcomers returns the items without instances that are new and take requests: they
+// come with the document. While a fleet starts, all instances are new, and to flood them costs
+// each link of each node all entries of the fleet.
+func (m *Mirror) withoutNewcomers(items []Item) []Item {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	kept := make([]Item, 0, len(items))
+	for _, item := range items {
+		if _, known := m.state.instances[item.Key]; known || !item.takesRequests() {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
+
+// takesRequests reports whether the item is an instance that takes requests.
+func (i Item) takesRequests() bool {
+	return i.Instance != nil && i.Instance.State == snapshot.InstanceReady
+}
+
 // tellChanges tells of changes of instances and evacuations, ahead of the document that holds
 // them. call is the read that brought them, for the log.
 func (m *Mirror) tellChanges(call string, items []Item) {
--- a/internal/mirror/apart_test.go
+++ b/internal/mirror/apart_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// TestNewInstancesComeWithTheDocument: an instance that is new and takes requests is not told
+// ahead of its document, one that changes is. While 300 nodes started, each told all others of
+// all instances: bytes between zones cost 0.04 of the worth of a day more.
+func TestNewInstancesComeWithTheDocument(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, timeout)
+	var told []string
+	r.mirror.TellChanges(func(changes []snapshot.Change) {
+		for _, change := range changes {
+			told = append(told, fmt.Sprintf("%s %s", change.Key.Name, change.Instance.State))
+		}
+	})
+	r.store.Put("op/config", configuration(1, "a"))
+	revision := r.follow(c, 0).Version().Revision
+	for _, write := range []func(){
+		func() { r.store.Put("servers/i-1", instance("a", "10.0.0.1:80", "ready")) },
+		func() { r.store.Put("servers/i-1", instance("a", "10.0.0.2:80", "ready")) },
+		func() { r.store.Put("servers/i-2", instance("a", "10.0.0.3:80", "draining")) },
+		func() { r.store.Put("servers/i-1", instance("a", "10.0.0.2:80", "draining")) },
+		func() { r.store.Put("servers/i-3", instance("a", "10.0.0.4:80", "ready")); r.store.Compact() },
+		func() { r.store.Put("servers/i-3", instance("a", "10.0.0.5:80", "ready")); r.store.Compact() },
+	} {
+		write()
+		revision = r.follow(c, revision).Version().Revision
+	}
+	c.Check(told, qt.DeepEquals, []string{"i-1 ready", "i-2 draining", "i-1 draining", "i-3 ready"})
+}
+
 // TestNothingApartBeforeTheFirstConfiguration: a fleet that starts reads its first
 // configuration, which is large, at all nodes at once. Nothing is in force that a change could
 // precede, so that none of them watches instances apart; 80 nodes made some 800 calls to the
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -147,8 +147,9 @@
 		m.options.Logger.Warn("the store has dropped its history: lists it again")
 		return m.list(ctx)
 	}
+	changes := m.withoutNewcomers(events.Items) // as seen before they are applied
 	m.applyEvents(events)
-	m.tellChanges(callWatch, events.Items)
+	m.tellChanges(callWatch, changes)
 	return outcome
 }
 
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -154,11 +154,12 @@
 }
 
 // changedSince returns what is different from a former state, as entries of the revision of
-// this one.
+// this one, but for instances that are new and take requests.
 func (s *state) changedSince(former state) (changed []Item) {
 	for key, instance := range s.instances {
-		if before, listed := former.instances[key]; !listed || before != instance {
-			changed = append(changed, Item{Kind: KindInstance, Key: key, Name: instance.Name, Revision: s.at, Instance: &instance})
+		item := Item{Kind: KindInstance, Key: key, Name: instance.Name, Revision: s.at, Instance: &instance}
+		if before, listed := former.instances[key]; listed && before != instance || !listed && !item.takesRequests() {
+			changed = append(changed, item)
 		}
 	}
 	for key, instance := range former.instances {
