--- a/internal/app/store_leaving_test.go
+++ b/internal/app/store_leaving_test.go
@@ -92,8 +92,9 @@
 func TestStoreLeavingAfterAnOutage(t *testing.T) {
 	const (
 		lapsed, leaver = 1, 3
-		// outage is above the time from which entries may have lapsed.
-		outage = 1200 * time.Millisecond
+		// outage is above the time for which a reader gathers news, 1.2 s, and that from which
+		// entries may have lapsed, 1 s: each reader notices it.
+		outage = 3 * time.Second
 	)
 	r := newStoreRig(t, []string{"front", "data", "data", "data", "data"}, nil)
 	r.startAll()
