--- a/internal/app/store_evacuation_test.go
+++ b/internal/app/store_evacuation_test.go
@@ -15,12 +15,12 @@
 
 // evacuate asks that the instances of a zone get no requests.
 func (r *storeRig) evacuate(zone string) snapshot.Revision {
-	return snapshot.Revision(r.store.Put("op/evacuate/"+zone, []byte("{}")))
+	return snapshot.Revision(r.store.Put(store.KeyEvacuations+zone, []byte("{}")))
 }
 
 // takeBack ends the evacuation of a zone.
 func (r *storeRig) takeBack(zone string) snapshot.Revision {
-	return snapshot.Revision(r.store.Delete("op/evacuate/" + zone))
+	return snapshot.Revision(r.store.Delete(store.KeyEvacuations + zone))
 }
 
 // askMany sends requests one after the other and returns how many each instance ran.
--- a/internal/bench/storesoak/leaving.go
+++ b/internal/bench/storesoak/leaving.go
@@ -17,9 +17,6 @@
 	leavingShare = 0.15
 )
 
-// keyEvacuations is the prefix of the keys that evacuate zones.
-const keyEvacuations = "op/evacuate/"
-
 // leaveSilently ends the entry of an instance that serves on, and has another one take its
 // place.
 func leaveSilently(random *rand.Rand, f *fleet) fault {
@@ -50,12 +47,12 @@
 	return fault{
 		name: "evacuate " + zone, machines: numbers, planned: true,
 		begin: func(context.Context) error {
-			f.store.Put(keyEvacuations+zone, []byte("{}"))
+			f.store.Put(store.KeyEvacuations+zone, []byte("{}"))
 			noted = f.endings.note("was to be evacuated", "", zone)
 			return nil
 		},
 		undo: func(context.Context) error {
-			f.store.Delete(keyEvacuations + zone)
+			f.store.Delete(store.KeyEvacuations + zone)
 			f.endings.takeBack(noted)
 			return nil
 		},
--- a/internal/distribution/crashes_test.go
+++ b/internal/distribution/crashes_test.go
@@ -98,18 +98,24 @@
 	})
 }
 
+// settledFleet is a fleet of so many nodes in so many zones some time after its start.
+func settledFleet(options simulation.Options, nodes, zones int) *simulation.Fleet {
+	f := simulation.New(options)
+	f.Platform.Publish(document(1), "")
+	for i := range nodes {
+		f.Start(simulation.Machine{Name: membership.NodeID(fmt.Sprintf("node-%03d", i)), Zone: fmt.Sprintf("zone-%d", i%zones), Region: "r"}, nil)
+	}
+	f.Run(20 * time.Second)
+	return f
+}
+
 // TestCrashesReachLargeFleets measures how long it takes until all nodes know of a crash, at
 // 13, 80 and 300 nodes of three zones with 2 ms between them: 3, 8 and 13 ms.
 func TestCrashesReachLargeFleets(t *testing.T) {
 	for _, count := range []int{13, 80, 300} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			c := qt.New(t)
-			f := simulation.New(simulation.Options{Seed: 7, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond})
-			f.Platform.Publish(document(1), "")
-			for i := range count {
-				f.Start(simulation.Machine{Name: membership.NodeID(fmt.Sprintf("node-%03d", i)), Zone: fmt.Sprintf("zone-%d", i%3), Region: "r"}, nil)
-			}
-			f.Run(20 * time.Second)
+			f := settledFleet(simulation.Options{Seed: 7, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond}, count, 3)
 			s := &scenario{c: c, Fleet: f}
 			began := f.Now()
 			f.TellCrashes(f.Machines()[0], crash(f, 1))
--- a/internal/distribution/fleet_changes_test.go
+++ b/internal/distribution/fleet_changes_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/base64"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,12 +110,7 @@
 	for _, count := range []int{13, 80, 300} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			c := qt.New(t)
-			f := simulation.New(simulation.Options{Seed: 7, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond})
-			f.Platform.Publish(document(1), "")
-			for i := range count {
-				f.Start(simulation.Machine{Name: membership.NodeID(fmt.Sprintf("node-%03d", i)), Zone: fmt.Sprintf("zone-%d", i%4), Region: "r"}, nil)
-			}
-			f.Run(20 * time.Second)
+			f := settledFleet(simulation.Options{Seed: 7, Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond}, count, 4)
 			s := &scenario{c: c, Fleet: f}
 			began := f.Now()
 			_, before := f.Sent()
@@ -161,15 +159,10 @@
 	for _, count := range []int{13, 80, 300} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			c := qt.New(t)
-			f := simulation.New(simulation.Options{
+			f := settledFleet(simulation.Options{
 				Seed: 7, Latency: time.Millisecond, AdoptDelay: 10 * time.Millisecond, LinkRate: linkRate, SourceIsCurrent: true,
 				Timing: distribution.DefaultTiming().ForCurrentSource(),
-			})
-			f.Platform.Publish(document(1), "")
-			for i := range count {
-				f.Start(simulation.Machine{Name: membership.NodeID(fmt.Sprintf("node-%03d", i)), Zone: fmt.Sprintf("zone-%d", i%4), Region: "r"}, nil)
-			}
-			f.Run(20 * time.Second)
+			}, count, 4)
 			s := &scenario{c: c, Fleet: f}
 			random := rand.New(rand.NewPCG(1, 1))
 			slowest := time.Duration(0)
@@ -191,18 +184,34 @@
 }
 
 // TestWrongFleetChangeClosesTheLink: a peer that sends what cannot be a change breaks the
-// protocol.
+// protocol, and its link ends; one that sends a change is heard on.
 func TestWrongFleetChangeClosesTheLink(t *testing.T) {
-	c := qt.New(t)
-	node := startNode(c, newFakePlatform(), "node", "zone", nil)
-	connection := linkAs(c, node, "liar", "127.0.0.1:1")
-	_, err := connection.Write(frame(c, &wire.FleetChanges{Changes: []wire.FleetChange{
-		{Revision: 7, Resource: snapshot.Resource{Key: snapshot.Key{Kind: snapshot.KindRoute, Name: "r"}}},
-	}}))
-	c.Assert(err, qt.IsNil)
-	buffer := make([]byte, 1<<10)
-	for err == nil { // ends when the node closes the link
-		_, err = connection.Read(buffer)
+	right, err := leaving(7, "i").Resource()
+	qt.Assert(t, err, qt.IsNil)
+	for name, row := range map[string]struct {
+		resource snapshot.Resource
+		closes   bool
+	}{
+		"a change":        {right, false},
+		"of another kind": {snapshot.Resource{Key: snapshot.Key{Kind: snapshot.KindRoute, Name: "r"}}, true},
+		"of another name": {snapshot.Resource{Key: snapshot.Key{Kind: snapshot.KindInstance, Name: "j"}, Body: right.Body}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			learned := make(chan distribution.AgedChange, 1)
+			node := startNodeWith(c, newFakePlatform(), "node", "zone", func(options *distribution.Options) {
+				options.FleetChangesLearned = func(changes []distribution.AgedChange) { learned <- changes[0] }
+			})
+			connection := linkAs(c, node, "peer", "127.0.0.1:1")
+			_, err := connection.Write(frame(c, &wire.FleetChanges{Changes: []wire.FleetChange{{Revision: 7, Resource: row.resource}}}))
+			c.Assert(err, qt.IsNil)
+			if !row.closes {
+				c.Check((<-learned).Change, qt.DeepEquals, leaving(7, "i"))
+				return
+			}
+			_, err = io.Copy(io.Discard, connection) // ends when the node closes the link
+			c.Check(err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(learned, qt.HasLen, 0)
+		})
 	}
-	c.Check(node.View(), qt.Not(qt.IsNil))
 }
--- a/internal/emulator/store/content.go
+++ b/internal/emulator/store/content.go
@@ -5,6 +5,8 @@
 	KeyConfiguration = "op/config"
 	// KeyInstances is the prefix of the entries of instances.
 	KeyInstances = "servers/"
+	// KeyEvacuations is the prefix of the keys that evacuate zones.
+	KeyEvacuations = "op/evacuate/"
 )
 
 // Entry is what an instance writes about itself.
--- a/internal/suspects/ledger.go
+++ b/internal/suspects/ledger.go
@@ -50,8 +50,8 @@
 	return l.book.Assess(content, l.now())
 }
 
-// Crashed notes the crash of an instance. It returns the record.
-func (l *Ledger) Crashed(instance string, running []InProgress) Crash {
+// Crashed notes the crash of an instance and tells other nodes of it.
+func (l *Ledger) Crashed(instance string, running []InProgress) {
 	l.mutex.Lock()
 	now := l.now()
 	crash := Crash{ID: CrashID(rand.Uint64()), Instance: instance, At: now}
@@ -65,10 +65,9 @@
 	l.occupied.Store(!l.book.IsEmpty())
 	l.mutex.Unlock()
 	l.spread(news)
-	return crash
 }
 
-// onlyProbe returns the content on probe, if no other suspect was in progress beside it. The
+// onlyProbe returns the content that is being probed, if no other suspect was in progress beside it. The
 // mutex is held.
 func (l *Ledger) onlyProbe(running []InProgress, now time.Time) *Fingerprint {
 	var probed *Fingerprint
