A test: changes of instances do not wait for a compilation

TestChangesDoNotWaitForACompilation holds a compilation up by way of a field that tests replace; with the compilation under the lock of the applier, as it was, it does not end.

--- a/internal/configuration/changes_test.go
+++ b/internal/configuration/changes_test.go
@@ -166,3 +166,33 @@
 	c.Check(instance.State, qt.Equals, snapshot.InstanceDraining)
 	c.Check(applier.Current().Version(), qt.Equals, first.Version())
 }
+
+// TestChangesDoNotWaitForACompilation: on a machine with a small part of a processor the
+// compilation of thousands of routes takes long; an instance that leaves meanwhile gets no more
+// requests at once, and the compiled document does not take that back.
+func TestChangesDoNotWaitForACompilation(t *testing.T) {
+	c := qt.New(t)
+	applier := newApplier(c)
+	var held snapshot.Changes
+	held.Add([]snapshot.Change{snapshot.InstanceChange(1, instanceOf("i-1", snapshot.InstanceReady))}, 0)
+	first, err := snapshot.NewDocument(contentOf(1, 1, &held))
+	c.Assert(err, qt.IsNil)
+	c.Assert(applier.Adopt(first), qt.IsNil)
+	second, err := snapshot.NewDocument(contentOf(2, 2, &held))
+	c.Assert(err, qt.IsNil)
+
+	began, letGo := applier.HoldCompilations()
+	adopted := make(chan error)
+	go func() { adopted <- applier.Adopt(second) }()
+	<-began
+	applier.ChangeFleet([]snapshot.Change{snapshot.InstanceChange(3, instanceOf("i-1", snapshot.InstanceDraining))})
+	instance, _ := applier.Current().Instance("i-1")
+	c.Check(instance.State, qt.Equals, snapshot.InstanceDraining)
+	c.Check(applier.Current().Version(), qt.Equals, first.Version())
+
+	letGo()
+	c.Assert(<-adopted, qt.IsNil)
+	instance, _ = applier.Current().Instance("i-1")
+	c.Check(instance.State, qt.Equals, snapshot.InstanceDraining)
+	c.Check(applier.Current().Version(), qt.Equals, second.Version())
+}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -58,6 +58,9 @@
 	metrics  *metrics
 	watchers watchers
 
+	// newPlan compiles a document; tests hold it up.
+	newPlan func(document *snapshot.Document) (*policy.Plan, error)
+
 	fleet        atomic.Pointer[membership.View]
 	fleetChanged chan struct{}
 
@@ -89,6 +92,7 @@
 		metrics:      metrics,
 		fleetChanged: make(chan struct{}, 1),
 		conditions:   NewHysteresis(options.Hold),
+		newPlan:      policy.NewPlan,
 	}
 	applier.fleet.Store(&membership.View{})
 	return applier, nil
@@ -233,7 +237,7 @@
 
 func (a *Applier) compile(document *snapshot.Document) (*policy.Plan, error) {
 	start := time.Now()
-	plan, err := policy.NewPlan(document)
+	plan, err := a.newPlan(document)
 	a.metrics.compilation.Observe(time.Since(start).Seconds())
 	return plan, err
 }
