A test that fails: a fleet of two protocols during an update

Each node takes the nodes of its zone that rank before it for readers, those of another protocol too, which bring it nothing.

--- /dev/null
+++ b/internal/distribution/protocol_test.go
@@ -0,0 +1,126 @@
+package distribution_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/distribution/simulation"
+	"github.com/winchhead/winchhead/internal/membership"
+	"github.com/winchhead/winchhead/internal/wire"
+)
+
+// nextProtocol is the engine of a build that speaks the next protocol: only the number in its
+// greetings differs.
+type nextProtocol struct{ engine *distribution.Engine }
+
+// NextWake implements simulation.Participant.
+func (n nextProtocol) NextWake() time.Time { return n.engine.NextWake() }
+
+// Handle implements simulation.Participant.
+func (n nextProtocol) Handle(now time.Time, event distribution.Event) []distribution.Action {
+	actions := n.engine.Handle(now, n.received(event))
+	for i, action := range actions {
+		if send, ok := action.(distribution.Send); ok && send.Type == wire.TypeHello {
+			send.Frame = raised(send.Frame)
+			actions[i] = send
+		}
+	}
+	return actions
+}
+
+// received lowers the number in a greeting, so that the engine sees its own in those of its
+// kind.
+func (n nextProtocol) received(event distribution.Event) distribution.Event {
+	switch event := event.(type) {
+	case distribution.Accepted:
+		event.Hello = lowered(event.Hello)
+		return event
+	case distribution.Message:
+		if hello, ok := event.Message.(*wire.Hello); ok {
+			event.Message = lowered(hello)
+		}
+		return event
+	default:
+		return event
+	}
+}
+
+func lowered(hello *wire.Hello) *wire.Hello {
+	copied := *hello
+	copied.Protocol--
+	return &copied
+}
+
+func raised(frame []byte) []byte {
+	message, _, err := wire.NewReader(bytes.NewReader(frame), wire.Limits{}).Next()
+	if err != nil {
+		panic(err) // the engine encoded it
+	}
+	hello := *message.(*wire.Hello)
+	hello.Protocol++
+	encoded, err := wire.Encode(&hello)
+	if err != nil {
+		panic(err) // it had an encoding before
+	}
+	return encoded
+}
+
+// TestFleetOfTwoProtocols: while an update is rolled out, nodes of two protocols do not link with
+// each other. In a soak of real processes of two builds a node that was killed did not become
+// ready for 30 s: it took nodes of the other protocol, which brought it nothing, for readers that
+// do. Whatever is killed, all nodes hold the newest version soon, and changes go on.
+func TestFleetOfTwoProtocols(t *testing.T) {
+	const (
+		nodes, zones = 12, 3
+		within       = 5 * time.Second
+		seeds        = 12
+	)
+	for name, killed := range map[string]func(i int) bool{
+		"one node":           func(i int) bool { return i == 2 },
+		"all of one kind":    func(i int) bool { return i%2 == 0 },
+		"all of one zone":    func(i int) bool { return i%zones == 0 },
+		"all but one a zone": func(i int) bool { return i >= zones },
+		"all":                func(int) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(seeds) {
+				f := simulation.New(simulation.Options{
+					Seed: seed, Timing: distribution.DefaultTiming().ForCurrentSource(), ReadersPerZone: 1, SourceIsCurrent: true,
+					Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond,
+				})
+				f.Platform.Publish(document(1), "")
+				for i := range nodes {
+					var wrap func(*distribution.Engine) simulation.Participant
+					if i%2 == 1 {
+						wrap = func(engine *distribution.Engine) simulation.Participant { return nextProtocol{engine} }
+					}
+					f.Start(simulation.Machine{Name: membership.NodeID(fmt.Sprintf("node-%d-%02d", seed, i)), Zone: fmt.Sprintf("zone-%d", i%zones), Region: "r"}, wrap)
+				}
+				allHold := func() bool { return f.AllHold(f.Platform.Current()) }
+				c.Assert(f.RunUntil(within, allHold), qt.IsTrue, qt.Commentf("seed %d: the start", seed))
+				f.Run(10 * time.Second)
+				for i, node := range f.Machines() {
+					if killed(i) {
+						f.Kill(node)
+					}
+				}
+				f.Run(time.Second)
+				for i, node := range f.Machines() {
+					if killed(i) {
+						f.Restart(node)
+					}
+				}
+				c.Check(f.RunUntil(within, allHold), qt.IsTrue, qt.Commentf("seed %d: the restart", seed))
+				f.Platform.Publish(document(2), "")
+				c.Check(f.RunUntil(within, allHold), qt.IsTrue, qt.Commentf("seed %d: a change", seed))
+				c.Check(f.Broken(), qt.HasLen, 0)
+			}
+		})
+	}
+}
