Nodes of another protocol are no readers for this one

What callers saw in a trial soak of two builds: a killed node was not ready within 30 s, 141 of 290 calls served at the end; its log says "leaves the source to others" right after it had learned of the fleet, and nothing more.

Cause: a node reads while it is among the first of its zone that can. One that greets with another protocol counted as one that can, though no link leads to it.

A peer of another protocol counts as lost for reading until a link with it stands; a line says so.

--- a/internal/distribution/dispatch.go
+++ b/internal/distribution/dispatch.go
@@ -31,7 +31,7 @@
 	switch {
 	case hello.Protocol != wire.ProtocolVersion:
 		e.closeLink(l, wire.GoodbyeProtocol)
-		e.overlay.peer(l.node).retryAt = e.now.Add(e.jittered(e.timing.RefusedWait))
+		e.speaksOtherProtocol(node)
 		return
 	case node == e.options.Self.Node:
 		// The list gives the own address under another name, or the own name to
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -164,8 +164,11 @@
 	}
 	reason, refused := e.refuses(l, hello)
 	if refused {
-		if reason == wire.GoodbyeFull {
+		switch reason {
+		case wire.GoodbyeFull:
 			e.greet(l) // tells what this node holds
+		case wire.GoodbyeProtocol:
+			e.speaksOtherProtocol(l.node)
 		}
 		e.closeLink(l, reason)
 		return
--- a/internal/distribution/peers.go
+++ b/internal/distribution/peers.go
@@ -33,6 +33,9 @@
 	lost bool
 	// verifyAt is when to dial a peer whose link was lost.
 	verifyAt time.Time
+	// otherProtocol is set from a greeting with another protocol until the next link: the peer
+	// may read the source, and brings this node nothing.
+	otherProtocol bool
 }
 
 func (p *peer) linked() { *p = peer{} }
@@ -87,13 +90,30 @@
 	e.dropLink(l)
 	p := e.overlay.peer(l.node)
 	switch reason {
-	case wire.GoodbyeFull, wire.GoodbyeProtocol:
+	case wire.GoodbyeProtocol:
+		e.speaksOtherProtocol(l.node)
+	case wire.GoodbyeFull:
 		p.retryAt = e.now.Add(e.jittered(e.timing.RefusedWait))
 	default:
 		p.retryAt = e.now.Add(e.jittered(e.timing.RedialMin))
 	}
 }
 
+// speaksOtherProtocol leaves a peer alone for a while that cannot be linked with. Whoever reads
+// the source for it reads for none of this node's kind.
+func (e *Engine) speaksOtherProtocol(node membership.NodeID) {
+	if node == "" {
+		return
+	}
+	p := e.overlay.peer(node)
+	p.retryAt = e.now.Add(e.jittered(e.timing.RefusedWait))
+	if !p.otherProtocol {
+		e.log(LogInfo, "%s speaks another protocol: it reads the source for others", node)
+	}
+	p.otherProtocol = true
+	e.start.peerAnswered(node, answerUnreachable)
+}
+
 // verifyLostPeers dials peers whose link was lost.
 func (e *Engine) verifyLostPeers() {
 	for _, member := range e.lostMembers() {
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -118,12 +118,12 @@
 
 const (
 	readable readability = 1 // reads, or will when its turn comes
-	lost     readability = 2 // its link broke or it cannot be dialled
+	lost     readability = 2 // its link broke, it cannot be dialled or speaks another protocol
 	failing  readability = 3 // its own reads fail
 )
 
 func (e *Engine) readability(node membership.NodeID) readability {
-	if p := e.overlay.peers[node]; p != nil && (p.lost || p.failures > 0) {
+	if p := e.overlay.peers[node]; p != nil && (p.lost || p.failures > 0 || p.otherProtocol) {
 		return lost
 	}
 	l := e.overlay.linkTo(node)
