Builds before changes ahead of documents stay in the fleet during an update

The number stays 2. A node says by the purpose of its links that it takes changes of instances and frames in parts; builds that do not know that purpose take it for an ordinary link, and are sent neither.

--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/socketbytes"
@@ -43,6 +44,9 @@
 	readBefore    int64
 	writtenBefore int64
 
+	// inParts says that the peer takes large frames in parts.
+	inParts atomic.Bool
+
 	mutex sync.Mutex
 	// queue holds frames in their order, urgent those that go ahead of them.
 	queue, urgent []queuedFrame
@@ -249,10 +253,15 @@
 	}
 }
 
-// writeInParts writes a frame, a large one in parts, between which urgent frames go out.
+// writeInParts writes a frame, a large one in parts, if the peer takes them, between which urgent
+// frames go out.
 func (c *connection) writeInParts(next queuedFrame) error {
 	c.counters.sent[next.messageType].frames.Add(1)
-	for i, part := range wire.Split(next.frame) {
+	parts := [][]byte{next.frame}
+	if c.inParts.Load() {
+		parts = wire.Split(next.frame)
+	}
+	for i, part := range parts {
 		if i > 0 {
 			if err := c.writeUrgent(); err != nil {
 				return err
--- a/internal/distribution/connection_test.go
+++ b/internal/distribution/connection_test.go
@@ -44,6 +44,7 @@
 	const largeBytes = maxQueuedBytes * 9 / 10
 	c := qt.New(t)
 	sender, received := newPair(c)
+	sender.inParts.Store(true)
 	random := make([]byte, largeBytes)
 	_, err := rand.Read(random)
 	c.Assert(err, qt.IsNil)
--- a/internal/distribution/fleet_changes.go
+++ b/internal/distribution/fleet_changes.go
@@ -71,12 +71,15 @@
 		return
 	}
 	e.act(FleetChangesLearned{Changes: news})
-	e.tellFleetChanges(news, e.overlay.lastingIDs(func(l *link) bool { return l.id != from })...)
+	e.tellFleetChanges(news, e.overlay.lastingIDs(func(l *link) bool { return l.id != from && l.takesChanges })...)
 }
 
 // sendFleetChanges tells a new link of what is remembered: its peer may have started, or been
 // cut off, when they came.
 func (e *Engine) sendFleetChanges(l *link) {
+	if !l.takesChanges {
+		return
+	}
 	e.changes.expire(e.now)
 	e.tellFleetChanges(e.changes.all(), l.id)
 }
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -38,7 +38,9 @@
 	address     string
 	outgoing    bool
 	probe       bool
-	phase       phase
+	// takesChanges says that the peer takes changes of instances ahead of documents.
+	takesChanges bool
+	phase        phase
 
 	openedAt     time.Time
 	lastReceived time.Time
@@ -116,7 +118,7 @@
 
 // greet sends the own Hello.
 func (e *Engine) greet(l *link) {
-	purpose := wire.PurposeLink
+	purpose := wire.PurposeLinkWithChanges
 	if l.probe {
 		purpose = wire.PurposeProbe
 	}
@@ -231,6 +233,7 @@
 	l.lastSent = e.now
 	l.digestAt = e.now.Add(e.jittered(e.timing.DigestInterval))
 	l.held = hello.Held
+	l.takesChanges = hello.Purpose.TakesChanges()
 	e.setPeerInterval(l, hello.Interval)
 	e.start.peerAnswered(l.node, answerGiven)
 	suspected := e.isSuspected(l.node)
--- a/internal/distribution/node_links.go
+++ b/internal/distribution/node_links.go
@@ -54,6 +54,7 @@
 		n.serveClaims(ctx, c)
 		return
 	}
+	c.inParts.Store(hello.Purpose.TakesChanges())
 	c.id = LinkID(firstIncomingLink + 2*n.incoming.Add(1))
 	n.carry(ctx, c, Accepted{Link: c.id, Hello: hello})
 }
@@ -100,6 +101,9 @@
 			n.post(ctx, LinkDown{Link: c.id, Cause: causeOf(err)})
 			return
 		}
+		if hello, answered := message.(*wire.Hello); answered {
+			c.inParts.Store(hello.Purpose.TakesChanges())
+		}
 		n.post(ctx, Message{Link: c.id, Message: message})
 	}
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -14,7 +14,7 @@
 )
 
 // ProtocolVersion is raised when nodes of two builds cannot talk to each other.
-const ProtocolVersion = 3
+const ProtocolVersion = 2
 
 // Type tells the message in a frame. It also labels the byte counters.
 type Type uint8
@@ -70,8 +70,14 @@
 	PurposeStatus Purpose = 2 // one StatusRequest, then closed
 	PurposeProbe  Purpose = 3 // learns what the peer holds, may pull it, then closes
 	PurposeClaim  Purpose = 4 // carries ClaimRequests and ClaimReplies only
+	// PurposeLinkWithChanges is a PurposeLink whose sender takes FleetChanges and frames in
+	// parts. Builds that know neither take it for a PurposeLink, and link as before.
+	PurposeLinkWithChanges Purpose = 5
 )
 
+// TakesChanges reports whether the sender of a Hello takes FleetChanges and frames in parts.
+func (p Purpose) TakesChanges() bool { return p == PurposeLinkWithChanges }
+
 // Reading tells what a node does about the source.
 type Reading uint8
 
