distribution: a reader that is answered late gives the lead away

Cause: the leader cannot tell from its own answers, and the other readers leave what follows a change to it for FollowerPollInterval (1.2 s).

Change: a reader notes when a peer delivers a revision that its running poll should have brought. After lateAnswerLimit (0.1 s) without the answer it counts as late, tells the lead candidates that it does not read, and the next one leads. Within its zone it stays a healthy reader. It leads again once a poll brings a revision in time.

--- a/internal/distribution/freshness_test.go
+++ b/internal/distribution/freshness_test.go
@@ -205,7 +205,7 @@
 }
 
 // TestChangesInForceWhileOneZoneReadsLate checks the same while the readers of one zone get late or
-// outdated answers, which they cannot detect.
+// outdated answers. They detect that only from peers that deliver a revision before the source does.
 func TestChangesInForceWhileOneZoneReadsLate(t *testing.T) {
 	behaviors := sourceFaults()
 	maps.DeleteFunc(behaviors, func(_ string, behavior simulation.Behavior) bool { return !isLate(behavior) })
--- a/internal/distribution/polling.go
+++ b/internal/distribution/polling.go
@@ -16,6 +16,7 @@
 	r.pollAt = time.Time{}
 	r.defersToLeader = false
 	after := max(e.push.heldVersion().Revision, r.head.Revision)
+	r.pollAfter, r.overtakenAt = after, time.Time{}
 	e.act(AwaitSource{Request: r.poll, After: after, Wait: e.pollWait(), MinInterval: e.changePollInterval()})
 }
 
@@ -45,12 +46,17 @@
 		return
 	}
 	r.poll = 0
+	wasOvertaken := e.isOvertaken()
+	r.overtakenAt = time.Time{}
 	if !e.recordOutcome(event.Outcome) {
 		r.lastPollAnswered = false
 		r.pollAt = e.now.Add(e.sourceRetryDelay(event.Outcome))
 		return
 	}
 	isNewer := event.Version.Newer(snapshot.Version{Revision: max(e.push.heldVersion().Revision, r.head.Revision)})
+	if event.Version.Revision > r.pollAfter && !wasOvertaken {
+		e.setLate(false)
+	}
 	interval := e.timing.SourceWait / 2
 	switch {
 	case isNewer:
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -31,6 +31,12 @@
 	// poll is the running AwaitSource, pollAt when to send the next one.
 	poll     RequestID
 	polledAt time.Time
+	// pollAfter is the revision after which the running poll waits for a newer one.
+	pollAfter snapshot.Revision
+	// overtakenAt is when a peer delivered a revision that the running poll should have brought.
+	overtakenAt time.Time
+	// late is set while the source answers this reader later than others, or with old content.
+	late bool
 	// lastPollAnswered is set if the last poll since this node began to read was answered.
 	lastPollAnswered bool
 	pollAt           time.Time
@@ -53,6 +59,8 @@
 	switch {
 	case r.active && r.resigned:
 		return wire.ReadingResigned
+	case r.active && r.late:
+		return wire.ReadingIdle // others lead, and no further node of the zone has to read
 	case r.active:
 		return wire.ReadingActive
 	default:
@@ -66,6 +74,8 @@
 	}
 	if r.poll == 0 {
 		earlier(r.pollAt)
+	} else if !r.overtakenAt.IsZero() && !r.late {
+		earlier(r.overtakenAt.Add(lateAnswerLimit))
 	}
 	if r.fetch == 0 {
 		earlier(r.fetchAt)
@@ -148,14 +158,25 @@
 	return readerHealthy
 }
 
-// leads reports whether this node is the leader: the first lead candidate that reads.
+// leads reports whether this node is the leader: the first lead candidate that reads in time. If
+// all of them are late, the first one leads.
 func (e *Engine) leads() bool {
 	before, may := e.currentRanking().candidatesBefore(e.options.Self.Node)
-	return may && !slices.ContainsFunc(before, e.isReading)
+	if !may {
+		return false
+	}
+	others := before
+	if e.sourceReader.late {
+		others = e.currentRanking().candidates()
+	}
+	return !slices.ContainsFunc(others, e.isReading)
 }
 
 // isReading reports whether another lead candidate reads, as far as this node knows.
 func (e *Engine) isReading(node membership.NodeID) bool {
+	if node == e.options.Self.Node {
+		return false
+	}
 	if l := e.overlay.linkTo(node); l != nil && l.phase == phaseUp && l.reading != wire.ReadingActive {
 		return false // it is not a reader yet, or its reads fail
 	}
@@ -178,6 +199,7 @@
 	if !e.sourceReader.active {
 		return
 	}
+	e.detectLateAnswer()
 	e.takeOverPolling()
 	if e.passed(e.sourceReader.pollAt) && e.sourceReader.poll == 0 {
 		e.pollSource()
@@ -215,6 +237,7 @@
 	r.active = active
 	r.resigned = false
 	r.failures = 0
+	r.late = false
 	r.lastPollAnswered = false
 	if active {
 		r.pollAt = e.now
@@ -253,6 +276,7 @@
 		}
 	}
 	r.poll, r.fetch = 0, 0
+	r.overtakenAt = time.Time{}
 	r.head = snapshot.Version{} // counts as new if this node reads again
 	r.pollAt, r.fetchAt = time.Time{}, time.Time{}
 }
