--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -1,7 +1,9 @@
 package app
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,7 +67,7 @@
 		Store:                store,
 		Logger:               logging.Part(logger, "mirror"),
 		MemberOf:             sidecarOf(configured, regions),
-		Validate:             validateConfiguration,
+		Validate:             validator(regions),
 		Timeout:              configured.Platform.Timeout,
 		Registerer:           registerer,
 		DisableRecoveryGrace: !configured.Mechanisms.LapseGrace,
@@ -73,10 +75,46 @@
 	return storeReader{Mirror: followed, store: store}, err
 }
 
-// validateConfiguration returns why a configuration cannot come into force, or nil.
+// validator returns a function that returns why a configuration cannot come into force, or nil.
+func validator(regions map[string]string) func(*mirror.Configuration) error {
+	known := slices.Collect(maps.Values(regions))
+	return func(configuration *mirror.Configuration) error {
+		if len(known) > 0 {
+			if err := checkRegions(configuration, known); err != nil {
+				return err
+			}
+		}
+		return validateConfiguration(configuration)
+	}
+}
+
+// checkRegions returns an error if a route or a tenant allows a region that does not exist.
+func checkRegions(configuration *mirror.Configuration, known []string) error {
+	for _, route := range configuration.Routes {
+		if region, found := unknownRegion(route.AllowedRegions, known); found {
+			return eris.Errorf("route %q: region %q does not exist", route.Name, region)
+		}
+	}
+	for _, tenant := range configuration.Tenants {
+		if region, found := unknownRegion(tenant.AllowedRegions, known); found {
+			return eris.Errorf("tenant %q: region %q does not exist", tenant.Name, region)
+		}
+	}
+	return nil
+}
+
+func unknownRegion(allowed, known []string) (string, bool) {
+	for _, region := range allowed {
+		if !slices.Contains(known, region) {
+			return region, true
+		}
+	}
+	return "", false
+}
+
 func validateConfiguration(configuration *mirror.Configuration) error {
 	document, err := snapshot.NewDocument(snapshot.Content{
-		Revision: 1, Services: configuration.Services, Routes: configuration.Routes, Limits: configuration.Limits,
+		Revision: 1, Services: configuration.Services, Routes: configuration.Routes, Limits: configuration.Limits, Tenants: configuration.Tenants,
 	})
 	if err != nil {
 		return err
@@ -165,6 +203,10 @@
 	if inputs.Listeners.outbound == nil || inputs.Listeners.inbound == nil {
 		return nil, &SettingsError{Err: eris.New("platform.kind store needs outbound.listen, inbound.listen and inbound.service")}
 	}
+	regions, err := parseZones(configured.Platform.Zones)
+	if err != nil {
+		return nil, &SettingsError{Err: err}
+	}
 	return dataplane.New(dataplane.Options{
 		Names:     platform.HeaderNames(),
 		Snapshots: inputs.Applier,
@@ -174,6 +216,7 @@
 		Slots:     configured.Inbound.Slots,
 		NodePort:  outbound.PortOf(configured.Inbound.Listen),
 		Budget:    retryBudget(configured),
+		Regions:   regions,
 		Suspects:  inputs.Suspects,
 		Cold:      inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
 
--- a/internal/app/store_harness_test.go
+++ b/internal/app/store_harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 	"github.com/winchhead/winchhead/internal/emulator/store"
@@ -135,8 +136,13 @@
 
 // startWith runs the node of a machine with the settings.
 func (r *storeHarness) startWith(index int, configured settings.Settings) {
+	r.startLogging(index, configured, logging.Discard())
+}
+
+// startLogging runs the node of a machine with the settings and a logger.
+func (r *storeHarness) startLogging(index int, configured settings.Settings, logger logrus.FieldLogger) {
 	m := r.machines[index]
-	node, err := New(configured, Options{Logger: logging.Discard()})
+	node, err := New(configured, Options{Logger: logger})
 	r.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,6 +19,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
@@ -38,7 +40,9 @@
 	NodePort int
 	// LinkBytesPerSecond is the capacity of the machine's network link; zero: not known.
 	LinkBytesPerSecond float64
-	Budget             budget.Options
+	// Regions holds the region of each zone.
+	Regions map[string]string
+	Budget  budget.Options
 	// Suspects records the requests that may crash instances; nil: a ledger of this node alone.
 	Suspects *suspects.Tracker
 	// Mechanisms are the mechanisms that are switched on.
@@ -56,6 +60,7 @@
 type Node struct {
 	options      Options
 	accounts     *budget.Accounts
+	quota        *quota.Limiter
 	inbound      *inbound.Proxy
 	outbound     *outbound.Proxy
 	callerServer *server.Server
@@ -69,9 +74,10 @@
 	}
 	created := &Node{options: options, accounts: budget.New(options.Budget)}
 	var err error
+	created.quota = quota.New(quota.Options{Node: ipOf(options.Backend)})
 	created.inbound, err = inbound.New(inbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Backend: options.Backend,
-		Service: options.Service, Zone: options.Zone, Cold: options.Cold, Budget: created.accounts, Suspects: options.Suspects,
+		Service: options.Service, Zone: options.Zone, Cold: options.Cold, Budget: created.accounts, Suspects: options.Suspects, Quota: created.quota,
 		Slots: options.Slots, LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms, Logger: options.Logger.WithField("part", "inbound"), Registerer: options.Registerer,
 	})
 	if err != nil {
@@ -80,6 +86,7 @@
 	created.outbound, err = outbound.New(outbound.Options{
 		Names: options.Names, Snapshots: options.Snapshots, Service: options.Service, Zone: options.Zone,
 		Backend: options.Backend, LocalInbound: created.inbound, NodePort: options.NodePort, Budget: created.accounts, Suspects: options.Suspects,
+		Quota: created.quota, Regions: options.Regions,
 		LinkBytesPerSecond: options.LinkBytesPerSecond, Mechanisms: options.Mechanisms,
 		Logger: options.Logger.WithField("part", "outbound"), Registerer: options.Registerer,
 	})
@@ -97,6 +104,15 @@
 	return created, nil
 }
 
+// ipOf returns the IP address of an instance (IP:port), by which other nodes know its sidecar.
+func ipOf(address string) string {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	return parsed.Addr().String()
+}
+
 func plainTextRefusal(status int, reason string) *message.Response {
 	return message.Whole(status, nil, []byte(reason+"\n"))
 }
@@ -153,6 +169,7 @@
 		for wait.For(ctx, maintenanceInterval) == nil {
 			n.outbound.Maintain(time.Now())
 			n.inbound.Maintain(time.Now())
+			n.observeTenants()
 		}
 		n.callerServer.StopListening()
 		n.nodeServer.StopListening()
@@ -161,6 +178,13 @@
 	return group.Wait()
 }
 
+// observeTenants tells the quotas which nodes there are.
+func (n *Node) observeTenants() {
+	if current := n.options.Snapshots.Current(); current != nil && current.RequiresKeys() {
+		n.quota.Observe(current)
+	}
+}
+
 const (
 	// quietPeriod is how long no request may be in progress before a drain ends.
 	quietPeriod = 200 * time.Millisecond
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -50,14 +50,22 @@
 	Failed bool
 	// Suspected is set when the request may have crashed an instance before.
 	Suspected bool
+	// Tenant is the tenant that the request belongs to, and KeyTag the tag of its key; both are
+	// empty for an anonymous request.
+	Tenant, KeyTag string
 }
 
 // CertainRepeat is the value of RepeatPercent for a send that is a repeat for sure.
 const CertainRepeat = 100
 
-// orderFields is the number of fields of an order. A suspected request has one more; all other
-// orders omit it, so that sidecars of earlier versions can read them.
-const orderFields = 14
+// The number of fields of an order: of most, of one with a suspected request, and of one with a
+// tenant. Fields without content are omitted, so that sidecars of earlier versions can read most
+// orders.
+const (
+	orderFields          = 14
+	suspectedOrderFields = orderFields + 1
+	tenantOrderFields    = suspectedOrderFields + 2
+)
 
 // The encoded boolean values.
 const (
@@ -72,17 +80,23 @@
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.ServiceTime), millis(o.MeanServiceTime), strconv.FormatUint(o.Revision, 10),
 		encodeBool(o.Repeatable), encodeBool(o.OnlyCandidate), strconv.Itoa(o.RepeatPercent), encodeBool(o.Failed),
 	}, separator)
-	if o.Suspected {
-		text += separator + encodeBool(true)
+	switch {
+	case o.Tenant != "":
+		return strings.Join([]string{text, encodeBool(o.Suspected), o.Tenant, o.KeyTag}, separator)
+	case o.Suspected:
+		return text + separator + encodeBool(true)
+	default:
+		return text
 	}
-	return text
 }
 
 // DecodeOrder reads the text of the field.
 func DecodeOrder(text string) (Order, error) {
 	fields := strings.Split(text, separator)
-	if len(fields) != orderFields && len(fields) != orderFields+1 {
-		return Order{}, eris.Errorf("%s has %d fields, want %d", Header, len(fields), orderFields)
+	switch len(fields) {
+	case orderFields, suspectedOrderFields, tenantOrderFields:
+	default:
+		return Order{}, eris.Errorf("%s has %d fields, want %d, %d or %d", Header, len(fields), orderFields, suspectedOrderFields, tenantOrderFields)
 	}
 	reader := fieldReader{fields: fields[2:]}
 	order := Order{
@@ -91,9 +105,15 @@
 		MeanServiceTime: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.boolean(), OnlyCandidate: reader.boolean(),
 		RepeatPercent: reader.percent(), Failed: reader.boolean(),
 	}
-	if len(fields) > orderFields {
+	if len(fields) >= suspectedOrderFields {
 		order.Suspected = reader.boolean()
 	}
+	if len(fields) == tenantOrderFields {
+		order.Tenant, order.KeyTag = reader.text(), reader.text()
+		if order.Tenant == "" && reader.err == nil {
+			reader.err = eris.Errorf("%s: the tenant is empty", Header)
+		}
+	}
 	return order, reader.err
 }
 
@@ -144,6 +164,8 @@
 	ReasonCrashesInstances Reason = "crashes-instances"
 	// ReasonProbe: the instance is running another suspected request as a trial.
 	ReasonProbe Reason = "probe"
+	// ReasonKeyRevoked: the tenant of the request no longer has its key.
+	ReasonKeyRevoked Reason = "key-revoked"
 	// ReasonRepeats: the calls that a repeated run makes would exceed the limit on repeats.
 	ReasonRepeats Reason = "repeat-bound"
 )
@@ -230,6 +252,12 @@
 	return value
 }
 
+func (r *fieldReader) text() string {
+	text := r.fields[0]
+	r.fields = r.fields[1:]
+	return text
+}
+
 func (r *fieldReader) boolean() bool {
 	text := r.fields[0]
 	r.fields = r.fields[1:]
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -17,10 +17,15 @@
 		Remaining: 4 * time.Millisecond, Due: 5 * time.Millisecond, MaxWait: 6 * time.Millisecond,
 		ServiceTime: 7 * time.Millisecond, MeanServiceTime: 10 * time.Millisecond, Revision: 8, Repeatable: true, OnlyCandidate: true, RepeatPercent: 11, Failed: true,
 	}
-	for _, order.Suspected = range []bool{false, true} {
-		decoded, err := hop.DecodeOrder(order.Encode())
-		c.Assert(err, qt.IsNil)
-		c.Assert(decoded, qt.Equals, order)
+	for _, order.Tenant = range []string{"", "tenant-1"} {
+		if order.Tenant != "" {
+			order.KeyTag = "0a1b"
+		}
+		for _, order.Suspected = range []bool{false, true} {
+			decoded, err := hop.DecodeOrder(order.Encode())
+			c.Assert(err, qt.IsNil)
+			c.Assert(decoded, qt.Equals, order)
+		}
 	}
 }
 
@@ -40,7 +45,7 @@
 // TestMalformedFields: a field that cannot be decoded is an error and gets no default value.
 func TestMalformedFields(t *testing.T) {
 	for _, text := range []string{"", "a;b", "i;c;x;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;x;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;2;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;2;1;1",
-		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;101;1", "i;c;1;1;1;1;1;1;1;1;1;1;-1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;2"} {
+		"i;c;1;1;1;1;1;1;1;1;1;1;x;1", "i;c;1;1;1;1;1;1;1;1;1;1;101;1", "i;c;1;1;1;1;1;1;1;1;1;1;-1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;2", "i;c;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1;;tag", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;x;t;tag", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;1;t;tag;1", "i;c;1;1;1;1;1;1;1;1;1;1;1;1;2"} {
 		_, err := hop.DecodeOrder(text)
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
--- a/internal/dataplane/inbound/check.go
+++ b/internal/dataplane/inbound/check.go
@@ -41,11 +41,24 @@
 		return hop.ReasonCancelled
 	case !deadline.After(time.Now()):
 		return hop.ReasonDeadline
+	case p.isKeyRevoked(order):
+		return hop.ReasonKeyRevoked
 	default:
 		return p.checkTarget(order)
 	}
 }
 
+// isKeyRevoked reports whether the key of the request was revoked while the request waited. The
+// sender's configuration decides while it is newer than this node's.
+func (p *Proxy) isKeyRevoked(order hop.Order) bool {
+	current := p.options.Snapshots.Current()
+	if order.Tenant == "" || current == nil || uint64(current.Version().Revision) < order.Revision {
+		return false
+	}
+	tenant := current.Tenant(order.Tenant)
+	return tenant == nil || !tenant.HasKey(order.KeyTag)
+}
+
 // updateSlots applies the number of slots that the instance's entry specifies.
 func (p *Proxy) updateSlots(slots int) {
 	if slots > 0 && p.slots.Swap(int64(slots)) != int64(slots) {
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -21,6 +21,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
@@ -55,6 +56,8 @@
 	// Suspects records the requests that may crash instances; if it is nil, the Proxy keeps a
 	// ledger of its own.
 	Suspects *suspects.Tracker
+	// Quota grants tokens of tenants to other nodes; nil refuses them.
+	Quota *quota.Limiter
 	// Mechanisms are the mechanisms that are enabled.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -166,6 +169,9 @@
 		set(answer.Header, p.options.Names.RequestID, request.ID)
 		return answer
 	}
+	if request.Method == quota.Method && request.Target == quota.Target && p.options.Quota != nil {
+		return p.grantTokens(request)
+	}
 	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
 	if err != nil {
 		return p.answerFor(request, Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
@@ -174,6 +180,19 @@
 	return p.answerFor(request, p.Deliver(ctx, request, order))
 }
 
+// grantTokens answers another node's request for tokens of a tenant.
+func (p *Proxy) grantTokens(request *message.Request) *message.Response {
+	status := http.StatusOK
+	body, err := p.options.Quota.Serve(p.options.Snapshots.Current(), request.Body)
+	if err != nil {
+		p.options.Logger.WithError(err).Warn("a request for tokens is refused")
+		status, body = http.StatusBadRequest, nil
+	}
+	answer := message.Whole(status, nil, body)
+	set(answer.Header, p.options.Names.RequestID, request.ID)
+	return answer
+}
+
 // answerFor returns the answer for the other node, which accepts no answer without the
 // ID of its request.
 func (p *Proxy) answerFor(request *message.Request, delivery Delivery) *message.Response {
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -69,6 +69,9 @@
 	set(header, names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	set(header, names.ExpectInstance, order.Instance)
 	set(header, names.CallerService, order.CallerService)
+	if order.Tenant != "" {
+		set(header, names.Tenant, order.Tenant)
+	}
 	sent := &client.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host,
 		Header: header, Body: request.Body, ID: request.ID,
--- a/internal/dataplane/message/message.go
+++ b/internal/dataplane/message/message.go
@@ -24,6 +24,8 @@
 	NotExecuted string
 	// Load holds an instance's numbers of running and waiting requests and of slots.
 	Load string
+	// Tenant holds the tenant that a request belongs to, by its API key.
+	Tenant string
 	// Stamp is set on every response that comes from an instance.
 	Stamp string
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
+	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
 const (
@@ -39,12 +40,15 @@
 	request  *message.Request
 	current  *snapshot.Snapshot
 	route    *snapshot.Route
+	identity tenancy.Identity
 	deadline time.Time
 	// callerTimeout is how long the caller waits.
 	callerTimeout time.Duration
 	caller        callerretry.Caller
 	service       string
 
+	// permitted are the instances of the service in the allowed regions, once they are known.
+	permitted []snapshot.Instance
 	// tried are the instances that are not asked again.
 	tried map[string]bool
 	// possibleRuns counts the instances that ran the request or may have run it.
@@ -94,6 +98,9 @@
 		if e.assess() == suspects.Quarantined {
 			return e.refuseQuarantined()
 		}
+		if !e.identity.IsValid(e.proxy.options.Snapshots.Current()) {
+			return e.refuseRevoked()
+		}
 		choice, found := e.pick()
 		if !found {
 			return e.refuse()
@@ -155,6 +162,8 @@
 		switch {
 		case sent.report.Reason == hop.ReasonCrashesInstances:
 			return e.refuseQuarantined(), true
+		case sent.report.Reason == hop.ReasonKeyRevoked:
+			return e.refuseRevoked(), true
 		case e.ctx.Err() != nil, e.budgetRefusals >= maxBudgetRefusals, e.mustNotTryElsewhere(sent.report.Reason):
 			return e.refuse(), true
 		}
@@ -227,7 +236,7 @@
 // hasUntriedExcept reports whether an instance of the selected target is left, other than the
 // given one, that was not tried.
 func (e *exchange) hasUntriedExcept(excepted string) bool {
-	for _, instance := range e.current.Instances(e.service) {
+	for _, instance := range e.instances() {
 		if instance.State == snapshot.InstanceReady && instance.Name != excepted && !e.tried[instance.Name] {
 			return true
 		}
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -8,8 +8,10 @@
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
+	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
 // requestLog logs the end of each request, up to a limited rate.
@@ -27,7 +29,7 @@
 		return
 	}
 	entry = entry.WithFields(logrus.Fields{
-		"request": e.request.ID, "route": e.route.Name, "version": e.current.Version().String(),
+		"request": e.request.ID, "route": e.route.Name, "version": e.current.Version().String(), "tenant": e.identity.Name(),
 		"service": e.service, "instance": e.lastInstance, "outcome": outcome, "status": status,
 		"reason": string(e.lastReason), "tries": e.tries, "reached": e.possibleRuns,
 		"ms": duration.Milliseconds(), "left_ms": time.Until(e.deadline).Milliseconds(),
@@ -41,6 +43,30 @@
 	entry.Info("request ended")
 }
 
+// unauthenticated logs a request whose key is missing or not valid. It never shows the key.
+func (l *requestLog) unauthenticated(request *message.Request, route *snapshot.Route, current *snapshot.Snapshot, refusal tenancy.Refusal) {
+	entry, ok := l.lines.Take(true)
+	if !ok {
+		return
+	}
+	entry.WithFields(logrus.Fields{
+		"request": request.ID, "route": route.Name, "version": current.Version().String(), "reason": string(refusal),
+	}).Warn("the caller is not authenticated")
+}
+
+// beyondQuota logs a request beyond the quota of its tenant.
+func (l *requestLog) beyondQuota(request *message.Request, route *snapshot.Route, current *snapshot.Snapshot, tenant *snapshot.Tenant, decision quota.Decision) {
+	entry, ok := l.lines.Take(true)
+	if !ok {
+		return
+	}
+	entry.WithFields(logrus.Fields{
+		"request": request.ID, "route": route.Name, "version": current.Version().String(), "tenant": tenant.Name,
+		"rate": tenant.RequestsPerSecond, "burst": tenant.Burst, "decided_by": string(decision.Source),
+		"retry_after_ms": decision.RetryAfter.Milliseconds(),
+	}).Warn("the request is beyond the quota of its tenant")
+}
+
 // noRoute logs a request that no route matches.
 func (l *requestLog) noRoute(request *message.Request, current *snapshot.Snapshot) {
 	entry, ok := l.lines.Take(true)
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -23,6 +23,10 @@
 	// outcomeNotRun, as it tells nothing about the capacity: the more requests are refused for
 	// lack of that, the later callers are asked to retry.
 	outcomeQuarantined = "shut-out"
+	// outcomeUnauthenticated: the key is missing, malformed or not known.
+	outcomeUnauthenticated = "unauthenticated"
+	// outcomeBeyondQuota: the quota of the tenant is used up.
+	outcomeBeyondQuota = "beyond-quota"
 )
 
 type metrics struct {
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -8,6 +8,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/suspects"
+	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
 const (
@@ -36,7 +37,7 @@
 	return hop.Order{
 		Instance:        choice.Instance.Name,
 		CallerService:   e.proxy.options.Service,
-		Priority:        e.route.Priority,
+		Priority:        tenancy.Priority(e.route, e.identity),
 		ValueRank:       int(value),
 		Remaining:       remaining,
 		Due:             due,
@@ -49,6 +50,8 @@
 		RepeatPercent:   e.repeatHundredths(),
 		Failed:          e.nextKind == repeats.AfterFailure,
 		Suspected:       e.suspicion.standing == suspects.Suspected,
+		Tenant:          e.identity.Name(),
+		KeyTag:          e.keyTag(),
 	}
 }
 
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -25,9 +25,11 @@
 	"github.com/winchhead/winchhead/internal/dataplane/losses"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
+	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
 // SnapshotSource returns the configuration in use.
@@ -60,6 +62,10 @@
 	Mechanisms mechanism.Set
 	// Budget limits the repeats of requests that start at this node.
 	Budget *budget.Accounts
+	// Quota limits the requests of tenants; nil: they are not limited.
+	Quota *quota.Limiter
+	// Regions holds the region of each zone. A zone that is missing is in no allowed region.
+	Regions map[string]string
 	// Suspects records the requests that may crash instances; nil: a new, empty tracker.
 	Suspects *suspects.Tracker
 	Logger   logrus.FieldLogger
@@ -109,6 +115,9 @@
 		metrics:       registered,
 	}
 	created.repeatLedger = repeats.New(options.Logger, created.budgetState)
+	if options.Quota != nil {
+		options.Quota.SetTransport(created.sidecars.askForTokens)
+	}
 	return created, nil
 }
 
@@ -161,6 +170,10 @@
 		p.metrics.ended("", outcomeNoRoute, 0)
 		return p.errorAnswer(request, http.StatusNotFound, "no route takes the request", 0)
 	}
+	identity, refusal := tenancy.Authenticate(current, route, request.Header)
+	if refusal != "" {
+		return p.refuseUnauthenticated(request, route, current, refusal)
+	}
 	callerTimeout, ok := p.callerTimeoutOf(request, route)
 	if !ok {
 		return p.errorAnswer(request, http.StatusBadRequest, p.options.Names.Deadline+" is not a number of milliseconds", 0)
@@ -171,14 +184,21 @@
 		return p.errorAnswer(request, http.StatusServiceUnavailable, "the node stops", stoppingRetryAfter)
 	}
 	p.stripReservedHeaders(request.Header)
+	if current.RequiresKeys() {
+		delete(request.Header, tenancy.HeaderAuthorization)
+	}
+	if refusal := p.refuseBeyondQuota(ctx, request, route, current, identity); refusal != nil {
+		return refusal
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	release := context.AfterFunc(p.stopped, cancel)
 	defer release()
 	running := &exchange{
-		proxy: p, ctx: ctx, request: request, current: current, route: route,
+		proxy: p, ctx: ctx, request: request, current: current, route: route, identity: identity,
 		deadline: deadline, callerTimeout: callerTimeout, caller: p.callerRetries.Arrived(route.Name, callerTimeout, request.Arrived), service: p.targets.choose(route), tried: make(map[string]bool),
 	}
 	answer := running.run()
+	running.returnToken()
 	if answer.Stream != nil {
 		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
 		return answer
@@ -219,7 +239,7 @@
 func (p *Proxy) stripReservedHeaders(header http.Header) {
 	names := p.options.Names
 	for _, name := range []string{
-		names.RequestID, names.Deadline, names.ExpectInstance, names.CallerService,
+		names.RequestID, names.Deadline, names.ExpectInstance, names.CallerService, names.Tenant,
 		names.NotExecuted, names.Load, hop.Header,
 	} {
 		delete(header, name)
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -26,6 +26,10 @@
 func (n *scriptedSidecars) prune(time.Time) {}
 func (n *scriptedSidecars) close()          {}
 
+func (n *scriptedSidecars) askForTokens(context.Context, string, []byte) ([]byte, error) {
+	return nil, errNoTokens
+}
+
 // send returns the next report of the script.
 func (n *scriptedSidecars) send(context.Context, *message.Request, snapshot.Instance, hop.Order) sendResult {
 	report := hop.Report{Outcome: hop.Answered}
@@ -171,6 +175,10 @@
 func (n *refusingSidecars) prune(time.Time) {}
 func (n *refusingSidecars) close()          {}
 
+func (n *refusingSidecars) askForTokens(context.Context, string, []byte) ([]byte, error) {
+	return nil, errNoTokens
+}
+
 // send refuses or serves the request depending on its instance.
 func (n *refusingSidecars) send(_ context.Context, _ *message.Request, _ snapshot.Instance, order hop.Order) sendResult {
 	if order.Instance == n.full {
--- a/internal/dataplane/outbound/refuse.go
+++ b/internal/dataplane/outbound/refuse.go
@@ -30,7 +30,7 @@
 
 // hasReady reports whether any instance of the selected target is ready.
 func (e *exchange) hasReady() bool {
-	return slices.ContainsFunc(e.current.Instances(e.service), func(instance snapshot.Instance) bool {
+	return slices.ContainsFunc(e.instances(), func(instance snapshot.Instance) bool {
 		return instance.State == snapshot.InstanceReady
 	})
 }
@@ -63,9 +63,13 @@
 		return noInstanceRetryAfter
 	}
 	if e.minRetryAfter == 0 {
-		e.minRetryAfter = e.proxy.balancer.RateLimitedFor(e.current.Instances(e.service), time.Now())
+		e.minRetryAfter = e.proxy.balancer.RateLimitedFor(e.instances(), time.Now())
 	}
-	wait := computeRetryAfter(e.minRetryAfter, time.Until(e.request.Arrived.Add(e.callerTimeout)), pressure)
+	return spread(computeRetryAfter(e.minRetryAfter, time.Until(e.request.Arrived.Add(e.callerTimeout)), pressure))
+}
+
+// spread adds a random part to a wait.
+func spread(wait time.Duration) time.Duration {
 	return wait + time.Duration(rand.Float64()*float64(wait)*retryJitter)
 }
 
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"maps"
+	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +46,8 @@
 // sidecars sends requests to the sidecars of other instances.
 type sidecars interface {
 	send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) sendResult
+	// askForTokens sends a request for tokens to the node with an IP address.
+	askForTokens(ctx context.Context, node string, body []byte) ([]byte, error)
 	// prune closes connections that were idle for too long.
 	prune(now time.Time)
 	close()
@@ -77,9 +81,17 @@
 	if err != nil {
 		return "" // not reached: the snapshot validates addresses
 	}
-	return netip.AddrPortFrom(parsed.Addr(), uint16(n.port)).String()
+	return n.addressOn(parsed.Addr().String())
 }
 
+// addressOn returns the address of the sidecar on the machine with an IP address.
+func (n *sidecarPools) addressOn(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(n.port))
+}
+
+// errNoTokens is returned if a node answers a request for tokens in another form.
+var errNoTokens = errors.New("the answer grants no tokens")
+
 func (n *sidecarPools) poolOf(address string) *client.Pool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/dataplane/outbound/suspicion.go
+++ b/internal/dataplane/outbound/suspicion.go
@@ -55,7 +55,7 @@
 // one that all nodes choose alike, so that it is tried at one instance at a time in the whole
 // fleet.
 func (e *exchange) candidates() []snapshot.Instance {
-	all := e.current.Instances(e.service)
+	all := e.instances()
 	if e.suspicion.standing != suspects.Suspected {
 		return all
 	}
--- /dev/null
+++ b/internal/dataplane/outbound/tenants.go
@@ -0,0 +1,108 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/winchhead/winchhead/internal/dataplane/client"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/tenancy"
+)
+
+// refuseUnauthenticated returns the answer to a request whose key is missing or not valid.
+func (p *Proxy) refuseUnauthenticated(request *message.Request, route *snapshot.Route, current *snapshot.Snapshot, refusal tenancy.Refusal) *message.Response {
+	p.log.unauthenticated(request, route, current, refusal)
+	p.metrics.ended("", outcomeUnauthenticated, 0)
+	return p.errorAnswer(request, http.StatusUnauthorized, string(refusal), 0)
+}
+
+// refuseBeyondQuota returns the answer to a request beyond the quota of its tenant, or nil.
+func (p *Proxy) refuseBeyondQuota(ctx context.Context, request *message.Request, route *snapshot.Route, current *snapshot.Snapshot, identity tenancy.Identity) *message.Response {
+	if identity.IsAnonymous() || p.options.Quota == nil {
+		return nil
+	}
+	decision := p.options.Quota.Admit(ctx, current, identity.Tenant)
+	if decision.Admitted {
+		return nil
+	}
+	p.log.beyondQuota(request, route, current, identity.Tenant, decision)
+	p.metrics.ended("", outcomeBeyondQuota, 0)
+	return p.errorAnswer(request, http.StatusTooManyRequests, "not run: the quota of the tenant is used up", spread(decision.RetryAfter))
+}
+
+// returnToken gives back the token of a request that reached no instance.
+func (e *exchange) returnToken() {
+	if e.arrivals == 0 && !e.identity.IsAnonymous() && e.proxy.options.Quota != nil {
+		e.proxy.options.Quota.Return(e.identity.Tenant)
+	}
+}
+
+// refuseRevoked returns the final answer to a request whose key was revoked before it ran.
+func (e *exchange) refuseRevoked() *message.Response {
+	if e.possibleRuns > 0 || e.callerGone() {
+		return e.refuse()
+	}
+	if e.identity.IsValid(e.proxy.options.Snapshots.Current()) {
+		e.lastReason = hop.ReasonKeyRevoked
+		return e.refuse() // this node learns of it in a moment
+	}
+	e.finish(outcomeUnauthenticated, http.StatusUnauthorized)
+	return e.proxy.errorAnswer(e.request, http.StatusUnauthorized, string(tenancy.Unknown), 0)
+}
+
+// instances returns the instances of the selected target that may serve the request.
+func (e *exchange) instances() []snapshot.Instance {
+	if !tenancy.RestrictsRegions(e.route, e.identity) {
+		return e.current.Instances(e.service)
+	}
+	if e.permitted == nil {
+		e.permitted = []snapshot.Instance{}
+		for _, instance := range e.current.Instances(e.service) {
+			if tenancy.AllowsRegion(e.route, e.identity, e.proxy.options.Regions[instance.Zone]) {
+				e.permitted = append(e.permitted, instance)
+			}
+		}
+	}
+	return e.permitted
+}
+
+// keyTag returns the tag of the key that the request was sent with, if any.
+func (e *exchange) keyTag() string {
+	if e.identity.IsAnonymous() {
+		return ""
+	}
+	return e.identity.Key.Tag().String()
+}
+
+// quotaRequestID is the ID of requests for tokens, of which a connection carries one at a time.
+const quotaRequestID = "quota"
+
+// askForTokens sends a request for tokens to the node with an IP address.
+func (n *sidecarPools) askForTokens(ctx context.Context, node string, body []byte) ([]byte, error) {
+	header := http.Header{}
+	if n.idHeader != "" {
+		header[n.idHeader] = []string{quotaRequestID}
+	}
+	address := n.addressOn(node)
+	response, err := n.poolOf(address).Do(ctx, &client.Request{
+		Method: quota.Method, Target: quota.Target, Host: address, Header: header, Body: body, ID: quotaRequestID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	answer, whole, err := response.Buffer()
+	if closed := response.Close(); err == nil {
+		err = closed
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case !whole || response.Status != http.StatusOK:
+		return nil, errNoTokens
+	default:
+		return answer, nil
+	}
+}
--- /dev/null
+++ b/internal/dataplane/quota/limiter.go
@@ -0,0 +1,335 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+const (
+	// askTimeout limits the wait for one node's answer. It is many round trips, and short beside the
+	// time that callers wait.
+	askTimeout = 150 * time.Millisecond
+	// avoidFor is how long a node that did not answer is not asked again.
+	avoidFor = 500 * time.Millisecond
+	// tokenLifetime is how long tokens may be kept. What is kept longer could add to the tokens of
+	// a later window.
+	tokenLifetime = 500 * time.Millisecond
+	// prefetch is for how long tokens are asked for in advance, at the present rate.
+	prefetch = 100 * time.Millisecond
+	// maxRounds is how often a request waits for tokens that others then take.
+	maxRounds = 3
+)
+
+// Transport sends a message to a node and returns its answer.
+type Transport func(ctx context.Context, node string, message []byte) ([]byte, error)
+
+// Options set up a Limiter.
+type Options struct {
+	// Node is the IP address of this node.
+	Node string
+	// Now returns the time; nil uses the system clock.
+	Now func() time.Time
+}
+
+// Limiter admits the requests that start at a node and grants tokens to other nodes. It is safe for
+// concurrent use.
+type Limiter struct {
+	options   Options
+	transport Transport
+	owners    *owners
+	// granter holds the buckets that this node grants from, isolated those of its own equal shares.
+	granter, isolated *granter
+
+	mutex  sync.Mutex
+	stocks map[string]*stock
+	// avoided holds until when nodes that did not answer are not asked.
+	avoided map[string]time.Time
+}
+
+// New returns a Limiter. Its transport has to be set before the first call of Admit.
+func New(options Options) *Limiter {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Limiter{
+		options: options, owners: newOwners(options.Now()), granter: newGranter(), isolated: newGranter(),
+		stocks: make(map[string]*stock), avoided: make(map[string]time.Time),
+	}
+}
+
+// SetTransport sets how other nodes are asked.
+func (l *Limiter) SetTransport(transport Transport) { l.transport = transport }
+
+// Observe notes the nodes of a configuration. The more often it is called, the better an owner knows
+// how long it has been one, and thereby how full its buckets are.
+func (l *Limiter) Observe(current *snapshot.Snapshot) { l.owners.observe(current, l.options.Now()) }
+
+// stock holds the tokens of one tenant that this node was granted.
+type stock struct {
+	tokens    int
+	expiresAt time.Time
+	// asking is closed when the running request for tokens ends; nil if there is none.
+	asking  chan struct{}
+	waiting int
+	// pausedUntil is until when no tokens are asked for, after there were none.
+	pausedUntil time.Time
+	retryAfter  time.Duration
+	// arrivals is the number of requests since countedSince; rate is that of the second before.
+	arrivals     int
+	countedSince time.Time
+	rate         float64
+	usedAt       time.Time
+}
+
+// Source is where the token of a request came from.
+type Source string
+
+// The sources.
+const (
+	FromStock    Source = "stock"
+	FromOwner    Source = "owner"
+	FromBackup   Source = "backup"
+	FromIsolated Source = "isolated"
+)
+
+// Decision is whether a request is within the quota of its tenant.
+type Decision struct {
+	Admitted bool
+	// RetryAfter is when a caller beyond the quota should come back.
+	RetryAfter time.Duration
+	// Source tells which node decided.
+	Source Source
+}
+
+// Admit takes a token for a request of a tenant, or returns when to come back.
+func (l *Limiter) Admit(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant) Decision {
+	if tenant.RequestsPerSecond <= 0 {
+		return Decision{Admitted: true, Source: FromStock}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	held := l.stockOf(tenant.Name)
+	held.countArrival(l.options.Now())
+	source := FromStock
+	for range maxRounds {
+		now := l.options.Now()
+		if held.take(now) {
+			return Decision{Admitted: true, Source: source}
+		}
+		if now.Before(held.pausedUntil) {
+			break
+		}
+		if held.asking == nil {
+			source = l.refill(ctx, current, tenant, held)
+		} else if !l.awaitRefill(ctx, held) {
+			break
+		}
+	}
+	return Decision{RetryAfter: max(held.retryAfter, minRetryAfter), Source: source}
+}
+
+// Return gives back the token of a request that reached no instance.
+func (l *Limiter) Return(tenant *snapshot.Tenant) {
+	if tenant.RequestsPerSecond <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	held := l.stockOf(tenant.Name)
+	now := l.options.Now()
+	if now.After(held.expiresAt) {
+		held.tokens, held.expiresAt = 0, now.Add(tokenLifetime)
+	}
+	held.tokens++
+}
+
+// take removes one token that has not expired.
+func (s *stock) take(now time.Time) bool {
+	if s.tokens == 0 || now.After(s.expiresAt) {
+		s.tokens = 0
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+// countArrival updates the rate of requests.
+func (s *stock) countArrival(now time.Time) {
+	s.usedAt = now
+	if elapsed := now.Sub(s.countedSince); elapsed >= time.Second {
+		s.rate = float64(s.arrivals) / elapsed.Seconds()
+		s.arrivals, s.countedSince = 0, now
+	}
+	s.arrivals++
+}
+
+// wanted returns the number of tokens to ask for.
+func (s *stock) wanted() int {
+	return min(1+s.waiting+int(s.rate*prefetch.Seconds()), maxWanted)
+}
+
+// stockOf returns the stock of a tenant. The caller must hold the mutex.
+func (l *Limiter) stockOf(tenant string) *stock {
+	found := l.stocks[tenant]
+	if found == nil {
+		l.pruneStocks()
+		found = &stock{countedSince: l.options.Now()}
+		l.stocks[tenant] = found
+	}
+	return found
+}
+
+// idleStock is how long an unused stock is kept.
+const idleStock = 10 * time.Second
+
+// pruneStocks forgets the stocks of idle tenants. The caller must hold the mutex.
+func (l *Limiter) pruneStocks() {
+	now := l.options.Now()
+	for tenant, held := range l.stocks {
+		if held.asking == nil && now.Sub(held.usedAt) > idleStock {
+			delete(l.stocks, tenant)
+		}
+	}
+}
+
+// awaitRefill waits until the running request for tokens ends; it returns false if the context ends
+// first. The caller must hold the mutex, which is released meanwhile.
+func (l *Limiter) awaitRefill(ctx context.Context, held *stock) bool {
+	asking := held.asking
+	held.waiting++
+	l.mutex.Unlock()
+	defer func() {
+		l.mutex.Lock()
+		held.waiting--
+	}()
+	select {
+	case <-asking:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refill asks for tokens. The caller must hold the mutex, which is released meanwhile.
+func (l *Limiter) refill(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, held *stock) Source {
+	held.asking = make(chan struct{})
+	wanted := held.wanted()
+	l.mutex.Unlock()
+	granted, source := l.ask(ctx, current, tenant, wanted)
+	l.mutex.Lock()
+	now := l.options.Now()
+	if now.After(held.expiresAt) {
+		held.tokens = 0
+	}
+	held.tokens += granted.Tokens
+	held.expiresAt = now.Add(tokenLifetime)
+	held.pausedUntil, held.retryAfter = now.Add(granted.Pause), granted.RetryAfter
+	close(held.asking)
+	held.asking = nil
+	return source
+}
+
+// ask gets tokens from the first ranked node that answers, or from this node's equal share.
+func (l *Limiter) ask(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, wanted int) (Grant, Source) {
+	now := l.options.Now()
+	ranked, nodes, since := l.owners.of(current, tenant.Name, now)
+	for rank, node := range ranked {
+		source := FromOwner
+		if rank > 0 {
+			source = FromBackup
+		}
+		if node == l.options.Node {
+			return l.granter.grant(tenant, shareOf(rank), wanted, since, now), source
+		}
+		if l.isAvoided(node, now) {
+			continue
+		}
+		granted, err := l.askNode(ctx, node, tenant.Name, wanted)
+		if err == nil {
+			return granted, source
+		}
+		if ctx.Err() == nil && !errors.Is(err, errNotRanked) {
+			l.avoid(node)
+		}
+	}
+	share := IsolatedShare / float64(max(nodes, 1))
+	return l.isolated.grant(tenant, share, wanted, now, now), FromIsolated
+}
+
+// errNotRanked is returned by a node that grants no tokens of the tenant.
+var errNotRanked = errors.New("the node does not grant tokens of this tenant")
+
+func (l *Limiter) askNode(ctx context.Context, node, tenant string, wanted int) (Grant, error) {
+	body, err := ask{Tenant: tenant, Wanted: wanted}.encode()
+	if err != nil {
+		return Grant{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := l.transport(ctx, node, body)
+	if err != nil {
+		return Grant{}, err
+	}
+	decoded, err := decodeReply(answer)
+	switch {
+	case err != nil:
+		return Grant{}, err
+	case !decoded.Ranked:
+		return Grant{}, errNotRanked
+	default:
+		return decoded.grant(), nil
+	}
+}
+
+func (l *Limiter) isAvoided(node string, now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return now.Before(l.avoided[node])
+}
+
+// avoid notes a node that did not answer, and forgets those that may be asked again.
+func (l *Limiter) avoid(node string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.options.Now()
+	for other, until := range l.avoided {
+		if now.After(until) {
+			delete(l.avoided, other)
+		}
+	}
+	l.avoided[node] = now.Add(avoidFor)
+}
+
+// Serve answers another node's request for tokens by this node's own configuration.
+func (l *Limiter) Serve(current *snapshot.Snapshot, message []byte) ([]byte, error) {
+	asked, err := decodeAsk(message)
+	if err != nil {
+		return nil, err
+	}
+	return l.serve(current, asked).encode()
+}
+
+func (l *Limiter) serve(current *snapshot.Snapshot, asked ask) reply {
+	if current == nil {
+		return reply{}
+	}
+	tenant := current.Tenant(asked.Tenant)
+	if tenant == nil {
+		return reply{}
+	}
+	if tenant.RequestsPerSecond <= 0 {
+		return replyOf(Grant{Tokens: asked.Wanted})
+	}
+	now := l.options.Now()
+	ranked, _, since := l.owners.of(current, asked.Tenant, now)
+	for rank, node := range ranked {
+		if node == l.options.Node {
+			return replyOf(l.granter.grant(tenant, shareOf(rank), asked.Wanted, since, now))
+		}
+	}
+	return reply{}
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -24,6 +24,7 @@
 	HeaderCaller      = "Winchhead-Caller-Service"
 	HeaderNotExecuted = "Winchhead-Not-Executed"
 	HeaderStamp       = "Winchhead-Server-Stamp"
+	HeaderTenant      = "Winchhead-Tenant"
 )
 
 // Fault is a failure that the instance causes on a request.
@@ -73,7 +74,9 @@
 type Run struct {
 	ID, Method, Target, Body, Caller, Expected string
 	DeadlineMillis                             int
-	Began                                      time.Time
+	// Header holds the header fields of the request.
+	Header http.Header
+	Began  time.Time
 	// Ended is set when the work has ended.
 	Ended bool
 	// Cancelled is set when the connection closed before the answer.
@@ -328,7 +331,7 @@
 	i.runs = append(i.runs, Run{
 		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI, Body: body,
 		Caller: request.Header.Get(HeaderCaller), Expected: request.Header.Get(HeaderExpect),
-		DeadlineMillis: deadline, Began: time.Now(),
+		DeadlineMillis: deadline, Header: request.Header.Clone(), Began: time.Now(),
 	})
 	i.failIfOverloaded()
 	return len(i.runs) - 1
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -39,6 +39,7 @@
 	Origin   snapshot.Origin
 	Services []snapshot.Service
 	Routes   []snapshot.TypedRoute
+	Tenants  []snapshot.Tenant
 	Limits   *snapshot.CallerLimits
 }
 
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -214,6 +214,7 @@
 		Origin:    s.configuration.Origin,
 		Services:  s.configuration.Services,
 		Routes:    s.configuration.Routes,
+		Tenants:   s.configuration.Tenants,
 		Limits:    s.configuration.Limits,
 		Instances: s.listedInstances(),
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if built, err = built.WithTenants(content.Tenants); err != nil {
+		return nil, err
+	}
 	return built.WithFleet(p.document.Version(), content), nil
 }
 
--- a/internal/snapshot/delta.go
+++ b/internal/snapshot/delta.go
@@ -244,6 +244,8 @@
 		c.Limits = from.Limits
 	case KindEvacuation:
 		c.Evacuations = from.Evacuations
+	case KindTenant:
+		c.Tenants = from.Tenants
 	}
 }
 
@@ -254,6 +256,8 @@
 		c.Routes = make([]TypedRoute, 0, count)
 	case KindInstance:
 		c.Instances = make([]Instance, 0, count)
+	case KindTenant:
+		c.Tenants = make([]Tenant, 0, count)
 	}
 }
 
@@ -274,5 +278,7 @@
 		c.Limits = from.Limits
 	case KindEvacuation:
 		c.Evacuations = append(c.Evacuations, from.Evacuations[at])
+	case KindTenant:
+		c.Tenants = append(c.Tenants, from.Tenants[at])
 	}
 }
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -62,6 +62,8 @@
 	Limits *CallerLimits `json:"limits,omitempty"`
 	// Evacuations name the zones whose instances receive no requests.
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
+	// Tenants are the customers whose callers authenticate with API keys.
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
 // Kind is the type of a Resource.
@@ -80,6 +82,8 @@
 	KindLimits Kind = 6
 	// KindEvacuation is an Evacuation.
 	KindEvacuation Kind = 7
+	// KindTenant is a Tenant.
+	KindTenant Kind = 8
 )
 
 // Key identifies a resource of a document.
@@ -177,7 +181,7 @@
 }
 
 func encodeContent(content Content) ([]Resource, error) {
-	count := len(content.Services) + len(content.Policies) + len(content.Secrets) + len(content.Routes) + len(content.Instances) + len(content.Evacuations) + 1
+	count := len(content.Services) + len(content.Policies) + len(content.Secrets) + len(content.Routes) + len(content.Instances) + len(content.Evacuations) + len(content.Tenants) + 1
 	resources := make([]Resource, 0, count)
 	for _, service := range content.Services {
 		resource, err := encodeChecked(KindService, service.Name, service, checkService)
@@ -203,7 +207,7 @@
 	return encodeTyped(content, resources)
 }
 
-// encodeTyped appends the routes, instances, limits and evacuations of the content.
+// encodeTyped appends the routes, instances, limits, evacuations and tenants of the content.
 func encodeTyped(content Content, resources []Resource) ([]Resource, error) {
 	for _, route := range content.Routes {
 		resource, err := encodeChecked(KindRoute, route.Name, route, checkTypedRoute)
@@ -233,6 +237,13 @@
 		}
 		resources = append(resources, resource)
 	}
+	for _, tenant := range content.Tenants {
+		resource, err := encodeChecked(KindTenant, tenant.Name, tenant, checkTenant)
+		if err != nil {
+			return nil, err
+		}
+		resources = append(resources, resource)
+	}
 	return resources, nil
 }
 
@@ -250,6 +261,7 @@
 		Limits:    content.Limits,
 
 		Evacuations: sortedByName(content.Evacuations, evacuationName),
+		Tenants:     sortedByName(content.Tenants, tenantName),
 	}
 }
 
--- a/internal/snapshot/fleet.go
+++ b/internal/snapshot/fleet.go
@@ -62,7 +62,7 @@
 	return marked
 }
 
-// WithFleet returns a snapshot with the same routes, services and secrets for a newer version that
+// WithFleet returns a snapshot with the same routes, services, secrets and tenants for a newer version that
 // differs only in instances, evacuations and limits, which are taken from the content.
 func (s *Snapshot) WithFleet(version Version, content Content) *Snapshot {
 	next := *s
@@ -150,10 +150,15 @@
 // Limits returns the limits for callers, or nil if the document has none.
 func (s *Snapshot) Limits() *CallerLimits { return s.fleet.limits }
 
-// SameRouting reports whether both documents have the same services, policies, secrets and typed
-// routes, so that a snapshot of one can be used for the other with the other's instances.
+// SameRouting reports whether both documents have the same services, policies, secrets, typed
+// routes and tenants, so that a snapshot of one can be used for the other with the other's instances.
 func SameRouting(a, b *Document) bool {
-	return slices.Equal(a.routingDigests(), b.routingDigests())
+	return slices.Equal(a.routingDigests(), b.routingDigests()) && slices.Equal(a.tenantDigests(), b.tenantDigests())
+}
+
+func (d *Document) tenantDigests() []resourceDigest {
+	start, end := d.span(KindTenant)
+	return d.digests[start:end]
 }
 
 // routingDigests returns the digests of the resources that determine routing, which are sorted before
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -16,9 +16,9 @@
 	MaxProgramBytes = 64 << 10
 	// MaxSecretBytes is the maximum size of the value of one secret.
 	MaxSecretBytes = 4 << 10
-	// MaxResourcesPerKind is the maximum number of resources of each kind but routes and instances.
+	// MaxResourcesPerKind is the maximum number of resources of each kind but routes, instances and tenants.
 	MaxResourcesPerKind = 1000
-	// MaxTypedResources is the maximum number of typed routes, and of instances.
+	// MaxTypedResources is the maximum number of typed routes, of instances, and of tenants.
 	MaxTypedResources = 20_000
 	// MaxDocumentBytes is the maximum total size of the encoded resources of a document.
 	MaxDocumentBytes = 8 << 20
@@ -29,7 +29,7 @@
 // maxResources returns the maximum number of resources of a kind in a document.
 func maxResources(kind Kind) int {
 	switch kind {
-	case KindRoute, KindInstance:
+	case KindRoute, KindInstance, KindTenant:
 		return MaxTypedResources
 	default:
 		return MaxResourcesPerKind
--- a/internal/snapshot/resource.go
+++ b/internal/snapshot/resource.go
@@ -27,6 +27,8 @@
 		return "limits"
 	case KindEvacuation:
 		return "evacuation"
+	case KindTenant:
+		return "tenant"
 	default:
 		return "resource of unknown kind"
 	}
@@ -106,6 +108,8 @@
 		return setLimits(content, resource)
 	case KindEvacuation:
 		return appendValue(&content.Evacuations, resource, evacuationName, checkEvacuation)
+	case KindTenant:
+		return appendValue(&content.Tenants, resource, tenantName, checkTenant)
 	default:
 		return eris.Errorf("resource %.64q has unknown kind %d", resource.Key.Name, resource.Key.Kind)
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -75,6 +75,10 @@
 	MaxAttempts int            `json:"max_attempts"`
 	Limits      Limits         `json:"limits"`
 	Secrets     []SecretHeader `json:"secrets,omitempty"`
+	// AllowAnonymous accepts requests without an API key although there are tenants.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
+	// AllowedRegions are the regions whose instances may serve the route; empty: all.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // MayRepeat reports whether a request with this method is safe to run more than once.
@@ -99,6 +103,7 @@
 	services   map[string]Service
 	secrets    map[string]Secret
 	table      routeTable
+	tenants    tenantIndex
 	fleet      fleet
 }
 
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -27,6 +27,10 @@
 	MaxAttempts int `json:"max_attempts"`
 	// Targets are the services that share the requests by weight.
 	Targets []WeightedService `json:"targets"`
+	// AllowAnonymous accepts requests without an API key although the document has tenants.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
+	// AllowedRegions are the regions whose instances may serve the route; empty: all.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // Lifecycle is the readiness for new requests that an instance reports.
@@ -103,6 +107,8 @@
 	MaxBodyBytes        int64 `json:"max_body_bytes"`
 	HeaderTimeoutMillis int64 `json:"header_timeout_ms"`
 	IdleTimeoutMillis   int64 `json:"idle_timeout_ms"`
+	// RequireKeys says that requests need an API key, even while there is no tenant.
+	RequireKeys bool `json:"require_keys,omitempty"`
 }
 
 // limitsName is the name of the single resource of KindLimits.
@@ -195,5 +201,8 @@
 		Priority:      r.Priority,
 		TargetLatency: time.Duration(r.TargetLatencyMillis) * time.Millisecond,
 		MaxAttempts:   r.MaxAttempts,
+
+		AllowAnonymous: r.AllowAnonymous,
+		AllowedRegions: r.AllowedRegions,
 	}
 }
