dataplane: a silent send is given up only if a repeat takes its place

Cause, by reading: of the timers that may end a send within the grace, only the silence limit (1 s without a progress report) fits. It cut the send first and asked then whether a repeat is allowed; with an empty budget, no attempt or no instance left, the answer on its way was thrown away. It also counted bytes as missing that had come before a deadline which this process noticed late.

Change: at the limit the exchange reserves a repeat; if it gets none, the answer is awaited further, unless the node answers on a new connection, so that this one is dead. Bytes that are there already are read before.

Tests: the old code has nothing to ask at the limit, so they do not compile on it.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -63,6 +63,9 @@
 	// SilenceLimit is how long a server that reports progress may send nothing for a
 	// completely sent request before the request fails; zero: until the context ends.
 	SilenceLimit time.Duration
+	// MayGiveUp reports, when the silence limit has passed, whether the request may fail at once. If
+	// not, it fails only if the server answers on another connection. Nil: it fails.
+	MayGiveUp func() bool
 	// ExpectContinue sends the body only after a 100 (Continue) response. If the server sends a
 	// final response instead, no part of the body has been sent.
 	ExpectContinue bool
--- a/internal/dataplane/client/silence.go
+++ b/internal/dataplane/client/silence.go
@@ -23,8 +23,10 @@
 func (c *conn) readHeader(ctx context.Context, request *Request) (*http.Response, error) {
 	limit := c.silenceLimit(request)
 	if limit > 0 {
-		c.setReadDeadline(ctx, time.Now().Add(limit))
 		defer c.setReadDeadline(ctx, time.Time{})
+		if c.awaitByte(ctx, request, limit) {
+			return nil, &SilenceError{Limit: limit}
+		}
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 	if limit > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -33,6 +35,53 @@
 	return response, err
 }
 
+// awaitByte waits for the next byte from the server, and leaves the silence limit for the rest of the
+// header. It reports whether the request is given up: at once if it may be, otherwise only if the
+// server answers on another connection, so that this one must be dead. A server that is slow on all
+// connections may still answer.
+func (c *conn) awaitByte(ctx context.Context, request *Request, limit time.Duration) (givenUp bool) {
+	for dead := false; ; {
+		if c.receives(ctx, limit) {
+			c.setReadDeadline(ctx, time.Now().Add(limit))
+			return false
+		}
+		if dead || request.MayGiveUp == nil || request.MayGiveUp() {
+			return true
+		}
+		dead = c.pool.answers(ctx)
+	}
+}
+
+// lateReadTime is how long bytes are read that came before a deadline which this process noticed late.
+const lateReadTime = 5 * time.Millisecond
+
+// receives waits for a byte until the limit. It returns true also if the connection or the context
+// ends, which the next read reports.
+func (c *conn) receives(ctx context.Context, limit time.Duration) bool {
+	for _, wait := range [...]time.Duration{limit, lateReadTime} {
+		c.setReadDeadline(ctx, time.Now().Add(wait))
+		_, err := c.reader.Peek(1)
+		if ctx.Err() != nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers reports whether the server answers a liveness check on a new connection, which is kept.
+func (p *Pool) answers(ctx context.Context) bool {
+	dialed, err := p.dial(ctx)
+	if err != nil {
+		return false
+	}
+	if err := dialed.verify(ctx, p.options.VerifyTimeout); err != nil {
+		p.drop(dialed)
+		return false
+	}
+	p.put(dialed)
+	return true
+}
+
 // silenceLimit returns how long to wait for the next header; zero: no limit. A server sends
 // reports only for requests that it has received completely, and a large body may still be
 // in transit after it was written here.
--- a/internal/dataplane/client/silence_test.go
+++ b/internal/dataplane/client/silence_test.go
@@ -30,6 +30,8 @@
 	scripts [][]string
 	// requests holds the targets of all requests, by connection.
 	requests [][]string
+	// late, if set, runs on the first connection after its script.
+	late func(conn net.Conn)
 }
 
 func newScriptedServer(c *qt.C, scripts ...[]string) *scriptedServer {
@@ -62,6 +64,9 @@
 		s.mutex.Unlock()
 		_, _ = io.WriteString(conn, text)
 	}
+	if s.late != nil && number == 0 {
+		s.late(conn)
+	}
 	_, _ = reader.Peek(1) // until the client has closed
 }
 
@@ -148,6 +153,51 @@
 	c.Check(err, qt.IsNil)
 }
 
+// TestSilentServerWithoutAlternative guards against answers that are lost because a slow server sent
+// nothing for a while and the request could not be sent elsewhere either: the budget of repeats was
+// used up. Such a request awaits its answer, unless the server answers on another connection.
+func TestSilentServerWithoutAlternative(t *testing.T) {
+	const limit = 20 * time.Millisecond
+	for name, row := range map[string]struct {
+		// others is what the server sends on connections after the first.
+		others []string
+		served bool
+	}{
+		"slow on all connections":       {[]string{""}, true},
+		"answers on another connection": {[]string{answerText}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			answered := make(chan struct{})
+			server := newScriptedServer(c, []string{progressText + answerText, ""}, row.others, row.others)
+			server.late = func(conn net.Conn) {
+				<-answered
+				_, _ = io.WriteString(conn, answerText)
+			}
+			pool := client.NewPool(client.Options{
+				Address: server.address, IDHeader: verifyIDHeader, ConnectTimeout: time.Minute, IdleTimeout: time.Hour,
+				ProgressHeader: "X-Progress", VerifyTimeout: limit,
+			})
+			c.Cleanup(pool.Close)
+			_, err := do(c, pool, get("/known", limit))
+			c.Assert(err, qt.IsNil)
+			asked := 0
+			request := get("/silent", limit)
+			request.MayGiveUp = func() bool {
+				if asked++; asked == 3 {
+					close(answered)
+				}
+				return false
+			}
+			_, err = do(c, pool, request)
+			c.Check(err == nil, qt.Equals, row.served, qt.Commentf("%v", err))
+			if row.served {
+				c.Check(asked >= 3, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // TestServerWithoutProgressReports: the silence limit does not apply to a server that never
 // reports progress, such as one of an earlier version.
 func TestServerWithoutProgressReports(t *testing.T) {
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -140,7 +140,7 @@
 		delivery := e.proxy.options.LocalInbound.Deliver(e.ctx, e.arrivingNow(), order)
 		return sendResult{report: delivery.Report, answer: delivery.Response, reported: true, err: delivery.Err}
 	}
-	return e.proxy.sidecars.send(e.ctx, e.request, choice.Instance, order)
+	return e.proxy.sidecars.send(e.ctx, e.request, choice.Instance, order, e.mayReplaceSend)
 }
 
 // arrivingNow returns the request for the local inbound proxy, which counts the remaining
@@ -220,19 +220,21 @@
 
 // mayTryAnother decides whether another instance may get the request: the route's attempts,
 // the time left and the repeat budget must allow it. It reserves a repeat.
-func (e *exchange) mayTryAnother() bool {
-	if !e.proxy.options.Mechanisms.Repeats || e.ctx.Err() != nil || e.possibleRuns >= e.route.MaxAttempts || time.Until(e.deadline) < minRepeatTime {
-		return false
-	}
-	if !e.hasUntried() {
+func (e *exchange) mayTryAnother() bool { return e.mayRepeat(e.possibleRuns, "") }
+
+// mayReplaceSend decides whether the running send, at the instance tried last, may be given up for
+// another one because nothing comes from it. Without a repeat, only its own answer can still serve
+// the caller, however late.
+func (e *exchange) mayReplaceSend() bool { return e.mayRepeat(e.possibleRuns+1, e.lastInstance) }
+
+// mayRepeat decides about a repeat after a number of possible runs, at any instance but the given one.
+func (e *exchange) mayRepeat(possibleRuns int, excepted string) bool {
+	if !e.proxy.options.Mechanisms.Repeats || e.ctx.Err() != nil || possibleRuns >= e.route.MaxAttempts || time.Until(e.deadline) < minRepeatTime {
 		return false
 	}
-	return e.reserveRepeat()
+	return e.hasUntriedExcept(excepted) && e.reserveRepeat()
 }
 
-// hasUntried reports whether an instance is left that was not tried.
-func (e *exchange) hasUntried() bool { return e.hasUntriedExcept("") }
-
 // hasUntriedExcept reports whether an instance of the selected target is left, other than the
 // given one, that was not tried.
 func (e *exchange) hasUntriedExcept(excepted string) bool {
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -31,7 +31,7 @@
 }
 
 // send returns the next report of the script.
-func (n *scriptedSidecars) send(context.Context, *message.Request, snapshot.Instance, hop.Order) sendResult {
+func (n *scriptedSidecars) send(context.Context, *message.Request, snapshot.Instance, hop.Order, func() bool) sendResult {
 	report := hop.Report{Outcome: hop.Answered}
 	if n.made < len(n.script) {
 		report = n.script[n.made]
@@ -180,7 +180,7 @@
 }
 
 // send refuses or serves the request depending on its instance.
-func (n *refusingSidecars) send(_ context.Context, _ *message.Request, _ snapshot.Instance, order hop.Order) sendResult {
+func (n *refusingSidecars) send(_ context.Context, _ *message.Request, _ snapshot.Instance, order hop.Order, _ func() bool) sendResult {
 	if order.Instance == n.full {
 		n.ordersToFull = append(n.ordersToFull, order)
 		return resultOf(hop.Report{Outcome: hop.Refused, Reason: hop.ReasonOverloaded})
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -45,7 +45,9 @@
 
 // sidecars sends requests to the sidecars of other instances.
 type sidecars interface {
-	send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) sendResult
+	// send sends a request to an instance's sidecar. While that is silent, mayGiveUp decides whether
+	// the request is still awaited.
+	send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order, mayGiveUp func() bool) sendResult
 	// askForTokens sends a request for tokens to the node with an IP address.
 	askForTokens(ctx context.Context, node string, body []byte) ([]byte, error)
 	// prune closes connections that were idle for too long.
@@ -139,7 +141,7 @@
 
 // send sends a request to an instance's sidecar. The sidecar runs nothing before it has
 // the whole request, so a request that was sent in part has not run.
-func (n *sidecarPools) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) sendResult {
+func (n *sidecarPools) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order, mayGiveUp func() bool) sendResult {
 	header := maps.Clone(request.Header)
 	header[hop.Header] = []string{order.Encode()}
 	if n.idHeader != "" {
@@ -150,6 +152,7 @@
 		Header: header, Body: request.Body, ID: request.ID,
 		ExpectContinue: n.askFirst && len(request.Body) >= transfer.MinAdmissionBytes,
 		SilenceLimit:   silenceLimitOf(order),
+		MayGiveUp:      mayGiveUp,
 	})
 	if err != nil {
 		return failedSend(err)
--- a/internal/dataplane/outbound/suspicion_test.go
+++ b/internal/dataplane/outbound/suspicion_test.go
@@ -22,9 +22,9 @@
 	orders []hop.Order
 }
 
-func (n *recordingSidecars) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order) sendResult {
+func (n *recordingSidecars) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order, _ func() bool) sendResult {
 	n.orders = append(n.orders, order)
-	return n.scriptedSidecars.send(ctx, request, instance, order)
+	return n.scriptedSidecars.send(ctx, request, instance, order, nil)
 }
 
 // newSuspectProxy returns a Proxy for a service with many instances.
