Starting nodes sample the member list; readers alone read the store whole

Cause: each node that holds nothing lists the whole store (five pages, 450 KB), for peers and for content. All lists together keep the store's link busy for 3.6 s; a node gives a page up after 0.4 s without a byte and begins again from page one. The work that is thrown away keeps the link full. What a start reads grows with the square of the fleet: two pages at 300 machines hid it.

Change: a node that is not a reader reads one page of instances (Store.Sample, stale reads at a tenth of the price) to find peers. No node reads before it knows a list or sample; a node that holds nothing leaves reading to the listed ones of its zone, as all know the same first page, so that one node a zone reads the whole store. The others get the list and the document over their links. A node without links samples the next page. A running read of a node that holds nothing is not cancelled when another one takes precedence.

Test: TestWholeFleetReturns, 80 and 300 nodes in virtual time behind a store whose link needs 3.6 s for all lists. Before: no node holds a version after a minute. Now 99 of 100 hold one 1.4 s after the start, with 6 whole reads at 300 nodes and 0.3 pages a node besides its first sample.

--- a/internal/distribution/actions.go
+++ b/internal/distribution/actions.go
@@ -51,6 +51,8 @@
 	Request RequestID
 	ETag    string
 	Wait    time.Duration
+	// Sample asks for a part of the list, enough to find peers, if the platform can give one.
+	Sample bool
 }
 
 // CancelRequest cancels a request to the platform. An answer to it is optional and
--- a/internal/distribution/events.go
+++ b/internal/distribution/events.go
@@ -80,7 +80,9 @@
 	// Revision is source.MemberList.Revision.
 	Revision uint64
 	ETag     string
-	Outcome  source.Outcome
+	// Sample says that Members are a part of the list.
+	Sample  bool
+	Outcome source.Outcome
 }
 
 // AdoptResult answers Adopt.
--- /dev/null
+++ b/internal/distribution/fleet_start_test.go
@@ -0,0 +1,76 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/distribution"
+	"github.com/winchhead/winchhead/internal/distribution/simulation"
+	"github.com/winchhead/winchhead/internal/membership"
+)
+
+// wholeListsTime is how long the link of the platform takes to send the list to all nodes of a fleet,
+// as it does for a fleet of a thousand machines that lists 450 KB over 1 Gbit/s.
+const wholeListsTime = 3600 * time.Millisecond
+
+// newListingFleet returns a running fleet of machines in six zones whose platform has a slow link.
+func newListingFleet(c *qt.C, nodes int, seed uint64) *simulation.Fleet {
+	const entryBytes, pages = 450, 5
+	f := simulation.New(simulation.Options{
+		Seed: seed, Timing: distribution.DefaultTiming().ForCurrentSource(), ReadersPerZone: 1, SourceIsCurrent: true,
+		Latency: 2 * time.Millisecond, AdoptDelay: 10 * time.Millisecond, ListsStoppedMachines: true,
+		SourceLinkRate: int64(float64(nodes*nodes*entryBytes) / wholeListsTime.Seconds()),
+		ListEntryBytes: entryBytes, ListPage: (nodes + pages - 1) / pages,
+	})
+	f.Platform.Publish(document(1), "")
+	for i := range nodes {
+		f.Start(simulation.Machine{
+			Name: membership.NodeID(fmt.Sprintf("node-%04d", i)), Zone: fmt.Sprintf("zone-%d", i%6), Region: "region",
+		}, nil)
+	}
+	c.Assert(f.RunUntil(time.Minute, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
+	f.Run(5 * time.Second)
+	return f
+}
+
+// holding returns the share of the machines that hold a version.
+func holding(f *simulation.Fleet) float64 {
+	count := 0
+	for _, name := range f.Machines() {
+		if held, alive := f.Held(name); alive && !held.IsZero() {
+			count++
+		}
+	}
+	return float64(count) / float64(len(f.Machines()))
+}
+
+// TestWholeFleetReturns guards against a fleet that does not come back after all of it was killed:
+// each node lists the store, the lists together need the store's link for longer than a node waits for
+// one, and all of them start again and again.
+func TestWholeFleetReturns(t *testing.T) {
+	// within is one second after the first answers of the store can be there.
+	const within = 2 * time.Second
+	for _, nodes := range []int{80, 300} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			c := qt.New(t)
+			f := newListingFleet(c, nodes, 1)
+			pages := f.Platform.Pages()
+			for _, name := range f.Machines() {
+				f.Kill(name)
+			}
+			f.Run(1300 * time.Millisecond)
+			for _, name := range f.Machines() {
+				f.Restart(name)
+			}
+			returned := f.RunUntil(within, func() bool { return holding(f) >= 0.99 })
+			c.Check(returned, qt.IsTrue, qt.Commentf("%.2f of the nodes hold a version", holding(f)))
+			f.Run(10 * time.Second)
+			c.Check(holding(f), qt.Equals, 1.0)
+			c.Check(f.Violations(), qt.HasLen, 0)
+			c.Logf("%d pages, %.1f a node", f.Platform.Pages()-pages, float64(f.Platform.Pages()-pages)/float64(nodes))
+		})
+	}
+}
--- a/internal/distribution/list.go
+++ b/internal/distribution/list.go
@@ -124,6 +124,20 @@
 	return b.changesAtRevision(revision)
 }
 
+// sampledEntries returns the entries of a sample of the list at a revision. Nodes that are missing in
+// it may be listed all the same.
+func sampledEntries(sample []membership.ListedMember, revision uint64) []wire.ListedEntry {
+	byNode := make(map[membership.NodeID][]membership.ListedMember, len(sample))
+	for _, member := range sample {
+		byNode[member.Node] = append(byNode[member.Node], member)
+	}
+	entries := make([]wire.ListedEntry, 0, len(byNode))
+	for _, node := range slices.Sorted(maps.Keys(byNode)) {
+		entries = append(entries, wire.ListedEntry{Node: node, Members: byNode[node], Order: int64(revision) * ordersPerRevision})
+	}
+	return entries
+}
+
 // storeUnchanged records that the list last read is still current, possibly at a later revision,
 // and returns the entries that changed: peers may have sent entries of a revision between
 // the two.
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -6,16 +6,17 @@
 	"github.com/winchhead/winchhead/internal/source"
 )
 
-// membersState is the state of reading the platform's member list. Readers long-poll
-// for changes. Other nodes read the list once at startup, and again while they have no
-// links.
+// membersState is the state of reading the platform's member list. Readers read the whole list and
+// long-poll for changes. Other nodes read a sample of it at startup, and again while they have no
+// links: they get the list from peers, so that what a starting fleet reads grows with its zones and
+// not with the square of its nodes.
 type membersState struct {
 	request       RequestID
 	etag          string
 	nextRequestAt time.Time
 	lastReadAt    time.Time
 	failures      int
-	// hasRead is set after the first successful read of the list.
+	// hasRead is set after the first successful read of the list or of a sample.
 	hasRead     bool
 	longPolling bool
 	// isolatedReads counts the consecutive reads while this node had no links.
@@ -74,7 +75,7 @@
 	if m.longPolling {
 		wait = e.timing.MembersWait
 	}
-	e.act(FetchMembers{Request: m.request, ETag: m.etag, Wait: wait})
+	e.act(FetchMembers{Request: m.request, ETag: m.etag, Wait: wait, Sample: !e.sourceReader.active})
 }
 
 // readingChanged cancels a long poll of the list when the node stops being a reader.
@@ -96,8 +97,12 @@
 	case source.StatusFresh:
 		m.failures = 0
 		m.hasRead = true
-		m.etag = event.ETag
-		e.mergeListed(e.list.storeRead(event.Members, event.Revision, e.now), 0)
+		if event.Sample {
+			e.mergeListed(sampledEntries(event.Members, event.Revision), 0)
+		} else {
+			m.etag = event.ETag
+			e.mergeListed(e.list.storeRead(event.Members, event.Revision, e.now), 0)
+		}
 		e.markFleetChanged(e.overlay.countEstablished() == 0)
 		e.overlayChanged()
 	case source.StatusNotModified:
--- a/internal/distribution/platform.go
+++ b/internal/distribution/platform.go
@@ -54,9 +54,21 @@
 }
 
 func (n *Node) fetchMembers(ctx context.Context, action FetchMembers) {
+	if sampler, ok := n.options.Members.(source.MemberSampler); ok && action.Sample {
+		n.sampleMembers(ctx, action, sampler)
+		return
+	}
 	n.request(ctx, action.Request, action.Wait+n.options.Timing.FetchTimeout, func(ctx context.Context) Event {
 		list, outcome := n.options.Members.Members(ctx, action.ETag, action.Wait)
 		n.counters.countList(outcome)
 		return MembersListed{Request: action.Request, Members: list.Members, Revision: list.Revision, ETag: list.ETag, Outcome: outcome}
 	})
 }
+
+func (n *Node) sampleMembers(ctx context.Context, action FetchMembers, sampler source.MemberSampler) {
+	n.request(ctx, action.Request, n.options.Timing.FetchTimeout, func(ctx context.Context) Event {
+		list, outcome := sampler.SampleMembers(ctx)
+		n.counters.countList(outcome)
+		return MembersListed{Request: action.Request, Members: list.Members, Revision: list.Revision, Sample: true, Outcome: outcome}
+	})
+}
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -217,6 +217,8 @@
 	r := &e.sourceReader
 	desired := e.desiredRole()
 	switch {
+	case desired == roleStandby && r.active && e.push.held == nil && (r.poll != 0 || r.fetch != 0):
+		return // what it reads may be the first version of its zone
 	case desired == roleStandby:
 		if r.active {
 			r.stoppedReadingAt = e.now
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -45,6 +45,14 @@
 	// means unlimited. Small urgent frames overtake large ones, which are sent in parts, and
 	// wait for one part at most.
 	LinkRate int64
+	// SourceLinkRate is the bandwidth of the platform's link, in bytes per second, which the lists and
+	// documents of all readers share; zero means unlimited. ListEntryBytes is the size of one entry
+	// and ListPage the number of entries in one page.
+	SourceLinkRate           int64
+	ListEntryBytes, ListPage int
+	// ListsStoppedMachines keeps machines whose process has ended on the list, as a list of their
+	// instances does.
+	ListsStoppedMachines bool
 	// Duplicates is the fraction of messages that are delivered twice.
 	Duplicates float64
 }
--- a/internal/distribution/simulation/platform.go
+++ b/internal/distribution/simulation/platform.go
@@ -31,6 +31,7 @@
 	pollsOf    map[membership.NodeID]int
 	fetches    int
 	changes    []snapshot.Change
+	link       sourceLink
 }
 
 type pendingPoll struct {
@@ -325,8 +326,14 @@
 		event.Outcome = outcome
 	default:
 		p.fetches++
-		event.Outcome = source.Outcome{Status: source.StatusFresh}
-		event.Document = p.served(from.machine)
+		p.transfer(from, len(p.fleet.names), 0, func(arrived bool) {
+			if arrived {
+				event.Outcome = source.Outcome{Status: source.StatusFresh}
+				event.Document = p.served(from.machine)
+			}
+			p.answer(from, action.Request, event)
+		})
+		return
 	}
 	p.answer(from, action.Request, event)
 }
@@ -336,7 +343,7 @@
 func (p *Platform) listChanged() {
 	var members []membership.ListedMember
 	for _, name := range p.fleet.names {
-		if process := p.fleet.processes[name]; process.alive {
+		if process := p.fleet.processes[name]; process.alive || p.fleet.options.ListsStoppedMachines {
 			members = append(members, membership.ListedMember{
 				Node: name, PeerAddress: string(name), Zone: process.machine.Zone,
 				Region: process.machine.Region, State: membership.ListedLive,
@@ -385,7 +392,21 @@
 	}
 	event.Outcome.Status = source.StatusFresh
 	event.Members, event.Revision, event.ETag = members, revision, etag
-	p.fleet.forProcess(from, p.fleet.options.ListDelay, func() { p.answer(from, action.Request, event) })
+	if action.Sample && p.fleet.options.ListPage > 0 {
+		event.Sample, event.ETag = true, ""
+		event.Members = from.nextSample(members, p.fleet.options.ListPage)
+	}
+	respond := func(arrived bool) {
+		if !arrived {
+			event = distribution.MembersListed{Request: action.Request, Outcome: errUnreachable}
+		}
+		p.fleet.forProcess(from, p.fleet.options.ListDelay, func() { p.answer(from, action.Request, event) })
+	}
+	if !event.Sample {
+		respond(true) // a reader gets the whole list with the document
+		return
+	}
+	p.transfer(from, len(event.Members), action.Wait, respond)
 }
 
 func (p *Platform) listUnchanged(from *process, action distribution.FetchMembers) {
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -40,6 +40,9 @@
 	incoming distribution.LinkID
 	requests map[distribution.RequestID]bool
 
+	// sampled is the number of members in the samples of the list that the process has read.
+	sampled int
+
 	// linkFreeAt is when the machine's link has sent all queued frames.
 	linkFreeAt time.Time
 
@@ -66,7 +69,7 @@
 	p.alive, p.paused = true, false
 	p.waiting = nil
 	p.held = snapshot.Version{}
-	p.incoming = 0
+	p.incoming, p.sampled = 0, 0
 	p.requests = make(map[distribution.RequestID]bool)
 	p.changes = make(map[snapshot.Key]snapshot.Revision)
 	p.incarnation = max(p.incarnation+1, membership.Incarnation(f.now.UnixMilli()))
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	if e.push.heldVersion().IsZero() {
-		return e.options.SourceIsCurrent || s.peersHoldNothing(e)
+		return e.options.SourceIsCurrent && s.listKnown(e) && !e.defersToListed() || s.peersHoldNothing(e)
 	}
 	return s.fleetKnown(e) && s.settled(e)
 }
@@ -145,6 +145,31 @@
 	return s.settled(e) && e.now.Sub(s.settledAt) < e.timing.TakeOverDelay
 }
 
+// listKnown reports whether the view contains a list or a sample of it, read by this node or received
+// from a peer. Without one, each node of a starting fleet takes itself for the only reader of its
+// zone; the reads of all of them together may take longer than any of them waits.
+func (s *startState) listKnown(e *Engine) bool {
+	return (e.members.hasRead || len(e.list.entries) > 0) && e.fleet.notifyAt.IsZero()
+}
+
+// defersToListed reports whether this node leaves reading to the listed nodes of its zone because it
+// is not listed itself. Starting nodes of a large fleet know the same sample of the list, and each
+// would otherwise rank itself among the few nodes of its zone in it.
+func (e *Engine) defersToListed() bool {
+	self := e.options.Self
+	if len(e.list.entries[self.Node].Members) > 0 {
+		return false
+	}
+	for _, entry := range e.list.entries {
+		for _, member := range entry.Members {
+			if member.Zone == self.Zone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // fleetKnown reports whether a node that got its version from a peer knows enough of
 // the fleet to determine its rank: its view contains a list, read by itself or received
 // from a peer, or StartListWait has passed without one. Once true it stays true. A node
@@ -154,7 +179,7 @@
 	switch {
 	case s.knowsFleet:
 	case e.members.hasRead || len(e.list.entries) > 0:
-		s.knowsFleet = e.fleet.notifyAt.IsZero()
+		s.knowsFleet = s.listKnown(e)
 	default:
 		s.knowsFleet = !e.now.Before(s.startedAt.Add(e.timing.StartListWait))
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -102,6 +102,9 @@
 type Store interface {
 	// List reads one page of all entries, starting after the key.
 	List(ctx context.Context, after string) (Page, source.Outcome)
+	// Sample reads one page of the instances, starting after the key. It may be seconds old and costs
+	// the store little.
+	Sample(ctx context.Context, after string) (Page, source.Outcome)
 	// Watch returns once there are changes in the scope after the revision, or when the wait is
 	// over. A response of another epoch than the revision's does not continue from it. A response
 	// larger than the limit in bytes is abandoned with StatusBacklog.
@@ -143,6 +146,9 @@
 	needsList bool
 	listBytes int64
 
+	// samples is where the next sample of the instances starts.
+	samples sampleCursor
+
 	mutex sync.Mutex // guards the fields below
 	// state is what was read. published is the state that documents and members are built from; it
 	// is older than state while the removal of instances is withheld.
@@ -158,6 +164,7 @@
 var (
 	_ source.ConfigurationReader = (*Mirror)(nil)
 	_ source.MemberReader        = (*Mirror)(nil)
+	_ source.MemberSampler       = (*Mirror)(nil)
 )
 
 // New returns an empty Mirror, or an error if its metrics cannot be registered.
--- a/internal/mirror/reads.go
+++ b/internal/mirror/reads.go
@@ -14,6 +14,7 @@
 // Names of the store calls in logs.
 const (
 	callList             = "list"
+	callSample           = "sample"
 	callWatch            = "watch"
 	callWatchInstances   = "watch instances"
 	callWatchEvacuations = "watch evacuations"
--- a/internal/mirror/scripted_test.go
+++ b/internal/mirror/scripted_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -94,3 +96,21 @@
 	}
 	return found, source.Outcome{Status: source.StatusFresh}
 }
+
+// Sample returns the instances, two a page.
+func (s *scriptedStore) Sample(ctx context.Context, after string) (mirror.Page, source.Outcome) {
+	const pageItems = 2
+	whole, outcome := s.List(ctx, "")
+	slices.SortFunc(whole.Items, func(a, b mirror.Item) int { return strings.Compare(a.Key, b.Key) })
+	page := mirror.Page{At: whole.At}
+	for _, item := range whole.Items {
+		switch {
+		case item.Kind != mirror.KindInstance || item.Key <= after:
+		case len(page.Items) < pageItems:
+			page.Items = append(page.Items, item)
+		default:
+			page.Next = page.Items[pageItems-1].Key
+		}
+	}
+	return page, outcome
+}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -67,7 +67,13 @@
 	Members(ctx context.Context, etag string, wait time.Duration) (MemberList, Outcome)
 }
 
-// MemberList is the platform's membership list.
+// MemberSampler is a MemberReader whose platform can give a part of the list at low cost.
+type MemberSampler interface {
+	// SampleMembers reads some members, which may be seconds old. Further calls return other ones.
+	SampleMembers(ctx context.Context) (MemberList, Outcome)
+}
+
+// MemberList is the platform's membership list, or a sample of it.
 type MemberList struct {
 	Members []membership.ListedMember
 	// Revision counts the changes of the list at the platform: of two answers the one with
