dataplane: callers of a service that rejects with free slots retry at once

Cause: a rejection by an instance with free slots was taken for one for want of room.

Change: the last hop tells the two apart (half of the slots free and nothing waits), the balancer counts such a rejection as a failure of that instance, and package retryafter, which now holds the decision, lets callers retry at once until nearly all requests are refused.

--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -144,8 +144,10 @@
 
 // The reasons.
 const (
-	ReasonNone          Reason = ""
-	ReasonOverloaded    Reason = "overloaded"
+	ReasonNone       Reason = ""
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonRejected: the instance did not run the request although it has free slots.
+	ReasonRejected      Reason = "rejected"
 	ReasonLink          Reason = "link-busy"
 	ReasonCold          Reason = "cold"
 	ReasonDraining      Reason = "draining"
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -34,7 +34,11 @@
 		if reason == hop.ReasonWrongInstance {
 			p.stale.add(p.processOf(order.Instance))
 		}
-		return Delivery{Report: p.report(hop.Rejected, reason)}
+		report := p.report(hop.Rejected, reason)
+		if reason == hop.ReasonOverloaded && hasRoom(report) {
+			report.Reason = hop.ReasonRejected
+		}
+		return Delivery{Report: report}
 	}
 	if p.options.Names.Stamp != "" && len(response.Header[p.options.Names.Stamp]) != 1 && response.Status < http.StatusMultipleChoices {
 		_ = response.Close()
@@ -101,6 +105,13 @@
 	}
 }
 
+// hasRoom reports whether so many slots of the instance are free that it cannot be full, also if it
+// is busy with more than this node knows of.
+func hasRoom(report hop.Report) bool {
+	const usedShare = 2
+	return report.Waiting == 0 && usedShare*report.Running <= report.Slots
+}
+
 // sendFailure classifies a send that got no response.
 func (p *Proxy) sendFailure(err error, request *message.Request, order hop.Order, slot *queue.Slot) Delivery {
 	var failure *client.Error
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -65,8 +65,9 @@
 	// instance yet; budgetRefusals counts the refusals for lack of repeat budget.
 	repeatReserved bool
 	budgetRefusals int
-	// fullRefusals counts the refusals for lack of capacity.
-	fullRefusals int
+	// fullRefusals counts the refusals for lack of capacity, rejections those by instances with free
+	// slots.
+	fullRefusals, rejections int
 	// failedAnswer is the last error answer of an instance to a request that may be repeated.
 	failedAnswer *message.Response
 	// minRetryAfter is the shortest RetryAfter of the refusals; lastReason is the reason in the
@@ -193,6 +194,8 @@
 	switch sent.report.Reason {
 	case hop.ReasonOverloaded, hop.ReasonLink, hop.ReasonCold:
 		e.fullRefusals++
+	case hop.ReasonRejected:
+		e.rejections++
 	case hop.ReasonRepeats:
 		e.budgetRefusals++
 	}
--- a/internal/dataplane/outbound/feedback.go
+++ b/internal/dataplane/outbound/feedback.go
@@ -44,6 +44,8 @@
 		return balance.Served
 	case hop.ReasonOverloaded, hop.ReasonLink:
 		return balance.Busy
+	case hop.ReasonRejected:
+		return balance.RequestFailed
 	case hop.ReasonCold:
 		return balance.RateLimited
 	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -7,6 +7,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
+	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
 	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/tenancy"
 )
@@ -114,5 +115,5 @@
 // until its deadline, but no longer than others while new requests find no slot either, as
 // waiting would most likely be in vain.
 func finalAttemptWait(due, remaining time.Duration, pressure float64) time.Duration {
-	return due + time.Duration((1-min(pressure/saturationPressure, 1))*float64(max(remaining-due, 0)))
+	return due + time.Duration((1-min(pressure/retryafter.SaturatedPressure, 1))*float64(max(remaining-due, 0)))
 }
--- a/internal/dataplane/outbound/order_test.go
+++ b/internal/dataplane/outbound/order_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
 )
 
 const ms = time.Millisecond
@@ -47,30 +48,7 @@
 // unless that would most likely be in vain.
 func TestFinalAttemptWait(t *testing.T) {
 	qt.Check(t, finalAttemptWait(100*ms, 1000*ms, 0), qt.Equals, 1000*ms)
-	qt.Check(t, finalAttemptWait(100*ms, 1000*ms, saturationPressure/2), qt.Equals, 550*ms)
+	qt.Check(t, finalAttemptWait(100*ms, 1000*ms, retryafter.SaturatedPressure/2), qt.Equals, 550*ms)
 	qt.Check(t, finalAttemptWait(100*ms, 1000*ms, 0.9), qt.Equals, 100*ms)
 	qt.Check(t, finalAttemptWait(100*ms, 50*ms, 0), qt.Equals, 100*ms)
 }
-
-// TestRetryAfter: callers are asked to retry when the next slot is free. As more new requests
-// are refused, they are asked to retry later, but early enough that time is left for the request.
-// The wait, before jitter, is always between minRetryAfterTime and maxRetryAfterTime.
-func TestRetryAfter(t *testing.T) {
-	for name, row := range map[string]struct {
-		nextSlot, left time.Duration
-		pressure       float64
-		want           time.Duration
-	}{
-		"no pressure, nothing known":      {0, 2000 * ms, 0, minRetryAfterTime},
-		"no pressure":                     {100 * ms, 2000 * ms, 0, 100 * ms},
-		"medium pressure":                 {100 * ms, 2000 * ms, saturationPressure / 2, 300 * ms},
-		"high pressure":                   {100 * ms, 2000 * ms, 0.9, 500 * ms},
-		"high pressure, long time left":   {100 * ms, time.Hour, 0.9, maxRetryAfterTime},
-		"high pressure, little time left": {100 * ms, 200 * ms, 0.9, 100 * ms},
-		"slot far away":                   {time.Hour, 2000 * ms, 0, maxRetryAfterTime},
-	} {
-		t.Run(name, func(t *testing.T) {
-			qt.Check(t, computeRetryAfter(row.nextSlot, row.left, row.pressure), qt.Equals, row.want)
-		})
-	}
-}
--- a/internal/dataplane/outbound/refuse.go
+++ b/internal/dataplane/outbound/refuse.go
@@ -8,25 +8,13 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-const (
-	minRetryAfterTime = 50 * time.Millisecond
-	maxRetryAfterTime = 2 * time.Second
-	// noInstanceRetryAfter is when callers should retry if no instance is ready: one starts, or a
-	// zone is taken back into service, within seconds at best.
-	noInstanceRetryAfter = time.Second
-	// retryShare is the share of the caller's remaining time that may pass before it retries, so
-	// that enough is left to be served then.
-	retryShare = 0.25
-	// retryJitter is the share of the wait by which retries are delayed at random, so that
-	// callers that are refused together do not return together.
-	retryJitter = 0.5
-	// saturationPressure is the share of new requests refused from which callers are asked to
-	// retry as late as they can.
-	saturationPressure = 0.3
-)
+// retryJitter is the share of the wait by which retries are delayed at random, so that callers that
+// are refused together do not return together.
+const retryJitter = 0.5
 
 // hasReady reports whether any instance of the selected target is ready.
 func (e *exchange) hasReady() bool {
@@ -53,19 +41,31 @@
 	return e.proxy.errorAnswer(e.request, http.StatusServiceUnavailable, "not run: "+e.reasonText(), e.retryAfter())
 }
 
-// retryAfter returns when the request is likely to find a slot, with a random part.
+// retryAfter returns when the caller should retry, with a random part.
 func (e *exchange) retryAfter() time.Duration {
 	pressure := 0.0
 	if e.proxy.options.Mechanisms.LateRetries {
 		pressure = e.proxy.callerRetries.Pressure(e.route.Name, time.Now())
 	}
-	if !e.hasReady() {
-		return noInstanceRetryAfter
-	}
 	if e.minRetryAfter == 0 {
 		e.minRetryAfter = e.proxy.balancer.RateLimitedFor(e.instances(), time.Now())
 	}
-	return spread(computeRetryAfter(e.minRetryAfter, time.Until(e.request.Arrived.Add(e.callerTimeout)), pressure))
+	return spread(retryafter.Refusal{
+		Cause: e.refusalCause(), NextSlot: e.minRetryAfter,
+		Left: time.Until(e.request.Arrived.Add(e.callerTimeout)), Pressure: pressure,
+	}.Wait())
+}
+
+// refusalCause returns why the request is refused.
+func (e *exchange) refusalCause() retryafter.Cause {
+	switch {
+	case !e.hasReady():
+		return retryafter.NoInstance
+	case e.rejections > 0 && e.fullRefusals == 0:
+		return retryafter.Rejected
+	default:
+		return retryafter.Full
+	}
 }
 
 // spread adds a random part to a wait.
@@ -73,15 +73,6 @@
 	return wait + time.Duration(rand.Float64()*float64(wait)*retryJitter)
 }
 
-// computeRetryAfter returns when to retry. While few new requests are refused, that is when the
-// next slot is free; while many are, as late as leaves time for the request, as earlier retries
-// would be refused again.
-func computeRetryAfter(nextSlot, left time.Duration, pressure float64) time.Duration {
-	earliest := min(max(nextSlot, minRetryAfterTime), maxRetryAfterTime)
-	latest := min(max(time.Duration(retryShare*float64(left)), earliest), maxRetryAfterTime)
-	return earliest + time.Duration(min(pressure/saturationPressure, 1)*float64(latest-earliest))
-}
-
 // failUnknown returns the final answer to a request that may have run.
 func (e *exchange) failUnknown(sent sendResult) *message.Response {
 	if e.callerGone() {
