source: documents with tenants are refused where no proxy checks keys

Cause: tenants became part of the document, and the first data plane does not know them: it would serve callers without a key. Change: the client of the HTTP source refuses tenants, required keys and regions of routes, with the reason.

--- a/internal/source/decode.go
+++ b/internal/source/decode.go
@@ -52,6 +52,9 @@
 	if content.Revision == 0 {
 		return nil, eris.New("the document has no revision")
 	}
+	if err := checkSupported(content); err != nil {
+		return nil, err
+	}
 	document, err := snapshot.NewDocument(content)
 	if err != nil {
 		return nil, eris.Wrap(err, "invalid document")
@@ -59,6 +62,20 @@
 	return document, nil
 }
 
+// checkSupported refuses what the proxies for this kind of source do not enforce: they would serve
+// callers without a key, and in any region.
+func checkSupported(content snapshot.Content) error {
+	if len(content.Tenants) > 0 || content.Limits != nil && content.Limits.RequireKeys {
+		return eris.New("tenants and keys are supported only with a store (platform.kind)")
+	}
+	for _, route := range content.Routes {
+		if len(route.AllowedRegions) > 0 {
+			return eris.Errorf("route %q: allowed regions are supported only with a store (platform.kind)", route.Name)
+		}
+	}
+	return nil
+}
+
 // decodeMembers decodes the body of the membership list.
 func decodeMembers(body []byte) (MemberList, error) {
 	var list memberListBody
