--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -116,7 +116,7 @@
 	}
 	created.repeatLedger = repeats.New(options.Logger, created.budgetState)
 	if options.Quota != nil {
-		options.Quota.SetTransport(created.sidecars.askForTokens)
+		options.Quota.SetTransport(created.sidecars.requestTokens)
 	}
 	return created, nil
 }
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -26,7 +26,7 @@
 func (n *scriptedSidecars) prune(time.Time) {}
 func (n *scriptedSidecars) close()          {}
 
-func (n *scriptedSidecars) askForTokens(context.Context, string, []byte) ([]byte, error) {
+func (n *scriptedSidecars) requestTokens(context.Context, string, []byte) ([]byte, error) {
 	return nil, errNoTokens
 }
 
@@ -175,7 +175,7 @@
 func (n *refusingSidecars) prune(time.Time) {}
 func (n *refusingSidecars) close()          {}
 
-func (n *refusingSidecars) askForTokens(context.Context, string, []byte) ([]byte, error) {
+func (n *refusingSidecars) requestTokens(context.Context, string, []byte) ([]byte, error) {
 	return nil, errNoTokens
 }
 
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -48,8 +48,8 @@
 	// send sends a request to an instance's sidecar. While that is silent, mayGiveUp decides whether
 	// the request is still awaited.
 	send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order, mayGiveUp func() bool) sendResult
-	// askForTokens sends a request for tokens to the node with an IP address.
-	askForTokens(ctx context.Context, node string, body []byte) ([]byte, error)
+	// requestTokens sends a request for tokens to the node with an IP address.
+	requestTokens(ctx context.Context, node string, body []byte) ([]byte, error)
 	// prune closes connections that were idle for too long.
 	prune(now time.Time)
 	close()
--- a/internal/dataplane/outbound/tenants.go
+++ b/internal/dataplane/outbound/tenants.go
@@ -80,8 +80,8 @@
 // quotaRequestID is the ID of requests for tokens, of which a connection carries one at a time.
 const quotaRequestID = "quota"
 
-// askForTokens sends a request for tokens to the node with an IP address.
-func (n *sidecarPools) askForTokens(ctx context.Context, node string, body []byte) ([]byte, error) {
+// requestTokens sends a request for tokens to the node with an IP address.
+func (n *sidecarPools) requestTokens(ctx context.Context, node string, body []byte) ([]byte, error) {
 	header := http.Header{}
 	if n.idHeader != "" {
 		header[n.idHeader] = []string{quotaRequestID}
--- a/internal/dataplane/quota/limiter.go
+++ b/internal/dataplane/quota/limiter.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// askTimeout limits the wait for one node's answer. It is many round trips, and short beside the
+	// requestTimeout limits the wait for one node's answer. It is many round trips, and short beside the
 	// time that callers wait.
-	askTimeout = 150 * time.Millisecond
+	requestTimeout = 150 * time.Millisecond
 	// avoidFor is how long a node that did not answer is not asked again.
 	avoidFor = 500 * time.Millisecond
 	// tokenLifetime is how long tokens may be kept. What is kept longer could add to the tokens of
@@ -45,7 +45,7 @@
 	granter, isolated *granter
 
 	mutex  sync.Mutex
-	stocks map[string]*stock
+	caches map[string]*tokenCache
 	// avoided holds until when nodes that did not answer are not asked.
 	avoided map[string]time.Time
 }
@@ -57,7 +57,7 @@
 	}
 	return &Limiter{
 		options: options, owners: newOwners(options.Now()), granter: newGranter(), isolated: newGranter(),
-		stocks: make(map[string]*stock), avoided: make(map[string]time.Time),
+		caches: make(map[string]*tokenCache), avoided: make(map[string]time.Time),
 	}
 }
 
@@ -68,8 +68,8 @@
 // how long it has been one, and thereby how full its buckets are.
 func (l *Limiter) Observe(current *snapshot.Snapshot) { l.owners.observe(current, l.options.Now()) }
 
-// stock holds the tokens of one tenant that this node was granted.
-type stock struct {
+// tokenCache holds the tokens of one tenant that this node was granted.
+type tokenCache struct {
 	tokens    int
 	expiresAt time.Time
 	// asking is closed when the running request for tokens ends; nil if there is none.
@@ -90,7 +90,7 @@
 
 // The sources.
 const (
-	FromStock    Source = "stock"
+	FromCache    Source = "cache"
 	FromOwner    Source = "owner"
 	FromBackup   Source = "backup"
 	FromIsolated Source = "isolated"
@@ -108,13 +108,13 @@
 // Admit takes a token for a request of a tenant, or returns when to come back.
 func (l *Limiter) Admit(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant) Decision {
 	if tenant.RequestsPerSecond <= 0 {
-		return Decision{Admitted: true, Source: FromStock}
+		return Decision{Admitted: true, Source: FromCache}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	held := l.stockOf(tenant.Name)
+	held := l.cacheOf(tenant.Name)
 	held.countArrival(l.options.Now())
-	source := FromStock
+	source := FromCache
 	for range maxRounds {
 		now := l.options.Now()
 		if held.take(now) {
@@ -139,7 +139,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	held := l.stockOf(tenant.Name)
+	held := l.cacheOf(tenant.Name)
 	now := l.options.Now()
 	if now.After(held.expiresAt) {
 		held.tokens, held.expiresAt = 0, now.Add(tokenLifetime)
@@ -148,7 +148,7 @@
 }
 
 // take removes one token that has not expired.
-func (s *stock) take(now time.Time) bool {
+func (s *tokenCache) take(now time.Time) bool {
 	if s.tokens == 0 || now.After(s.expiresAt) {
 		s.tokens = 0
 		return false
@@ -158,7 +158,7 @@
 }
 
 // countArrival updates the rate of requests.
-func (s *stock) countArrival(now time.Time) {
+func (s *tokenCache) countArrival(now time.Time) {
 	s.usedAt = now
 	if elapsed := now.Sub(s.countedSince); elapsed >= time.Second {
 		s.rate = float64(s.arrivals) / elapsed.Seconds()
@@ -168,37 +168,37 @@
 }
 
 // wanted returns the number of tokens to ask for.
-func (s *stock) wanted() int {
+func (s *tokenCache) wanted() int {
 	return min(1+s.waiting+int(s.rate*prefetch.Seconds()), maxWanted)
 }
 
-// stockOf returns the stock of a tenant. The caller must hold the mutex.
-func (l *Limiter) stockOf(tenant string) *stock {
-	found := l.stocks[tenant]
+// cacheOf returns the cache of a tenant. The caller must hold the mutex.
+func (l *Limiter) cacheOf(tenant string) *tokenCache {
+	found := l.caches[tenant]
 	if found == nil {
-		l.pruneStocks()
-		found = &stock{countedSince: l.options.Now()}
-		l.stocks[tenant] = found
+		l.pruneCaches()
+		found = &tokenCache{countedSince: l.options.Now()}
+		l.caches[tenant] = found
 	}
 	return found
 }
 
-// idleStock is how long an unused stock is kept.
-const idleStock = 10 * time.Second
+// idleCache is how long an unused cache is kept.
+const idleCache = 10 * time.Second
 
-// pruneStocks forgets the stocks of idle tenants. The caller must hold the mutex.
-func (l *Limiter) pruneStocks() {
+// pruneCaches forgets the caches of idle tenants. The caller must hold the mutex.
+func (l *Limiter) pruneCaches() {
 	now := l.options.Now()
-	for tenant, held := range l.stocks {
-		if held.asking == nil && now.Sub(held.usedAt) > idleStock {
-			delete(l.stocks, tenant)
+	for tenant, held := range l.caches {
+		if held.asking == nil && now.Sub(held.usedAt) > idleCache {
+			delete(l.caches, tenant)
 		}
 	}
 }
 
 // awaitRefill waits until the running request for tokens ends; it returns false if the context ends
 // first. The caller must hold the mutex, which is released meanwhile.
-func (l *Limiter) awaitRefill(ctx context.Context, held *stock) bool {
+func (l *Limiter) awaitRefill(ctx context.Context, held *tokenCache) bool {
 	asking := held.asking
 	held.waiting++
 	l.mutex.Unlock()
@@ -215,11 +215,11 @@
 }
 
 // refill asks for tokens. The caller must hold the mutex, which is released meanwhile.
-func (l *Limiter) refill(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, held *stock) Source {
+func (l *Limiter) refill(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, held *tokenCache) Source {
 	held.asking = make(chan struct{})
 	wanted := held.wanted()
 	l.mutex.Unlock()
-	granted, source := l.ask(ctx, current, tenant, wanted)
+	granted, source := l.requestTokens(ctx, current, tenant, wanted)
 	l.mutex.Lock()
 	now := l.options.Now()
 	if now.After(held.expiresAt) {
@@ -233,8 +233,8 @@
 	return source
 }
 
-// ask gets tokens from the first ranked node that answers, or from this node's equal share.
-func (l *Limiter) ask(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, wanted int) (Grant, Source) {
+// requestTokens gets tokens from the first ranked node that answers, or from this node's equal share.
+func (l *Limiter) requestTokens(ctx context.Context, current *snapshot.Snapshot, tenant *snapshot.Tenant, wanted int) (Grant, Source) {
 	now := l.options.Now()
 	ranked, nodes, since := l.owners.of(current, tenant.Name, now)
 	for rank, node := range ranked {
@@ -248,7 +248,7 @@
 		if l.isAvoided(node, now) {
 			continue
 		}
-		granted, err := l.askNode(ctx, node, tenant.Name, wanted)
+		granted, err := l.requestFrom(ctx, node, tenant.Name, wanted)
 		if err == nil {
 			return granted, source
 		}
@@ -263,18 +263,18 @@
 // errNotRanked is returned by a node that grants no tokens of the tenant.
 var errNotRanked = errors.New("the node does not grant tokens of this tenant")
 
-func (l *Limiter) askNode(ctx context.Context, node, tenant string, wanted int) (Grant, error) {
-	body, err := ask{Tenant: tenant, Wanted: wanted}.encode()
+func (l *Limiter) requestFrom(ctx context.Context, node, tenant string, wanted int) (Grant, error) {
+	body, err := tokenRequest{Tenant: tenant, Wanted: wanted}.encode()
 	if err != nil {
 		return Grant{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	answer, err := l.transport(ctx, node, body)
 	if err != nil {
 		return Grant{}, err
 	}
-	decoded, err := decodeReply(answer)
+	decoded, err := decodeResponse(answer)
 	switch {
 	case err != nil:
 		return Grant{}, err
@@ -306,30 +306,30 @@
 
 // Serve answers another node's request for tokens by this node's own configuration.
 func (l *Limiter) Serve(current *snapshot.Snapshot, message []byte) ([]byte, error) {
-	asked, err := decodeAsk(message)
+	asked, err := decodeRequest(message)
 	if err != nil {
 		return nil, err
 	}
 	return l.serve(current, asked).encode()
 }
 
-func (l *Limiter) serve(current *snapshot.Snapshot, asked ask) reply {
+func (l *Limiter) serve(current *snapshot.Snapshot, asked tokenRequest) tokenResponse {
 	if current == nil {
-		return reply{}
+		return tokenResponse{}
 	}
 	tenant := current.Tenant(asked.Tenant)
 	if tenant == nil {
-		return reply{}
+		return tokenResponse{}
 	}
 	if tenant.RequestsPerSecond <= 0 {
-		return replyOf(Grant{Tokens: asked.Wanted})
+		return responseOf(Grant{Tokens: asked.Wanted})
 	}
 	now := l.options.Now()
 	ranked, _, since := l.owners.of(current, asked.Tenant, now)
 	for rank, node := range ranked {
 		if node == l.options.Node {
-			return replyOf(l.granter.grant(tenant, shareOf(rank), asked.Wanted, since, now))
+			return responseOf(l.granter.grant(tenant, shareOf(rank), asked.Wanted, since, now))
 		}
 	}
-	return reply{}
+	return tokenResponse{}
 }
--- a/internal/dataplane/quota/message.go
+++ b/internal/dataplane/quota/message.go
@@ -16,14 +16,14 @@
 // maxWanted limits the number of tokens in one request.
 const maxWanted = 10_000
 
-// ask is a request for tokens of a tenant.
-type ask struct {
+// tokenRequest asks for tokens of a tenant.
+type tokenRequest struct {
 	Tenant string `avro:"tenant"`
 	Wanted int    `avro:"wanted"`
 }
 
-// reply is the answer to an ask.
-type reply struct {
+// tokenResponse answers a tokenRequest.
+type tokenResponse struct {
 	// Ranked is false if the node grants no tokens of the tenant, by its own list of nodes.
 	Ranked           bool `avro:"ranked"`
 	Tokens           int  `avro:"tokens"`
@@ -32,44 +32,44 @@
 }
 
 var (
-	askSchema = avro.MustParse(`{"type":"record","name":"Ask","fields":[
+	requestSchema = avro.MustParse(`{"type":"record","name":"TokenRequest","fields":[
 		{"name":"tenant","type":"string"},{"name":"wanted","type":"int"}]}`)
-	replySchema = avro.MustParse(`{"type":"record","name":"Reply","fields":[
+	responseSchema = avro.MustParse(`{"type":"record","name":"TokenResponse","fields":[
 		{"name":"ranked","type":"boolean"},{"name":"tokens","type":"int"},
 		{"name":"pause_ms","type":"int"},{"name":"retry_after_ms","type":"int"}]}`)
 )
 
-func (a ask) encode() ([]byte, error) { return avro.Marshal(askSchema, a) }
+func (r tokenRequest) encode() ([]byte, error) { return avro.Marshal(requestSchema, r) }
 
-func decodeAsk(body []byte) (ask, error) {
-	var decoded ask
-	if err := avro.Unmarshal(askSchema, body, &decoded); err != nil {
-		return ask{}, eris.Wrap(err, "decode a request for tokens")
+func decodeRequest(body []byte) (tokenRequest, error) {
+	var decoded tokenRequest
+	if err := avro.Unmarshal(requestSchema, body, &decoded); err != nil {
+		return tokenRequest{}, eris.Wrap(err, "decode a request for tokens")
 	}
 	if decoded.Wanted < 1 || decoded.Wanted > maxWanted {
-		return ask{}, eris.Errorf("a request for %d tokens, want 1 to %d", decoded.Wanted, maxWanted)
+		return tokenRequest{}, eris.Errorf("a request for %d tokens, want 1 to %d", decoded.Wanted, maxWanted)
 	}
 	return decoded, nil
 }
 
-func replyOf(granted Grant) reply {
-	return reply{
+func responseOf(granted Grant) tokenResponse {
+	return tokenResponse{
 		Ranked: true, Tokens: granted.Tokens,
 		PauseMillis: int(granted.Pause.Milliseconds()), RetryAfterMillis: int(granted.RetryAfter.Milliseconds()),
 	}
 }
 
-func (r reply) encode() ([]byte, error) { return avro.Marshal(replySchema, r) }
+func (r tokenResponse) encode() ([]byte, error) { return avro.Marshal(responseSchema, r) }
 
-func decodeReply(body []byte) (reply, error) {
-	var decoded reply
-	if err := avro.Unmarshal(replySchema, body, &decoded); err != nil {
-		return reply{}, eris.Wrap(err, "decode granted tokens")
+func decodeResponse(body []byte) (tokenResponse, error) {
+	var decoded tokenResponse
+	if err := avro.Unmarshal(responseSchema, body, &decoded); err != nil {
+		return tokenResponse{}, eris.Wrap(err, "decode granted tokens")
 	}
 	return decoded, nil
 }
 
-func (r reply) grant() Grant {
+func (r tokenResponse) grant() Grant {
 	return Grant{
 		Tokens: r.Tokens, Pause: time.Duration(r.PauseMillis) * time.Millisecond,
 		RetryAfter: time.Duration(r.RetryAfterMillis) * time.Millisecond,
