--- a/internal/distribution/fleet_start_test.go
+++ b/internal/distribution/fleet_start_test.go
@@ -16,7 +16,10 @@
 // as it does for a fleet of a thousand machines that lists 450 KB over 1 Gbit/s.
 const wholeListsTime = 3600 * time.Millisecond
 
-// newListingFleet returns a running fleet of machines in six zones whose platform has a slow link.
+// startZones is the number of zones of a listing fleet.
+const startZones = 6
+
+// newListingFleet returns a running fleet whose platform has a slow link.
 func newListingFleet(c *qt.C, nodes int, seed uint64) *simulation.Fleet {
 	const entryBytes, pages = 450, 5
 	f := simulation.New(simulation.Options{
@@ -28,7 +31,7 @@
 	f.Platform.Publish(document(1), "")
 	for i := range nodes {
 		f.Start(simulation.Machine{
-			Name: membership.NodeID(fmt.Sprintf("node-%04d", i)), Zone: fmt.Sprintf("zone-%d", i%6), Region: "region",
+			Name: membership.NodeID(fmt.Sprintf("node-%04d", i)), Zone: fmt.Sprintf("zone-%d", i%startZones), Region: "region",
 		}, nil)
 	}
 	c.Assert(f.RunUntil(time.Minute, func() bool { return f.AllHold(document(1).Version()) }), qt.IsTrue)
@@ -57,7 +60,7 @@
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			c := qt.New(t)
 			f := newListingFleet(c, nodes, 1)
-			pages := f.Platform.Pages()
+			pages, wholeReads := f.Platform.Pages(), f.Platform.Fetches()
 			for _, name := range f.Machines() {
 				f.Kill(name)
 			}
@@ -70,6 +73,8 @@
 			f.Run(10 * time.Second)
 			c.Check(holding(f), qt.Equals, 1.0)
 			c.Check(f.Violations(), qt.HasLen, 0)
+			// What a starting fleet reads whole grows with its zones, not with its nodes.
+			c.Check(f.Platform.Fetches()-wholeReads <= 2*startZones, qt.IsTrue, qt.Commentf("%d whole reads", f.Platform.Fetches()-wholeReads))
 			c.Logf("%d pages, %.1f a node", f.Platform.Pages()-pages, float64(f.Platform.Pages()-pages)/float64(nodes))
 		})
 	}
