quota: one file for each job, and a line for nodes that grant no tokens

Change: cache.go, remote.go, serve.go; avoided nodes are logged with the error. Measured: the package's tests pass.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -75,7 +75,7 @@
 	created := &Node{
 		options:  options,
 		accounts: budget.New(options.Budget),
-		quota:    quota.New(quota.Options{Node: ipOf(options.Backend)}),
+		quota:    quota.New(quota.Options{Node: ipOf(options.Backend), Logger: options.Logger.WithField("part", "quota")}),
 	}
 	var err error
 	if created.inbound, err = created.newInbound(); err != nil {
--- a/internal/dataplane/quota/limiter.go
+++ b/internal/dataplane/quota/limiter.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
@@ -31,6 +34,8 @@
 type Options struct {
 	// Node is the IP address of this node.
 	Node string
+	// Logger logs the nodes that grant no tokens; nil: they are not logged.
+	Logger logrus.FieldLogger
 	// Now returns the time; nil uses the system clock.
 	Now func() time.Time
 }
@@ -55,6 +60,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Logger == nil {
+		options.Logger = logging.Discard()
+	}
 	return &Limiter{
 		options: options, owners: newOwners(options.Now()), granter: newGranter(), isolated: newGranter(),
 		caches: make(map[string]*tokenCache), avoided: make(map[string]time.Time),
@@ -68,23 +76,6 @@
 // how long it has been one, and thereby how full its buckets are.
 func (l *Limiter) Observe(current *snapshot.Snapshot) { l.owners.observe(current, l.options.Now()) }
 
-// tokenCache holds the tokens of one tenant that this node was granted.
-type tokenCache struct {
-	tokens    int
-	expiresAt time.Time
-	// asking is closed when the running request for tokens ends; nil if there is none.
-	asking  chan struct{}
-	waiting int
-	// pausedUntil is until when no tokens are asked for, after there were none.
-	pausedUntil time.Time
-	retryAfter  time.Duration
-	// arrivals is the number of requests since countedSince; rate is that of the second before.
-	arrivals     int
-	countedSince time.Time
-	rate         float64
-	usedAt       time.Time
-}
-
 // Source is where the token of a request came from.
 type Source string
 
@@ -147,31 +138,6 @@
 	held.tokens++
 }
 
-// take removes one token that has not expired.
-func (s *tokenCache) take(now time.Time) bool {
-	if s.tokens == 0 || now.After(s.expiresAt) {
-		s.tokens = 0
-		return false
-	}
-	s.tokens--
-	return true
-}
-
-// countArrival updates the rate of requests.
-func (s *tokenCache) countArrival(now time.Time) {
-	s.usedAt = now
-	if elapsed := now.Sub(s.countedSince); elapsed >= time.Second {
-		s.rate = float64(s.arrivals) / elapsed.Seconds()
-		s.arrivals, s.countedSince = 0, now
-	}
-	s.arrivals++
-}
-
-// wanted returns the number of tokens to ask for.
-func (s *tokenCache) wanted() int {
-	return min(1+s.waiting+int(s.rate*prefetch.Seconds()), maxWanted)
-}
-
 // cacheOf returns the cache of a tenant. The caller must hold the mutex.
 func (l *Limiter) cacheOf(tenant string) *tokenCache {
 	found := l.caches[tenant]
@@ -253,83 +219,9 @@
 			return granted, source
 		}
 		if ctx.Err() == nil && !errors.Is(err, errNotRanked) {
-			l.avoid(node)
+			l.avoid(node, err)
 		}
 	}
 	share := IsolatedShare / float64(max(nodes, 1))
 	return l.isolated.grant(tenant, share, wanted, now, now), FromIsolated
 }
-
-// errNotRanked is returned by a node that grants no tokens of the tenant.
-var errNotRanked = errors.New("the node does not grant tokens of this tenant")
-
-func (l *Limiter) requestFrom(ctx context.Context, node, tenant string, wanted int) (Grant, error) {
-	body, err := tokenRequest{Tenant: tenant, Wanted: wanted}.encode()
-	if err != nil {
-		return Grant{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	answer, err := l.transport(ctx, node, body)
-	if err != nil {
-		return Grant{}, err
-	}
-	decoded, err := decodeResponse(answer)
-	switch {
-	case err != nil:
-		return Grant{}, err
-	case !decoded.Ranked:
-		return Grant{}, errNotRanked
-	default:
-		return decoded.grant(), nil
-	}
-}
-
-func (l *Limiter) isAvoided(node string, now time.Time) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return now.Before(l.avoided[node])
-}
-
-// avoid notes a node that did not answer, and forgets those that may be asked again.
-func (l *Limiter) avoid(node string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	now := l.options.Now()
-	for other, until := range l.avoided {
-		if now.After(until) {
-			delete(l.avoided, other)
-		}
-	}
-	l.avoided[node] = now.Add(avoidFor)
-}
-
-// Serve answers another node's request for tokens by this node's own configuration.
-func (l *Limiter) Serve(current *snapshot.Snapshot, message []byte) ([]byte, error) {
-	asked, err := decodeRequest(message)
-	if err != nil {
-		return nil, err
-	}
-	return l.serve(current, asked).encode()
-}
-
-func (l *Limiter) serve(current *snapshot.Snapshot, asked tokenRequest) tokenResponse {
-	if current == nil {
-		return tokenResponse{}
-	}
-	tenant := current.Tenant(asked.Tenant)
-	if tenant == nil {
-		return tokenResponse{}
-	}
-	if tenant.RequestsPerSecond <= 0 {
-		return responseOf(Grant{Tokens: asked.Wanted})
-	}
-	now := l.options.Now()
-	ranked, _, since := l.owners.of(current, asked.Tenant, now)
-	for rank, node := range ranked {
-		if node == l.options.Node {
-			return responseOf(l.granter.grant(tenant, shareOf(rank), asked.Wanted, since, now))
-		}
-	}
-	return tokenResponse{}
-}
