inbound: a rejection is one for want of room only in the last quarter of the slots

Change: an instance counts as full from three quarters of its slots in use on; what it works on beyond the node's count are the few requests that were given up.

--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -105,11 +105,11 @@
 	}
 }
 
-// hasRoom reports whether so many slots of the instance are free that it cannot be full, also if it
-// is busy with more than this node knows of.
+// hasRoom reports whether so many slots of the instance are free that it cannot be full, even if it
+// still works on requests that this node has given up.
 func hasRoom(report hop.Report) bool {
-	const usedShare = 2
-	return report.Waiting == 0 && usedShare*report.Running <= report.Slots
+	const maxUsedShare = 0.75
+	return report.Waiting == 0 && float64(report.Running) <= maxUsedShare*float64(report.Slots)
 }
 
 // sendFailure classifies a send that got no response.
