distribution: an empty list does not make every node a reader, and lone reads are spread

The log of a first start (one zone of 160 nodes): all 160 read at once, 276 lists and 240 watches in 4 s.

Cause: instances start together with the machines, the first sample is empty, and a node that knows nobody took itself for the only one. Nodes that deferred read after a second too if no peer held a document yet, all at the same time.

Change: without a list a node goes on sampling; one that is not listed itself leaves reading to listed nodes, of any zone. A node that still holds nothing reads by itself after 3 s, at a random time within 10 s.

--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -26,6 +26,9 @@
 type startState struct {
 	// startedAt is the time of the first event.
 	startedAt time.Time
+	// readAloneAt is when a node that still holds nothing reads the source whatever it knows of others.
+	// It is spread widely, so that the nodes of a large fleet do not all read at the same time.
+	readAloneAt time.Time
 	// settledAt is when a node that holds a version may read the source; it is jittered,
 	// so that readers do not all begin at the same time.
 	settledAt time.Time
@@ -47,6 +50,7 @@
 	if e.start.startedAt.IsZero() {
 		e.start.startedAt = e.now
 		e.start.settledAt = e.now.Add(e.jittered(e.timing.StartSettle))
+		e.start.readAloneAt = e.now.Add(e.timing.ReadAloneWait + time.Duration(e.random.Int64N(int64(e.timing.ReadAloneSpread)+1)))
 		e.start.probeResults = make(map[membership.NodeID]probeResult)
 		e.fleet.expireAt = e.now.Add(e.jittered(e.timing.ExpireInterval))
 		e.overlay.maintainAt = e.now
@@ -130,7 +134,10 @@
 		return false
 	}
 	if e.push.heldVersion().IsZero() {
-		return e.options.SourceIsCurrent && s.listKnown(e) && !e.defersToListed() || s.peersHoldNothing(e)
+		if !e.options.SourceIsCurrent {
+			return s.peersHoldNothing(e)
+		}
+		return s.listKnown(e) && !e.defersToListed() || !e.now.Before(s.readAloneAt)
 	}
 	return s.fleetKnown(e) && s.settled(e)
 }
@@ -145,29 +152,19 @@
 	return s.settled(e) && e.now.Sub(s.settledAt) < e.timing.TakeOverDelay
 }
 
-// listKnown reports whether the view contains a list or a sample of it, read by this node or received
-// from a peer. Without one, each node of a starting fleet takes itself for the only reader of its
-// zone; the reads of all of them together may take longer than any of them waits.
+// listKnown reports whether the view contains a list or a sample of it that is not empty, read by this
+// node or received from a peer. Without one, as while all instances start together, each node of a
+// starting fleet takes itself for the only reader of its zone; the reads of all of them together may
+// take longer than any of them waits.
 func (s *startState) listKnown(e *Engine) bool {
-	return (e.members.hasRead || len(e.list.entries) > 0) && e.fleet.notifyAt.IsZero()
+	return len(e.list.entries) > 0 && e.fleet.notifyAt.IsZero()
 }
 
-// defersToListed reports whether this node leaves reading to the listed nodes of its zone because it
-// is not listed itself. Starting nodes of a large fleet know the same sample of the list, and each
-// would otherwise rank itself among the few nodes of its zone in it.
+// defersToListed reports whether this node leaves reading to listed nodes because it is not listed
+// itself. Starting nodes of a large fleet know the same sample of the list, and each would otherwise
+// rank itself among the few nodes of its zone in it.
 func (e *Engine) defersToListed() bool {
-	self := e.options.Self
-	if len(e.list.entries[self.Node].Members) > 0 {
-		return false
-	}
-	for _, entry := range e.list.entries {
-		for _, member := range entry.Members {
-			if member.Zone == self.Zone {
-				return true
-			}
-		}
-	}
-	return false
+	return len(e.list.entries[e.options.Self.Node].Members) == 0
 }
 
 // fleetKnown reports whether a node that got its version from a peer knows enough of
@@ -179,7 +176,7 @@
 	switch {
 	case s.knowsFleet:
 	case e.members.hasRead || len(e.list.entries) > 0:
-		s.knowsFleet = s.listKnown(e)
+		s.knowsFleet = e.fleet.notifyAt.IsZero()
 	default:
 		s.knowsFleet = !e.now.Before(s.startedAt.Add(e.timing.StartListWait))
 	}
@@ -230,7 +227,7 @@
 		return
 	}
 	waits := [...]time.Time{
-		s.startedAt.Add(e.timing.StartPeerWait), s.startedAt.Add(e.timing.MinStartWait), s.firstProbeAt.Add(e.timing.StartPeerWait),
+		s.readAloneAt, s.startedAt.Add(e.timing.StartPeerWait), s.startedAt.Add(e.timing.MinStartWait), s.firstProbeAt.Add(e.timing.StartPeerWait),
 	}
 	for _, wait := range waits {
 		if wait.After(e.now) {
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -35,6 +35,9 @@
 	// StartListWait is how long a node that gets no membership list, from the platform or a
 	// peer, waits before it reads the source without one.
 	StartListWait time.Duration
+	// ReadAloneWait and ReadAloneSpread set when a node that holds nothing reads a source that is always
+	// current although others should: ReadAloneWait after its start, and up to ReadAloneSpread later.
+	ReadAloneWait, ReadAloneSpread time.Duration
 	// MinStartWait is the minimum time that a node without a version waits before it accepts the
 	// source's version, even if its peers have none either. In a fleet that starts together the
 	// list grows in that time, so that few nodes become readers.
@@ -150,6 +153,9 @@
 	t.StartListWait = time.Second
 	t.StartPeerWait = 500 * time.Millisecond
 	t.RecheckWait = 500 * time.Millisecond
+	// Three seconds are enough for a large fleet to get its first document from the readers; with the
+	// spread, a hundredth of the nodes that are left reads in a tenth of a second.
+	t.ReadAloneWait, t.ReadAloneSpread = 3*time.Second, 10*time.Second
 	// Detecting a reader that gets no answers, and then a successor that gets none either, takes
 	// one wait and two graces, 1.4 s, so that a change is in force within 1.5 s. A shorter wait
 	// costs more polls: an idle reader sends one for each wait.
