mirror: a reader that takes over compares its first list with what is in force

A node that takes over reading used to have a list of its own from its start; now its mirror is empty, so that nothing seemed missing in its first list and nothing was awaited. Nor did it tell of a leaving in that list ahead of the document.

--- /dev/null
+++ b/internal/mirror/baseline_test.go
@@ -0,0 +1,48 @@
+package mirror_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/logging"
+	"github.com/winchhead/winchhead/internal/mirror"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/source"
+)
+
+// TestReaderThatTakesOver guards against a node that takes over reading after an outage of the store
+// and has read nothing itself: compared with nothing, the entries that expired in the outage are
+// missing at once at all nodes, and an instance that leaves is not told ahead of the document.
+func TestReaderThatTakesOver(t *testing.T) {
+	c := qt.New(t)
+	store := &scriptedStore{c: c}
+	store.put("a", "b", "c", "d")
+	first, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+	c.Assert(err, qt.IsNil)
+	document, outcome := first.Fetch(context.Background(), snapshot.Version{})
+	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+	built, err := snapshot.New(document.Version(), nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	inForce := built.WithFleet(document.Version(), document.Content())
+
+	store.remove("a", "b") // expired
+	store.drain("c")
+	second, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+	c.Assert(err, qt.IsNil)
+	second.SetInForce(func() *snapshot.Snapshot { return inForce })
+	var changes []snapshot.Change
+	second.OnChanges(func(found []snapshot.Change) { changes = append(changes, found...) })
+	version, outcome := second.AwaitRevision(context.Background(), document.Version().Revision, 0)
+	c.Check(outcome.Status, qt.Equals, source.StatusNotModified)
+	c.Check(version, qt.Equals, snapshot.Version{})
+	c.Assert(changes, qt.HasLen, 1)
+	c.Check(changes[0].Key, qt.Equals, snapshot.Key{Kind: snapshot.KindInstance, Name: "c"})
+
+	store.put("a", "b") // back again
+	version, outcome = second.AwaitRevision(context.Background(), document.Version().Revision, 0)
+	c.Check(outcome.Status, qt.Equals, source.StatusFresh)
+	c.Check(version.Revision, qt.Equals, store.revision)
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -196,14 +196,20 @@
 	next.documentRevision = next.revision
 	previous := m.state
 	m.state, m.readAt = next, clock.Now()
-	if !previous.empty() && next.revision.Epoch() > previous.revision.Epoch() {
+	isFirst := previous.empty()
+	if isFirst {
+		previous = m.baseline(next)
+		m.published.instances, m.published.evacuations = previous.instances, previous.evacuations
+		m.published.documentRevision = next.revision
+	}
+	if !isFirst && next.revision.Epoch() > previous.revision.Epoch() {
 		m.recordRestore(previous)
 		m.recovery.withholding = false // nodes themselves retain what the backup lacks
 		m.publishNow()
 		return next.newerInstancesSince(previous)
 	}
 	m.publish(m.readAt)
-	if previous.empty() {
+	if isFirst && len(previous.instances) == 0 {
 		return nil
 	}
 	return next.changedSince(previous)
--- a/internal/mirror/outage.go
+++ b/internal/mirror/outage.go
@@ -148,7 +148,7 @@
 func (s *state) missingFrom(newer state) int {
 	missing := 0
 	for key, instance := range s.instances {
-		if _, listed := newer.instances[key]; !listed && instance.State == snapshot.InstanceReady {
+		if instance.State == snapshot.InstanceReady && !newer.lists(key, instance.Name) {
 			missing++
 		}
 	}
