--- a/internal/distribution/late_reader.go
+++ b/internal/distribution/late_reader.go
@@ -7,12 +7,10 @@
 // below the time within which a change has to be in force.
 const lateAnswerLimit = 100 * time.Millisecond
 
-// A source may answer one reader late, or with old content, while it serves the others. That reader
-// cannot tell from its own answers. It can tell from its peers: they deliver a revision that the
-// running poll should have brought. While it is late it does not lead the readers, because the
-// others would leave the next changes to it.
-
-// detectLateAnswer finds out that a peer got a revision well before the running poll.
+// detectLateAnswer finds out that the source answers this reader late, or with old content, while it
+// serves others. The reader cannot tell from its own answers, but its peers deliver a revision that
+// the running poll should have brought. A late reader does not lead, because the others would leave
+// the next changes to it.
 func (e *Engine) detectLateAnswer() {
 	r := &e.sourceReader
 	if r.poll == 0 || e.push.newestVersion().Revision.Unmarked() <= r.pollAfter {
