mirror: the grace for expired entries starts with the first list of a reader that takes over

Cause, by reading: the grace started with the first answer of the store to a node, which is now the sample at its start. A node that takes over after an outage in which it made no reads of its own had none.

Change: where the first list is compared with what is in force, the grace starts then.

Measured: TestReaderThatTakesOver samples before the outage now; it passes with and without this line, as the grace of the sample is still running in it.

--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -201,6 +201,7 @@
 		previous = m.baseline(next)
 		m.published.instances, m.published.evacuations = previous.instances, previous.evacuations
 		m.published.documentRevision = next.revision
+		m.recovery.until = m.readAt.Add(recoveryGrace) // an outage may have come before
 	}
 	if !isFirst && next.revision.Epoch() > previous.revision.Epoch() {
 		m.recordRestore(previous)
