--- a/internal/dataplane/quota/fleet_test.go
+++ b/internal/dataplane/quota/fleet_test.go
@@ -136,6 +136,7 @@
 			total := len(f.admitted) + len(f.refused)
 			t.Logf("%d of %d refused, %.2f messages a request", len(f.refused), total, float64(f.messages)/float64(total))
 			qt.Check(t, len(f.refused)*1000 <= total, qt.IsTrue)
+			qt.Check(t, f.messages <= total, qt.IsTrue, qt.Commentf("%d messages: at most one a request, whatever the nodes", f.messages))
 
 			before := len(f.refused)
 			other := f.names[nodes-1]
@@ -188,6 +189,7 @@
 			worst := f.worstWindow(rate, burst)
 			t.Logf("worst window: %.2f of the bound; %d messages for %d requests", worst, f.messages, len(f.admitted)+len(f.refused))
 			qt.Check(t, worst <= 1, qt.IsTrue, qt.Commentf("worst window: %.2f of the bound", worst))
+			qt.Check(t, f.messages <= len(f.admitted)+len(f.refused), qt.IsTrue, qt.Commentf("%d messages: at most one a request, whatever the nodes", f.messages))
 		})
 	}
 }
