mirror: a first list after a restore takes nothing out of service

A reader that takes over compares its first list with the content in force. When the store was restored from a backup in between, that list lacks what was written after the backup, and the reader published it as removed, in the new epoch, so that all nodes dropped a running instance that they retained. Readers that had read before compare epochs; the first list did not. A second way to the same fault: the content compared with included states that a node only retains, which no list after the restore has.

Change: the content compared with is what the source listed, with its revision (Applier.Listed), and a first list of a later epoch is handled as a restore.

TestReaderTakesOverAfterARestore failed before.

--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -180,7 +180,7 @@
 	inputs.Suspects.PublishWith(node.SendCrashes)
 	if store, ok := inputs.Source.(storeReader); ok {
 		store.OnChanges(node.SendFleetChanges)
-		store.SetInForce(inputs.Applier.Current)
+		store.SetInForce(inputs.Applier.Listed)
 	}
 	return node, nil
 }
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -124,6 +124,17 @@
 	return a.plan.Document()
 }
 
+// Listed returns the content in force as the source listed it: the document with the later changes
+// applied to it, and without states that are only retained. It returns false before the first document.
+func (a *Applier) Listed() (snapshot.Content, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.plan == nil {
+		return snapshot.Content{}, false
+	}
+	return a.changes.Apply(a.plan.Document().Content()), true
+}
+
 // Refusal returns the last refusal, unless a newer revision than the refused one
 // is in force.
 func (a *Applier) Refusal() (Refusal, bool) {
--- a/internal/configuration/restore_test.go
+++ b/internal/configuration/restore_test.go
@@ -320,3 +320,22 @@
 		c.Check(stateIn(applier, "i-1"), qt.Equals, snapshot.InstanceReady)
 	})
 }
+
+// TestListedLeavesOutRetainedStates guards against a reader that compares its first list with what is
+// only retained: the restored source doesn't list it, and the reader would publish it as removed.
+func TestListedLeavesOutRetainedStates(t *testing.T) {
+	c := qt.New(t)
+	applier := newApplier(c)
+	_, known := applier.Listed()
+	c.Check(known, qt.IsFalse)
+	missing, stays := instanceOf("i-1", snapshot.InstanceReady), instanceOf("i-2", snapshot.InstanceReady)
+	c.Assert(applier.Adopt(documentListing(c, snapshot.NewRevision(1, 9), missing, stays)), qt.IsNil)
+	c.Assert(applier.Adopt(documentListing(c, snapshot.NewRevision(2, 4), stays)), qt.IsNil)
+	draining := instanceOf("i-2", snapshot.InstanceDraining)
+	applier.ApplyFleetChanges([]snapshot.Change{snapshot.InstanceChange(snapshot.NewRevision(2, 5), draining)})
+	c.Check(stateIn(applier, "i-1"), qt.Equals, snapshot.InstanceReady)
+	listed, known := applier.Listed()
+	c.Check(known, qt.IsTrue)
+	c.Check(listed.Revision, qt.Equals, snapshot.NewRevision(2, 4))
+	c.Check(listed.Instances, qt.DeepEquals, []snapshot.Instance{draining})
+}
--- a/internal/mirror/baseline.go
+++ b/internal/mirror/baseline.go
@@ -6,39 +6,38 @@
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// SetInForce sets the source of the snapshot that this node has in force, which it got from peers
-// while it did not read the store; it must be called before the first read. The first list of a node
-// that takes over reading is compared with it: what disappeared in an outage of the store is awaited,
-// and what changed is published, as by a node that read the store all the time.
-func (m *Mirror) SetInForce(inForce func() *snapshot.Snapshot) { m.inForce = inForce }
+// SetInForce sets the source of the content that this node has in force as the store listed it, which it
+// got from peers while it did not read the store; false means none. It must be called before the first
+// read. The first list of a node that takes over reading is compared with it: what disappeared in an
+// outage of the store is awaited, and what changed is published, as by a node that read the store all the
+// time.
+func (m *Mirror) SetInForce(inForce func() (listed snapshot.Content, known bool)) { m.inForce = inForce }
 
 // baseline returns the state that this node has in force, with the keys of the listed state, or an empty
-// state if it has none. It has no configuration and no revision.
+// state if it has none. It has no configuration.
 func (m *Mirror) baseline(listed state) state {
 	baseline := newState()
 	if m.inForce == nil {
 		return baseline
 	}
-	current := m.inForce()
-	if current == nil {
+	content, known := m.inForce()
+	if !known {
 		return baseline
 	}
+	baseline.revision = content.Revision
 	keys := make(map[string]string, len(listed.instances))
 	for key, instance := range listed.instances {
 		keys[instance.Name] = key
 	}
-	for instance := range current.AllInstances() {
-		if instance.State == snapshot.InstanceEvacuated {
-			instance.State = snapshot.InstanceReady
-		}
+	for _, instance := range content.Instances {
 		baseline.instances[keyOf(keys, instance.Name)] = instance
 	}
 	zones := make(map[string]string, len(listed.evacuations))
 	for key, evacuation := range listed.evacuations {
 		zones[evacuation.Zone] = key
 	}
-	for _, zone := range current.EvacuatedZones() {
-		baseline.evacuations[keyOf(zones, zone)] = snapshot.Evacuation{Zone: zone}
+	for _, evacuation := range content.Evacuations {
+		baseline.evacuations[keyOf(zones, evacuation.Zone)] = evacuation
 	}
 	return baseline
 }
--- a/internal/mirror/baseline_test.go
+++ b/internal/mirror/baseline_test.go
@@ -25,9 +25,6 @@
 	c.Assert(err, qt.IsNil)
 	document, outcome := first.Fetch(context.Background(), snapshot.Version{})
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
-	built, err := snapshot.New(document.Version(), nil, nil, nil)
-	c.Assert(err, qt.IsNil)
-	inForce := built.WithFleet(document.Version(), document.Content())
 
 	second, err := mirror.New(mirror.Options{
 		Store: store, Logger: logging.Discard(), Timeout: time.Minute,
@@ -38,7 +35,7 @@
 	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
 	store.remove("a", "b") // expired
 	store.drain("c")
-	second.SetInForce(func() *snapshot.Snapshot { return inForce })
+	second.SetInForce(func() (snapshot.Content, bool) { return document.Content(), true })
 	var changes []snapshot.Change
 	second.OnChanges(func(found []snapshot.Change) { changes = append(changes, found...) })
 	version, outcome := second.AwaitRevision(context.Background(), document.Version().Revision, 0)
@@ -52,3 +49,29 @@
 	c.Check(outcome.Status, qt.Equals, source.StatusFresh)
 	c.Check(version.Revision, qt.Equals, store.revision)
 }
+
+// TestReaderTakesOverAfterARestore guards against a node whose first list of the store comes after the
+// store was restored from a backup. What the backup lacks was acknowledged, and nodes retain it; if the
+// reader took it for removed, all nodes would drop running instances.
+func TestReaderTakesOverAfterARestore(t *testing.T) {
+	c := qt.New(t)
+	store := &scriptedStore{c: c, revision: snapshot.NewRevision(1, 20)}
+	store.put("a", "b", "c", "d")
+	first, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+	c.Assert(err, qt.IsNil)
+	document, outcome := first.Fetch(context.Background(), snapshot.Version{})
+	c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+
+	delete(store.items, "a")
+	delete(store.items, "b")
+	store.revision, store.events = snapshot.NewRevision(2, 4), nil
+	second, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+	c.Assert(err, qt.IsNil)
+	second.SetInForce(func() (snapshot.Content, bool) { return document.Content(), true })
+	var changes []snapshot.Change
+	second.OnChanges(func(found []snapshot.Change) { changes = append(changes, found...) })
+	version, outcome := second.AwaitRevision(context.Background(), document.Version().Revision, 0)
+	c.Check(outcome.Status, qt.Equals, source.StatusFresh)
+	c.Check(version.Revision, qt.Equals, store.revision, qt.Commentf("the restored state is not withheld"))
+	c.Check(changes, qt.HasLen, 0, qt.Commentf("what a backup lacks is no certain change"))
+}
--- a/internal/mirror/follow.go
+++ b/internal/mirror/follow.go
@@ -203,7 +203,7 @@
 		m.published.documentRevision = next.revision
 		m.recovery.until = m.readAt.Add(recoveryGrace) // an outage may have come before
 	}
-	if !isFirst && next.revision.Epoch() > previous.revision.Epoch() {
+	if !previous.empty() && next.revision.Epoch() > previous.revision.Epoch() {
 		m.recordRestore(previous)
 		m.recovery.withholding = false // nodes themselves retain what the backup lacks
 		m.publishNow()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -139,7 +139,7 @@
 	// restores counts how often the store was found restored from a backup.
 	restores  prometheus.Counter
 	onChanges func(changes []snapshot.Change) // nil: changes are not published
-	inForce   func() *snapshot.Snapshot       // nil: not known
+	inForce   func() (snapshot.Content, bool) // nil: not known
 
 	reading chan struct{} // holds a token while the store is read
 	// needsList is set after a watch whose response broke off or would have been a backlog;
