--- a/internal/mirror/baseline.go
+++ b/internal/mirror/baseline.go
@@ -11,7 +11,9 @@
 // read. The first list of a node that takes over reading is compared with it: what disappeared in an
 // outage of the store is awaited, and what changed is published, as by a node that read the store all the
 // time.
-func (m *Mirror) SetInForce(inForce func() (listed snapshot.Content, known bool)) { m.inForce = inForce }
+func (m *Mirror) SetInForce(inForce func() (listed snapshot.Content, known bool)) {
+	m.inForce = inForce
+}
 
 // baseline returns the state that this node has in force, with the keys of the listed state, or an empty
 // state if it has none. It has no configuration.
