--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -39,6 +39,8 @@
 	// RestoreShare is the share of faults that restore the store from a backup; the others are
 	// drawn from all kinds.
 	RestoreShare float64
+	// work emulates the work of a request; nil: work.
+	work func(id string, gone <-chan struct{})
 	// Progress gets one line for each fault and violation, Logs the nodes' output; nil discards
 	// them.
 	Progress, Logs io.Writer
