queue: tenants of one priority get fair shares of an instance's slots

Cause: within a priority, requests were ordered by value and due time alone. A tenant within its quota that sends ten times its usual load took the slots of all others; each of them lost a third.

Change: the queue weighs the slot time that each tenant asked for and got in the last seconds, and puts requests of a tenant beyond its max-min fair share behind the others of the priority. Requests without a tenant have no share, so nothing changes where there are none. At the link, shares don't apply: they are shares of slot time.

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -322,6 +322,7 @@
 		Priority: order.Priority, Value: queue.Value(order.ValueRank), Due: request.Arrived.Add(order.Due),
 		LatestStart: request.Arrived.Add(order.Remaining - order.ServiceTime),
 		MaxWait:     order.MaxWait, Expected: order.ServiceTime, Length: order.ServiceTime, OnlyCandidate: order.OnlyCandidate,
+		Tenant: order.Tenant,
 	}
 	enabled := p.options.Mechanisms
 	if !enabled.ValueOrder {
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -1,7 +1,7 @@
 // Package queue grants the slots of one instance to requests. Requests are ordered by
-// priority, then by the value of their answer, then by due time, with short requests
-// preferred over long ones. Slots go only to requests that can still meet their deadline;
-// all others are refused as early as possible.
+// priority, then by the fair shares of their tenants, then by the value of their answer, then by
+// due time, with short requests preferred over long ones. Slots go only to requests that can still
+// meet their deadline; all others are refused as early as possible.
 package queue
 
 import (
@@ -59,10 +59,18 @@
 	// Length is the processing time by which short requests are preferred over long ones;
 	// zero disables this for the request.
 	Length time.Duration
+	// Tenant is the tenant that the request belongs to; empty: none. Tenants of one priority get fair
+	// shares of the slots.
+	Tenant string
 	// OnlyCandidate is set if no other instance can take the request. While less urgent
 	// requests wait as well, it then waits beyond MaxWait, up to LatestStart, because the
 	// next slot would go to them instead.
 	OnlyCandidate bool
+
+	// cost is the time for which the request is expected to hold a slot, and beyondShare says that its
+	// tenant has had more than its fair share. The queue sets both.
+	cost        time.Duration
+	beyondShare bool
 }
 
 // Usage is the number of requests that hold a slot, that wait for one, and of all slots.
@@ -84,6 +92,7 @@
 	serviceTime time.Duration
 	// grantedAt holds the time at which each slot in use was granted.
 	grantedAt map[*Slot]time.Time
+	fairness  fairness
 }
 
 // initialServiceTime is assumed as the mean service time before any request has ended.
@@ -95,7 +104,10 @@
 // NewRateLimited returns a Queue with the given number of slots and a limit on the rate at
 // which requests start.
 func NewRateLimited(slots int, limiter RateLimiter) *Queue {
-	return &Queue{limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time)}
+	return &Queue{
+		limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time),
+		fairness: maxMinShares{},
+	}
 }
 
 // SetSlots changes the number of slots.
@@ -117,7 +129,8 @@
 func (q *Queue) Wait(ticket Ticket) time.Duration {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	wait, _ := q.expectedWait(ticket, time.Now())
+	now := time.Now()
+	wait, _ := q.expectedWait(q.ranked(ticket, now), now)
 	return wait
 }
 
@@ -154,6 +167,8 @@
 func (q *Queue) Acquire(ctx context.Context, ticket Ticket) (*Slot, Refusal, time.Duration) {
 	now := time.Now()
 	q.mutex.Lock()
+	ticket = q.ranked(ticket, now)
+	q.fairness.arrived(ticket, now)
 	if refusal, wait := q.refusal(ticket, now); refusal != None {
 		q.mutex.Unlock()
 		return nil, refusal, wait
@@ -173,9 +188,22 @@
 // Refusal reports whether and why a request would be refused now, and after which time a
 // slot is likely to be free. It neither takes nor reserves a slot.
 func (q *Queue) Refusal(ticket Ticket) (Refusal, time.Duration) {
+	now := time.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.refusal(ticket, time.Now())
+	ticket = q.ranked(ticket, now)
+	refusal, wait := q.refusal(ticket, now)
+	if refusal != None {
+		q.fairness.arrived(ticket, now) // it asks for no slot any more
+	}
+	return refusal, wait
+}
+
+// ranked returns a request with what the queue orders it by. The caller must hold the mutex.
+func (q *Queue) ranked(ticket Ticket, now time.Time) Ticket {
+	ticket.cost = q.expected(ticket)
+	ticket.beyondShare = q.fairness.exceeds(ticket, now)
+	return ticket
 }
 
 // refusal implements Refusal for the given time. The caller must hold the mutex.
@@ -290,6 +318,7 @@
 // grant takes a slot for a request. The caller must hold the mutex.
 func (q *Queue) grant(ticket Ticket, now time.Time) *Slot {
 	q.running++
+	q.fairness.granted(ticket, now)
 	slot := &Slot{queue: q, expected: q.expected(ticket)}
 	q.grantedAt[slot] = now
 	return slot
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -31,6 +31,9 @@
 	if t.Priority != other.Priority {
 		return t.Priority < other.Priority
 	}
+	if t.beyondShare != other.beyondShare {
+		return other.beyondShare
+	}
 	if t.Value != other.Value {
 		return t.Value < other.Value
 	}
