server: a request that is refused for its key is refused before its body

Cause: the first hop read the whole body, up to the limit of the configuration, before it looked at the key. A caller whose key was revoked held memory and link for a 401.

Change: the server asks a check of the header (Options.Check) before it reads a body of more than 16 KiB, a chunked one, or one that the client holds back for a 100 (Continue). The connection stays open where no part of the body can follow. Admission and check share one way to refuse an unread body.

Measured: TestCheckedBeforeTheBody and TestStoreRefusesBeforeTheBody; without the check the second one waits for a body that never comes.

--- a/internal/app/store_tenants_test.go
+++ b/internal/app/store_tenants_test.go
@@ -1,8 +1,10 @@
 package app
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -110,6 +112,22 @@
 	c.Check(strings.Contains(written.String(), "marked-secret"), qt.IsFalse)
 }
 
+// TestStoreRefusesBeforeTheBody checks that a caller whose key is not known is refused without sending its
+// body.
+func TestStoreRefusesBeforeTheBody(t *testing.T) {
+	r, _ := newTenantsHarness(t, tenantEntry("a", 0, firstKey))
+	c := r.c
+	conn, err := net.Dial("tcp", fmt.Sprintf("%s:%d", r.machines[0].ip, r.outbound))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /read/x HTTP/1.1\r\nHost: h.example\r\n%s: r\r\n%s: Bearer %s\r\nContent-Length: 100000\r\n\r\n",
+		instance.HeaderID, headerAuthorization, unknownKey)
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, http.StatusUnauthorized)
+}
+
 // TestStoreKeyChanges checks that a revoked key and a new one take effect at all nodes with the
 // version that changes them, that a key may pass to another tenant, and that a version in which two
 // tenants have one key is refused as a whole.
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -86,7 +86,7 @@
 	}
 	created.callerServer = server.New(server.Options{
 		Handler: created.outbound, Limits: created.callerLimits,
-		RequestID: options.Names.RequestID, Refuse: created.outbound.Refuse,
+		RequestID: options.Names.RequestID, Refuse: created.outbound.Refuse, Check: created.outbound.Check,
 	})
 	created.nodeServer = server.New(server.Options{
 		Handler: created.inbound, Limits: created.nodeLimits, Admit: created.inbound.Admit,
--- a/internal/dataplane/outbound/tenants.go
+++ b/internal/dataplane/outbound/tenants.go
@@ -12,6 +12,23 @@
 	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
+// Check returns the answer to a request whose key is missing or not valid, or nil. It decides by the header,
+// before the body is read.
+func (p *Proxy) Check(request *message.Request) *message.Response {
+	current := p.options.Snapshots.Current()
+	if current == nil || !current.RequiresKeys() {
+		return nil
+	}
+	route := current.Lookup(request.Method, request.Host, request.Path, request.Header)
+	if route == nil {
+		return nil
+	}
+	if _, refusal := tenancy.Authenticate(current, route, request.Header); refusal != "" {
+		return p.refuseUnauthenticated(request, route, current, refusal)
+	}
+	return nil
+}
+
 // refuseUnauthenticated returns the answer to a request whose key is missing or not valid.
 func (p *Proxy) refuseUnauthenticated(request *message.Request, route *snapshot.Route, current *snapshot.Snapshot, refusal tenancy.Refusal) *message.Response {
 	p.log.unauthenticated(request, route, current, refusal)
--- a/internal/dataplane/server/admit.go
+++ b/internal/dataplane/server/admit.go
@@ -27,12 +27,7 @@
 		return nil, nil
 	}
 	if admission.Refusal != nil {
-		read.refused = true
-		// A client that did not wait has already sent data that could be taken for another
-		// request.
-		read.closeAfter = read.closeAfter || c.reader.Buffered() > 0
-		read.answer <- admission.Refusal
-		return read, nil
+		return c.refuseUnread(parsed, read, admission.Refusal), nil
 	}
 	if err := c.continueInOrder(admission.Interim); err != nil {
 		done(false)
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -88,6 +88,9 @@
 		return nil, refusal
 	}
 	read := c.newExchange(parsed)
+	if refusal := c.checkHeader(parsed, read.request); refusal != nil {
+		return c.refuseUnread(parsed, read, refusal), nil
+	}
 	if c.needsAdmission(parsed) {
 		return c.readAdmitted(parsed, read, limits)
 	}
@@ -102,6 +105,29 @@
 	return read, nil
 }
 
+// smallBodyBytes is the size up to which a body is read before the request is checked: reading it costs
+// less than a new connection.
+const smallBodyBytes = 16 << 10
+
+// checkHeader returns the response to a request with a large body that is refused for its header.
+func (c *connection) checkHeader(parsed *http.Request, request *message.Request) *message.Response {
+	hasLargeBody := parsed.ContentLength < 0 || parsed.ContentLength > smallBodyBytes || parsed.ContentLength > 0 && expectsContinue(parsed)
+	if c.server.options.Check == nil || !hasLargeBody {
+		return nil
+	}
+	return c.server.options.Check(request)
+}
+
+// refuseUnread refuses a request whose body has not been read. The connection stays open if the client
+// waits for a response before it sends the body; a client that did not wait has sent data that could be
+// taken for another request.
+func (c *connection) refuseUnread(parsed *http.Request, read *exchange, refusal *message.Response) *exchange {
+	read.refused = true
+	read.closeAfter = read.closeAfter || !expectsContinue(parsed) || c.reader.Buffered() > 0
+	read.answer <- refusal
+	return read
+}
+
 func (c *connection) refuseHeader(err error) *message.Response {
 	switch {
 	case errors.Is(err, errTooLong):
--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -38,6 +38,9 @@
 	// RequestID is the name of the header field with the ID of a request; requests without it
 	// are refused. Empty: no ID is required.
 	RequestID string
+	// Check returns the response to a request that is refused for its header, before its body is read; nil:
+	// the request is not refused. It is asked where there is a large body. nil: no request is refused.
+	Check func(request *message.Request) *message.Response
 	// Admit decides whether to accept the body of a request with "Expect: 100-continue". It
 	// may block; the context ends when the client has left. nil: every body is accepted.
 	Admit func(ctx context.Context, request *message.Request, bytes int64) Admission
--- a/internal/dataplane/server/server_test.go
+++ b/internal/dataplane/server/server_test.go
@@ -40,7 +40,13 @@
 }
 
 func newTestServer(t *testing.T, serve handler) *testServer {
+	return newCheckingServer(t, serve, nil)
+}
+
+// newCheckingServer is like newTestServer, with a check of requests before their bodies are read.
+func newCheckingServer(t *testing.T, serve handler, check func(request *message.Request) *message.Response) *testServer {
 	created := server.New(server.Options{
+		Check:   check,
 		Handler: serve, RequestID: idHeader,
 		Limits: func() server.Limits {
 			return server.Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
@@ -177,6 +183,41 @@
 	}
 }
 
+// TestCheckedBeforeTheBody guards against a body that is received in full only to be refused for the
+// request's header. The connection stays open where no part of the body can follow.
+func TestCheckedBeforeTheBody(t *testing.T) {
+	post := func(fields string) string {
+		return fmt.Sprintf("POST /p HTTP/1.1\r\nHost: h\r\n%s: 1\r\n%s\r\n", idHeader, fields)
+	}
+	rows := map[string]struct {
+		request string
+		checked bool
+		closes  bool
+	}{
+		"large body":             {post("Content-Length: 100000\r\n"), true, true},
+		"chunked body":           {post("Transfer-Encoding: chunked\r\n"), true, true},
+		"body that waits":        {post("Content-Length: 100000\r\nExpect: 100-continue\r\n"), true, false},
+		"body that did not wait": {post("Content-Length: 100000\r\nExpect: 100-continue\r\n") + "xxx", true, true},
+		"small body":             {post("Content-Length: 3\r\n") + "xxx", false, false},
+		"no body":                {get("1"), false, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ran := make(chan struct{}, 1)
+			r := newCheckingServer(t, func(context.Context, *message.Request) *message.Response {
+				ran <- struct{}{}
+				return message.Whole(http.StatusOK, nil, nil)
+			}, func(*message.Request) *message.Response { return message.Whole(http.StatusUnauthorized, nil, nil) })
+			r.send(c, row.request)
+			response, _ := r.read(c)
+			c.Check(response.StatusCode == http.StatusUnauthorized, qt.Equals, row.checked)
+			c.Check(response.Close, qt.Equals, row.closes)
+			c.Check(ran, qt.HasLen, map[bool]int{true: 0, false: 1}[row.checked])
+		})
+	}
+}
+
 // TestDrainClosesAfterLastResponse: only the last response closes the connection, so that no
 // pipelined request is lost.
 func TestDrainClosesAfterLastResponse(t *testing.T) {
