admin: winchhead tenants, and metrics of the busiest tenants

Cause: from a 429 an operator found tenant and decision in the log, but not how much of its quota a tenant uses where, and no metric told it.

Change: the limiter counts what it admits and refuses for each tenant, with the source of the last decision; a refusal while a node pauses names who had no token in place of "cache". /v1/tenants and `winchhead tenants` list the tenants in force without their keys; the metric winchhead_tenant_requests_per_second has the busiest 20 tenants and all others together. The limiter is built once and given to the data plane and the admin API. A test used an address format that vet refuses.

Measured: TestUsage (101 tenants, 21 labels), TestTenants, TestTenantsTable.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -71,6 +71,8 @@
 	Restores Restores
 	// Suspects holds the requests that may crash instances; nil means an empty tracker.
 	Suspects *suspects.Tracker
+	// Quota holds what the tenants used of their quotas; nil: nothing.
+	Quota    TenantUsage
 	Gatherer prometheus.Gatherer
 	Logger   logrus.FieldLogger
 }
@@ -96,6 +98,7 @@
 		router.Get(pathConfiguration, server.configuration)
 		router.Get(pathExplain, server.explain)
 		router.Get(pathMembers, server.members)
+		router.Get(pathTenants, server.tenants)
 		router.Get(pathSuspects, server.suspects)
 		router.Post(pathClearSuspect, server.clearSuspect)
 	})
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -13,6 +13,7 @@
 	"github.com/winchhead/winchhead/internal/admin"
 	"github.com/winchhead/winchhead/internal/configuration"
 	"github.com/winchhead/winchhead/internal/dataplane"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/logging"
@@ -67,6 +68,7 @@
 		newFleetChanges,
 		newOutbound,
 		newInbound,
+		newQuota,
 		newDataplane,
 		newAdmin,
 	}
@@ -271,6 +273,7 @@
 	Applier  *configuration.Applier
 	Node     *distribution.Node
 	Suspects *suspects.Tracker
+	Quota    *quota.Limiter
 	Registry *prometheus.Registry
 	Logger   logrus.FieldLogger
 }
@@ -283,6 +286,7 @@
 		Status:    inputs.Node,
 		Restores:  inputs.Applier,
 		Suspects:  inputs.Suspects,
+		Quota:     inputs.Quota,
 		Gatherer:  inputs.Registry,
 		Logger:    logging.Part(inputs.Logger, "admin"),
 	})
--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -18,6 +18,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
+	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
@@ -186,10 +187,17 @@
 	Listeners  *listeners
 	Applier    *configuration.Applier
 	Suspects   *suspects.Tracker
+	Quota      *quota.Limiter
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
 }
 
+// newQuota returns the limiter of the requests of tenants, and registers its metrics.
+func newQuota(configured settings.Settings, logger logrus.FieldLogger, registerer prometheus.Registerer) (*quota.Limiter, error) {
+	limiter := quota.New(quota.Options{Node: dataplane.IPOf(configured.Inbound.Backend), Logger: logging.Part(logger, "quota")})
+	return limiter, eris.Wrap(registerer.Register(limiter.Collector()), "register the metrics of tenants")
+}
+
 // defaultIdleTimeout is how long connections of callers may be idle if the
 // configuration sets no time.
 const defaultIdleTimeout = 60 * time.Second
@@ -218,6 +226,7 @@
 		Budget:    retryBudget(configured),
 		Regions:   regions,
 		Suspects:  inputs.Suspects,
+		Quota:     inputs.Quota,
 		Cold:      inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
 
 		Mechanisms:         configured.Mechanisms,
--- a/internal/app/store_tenants_test.go
+++ b/internal/app/store_tenants_test.go
@@ -117,7 +117,7 @@
 func TestStoreRefusesBeforeTheBody(t *testing.T) {
 	r, _ := newTenantsHarness(t, tenantEntry("a", 0, firstKey))
 	c := r.c
-	conn, err := net.Dial("tcp", fmt.Sprintf("%s:%d", r.machines[0].ip, r.outbound))
+	conn, err := net.Dial("tcp", net.JoinHostPort(r.machines[0].ip, strconv.Itoa(r.outbound)))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
 	_, err = fmt.Fprintf(conn, "POST /read/x HTTP/1.1\r\nHost: h.example\r\n%s: r\r\n%s: Bearer %s\r\nContent-Length: 100000\r\n\r\n",
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -43,6 +43,8 @@
 	// Regions holds the region of each zone.
 	Regions map[string]string
 	Budget  budget.Options
+	// Quota limits the requests of tenants; nil: a limiter of this node alone.
+	Quota *quota.Limiter
 	// Suspects records the requests that may crash instances; nil: a ledger of this node alone.
 	Suspects *suspects.Tracker
 	// Mechanisms are the mechanisms that are switched on.
@@ -72,10 +74,13 @@
 	if options.Suspects == nil {
 		options.Suspects = suspects.NewTracker()
 	}
+	if options.Quota == nil {
+		options.Quota = quota.New(quota.Options{Node: IPOf(options.Backend), Logger: options.Logger})
+	}
 	created := &Node{
 		options:  options,
 		accounts: budget.New(options.Budget),
-		quota:    quota.New(quota.Options{Node: ipOf(options.Backend), Logger: options.Logger.WithField("part", "quota")}),
+		quota:    options.Quota,
 	}
 	var err error
 	if created.inbound, err = created.newInbound(); err != nil {
@@ -136,8 +141,8 @@
 	})
 }
 
-// ipOf returns the IP address of an instance (IP:port), by which other nodes know its sidecar.
-func ipOf(address string) string {
+// IPOf returns the IP address of an instance (IP:port), by which other nodes know its sidecar.
+func IPOf(address string) string {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return ""
--- a/internal/dataplane/quota/cache.go
+++ b/internal/dataplane/quota/cache.go
@@ -9,14 +9,30 @@
 	// asking is closed when the running request for tokens ends; nil if there is none.
 	asking  chan struct{}
 	waiting int
-	// pausedUntil is until when no tokens are asked for, after there were none.
+	// pausedUntil is until when no tokens are asked for, after pausedBy had none.
 	pausedUntil time.Time
+	pausedBy    Source
 	retryAfter  time.Duration
 	// arrivals is the number of requests since countedSince; rate is that of the second before.
 	arrivals     int
 	countedSince time.Time
 	rate         float64
 	usedAt       time.Time
+	// admitted and refused count the decisions; decidedBy is where the last one came from.
+	admitted, refused decayingCount
+	decidedBy         Source
+	decidedAt         time.Time
+}
+
+// decided notes a decision on a request.
+func (c *tokenCache) decided(decision Decision, now time.Time) Decision {
+	if decision.Admitted {
+		c.admitted.add(now)
+	} else {
+		c.refused.add(now)
+	}
+	c.decidedBy, c.decidedAt = decision.Source, now
+	return decision
 }
 
 // take removes one token that has not expired.
--- a/internal/dataplane/quota/limiter.go
+++ b/internal/dataplane/quota/limiter.go
@@ -109,9 +109,10 @@
 	for range maxRounds {
 		now := l.options.Now()
 		if held.take(now) {
-			return Decision{Admitted: true, Source: source}
+			return held.decided(Decision{Admitted: true, Source: source}, now)
 		}
 		if now.Before(held.pausedUntil) {
+			source = held.pausedBy
 			break
 		}
 		if held.asking == nil {
@@ -120,7 +121,7 @@
 			break
 		}
 	}
-	return Decision{RetryAfter: max(held.retryAfter, minRetryAfter), Source: source}
+	return held.decided(Decision{RetryAfter: max(held.retryAfter, minRetryAfter), Source: source}, l.options.Now())
 }
 
 // Return gives back the token of a request that reached no instance.
@@ -193,7 +194,7 @@
 	}
 	held.tokens += granted.Tokens
 	held.expiresAt = now.Add(tokenLifetime)
-	held.pausedUntil, held.retryAfter = now.Add(granted.Pause), granted.RetryAfter
+	held.pausedUntil, held.pausedBy, held.retryAfter = now.Add(granted.Pause), source, granted.RetryAfter
 	close(held.asking)
 	held.asking = nil
 	return source
--- a/internal/snapshot/tenant.go
+++ b/internal/snapshot/tenant.go
@@ -1,9 +1,12 @@
 package snapshot
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/rotisserie/eris"
 )
@@ -128,5 +131,10 @@
 // Tenant returns the tenant of a name, or nil.
 func (s *Snapshot) Tenant(name string) *Tenant { return s.tenants.byName[name] }
 
+// Tenants returns all tenants, sorted by name.
+func (s *Snapshot) Tenants() []*Tenant {
+	return slices.SortedFunc(maps.Values(s.tenants.byName), func(a, b *Tenant) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // TenantOfKey returns the tenant that has a key, or nil.
 func (s *Snapshot) TenantOfKey(digest KeyDigest) *Tenant { return s.tenants.byKey[digest] }
