storesoak: soaks with tenants, whose keys change

From what instances saw, the soak judges runs without a valid key or for another tenant, keys revoked for longer than a change may take, valid keys refused, and each tenant's quota in any 5 s.

--- a/internal/bench/command/store_soak.go
+++ b/internal/bench/command/store_soak.go
@@ -29,6 +29,7 @@
 	RestoreShare float64 `long:"restore-share" description:"share of the faults, 0 to 1, in which the store comes back from a copy some seconds old"`
 	LeaveRate    float64 `long:"leave-rate" description:"instances per second that say that they leave and are replaced, beside the faults; changes then come in quick succession"`
 	CrashRate    float64 `long:"crash-rate" description:"calls per second that crash the instances which run them; these start again under their names"`
+	Tenants      int     `long:"tenants" description:"tenants that send the calls, with keys that change, and one of them ten times as much as its quota allows"`
 	Regressions  bool    `long:"regressions" description:"play the soaks that once broke a promise, as they were played"`
 	JSON         bool    `long:"json" description:"print the reports as JSON"`
 	Chart        string  `long:"report" value-name:"FILE" description:"draw how long changes took and what was served, over time (.png, .svg, .pdf)"`
@@ -85,6 +86,7 @@
 		tests = append(tests, storesoak.Options{
 			Seed: c.Seed + uint64(i), Machines: c.Machines, Zones: c.Zones, Routes: c.Routes, SlowestLink: c.SlowestLink,
 			CPULoadProcesses: c.Busy, Faults: c.Faults, Rate: c.Rate, CrashRate: c.CrashRate, ReplacementRate: c.LeaveRate, RestoreShare: c.RestoreShare,
+			Tenants: c.Tenants,
 		})
 	}
 	return tests
@@ -116,11 +118,12 @@
 		return printJSON(c.stdout, reports)
 	}
 	table := newTable(c.stdout, "SEED", "SECONDS", "FAULTS", "CHANGES", "SENT", "SERVED", "REFUSED", "FAILED",
-		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "CRASHES", "AFTER THIRD", "SHUT OUT", "IN FORCE P50", "P99", "MAX", "REPEATS")
+		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "CRASHES", "AFTER THIRD", "SHUT OUT", "IN FORCE P50", "P99", "MAX", "REPEATS", "NO KEY", "LATE REVOKED", "WRONG 401", "QUOTA")
 	for _, r := range reports {
 		table.row(r.Seed, fmt.Sprintf("%.0f", r.Seconds), r.Faults, r.Changes, r.Sent, r.Served, r.Refused, r.Failed,
 			r.RanTwice, r.RanRefused, r.Wrong, r.NoRetryAfter, r.UnmatchedRuns, r.RolledBack, r.Lost, r.LateAnswers, r.LateChanges, r.Invalid, r.ColdOverloads, r.Crashes, r.AfterThirdCrash, r.WronglyRefused,
-			fmt.Sprintf("%.3f", r.InForce.P50), fmt.Sprintf("%.3f", r.InForce.P99), fmt.Sprintf("%.3f", r.InForce.Max), fmt.Sprintf("%.2f", r.RetryBoundShare))
+			fmt.Sprintf("%.3f", r.InForce.P50), fmt.Sprintf("%.3f", r.InForce.P99), fmt.Sprintf("%.3f", r.InForce.Max), fmt.Sprintf("%.2f", r.RetryBoundShare),
+			r.Unauthenticated, r.LateRevocations, r.WronglyUnauthenticated, fmt.Sprintf("%.2f", r.QuotaBoundShare))
 	}
 	table.flush()
 	for _, r := range reports {
--- a/internal/bench/storesoak/callers.go
+++ b/internal/bench/storesoak/callers.go
@@ -40,6 +40,8 @@
 	incarnation int64
 	path        string
 	body        string
+	// key is the API key that the call is sent with; empty: none.
+	key string
 
 	sent, ended time.Time
 	// requestWritten is set once the whole request was written to the connection.
@@ -105,6 +107,9 @@
 		planned.kind, planned.route = kindProbe, c.drawProbedRoute(routeCount)
 		planned.path = addedPath(planned.route) + planned.id
 	}
+	if tenants := c.fleet.catalog.tenants; tenants != nil {
+		planned.key = tenants.drawKey(c.random)
+	}
 	c.calls = append(c.calls, planned)
 	return planned
 }
@@ -166,5 +171,9 @@
 	request.Header.Set(instance.HeaderID, planned.id)
 	request.Header.Set(instance.HeaderDeadline, strconv.Itoa(callerDeadlineMillis))
 	request.Header.Set(instance.HeaderCaller, "forged")
+	request.Header.Set(instance.HeaderTenant, "forged")
+	if planned.key != "" {
+		request.Header.Set("Authorization", "Bearer "+planned.key)
+	}
 	return request
 }
--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -60,6 +60,8 @@
 	timeoutChanged map[int]bool
 	// declaresColdStart sets the rate that cold instances can serve in each service.
 	declaresColdStart bool
+	// tenants are the callers with keys; nil: there are none.
+	tenants *tenants
 }
 
 func newCatalog() *catalog { return &catalog{timeoutChanged: make(map[int]bool)} }
@@ -177,6 +179,9 @@
 // of routes.
 func (c *catalog) writeRandom(random *rand.Rand, maxRoutes int, write func(store.Configuration) snapshot.Revision) version {
 	drawn := edits[random.IntN(len(edits))]
+	if c.tenants != nil && random.IntN(len(edits)) == 0 {
+		drawn = rotateKey
+	}
 	return c.write(drawn, random, maxRoutes, write)
 }
 
@@ -212,6 +217,7 @@
 		newRoute("write", pathWrite, store.KindUnsafe, serviceWrite, routeTimeoutMillis),
 		newRoute("check", pathCheck, store.KindSafe, serviceWrite, routeTimeoutMillis),
 	}
+	paths[len(paths)-1].AllowAnonymous = true // the calls of instances have no key
 	for route := 1; route <= len(c.states); route++ {
 		state, millis := c.stateAt(route, number), routeTimeoutMillis
 		if state == absent {
@@ -226,6 +232,7 @@
 		Version:      number,
 		Services:     c.services(),
 		Limits:       store.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 5000, IdleTimeoutMs: 15000},
+		Tenants:      c.tenants.inVersion(number),
 		VirtualHosts: []store.VirtualHost{{Host: host, Paths: paths}},
 	}
 }
--- a/internal/bench/storesoak/check.go
+++ b/internal/bench/storesoak/check.go
@@ -68,6 +68,15 @@
 	// machines that were not impaired meanwhile.
 	InForce Quantiles `json:"seconds_until_in_force"`
 
+	// Unauthenticated ran with no key or one that never existed, or for another tenant than the key's.
+	Unauthenticated int `json:"unauthenticated"`
+	// LateRevocations ran with a key that had been revoked for longer than a change may take.
+	LateRevocations int `json:"late_revocations"`
+	// WronglyUnauthenticated were refused although their key was valid.
+	WronglyUnauthenticated int `json:"wrongly_unauthenticated"`
+	// QuotaBoundShare is the largest used share of the bound of a tenant's quota in any window.
+	QuotaBoundShare float64 `json:"quota"`
+
 	// Versions are the configuration changes in order.
 	Versions []VersionTimes `json:"versions"`
 	// ServedShare is the share of calls served in each second.
@@ -139,6 +148,7 @@
 	s.checkRecovery(calls)
 	s.checkColdInstances()
 	s.checkCrashes(calls, runs)
+	s.checkTenants(calls, runs)
 	s.report.ServedShare = servedShares(calls)
 	s.checkRetryBound(calls)
 }
@@ -300,6 +310,9 @@
 		if c.crashesInstances() || c.kind == kindProbe && c.status == http.StatusNotFound {
 			continue // its route may have been removed; checkChanges checks that
 		}
+		if c.status == http.StatusUnauthorized || c.status == http.StatusTooManyRequests {
+			continue // checkTenants checks that
+		}
 		sent++
 		if c.status == http.StatusOK {
 			served++
--- a/internal/bench/storesoak/crash.go
+++ b/internal/bench/storesoak/crash.go
@@ -71,6 +71,9 @@
 		if planned.kind == kindWrite {
 			planned.path, planned.body = pathWrite+crashPath, crashBody
 		}
+		if tenants := c.fleet.catalog.tenants; tenants != nil {
+			planned.key = tenants.validKey()
+		}
 		c.mutex.Lock()
 		c.calls = append(c.calls, planned)
 		c.mutex.Unlock()
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -100,6 +100,9 @@
 	if options.Kinds == 0 || options.Kinds > kindsBeforeRestores {
 		f.store.SetEra(1)
 	}
+	if options.Tenants > 0 {
+		f.catalog.tenants = newTenants(options.Tenants)
+	}
 	const initialShare = 3 // one in three routes exists from the start
 	f.catalog.declaresColdStart = options.Kinds == 0 || options.Kinds > kindsBeforeColdStart
 	f.catalog.writeFirst(options.Routes/initialShare, f.writeConfiguration)
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -41,6 +41,8 @@
 	RestoreShare float64
 	// work emulates the work of a request; nil: work.
 	work func(id string, gone <-chan struct{})
+	// Tenants is how many tenants send the calls, with keys that change; zero: nobody needs a key.
+	Tenants int
 	// Progress gets one line for each fault and violation, Logs the nodes' output; nil discards
 	// them.
 	Progress, Logs io.Writer
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -28,6 +28,8 @@
 		Seed: 4, Machines: 12, Zones: 3, Routes: 1000, SlowestLink: 10, Faults: 4, Rate: 100, ReplacementRate: 1.5, Cause: "instances that are replaced during large configuration changes",
 	}, {
 		Seed: 5, Machines: 12, Zones: 3, Routes: 200, Faults: 5, Rate: 100, ReplacementRate: 1, RestoreShare: 0.6, Cause: "a store that is restored from a backup",
+	}, {
+		Seed: 6, Machines: 12, Zones: 3, Routes: 20, Faults: 5, Rate: 100, Tenants: 4, Cause: "tenants whose keys change",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.MinMachines { // the command replays the larger ones
@@ -55,6 +57,9 @@
 			c.Check(report.Crashes > 0, qt.Equals, each.CrashRate > 0)
 			c.Check(report.AfterThirdCrash <= 3, qt.IsTrue)
 			c.Check(report.WronglyRefused, qt.Equals, 0)
+			c.Check(report.Unauthenticated, qt.Equals, 0)
+			c.Check(report.QuotaBoundShare <= 1, qt.IsTrue)
+			c.Check(report.QuotaBoundShare > 0, qt.Equals, each.Tenants > 0)
 			c.Check(report.Withdrawals > 0 || each.ReplacementRate == 0, qt.IsTrue)
 		})
 	}
--- a/internal/emulator/store/content.go
+++ b/internal/emulator/store/content.go
@@ -41,12 +41,22 @@
 
 // Configuration is the configuration that operators write.
 type Configuration struct {
-	Version      int           `json:"version"`
-	Services     []Service     `json:"services"`
-	Limits       Limits        `json:"limits"`
+	Version  int       `json:"version"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+	// Tenants are the callers with API keys; nil: nobody needs a key.
+	Tenants      []Tenant      `json:"tenants,omitempty"`
 	VirtualHosts []VirtualHost `json:"virtualHosts"`
 }
 
+// Tenant is a caller with API keys. A rate of zero means no limit.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	RatePerS float64  `json:"ratePerS,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
+}
+
 // Service is one service of a Configuration.
 type Service struct {
 	Name string `json:"name"`
@@ -86,4 +96,6 @@
 	Priority        int    `json:"priority"`
 	Service         string `json:"service"`
 	MaxAttempts     int    `json:"maxAttempts"`
+	// AllowAnonymous lets requests without a key pass.
+	AllowAnonymous bool `json:"allowAnonymous,omitempty"`
 }
