--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -192,9 +192,13 @@
 	Registerer prometheus.Registerer
 }
 
-// newQuota returns the limiter of the requests of tenants, and registers its metrics.
+// newQuota returns the limiter of the requests of tenants. It registers its metrics if the node has a data
+// plane, which uses it.
 func newQuota(configured settings.Settings, logger logrus.FieldLogger, registerer prometheus.Registerer) (*quota.Limiter, error) {
 	limiter := quota.New(quota.Options{Node: dataplane.IPOf(configured.Inbound.Backend), Logger: logging.Part(logger, "quota")})
+	if configured.Platform.Kind != settings.PlatformStore {
+		return limiter, nil
+	}
 	return limiter, eris.Wrap(registerer.Register(limiter.Collector()), "register the metrics of tenants")
 }
 
