distribution: a starting fleet reads the list a part at a time, and passes it on at once

Cause: after a kill of all, each node sampled the list at once. At 984 nodes the samples keep the store's link busy for 0.7 s, and the readers' whole reads wait behind them (traced in virtual time: no node holds a version before 0.8 s). A node that became a reader read the whole list only a second after its sample, so that nodes outside the sample were not known to anybody until then. Ruled out: the documents (30 KB on the wire at 984 instances and 600 routes), the engine's processor time (some 10 ms a start at 300 nodes).

Change: first reads are spread over 0.7 s, and a node that another one has contacted by then reads nothing; a new reader reads the whole list at once; a node without a list asks the first peer that contacts it.

--- a/internal/distribution/fleet_start_test.go
+++ b/internal/distribution/fleet_start_test.go
@@ -19,8 +19,8 @@
 // startZones is the number of zones of a listing fleet.
 const startZones = 6
 
-// newListingFleet returns a running fleet whose platform has a slow link.
-func newListingFleet(c *qt.C, nodes int, seed uint64) *simulation.Fleet {
+// newListingFleet returns a running fleet whose platform needs wholeListsTime to send the list to all nodes.
+func newListingFleet(c *qt.C, nodes int, seed uint64, wholeListsTime time.Duration) *simulation.Fleet {
 	const entryBytes, pages = 450, 5
 	f := simulation.New(simulation.Options{
 		Seed: seed, Timing: distribution.DefaultTiming().ForCurrentSource(), ReadersPerZone: 1, SourceIsCurrent: true,
@@ -54,12 +54,19 @@
 // each node lists the store, the lists together need the store's link for longer than a node waits for
 // one, and all of them start again and again.
 func TestWholeFleetReturns(t *testing.T) {
-	// within is one second after the first answers of the store can be there.
-	const within = 2 * time.Second
-	for _, nodes := range []int{80, 300} {
-		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+	for name, row := range map[string]struct {
+		nodes          int
+		wholeListsTime time.Duration
+		within         time.Duration
+	}{
+		"80 nodes":                              {80, wholeListsTime, time.Second},
+		"300 nodes":                             {300, wholeListsTime, time.Second},
+		"300 nodes, the lists of twice as many": {300, 2 * wholeListsTime, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			f := newListingFleet(c, nodes, 1)
+			nodes := row.nodes
+			f := newListingFleet(c, nodes, 1, row.wholeListsTime)
 			pages, wholeReads := f.Platform.Pages(), f.Platform.Fetches()
 			for _, name := range f.Machines() {
 				f.Kill(name)
@@ -68,13 +75,15 @@
 			for _, name := range f.Machines() {
 				f.Restart(name)
 			}
-			returned := f.RunUntil(within, func() bool { return holding(f) >= 0.99 })
+			returned := f.RunUntil(row.within, func() bool { return holding(f) >= 0.99 })
 			c.Check(returned, qt.IsTrue, qt.Commentf("%.2f of the nodes hold a version", holding(f)))
 			f.Run(10 * time.Second)
 			c.Check(holding(f), qt.Equals, 1.0)
 			c.Check(f.Violations(), qt.HasLen, 0)
 			// What a starting fleet reads whole grows with its zones, not with its nodes.
 			c.Check(f.Platform.Fetches()-wholeReads <= 2*startZones, qt.IsTrue, qt.Commentf("%d whole reads", f.Platform.Fetches()-wholeReads))
+			// A node that others have contacted reads nothing of the list.
+			c.Check(f.Platform.Pages()-pages <= nodes, qt.IsTrue)
 			c.Logf("%d pages, %.1f a node", f.Platform.Pages()-pages, float64(f.Platform.Pages()-pages)/float64(nodes))
 		})
 	}
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -271,7 +271,9 @@
 	if suspected {
 		e.sendSuspicions(l)
 	}
-	if hello.FleetDigest != e.fleetDigest() && l.outgoing {
+	// The peer that dialled pulls, in both directions, but it may wait for another answer. A node without
+	// a list is not contacted by more peers until it has one.
+	if hello.FleetDigest != e.fleetDigest() && (l.outgoing || len(e.list.entries) == 0) {
 		e.pullRecords(l)
 	}
 	if e.isCoordinationLink(l) {
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -44,7 +44,10 @@
 
 // needsList reports whether this node must read the list.
 func (e *Engine) needsList() bool {
-	return e.sourceReader.active || !e.members.hasRead || e.overlay.countEstablished() == 0
+	if e.sourceReader.active || e.overlay.countEstablished() == 0 {
+		return true
+	}
+	return !e.members.hasRead && !e.options.SourceIsCurrent
 }
 
 // nextReadAt returns when to read the list next, with backoff after failed or isolated
@@ -52,7 +55,7 @@
 func (m *membersState) nextReadAt(e *Engine) time.Time {
 	switch {
 	case m.lastReadAt.IsZero():
-		return e.now
+		return latest(e.now, e.start.firstListAt)
 	case m.failures > 0:
 		return e.now.Add(e.backoff(m.failures, e.timing.BackoffMin, e.timing.BackoffMax))
 	case e.sourceReader.active:
@@ -78,8 +81,17 @@
 	e.act(FetchMembers{Request: m.request, ETag: m.etag, Wait: wait, Sample: !e.sourceReader.active})
 }
 
-// readingChanged cancels a long poll of the list when the node stops being a reader.
+// readWholeListSoon schedules the first read of the whole list by a reader: all others get it from readers.
+func (m *membersState) readWholeListSoon(e *Engine) {
+	if e.sourceReader.active && m.etag == "" && m.request == 0 {
+		m.nextRequestAt = e.now
+	}
+}
+
+// readingChanged reads the whole list at once when the node becomes a reader, and cancels a long poll of
+// the list when it stops being one.
 func (m *membersState) readingChanged(e *Engine) {
+	m.readWholeListSoon(e)
 	if !e.sourceReader.active && m.longPolling && m.request != 0 {
 		e.act(CancelRequest{Request: m.request})
 		m.request = 0
@@ -99,6 +111,7 @@
 		m.hasRead = true
 		if event.Sample {
 			e.mergeListed(sampledEntries(event.Members, event.Revision), 0)
+			m.readWholeListSoon(e)
 		} else {
 			m.etag = event.ETag
 			e.mergeListed(e.list.storeRead(event.Members, event.Revision, e.now), 0)
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -29,6 +29,8 @@
 	// readAloneAt is when a node that still holds nothing reads the source whatever it knows of others.
 	// It is spread widely, so that the nodes of a large fleet do not all read at the same time.
 	readAloneAt time.Time
+	// firstListAt is when the node first reads the platform's member list.
+	firstListAt time.Time
 	// settledAt is when a node that holds a version may read the source; it is jittered,
 	// so that readers do not all begin at the same time.
 	settledAt time.Time
@@ -51,6 +53,7 @@
 		e.start.startedAt = e.now
 		e.start.settledAt = e.now.Add(e.jittered(e.timing.StartSettle))
 		e.start.readAloneAt = e.now.Add(e.timing.ReadAloneWait + time.Duration(e.random.Int64N(int64(e.timing.ReadAloneSpread)+1)))
+		e.start.firstListAt = e.now.Add(time.Duration(e.random.Int64N(int64(e.timing.FirstListSpread) + 1)))
 		e.start.probeResults = make(map[membership.NodeID]probeResult)
 		e.fleet.expireAt = e.now.Add(e.jittered(e.timing.ExpireInterval))
 		e.overlay.maintainAt = e.now
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -38,6 +38,9 @@
 	// ReadAloneWait and ReadAloneSpread set when a node that holds nothing reads a source that is always
 	// current although others should: ReadAloneWait after its start, and up to ReadAloneSpread later.
 	ReadAloneWait, ReadAloneSpread time.Duration
+	// FirstListSpread is the time over which the nodes of a fleet that starts together spread their first
+	// reads of the member list. Nodes that the first ones have contacted by then read nothing.
+	FirstListSpread time.Duration
 	// MinStartWait is the minimum time that a node without a version waits before it accepts the
 	// source's version, even if its peers have none either. In a fleet that starts together the
 	// list grows in that time, so that few nodes become readers.
@@ -155,6 +158,7 @@
 	t.RecheckWait = 500 * time.Millisecond
 	// Three seconds are enough for a large fleet to get its first document from the readers; with the
 	// spread, a hundredth of the nodes that are left reads in a tenth of a second.
+	t.FirstListSpread = 700 * time.Millisecond
 	t.ReadAloneWait, t.ReadAloneSpread = 3*time.Second, 10*time.Second
 	// Detecting a reader that gets no answers, and then a successor that gets none either, takes
 	// one wait and two graces, 1.4 s, so that a change is in force within 1.5 s. A shorter wait
