--- a/internal/dataplane/outbound/refuse.go
+++ b/internal/dataplane/outbound/refuse.go
@@ -88,8 +88,12 @@
 }
 
 func (e *exchange) reasonText() string {
-	if e.lastReason == hop.ReasonNone {
+	switch {
+	case e.lastReason != hop.ReasonNone:
+		return string(e.lastReason)
+	case e.isOutsideRegions():
+		return "no instance in a region that the route and the tenant allow"
+	default:
 		return "no instance takes work"
 	}
-	return string(e.lastReason)
 }
--- a/internal/dataplane/outbound/tenants.go
+++ b/internal/dataplane/outbound/tenants.go
@@ -86,6 +86,11 @@
 	return e.permitted
 }
 
+// isOutsideRegions reports whether the selected target has instances, but none that may serve the request.
+func (e *exchange) isOutsideRegions() bool {
+	return len(e.instances()) == 0 && len(e.current.Instances(e.service)) > 0
+}
+
 // keyTag returns the tag of the key that the request was sent with, if any.
 func (e *exchange) keyTag() string {
 	if e.identity.IsAnonymous() {
