quota: what a tenant near its quota gets is compared with one bucket for all

Change: TestQuotaIsUsedInFull, virtual time, 13 and 84 nodes, 5 and 400 requests a second, demand 0.9, 1.1 and 3 times the quota.

--- a/internal/dataplane/quota/fleet_test.go
+++ b/internal/dataplane/quota/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,6 +195,41 @@
 	}
 }
 
+// oneBucketAdmits returns how many of the requests a single bucket would admit that sees all of them.
+func oneBucketAdmits(requests []time.Duration, rate, burst float64) (admitted int) {
+	level, last := burst, time.Duration(0)
+	for _, at := range requests {
+		level = min(level+(at-last).Seconds()*rate, burst)
+		last = at
+		if level >= 1 {
+			level--
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// Near its quota and beyond it, a tenant whose requests start all over the fleet is admitted what one
+// bucket for all would admit: no token is lost on the way to a node, or by a node that does not use it.
+func TestQuotaIsUsedInFull(t *testing.T) {
+	for _, nodes := range []int{13, 84} {
+		for _, rate := range []float64{5, 400} {
+			for _, demand := range []float64{0.9, 1.1, 3} {
+				t.Run(fmt.Sprintf("%d nodes, %.0f a second, demand %.1f", nodes, rate, demand), func(t *testing.T) {
+					f := newFleet(t, nodes, rate, rate, 7)
+					f.now = f.now.Add(5 * time.Second)
+					f.began = f.now
+					f.run(20*time.Second, demand*rate, f.anywhere)
+					all := slices.Sorted(slices.Values(slices.Concat(f.admitted, f.refused)))
+					wanted := oneBucketAdmits(all, rate, rate)
+					t.Logf("%d of %d admitted, by one bucket %d", len(f.admitted), len(all), wanted)
+					qt.Check(t, float64(len(f.admitted)) >= 0.99*float64(wanted), qt.IsTrue)
+				})
+			}
+		}
+	}
+}
+
 // Whatever is cut off or restarts and wherever the demand comes from, the sum over all nodes stays
 // below the bound in every window.
 func TestFleetKeepsTheQuota(t *testing.T) {
