--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -7,8 +7,8 @@
 )
 
 // membersState is the state of reading the platform's member list. Readers read the whole list and
-// long-poll for changes. Other nodes read a sample of it at startup, and again while they have no
-// links: they get the list from peers, so that what a starting fleet reads grows with its zones and
+// long-poll for changes. Other nodes read a sample of it, soon after their start and while they have no
+// links. They get the list from peers, so that what a starting fleet reads grows with its zones and
 // not with the square of its nodes.
 type membersState struct {
 	request       RequestID
@@ -42,7 +42,8 @@
 	}
 }
 
-// needsList reports whether this node must read the list.
+// needsList reports whether this node must read the list. Where the source is always current, a node
+// that has a link does not: the peer knows the list, or it could not have found this node.
 func (e *Engine) needsList() bool {
 	if e.sourceReader.active || e.overlay.countEstablished() == 0 {
 		return true
