queue: fair shares are computed 20 times a second, not with each request

Cause: each request of a tenant went through the loads of all tenants at the instance three times and sorted them, a cost that grows with the tenants.

Change: loads decay, and the share is computed anew, at most each 50 ms.

--- a/internal/dataplane/queue/fair_share.go
+++ b/internal/dataplane/queue/fair_share.go
@@ -9,6 +9,9 @@
 const (
 	// shareWindow is the time over which the loads of tenants are averaged.
 	shareWindow = 2 * time.Second
+	// shareInterval is how often the fair share is computed anew, so that its cost does not grow with the
+	// requests.
+	shareInterval = 50 * time.Millisecond
 	// negligibleLoad is the load, in slot seconds, below which a tenant is forgotten.
 	negligibleLoad = 1e-4
 )
@@ -47,23 +50,28 @@
 	}
 	loads := s.of(ticket, now)
 	load, known := loads.byTenant[ticket.Tenant]
-	return known && load.granted > loads.fairShare()+ticket.cost.Seconds()
+	return known && load.granted > loads.share+ticket.cost.Seconds()
 }
 
 // of returns the loads of the priority of a request at a time.
 func (s maxMinShares) of(ticket Ticket, now time.Time) *tenantLoads {
 	loads, known := s[ticket.Priority]
 	if !known {
-		loads = &tenantLoads{byTenant: make(map[string]*tenantLoad), updatedAt: now}
+		loads = &tenantLoads{byTenant: make(map[string]*tenantLoad), updatedAt: now, share: math.Inf(1)}
 		s[ticket.Priority] = loads
 	}
-	loads.decay(now)
+	if now.Sub(loads.updatedAt) >= shareInterval {
+		loads.decay(now)
+		loads.share = loads.fairShare()
+	}
 	return loads
 }
 
 // tenantLoads are the loads of the tenants of one priority.
 type tenantLoads struct {
-	byTenant  map[string]*tenantLoad
+	byTenant map[string]*tenantLoad
+	// share is the fair share as of updatedAt.
+	share     float64
 	updatedAt time.Time
 }
 
--- a/internal/dataplane/queue/fair_share_test.go
+++ b/internal/dataplane/queue/fair_share_test.go
@@ -157,3 +157,27 @@
 		})
 	}
 }
+
+// BenchmarkAcquire measures a request of one of many tenants that share an instance.
+func BenchmarkAcquire(b *testing.B) {
+	for _, tenants := range []int{1, 1000} {
+		b.Run(fmt.Sprint(tenants, " tenants"), func(b *testing.B) {
+			q := queue.New(sharedSlots)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				wanted := ticket(1, time.Second)
+				wanted.Tenant = tenantNames[i%tenants]
+				slot, _, _ := q.Acquire(context.Background(), wanted)
+				slot.Release(true)
+			}
+		})
+	}
+}
+
+// tenantNames are names of tenants.
+var tenantNames = func() (names []string) {
+	for i := range 1000 {
+		names = append(names, fmt.Sprint("tenant-", i))
+	}
+	return names
+}()
