queue, storesoak: comments and names that a newcomer asked for

Cause: the rule of the shares was one sentence with three conditions, and a bound had bare numbers. Measured: vet, TestCheckKey, TestMostInWindow.

--- a/internal/bench/storesoak/check_tenants.go
+++ b/internal/bench/storesoak/check_tenants.go
@@ -8,10 +8,12 @@
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 )
 
-// The bound on the requests of a tenant that run within a window.
+// The bound on the requests of a tenant that run within a window: the quota, a share of it, and some
+// requests.
 const (
-	quotaWindow = 5 * time.Second
-	quotaBound  = (tenantRate*float64(quotaWindow/time.Second)+tenantBurst)*1.25 + 20
+	quotaWindow              = 5 * time.Second
+	quotaOverage, quotaSlack = 0.25, 20
+	quotaBound               = (tenantRate*float64(quotaWindow/time.Second)+tenantBurst)*(1+quotaOverage) + quotaSlack
 )
 
 // checkTenants checks that only calls with a valid key run, in the name of the key's tenant, that no valid
--- a/internal/dataplane/queue/fair_share.go
+++ b/internal/dataplane/queue/fair_share.go
@@ -29,7 +29,7 @@
 }
 
 // maxMinShares divides the slot time that the tenants of one priority get by max-min fairness: a tenant
-// gets what it asks for, unless that is more than each of those gets that ask for more than they get.
+// that asks for less than an equal part gets all of it, and what it leaves is divided among the others.
 type maxMinShares map[int]*tenantLoads // by priority
 
 func (s maxMinShares) arrived(ticket Ticket, now time.Time) {
@@ -100,7 +100,7 @@
 	return load
 }
 
-// fairShare returns the most that a tenant gets if what was granted to all is divided by max-min fairness.
+// fairShare returns the most that any tenant gets if all that was granted is divided by max-min fairness.
 // It is infinite while all get what they ask for.
 func (l *tenantLoads) fairShare() float64 {
 	remaining := 0.0
