app: requests below a quota are all served by real nodes

Cause: only virtual time showed that nothing below a quota is refused. Change: TestStoreBelowTheQuota, two nodes, 50 requests in turn.

--- a/internal/app/store_tenants_test.go
+++ b/internal/app/store_tenants_test.go
@@ -161,6 +161,26 @@
 	c.Check(strings.Contains(written.String(), "marked-secret"), qt.IsFalse)
 }
 
+// TestStoreBelowTheQuota checks that no request below a tenant's quota is refused, at whichever node it
+// starts: most of them need a token from another node.
+func TestStoreBelowTheQuota(t *testing.T) {
+	// The bucket of a node that has just become an owner begins empty, and fills within a millisecond.
+	const rate, requests = 1_000_000, 50
+	r, _ := newTenantsHarness(t, tenantEntry("a", rate, firstKey))
+	c := r.c
+	until(func() bool {
+		return r.send(0, http.MethodGet, "/read/x", "first", headerAuthorization, "Bearer "+firstKey).status == http.StatusOK
+	})
+	refused := 0
+	for i := range requests {
+		if got := r.send(i%2, http.MethodGet, "/read/x", "a-"+strconv.Itoa(i), headerAuthorization, "Bearer "+firstKey); got.status != http.StatusOK {
+			refused++
+			c.Logf("%d: %d %s", i, got.status, got.body)
+		}
+	}
+	c.Check(refused, qt.Equals, 0)
+}
+
 // TestStoreQuota checks that requests beyond a tenant's quota are refused at once with a time to
 // come back, at whichever node they start, and that another tenant is not affected.
 func TestStoreQuota(t *testing.T) {
