--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -91,6 +91,9 @@
 	f := &fleet{
 		store: store.New(), catalog: newCatalog(), logs: newNodeLogs(options.Logs), work: work, nested: newNestedCalls(), hosts: newHosts(),
 	}
+	if options.requestTimeout > 0 {
+		f.catalog.timeoutMillis = int(options.requestTimeout.Milliseconds())
+	}
 	if options.work != nil {
 		f.work = options.work
 	}
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -43,6 +43,8 @@
 	work func(id string, gone <-chan struct{})
 	// Tenants is how many tenants send the calls, with keys that change; zero: nobody needs a key.
 	Tenants int
+	// requestTimeout is the time-out of the routes; zero: routeTimeoutMillis.
+	requestTimeout time.Duration
 	// Progress gets one line for each fault and violation, Logs the nodes' output; nil discards
 	// them.
 	Progress, Logs io.Writer
