--- a/internal/dataplane/queue/fair_share_test.go
+++ b/internal/dataplane/queue/fair_share_test.go
@@ -181,3 +181,22 @@
 	}
 	return names
 }()
+
+// TestSharesCostTheSameForManyTenants guards against a cost of a request that grows with the tenants that
+// share an instance.
+func TestSharesCostTheSameForManyTenants(t *testing.T) {
+	const requests = 2000
+	allocations := func(tenants int) float64 {
+		q, i := queue.New(sharedSlots), 0
+		return testing.AllocsPerRun(requests, func() {
+			wanted := ticket(1, time.Second)
+			wanted.Tenant = tenantNames[i%tenants]
+			i++
+			slot, _, _ := q.Acquire(context.Background(), wanted)
+			slot.Release(true)
+		})
+	}
+	few, many := allocations(10), allocations(len(tenantNames))
+	t.Logf("allocations a request: %.0f for 10 tenants, %.0f for %d", few, many, len(tenantNames))
+	qt.Check(t, many <= few+1, qt.IsTrue)
+}
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -215,6 +215,14 @@
 	return frames, bytes
 }
 
+// SentBetweenZones returns how many bytes all machines have sent to peers in other zones.
+func (f *Fleet) SentBetweenZones() (bytes int64) {
+	for _, p := range f.processes {
+		bytes += p.sentBetweenZones
+	}
+	return bytes
+}
+
 func (f *Fleet) jitter(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(f.random.Int64N(int64(mean)+1))
 }
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -104,7 +104,11 @@
 		}
 		p.sentFrames++
 		p.sentBytes += int64(len(action.Frame))
-		c.transfer(c.endFor(p, id), transfer{frame: action.Frame})
+		end := c.endFor(p, id)
+		if c.ends[1-end].process.machine.Zone != p.machine.Zone {
+			p.sentBetweenZones += int64(len(action.Frame))
+		}
+		c.transfer(end, transfer{frame: action.Frame})
 	}
 }
 
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -46,7 +46,8 @@
 	// linkFreeAt is when the machine's link has sent all queued frames.
 	linkFreeAt time.Time
 
-	sentFrames, sentBytes int64
+	// sentBetweenZones is the part of sentBytes that went to other zones.
+	sentFrames, sentBytes, sentBetweenZones int64
 }
 
 // Start adds a machine and starts a process on it. wrap, if not nil, may wrap the engine in a
--- a/internal/mirror/baseline_test.go
+++ b/internal/mirror/baseline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,31 @@
 	c.Check(version.Revision, qt.Equals, store.revision, qt.Commentf("the restored state is not withheld"))
 	c.Check(changes, qt.HasLen, 0, qt.Commentf("what a backup lacks is no certain change"))
 }
+
+// TestTakeOverPublishesOnlyChanges guards against a take-over whose messages grow with the fleet: what a
+// reader's first list changes is published, and not every instance that it lists.
+func TestTakeOverPublishesOnlyChanges(t *testing.T) {
+	for _, instances := range []int{100, 1000} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			c := qt.New(t)
+			store := &scriptedStore{c: c}
+			for i := range instances {
+				store.put(fmt.Sprint("i-", i))
+			}
+			first, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+			c.Assert(err, qt.IsNil)
+			document, outcome := first.Fetch(context.Background(), snapshot.Version{})
+			c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+			store.drain("i-7")
+
+			second, err := mirror.New(mirror.Options{Store: store, Logger: logging.Discard(), Timeout: time.Minute})
+			c.Assert(err, qt.IsNil)
+			second.SetInForce(func() (snapshot.Content, bool) { return document.Content(), true })
+			published := 0
+			second.OnChanges(func(found []snapshot.Change) { published += len(found) })
+			_, outcome = second.AwaitRevision(context.Background(), document.Version().Revision, 0)
+			c.Assert(outcome.Status, qt.Equals, source.StatusFresh)
+			c.Check(published, qt.Equals, 1)
+		})
+	}
+}
