dataplane: what instances state about themselves is recorded and logged

The package statement decodes both fields of every answer and keeps, for each process of an instance, the limit and the leaving; answers that overtake each other end no limit. The node beside the instance and the senders log changes; two gauges show the limit. No decision reads it yet.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -21,6 +21,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/wait"
@@ -47,6 +48,8 @@
 	Quota *quota.Limiter
 	// Suspects records the requests that may crash instances; nil: a ledger of this node alone.
 	Suspects *suspects.Tracker
+	// Statements holds what instances state about themselves; nil: known to this data plane alone.
+	Statements *statement.Tracker
 	// Mechanisms are the mechanisms that are switched on.
 	Mechanisms mechanism.Set
 	// Limits apply unless the configuration sets others.
@@ -74,6 +77,9 @@
 	if options.Suspects == nil {
 		options.Suspects = suspects.NewTracker()
 	}
+	if options.Statements == nil {
+		options.Statements = statement.NewTracker()
+	}
 	if options.Quota == nil {
 		options.Quota = quota.New(quota.Options{Node: IPOf(options.Backend), Logger: options.Logger})
 	}
@@ -111,6 +117,7 @@
 		Cold:               options.Cold,
 		Budget:             n.accounts,
 		Suspects:           options.Suspects,
+		Statements:         options.Statements,
 		Quota:              n.quota,
 		Slots:              options.Slots,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
@@ -133,6 +140,7 @@
 		NodePort:           options.NodePort,
 		Budget:             n.accounts,
 		Suspects:           options.Suspects,
+		Statements:         options.Statements,
 		Quota:              n.quota,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
 		Mechanisms:         options.Mechanisms,
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -22,6 +22,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
@@ -56,6 +57,8 @@
 	// Suspects records the requests that may crash instances; if it is nil, the Proxy keeps a
 	// ledger of its own.
 	Suspects *suspects.Tracker
+	// Statements holds what instances state about themselves; if it is nil, the Proxy keeps its own.
+	Statements *statement.Tracker
 	// Quota grants tokens of tenants to other nodes; nil refuses them.
 	Quota *quota.Limiter
 	// Mechanisms are the mechanisms that are enabled.
@@ -104,6 +107,9 @@
 	if options.Suspects == nil {
 		options.Suspects = suspects.NewTracker()
 	}
+	if options.Statements == nil {
+		options.Statements = statement.NewTracker()
+	}
 	if options.MaxIdleNonRepeatable == 0 {
 		options.MaxIdleNonRepeatable = defaultMaxIdleNonRepeatable
 	}
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -100,11 +100,15 @@
 	options.Names = message.Names{
 		RequestID: instance.HeaderID, Deadline: instance.HeaderDeadline, ExpectInstance: instance.HeaderExpect,
 		NotExecuted: instance.HeaderNotExecuted, Stamp: instance.HeaderStamp,
+		Limit: instance.HeaderLimit, Leaving: instance.HeaderLeaving,
 	}
 	options.Snapshots = fixedSnapshot{built.WithFleet(version, snapshot.Content{Instances: []snapshot.Instance{{
 		Name: emulated.Name, Service: "a", Address: address, State: snapshot.InstanceReady, Slots: 4,
 	}}})}
-	options.Backend, options.Slots, options.Logger = address, 4, logging.Discard()
+	options.Backend, options.Slots = address, 4
+	if options.Logger == nil {
+		options.Logger = logging.Discard()
+	}
 	proxy, err := inbound.New(options)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(proxy.Close)
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -8,12 +8,15 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 )
 
 type metrics struct {
 	deliveries *prometheus.CounterVec
 	waits      prometheus.Histogram
 	crashes    prometheus.Counter
+	// limited is 1 while the instance states a limit, statedLimit is that limit.
+	limited, statedLimit prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue) (*metrics, error) {
@@ -32,11 +35,19 @@
 		Name: "winchhead_dataplane_instance_crashes_total",
 		Help: "Crashes of the instance beside the node while it worked on requests.",
 	})
+	created.limited = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "winchhead_dataplane_instance_limited",
+		Help: "1 while the instance beside the node states a limit on the rate of its requests.",
+	})
+	created.statedLimit = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "winchhead_dataplane_instance_limit_per_second",
+		Help: "The limit that the instance beside the node states, in requests per second; 0 if it states none.",
+	})
 	if registerer == nil {
 		return created, nil
 	}
 	collectors := []prometheus.Collector{
-		created.deliveries, created.waits, created.crashes,
+		created.deliveries, created.waits, created.crashes, created.limited, created.statedLimit,
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
 		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
@@ -60,4 +71,12 @@
 	m.deliveries.WithLabelValues(string(report.Outcome), string(report.Reason)).Inc()
 }
 
+func (m *metrics) setStatedLimit(limit statement.Limit) {
+	m.limited.Set(0)
+	if limit.Stated {
+		m.limited.Set(1)
+	}
+	m.statedLimit.Set(limit.PerSecond)
+}
+
 func (m *metrics) observeWait(wait time.Duration) { m.waits.Observe(wait.Seconds()) }
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -27,6 +27,7 @@
 		delivery.Report.Execution = time.Since(started)
 		return delivery
 	}
+	p.observeStatement(request, order, response.Status, response.Header, started)
 	if reason := p.rejectionReason(response); reason != hop.ReasonNone {
 		response.Discard()
 		cancel()
--- a/internal/dataplane/message/message.go
+++ b/internal/dataplane/message/message.go
@@ -28,6 +28,11 @@
 	Tenant string
 	// Stamp is set on every response that comes from an instance.
 	Stamp string
+	// Limit holds how many requests per second an instance takes from all nodes together, for as
+	// long as its responses have it.
+	Limit string
+	// Leaving is set on the responses of an instance that leaves.
+	Leaving string
 }
 
 // Request is one request with its whole body.
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -109,6 +109,7 @@
 		e.tries++
 		e.lastInstance, e.lastSentAt = choice.Instance.Name, time.Now()
 		sent := e.send(choice)
+		e.observeStatement(choice, sent)
 		e.lastReport = sent.report
 		e.reportToBalancer(choice, sent)
 		e.recordArrival(sent)
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -9,6 +9,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/tenancy"
@@ -80,6 +81,18 @@
 	}).Warn("no route matches the request")
 }
 
+// statementChanged logs what an instance now states about itself, as this node knows it.
+func (l *requestLog) statementChanged(e *exchange, instance snapshot.Instance, record statement.Record) {
+	entry, ok := l.lines.Take(true)
+	if !ok {
+		return
+	}
+	entry.WithFields(logrus.Fields{
+		"request": e.request.ID, "instance": instance.Name, "service": instance.Service, "zone": instance.Zone,
+		"limited": record.Limit().Stated, "per_second": record.Limit().PerSecond, "leaving": record.IsLeaving(),
+	}).Info("an answer changes what the instance states about itself")
+}
+
 // availabilityChanged logs that the availability of an instance changed.
 func (l *requestLog) availabilityChanged(e *exchange, choice balance.Choice, sent sendResult, transition balance.Transition) {
 	entry, ok := l.lines.Take(true)
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -27,6 +27,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/tenancy"
@@ -68,7 +69,9 @@
 	Regions map[string]string
 	// Suspects records the requests that may crash instances; nil: a new, empty tracker.
 	Suspects *suspects.Tracker
-	Logger   logrus.FieldLogger
+	// Statements holds what instances state about themselves; nil: a new, empty tracker.
+	Statements *statement.Tracker
+	Logger     logrus.FieldLogger
 	// Registerer registers the metrics; nil: they are not registered.
 	Registerer prometheus.Registerer
 }
@@ -102,6 +105,9 @@
 	if options.Suspects == nil {
 		options.Suspects = suspects.NewTracker()
 	}
+	if options.Statements == nil {
+		options.Statements = statement.NewTracker()
+	}
 	stopped, stop := context.WithCancel(context.Background())
 	created := &Proxy{
 		stopped:       stopped,
@@ -143,6 +149,7 @@
 	p.sidecars.prune(now)
 	p.losses.Flush(now)
 	p.repeatLedger.Flush(now)
+	p.pruneStatements(now)
 }
 
 // Close closes the idle connections.
--- /dev/null
+++ b/internal/dataplane/outbound/statements.go
@@ -0,0 +1,34 @@
+package outbound
+
+import (
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+// observeStatement records what an answer that goes to the caller states about its instance.
+func (e *exchange) observeStatement(choice balance.Choice, sent sendResult) {
+	if sent.answer == nil {
+		return
+	}
+	stated := statement.Decode(e.proxy.options.Names, sent.answer.Header)
+	process := choice.Instance.ID()
+	change := e.proxy.options.Statements.Observe(process, stated, e.lastSentAt, time.Now())
+	if change.Limit || change.Leaving {
+		e.proxy.log.statementChanged(e, choice.Instance, e.proxy.options.Statements.Get(process))
+	}
+}
+
+// pruneStatements forgets the statements of processes that the configuration no longer lists.
+func (p *Proxy) pruneStatements(now time.Time) {
+	current := p.options.Snapshots.Current()
+	if current == nil {
+		return
+	}
+	p.options.Statements.Prune(func(process snapshot.InstanceID) bool {
+		instance, listed := current.Instance(process.Name)
+		return listed && instance.ID() == process
+	}, now)
+}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -25,6 +25,8 @@
 	HeaderNotExecuted = "Winchhead-Not-Executed"
 	HeaderStamp       = "Winchhead-Server-Stamp"
 	HeaderTenant      = "Winchhead-Tenant"
+	HeaderLimit       = "Server-Limit"
+	HeaderLeaving     = "Server-Leaving"
 )
 
 // Fault is a failure that the instance causes on a request.
@@ -109,8 +111,10 @@
 	CrashesOn func(id string) bool
 	OnCrash   func()
 
-	listener    net.Listener
-	mutex       sync.Mutex
+	listener net.Listener
+	mutex    sync.Mutex
+	// statement holds the header lines that every answer has.
+	statement   string
 	runs        []Run
 	accepted    int
 	misdirected int
@@ -149,6 +153,28 @@
 	i.serveGroup.Wait()
 }
 
+// SetStatement sets the header lines by which every answer states something about the instance, each
+// ended by CRLF, such as those of LimitLine and LeavingLine; empty: none.
+func (i *Instance) SetStatement(lines string) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.statement = lines
+}
+
+// LeavingLine states that the instance leaves.
+const LeavingLine = HeaderLeaving + ": 1\r\n"
+
+// LimitLine states a limit on the requests per second.
+func LimitLine(perSecond float64) string {
+	return HeaderLimit + ": " + strconv.FormatFloat(perSecond, 'f', -1, 64) + "\r\n"
+}
+
+func (i *Instance) statementLines() string {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.statement
+}
+
 // SetPlan changes Plan of a running instance; nil: no faults.
 func (i *Instance) SetPlan(plan func(id string) Fault) {
 	i.mutex.Lock()
@@ -260,12 +286,12 @@
 		i.mutex.Lock()
 		i.misdirected++
 		i.mutex.Unlock()
-		return send(conn, "421 Misdirected Request", id, "", "")
+		return send(conn, "421 Misdirected Request", id, i.statementLines(), "")
 	}
 	switch fault {
 	case Reject:
 		_, _ = io.Copy(io.Discard, request.Body)
-		return send(conn, "503 Service Unavailable", id, HeaderNotExecuted+": 1\r\n", "")
+		return send(conn, "503 Service Unavailable", id, HeaderNotExecuted+": 1\r\n"+i.statementLines(), "")
 	case Early:
 		ok := send(conn, "413 Content Too Large", id, i.stamp(), "too long")
 		_, _ = io.Copy(io.Discard, request.Body)
@@ -346,7 +372,10 @@
 // Body returns the body of the proper answer to a request.
 func Body(id string) string { return "answer to " + id + " " + strings.Repeat("x", 100) }
 
-func (i *Instance) stamp() string { return HeaderStamp + ": " + i.Name + "\r\n" }
+// stamp returns the header lines of the answers to requests that have run.
+func (i *Instance) stamp() string {
+	return HeaderStamp + ": " + i.Name + "\r\n" + i.statementLines()
+}
 
 // respond answers a request that has run, as the fault requires, and reports whether the
 // connection stays open.
