ratelimit: the token bucket of cold instances is a package of its own

Cause: the limit that an instance states needs the same bucket as the rate of a cold instance. No behaviour changes: the tests of ratelimit, coldstart, queue and inbound pass.

--- a/internal/dataplane/coldstart/phase.go
+++ b/internal/dataplane/coldstart/phase.go
@@ -1,3 +1,5 @@
+// Package coldstart tracks how long an instance is cold after its start. A cold instance that is
+// overloaded crashes, restarts and is cold again.
 package coldstart
 
 import (
--- /dev/null
+++ b/internal/dataplane/coldstart/phase_test.go
@@ -0,0 +1,34 @@
+package coldstart_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
+	"github.com/winchhead/winchhead/internal/snapshot"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestPhaseFollowsTheEntry checks that the remaining time of an entry counts from the change
+// of the entry rather than from each update, and restarts with another instance.
+func TestPhaseFollowsTheEntry(t *testing.T) {
+	c := qt.New(t)
+	var phase coldstart.Phase
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 3000}, epoch)
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 3000}, epoch.Add(2*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(3*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-1", WarmUpMillis: 5000}, epoch.Add(2*time.Second)) // cold for longer than before
+	c.Check(phase.Until(), qt.Equals, epoch.Add(7*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-1"}, epoch.Add(4*time.Second))
+	c.Check(phase.Until(), qt.Equals, time.Time{})
+	phase.AssumeCold(time.Second, epoch.Add(5*time.Second))
+	c.Check(phase.Until(), qt.Equals, epoch.Add(6*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-2"}, epoch.Add(5*time.Second))
+	c.Check(phase.Until(), qt.Equals, time.Time{})
+	phase.Follow(snapshot.Instance{Name: "i-2", StartedMillis: 1, WarmUpMillis: 3000}, epoch.Add(6*time.Second))
+	phase.Follow(snapshot.Instance{Name: "i-2", StartedMillis: 2, WarmUpMillis: 3000}, epoch.Add(20*time.Second)) // the instance restarted
+	c.Check(phase.Until(), qt.Equals, epoch.Add(23*time.Second))
+}
--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
+	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
@@ -22,8 +23,8 @@
 const slackMargin = 2
 
 // boundsOf returns the bounds for a cold instance of a service.
-func (b ColdBounds) boundsOf(service snapshot.Service) coldstart.Bounds {
-	return coldstart.Bounds{
+func (b ColdBounds) boundsOf(service snapshot.Service) ratelimit.Bounds {
+	return ratelimit.Bounds{
 		Rate:  service.ColdRate * max(b.Overage, 1),
 		Burst: max(b.Slack-slackMargin, 1),
 	}
@@ -35,7 +36,7 @@
 	bounds ColdBounds
 	// backend is the address of the instance; service and zone are those of the node.
 	backend, service, zone string
-	limit                  *coldstart.Limit
+	limit                  *ratelimit.Limit
 
 	mutex sync.Mutex
 	phase coldstart.Phase
@@ -51,7 +52,7 @@
 func newColdTracker(options Options) *coldTracker {
 	return &coldTracker{
 		bounds: options.Cold, backend: options.Backend, service: options.Service, zone: options.Zone,
-		limit: coldstart.NewLimit(time.Now()),
+		limit: ratelimit.NewLimit(time.Now()),
 	}
 }
 
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -370,6 +370,6 @@
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
 		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.speed.hundredths(),
-		ColdFor: p.cold.limit.ColdFor(time.Now()),
+		ColdFor: p.cold.limit.InForceFor(time.Now()),
 	}
 }
--- a/internal/dataplane/queue/rate_limit_test.go
+++ b/internal/dataplane/queue/rate_limit_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
+	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 )
 
@@ -19,8 +19,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		now := time.Now()
-		limit := coldstart.NewLimit(now)
-		limit.Set(coldstart.Bounds{Rate: 1, Burst: 1}, now.Add(time.Hour), now)
+		limit := ratelimit.NewLimit(now)
+		limit.Set(ratelimit.Bounds{Rate: 1, Burst: 1}, now.Add(time.Hour), now)
 		q := queue.NewRateLimited(8, limit)
 
 		_, refusal, wait := q.Acquire(context.Background(), ticket(0, 500*time.Millisecond))
@@ -49,8 +49,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		now := time.Now()
-		limit := coldstart.NewLimit(now)
-		limit.Set(coldstart.Bounds{Rate: 0.1, Burst: 1}, now.Add(2*time.Second), now)
+		limit := ratelimit.NewLimit(now)
+		limit.Set(ratelimit.Bounds{Rate: 0.1, Burst: 1}, now.Add(2*time.Second), now)
 		q := queue.NewRateLimited(4, limit)
 		begun := make(chan time.Duration, 4)
 		for range 4 {
--- a/internal/dataplane/coldstart/limit.go
+++ b/internal/dataplane/ratelimit/ratelimit.go
@@ -1,14 +1,12 @@
-// Package coldstart tracks how long an instance is cold after its start and limits the rate
-// of requests to it during that time. A cold instance that is overloaded crashes, restarts
-// and is cold again.
-package coldstart
+// Package ratelimit limits the rate at which requests to one instance start.
+package ratelimit
 
 import (
 	"sync"
 	"time"
 )
 
-// Bounds limit the requests to a cold instance.
+// Bounds limit the requests to an instance.
 type Bounds struct {
 	// Rate is the sustained rate in requests per second; zero means no limit.
 	Rate float64
@@ -17,8 +15,8 @@
 	Burst float64
 }
 
-// Limit is a token bucket that counts all requests to an instance and limits their rate
-// while the instance is cold. A new Limit starts empty, because it is not known what an
+// Limit is a token bucket that counts all requests to an instance and limits their rate until a
+// given time. A new Limit starts empty, because it is not known what an
 // earlier process sent in the second before: a restart never doubles the burst. Limit is
 // safe for concurrent use.
 type Limit struct {
@@ -32,7 +30,10 @@
 // NewLimit returns an empty Limit without bounds.
 func NewLimit(now time.Time) *Limit { return &Limit{refilledAt: now} }
 
-// Set changes the bounds and the time until which the instance is cold.
+// Forever is an end that no limit reaches.
+var Forever = time.Unix(1<<40, 0)
+
+// Set changes the bounds and the time until which they are in force.
 func (l *Limit) Set(bounds Bounds, until, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -41,8 +42,8 @@
 	l.tokens = min(l.tokens, l.bounds.Burst)
 }
 
-// ColdFor returns the remaining time for which the instance is cold.
-func (l *Limit) ColdFor(now time.Time) time.Duration {
+// InForceFor returns the remaining time for which the bounds are in force.
+func (l *Limit) InForceFor(now time.Time) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	return max(l.until.Sub(now), 0)
