dataplane: the limit that an instance states bounds its requests from all nodes

Cause: a statement of an instance that no part of the request path reads; it was passed on to the caller like any other field. Class: knowledge of an instance that stays with whoever happens to hear it.

Change: the node beside the instance, which all its requests pass, grants no more than the limit (token bucket, together with the rate of cold instances): exact for the fleet at any size, without messages. The most urgent waiting request starts first; one that cannot start in time is refused at once with the time of the next token, also when the limit falls while it waits. Senders try other instances after a refusal by the limit: it counts neither as a failure nor as overload, and takes no repeat. Without another instance requests wait at most as long as they can be in time.

--- a/internal/app/store_limit_test.go
+++ b/internal/app/store_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -146,6 +147,30 @@
 	l.latency[got.status] = append(l.latency[got.status], time.Since(began))
 }
 
+// limitedWork is how long a request takes: long enough for the load of an instance to matter.
+const limitedWork = 20 * time.Millisecond
+
+// workFor returns work that takes a duration, or until the client disconnects.
+func workFor(duration time.Duration) func(string, <-chan struct{}) {
+	return func(_ string, gone <-chan struct{}) {
+		timer := time.NewTimer(duration)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-gone:
+		}
+	}
+}
+
+// median returns the median time until an answer with a status came; zero: there was none.
+func (l *limitLoad) median(status int) time.Duration {
+	latencies := slices.Sorted(slices.Values(l.latency[status]))
+	if len(latencies) == 0 {
+		return 0
+	}
+	return latencies[len(latencies)/2]
+}
+
 // newLimitLoad starts machines of the services, of which the first ones send every interval, and waits
 // until a configuration with a latency target of half a second is in force.
 func newLimitLoad(t *testing.T, services []string, interval time.Duration) *limitLoad {
@@ -158,6 +183,7 @@
 		judge := &limitJudge{instance: emulated.Name}
 		load.judges[index] = judge
 		emulated.OnArrival = judge.arrived
+		emulated.Work = workFor(limitedWork)
 	})
 	load.r.startAll()
 	text := strings.NewReplacer(`"targetLatencyMs":20000`, `"targetLatencyMs":500`, `"timeoutMs":30000`, `"timeoutMs":1500`).Replace(
@@ -182,7 +208,9 @@
 func (l *limitLoad) checkBound(index int, perSecond float64) {
 	l.r.c.Helper()
 	most := l.judges[index].worst()
-	l.r.c.Logf("limit %v: %d requests in the worst window, %d allowed; statuses %v", perSecond, most, allowedIn(perSecond), l.statuses)
+	l.r.c.Logf("limit %v: %d requests in the worst window, %d allowed; statuses %v; median time of a 200 %s, of a 503 %s",
+		perSecond, most, allowedIn(perSecond), l.statuses, l.median(http.StatusOK), l.median(http.StatusServiceUnavailable))
+	l.r.c.Check(most > 0, qt.IsTrue)
 	l.r.c.Check(most <= allowedIn(perSecond), qt.IsTrue, qt.Commentf("%d requests in %s, allowed are %d", most, limitWindow, allowedIn(perSecond)))
 }
 
--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -34,6 +34,8 @@
 	RequestFailed Result = 6
 	// RateLimited: the instance is warming up and accepts no further request for now.
 	RateLimited Result = 7
+	// Limited: the limit that the instance states on its requests is reached for now.
+	Limited Result = 8
 )
 
 const (
@@ -50,6 +52,9 @@
 	// fullInstancePeriod is how long an instance of another zone that had no free slot is
 	// not tried again: when all instances are full, further tries find no slot.
 	fullInstancePeriod = 250 * time.Millisecond
+	// maxLimitedPeriod is how long an instance that has reached its stated limit is not tried at most:
+	// the limit may end at any time.
+	maxLimitedPeriod = 200 * time.Millisecond
 	// forgetAfter is how long the state of an instance that is not chosen is kept.
 	forgetAfter = time.Minute
 
@@ -181,8 +186,8 @@
 	return best, found
 }
 
-// RateLimitedFor returns the time until the first of the instances that are warming up and
-// rate limited accepts a request again; zero if none is rate limited.
+// RateLimitedFor returns the time until the first of the instances that are rate limited accepts a
+// request again; zero if none is rate limited.
 func (b *Balancer) RateLimitedFor(instances []snapshot.Instance, now time.Time) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -192,7 +197,7 @@
 		if known == nil || !known.isRateLimited(now) {
 			continue
 		}
-		if remaining := known.rateLimitedUntil.Sub(now); shortest == 0 || remaining < shortest {
+		if remaining := known.rateLimitEnd().Sub(now); shortest == 0 || remaining < shortest {
 			shortest = remaining
 		}
 	}
@@ -320,6 +325,8 @@
 		known.busyUntil = now.Add(busyPeriod)
 	case RateLimited:
 		known.rateLimitedUntil = now.Add(report.RetryAfter)
+	case Limited:
+		known.limitedUntil = now.Add(min(report.RetryAfter, maxLimitedPeriod))
 	case NotAccepting:
 		known.ejectedUntil = now.Add(notAcceptingEjection)
 	case DeliveryFailed:
--- a/internal/dataplane/balance/instance_state.go
+++ b/internal/dataplane/balance/instance_state.go
@@ -59,7 +59,9 @@
 	cold coldstart.Phase
 	// rateLimitedUntil is when the instance, while warming up, accepts the next request.
 	rateLimitedUntil time.Time
-	lastPickedAt     time.Time
+	// limitedUntil is when the instance, which states a limit on its requests, accepts the next one.
+	limitedUntil time.Time
+	lastPickedAt time.Time
 	// silentSince is when the instance or its node last answered, or when the first of
 	// the requests in progress was sent if that was later.
 	silentSince time.Time
@@ -171,8 +173,16 @@
 	return s.failureRate * math.Exp2(-float64(now.Sub(s.failureRateUpdatedAt))/float64(failureRateHalfLife))
 }
 
-// isRateLimited reports whether the instance is warming up and does not accept the next
-// request yet. A rate limit from the warm-up does not apply once the instance is warm.
+// isRateLimited reports whether the instance does not accept the next request yet, because it is
+// warming up or states a limit. A rate limit from the warm-up does not apply once the instance is warm.
 func (s *instanceState) isRateLimited(now time.Time) bool {
-	return s.rateLimitedUntil.After(now) && s.cold.Until().After(now)
+	return s.limitedUntil.After(now) || s.rateLimitedUntil.After(now) && s.cold.Until().After(now)
+}
+
+// rateLimitEnd returns when a rate-limited instance accepts the next request.
+func (s *instanceState) rateLimitEnd() time.Time {
+	if s.limitedUntil.After(s.rateLimitedUntil) {
+		return s.limitedUntil
+	}
+	return s.rateLimitedUntil
 }
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -1,6 +1,5 @@
 // Package hop encodes what two sidecars tell each other about a request: an Order with the
-// request and a Report with the response, each in one header field. Callers and instances
-// never see the field.
+// request and a Report with the response. Callers and instances never see their header fields.
 package hop
 
 import (
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 )
 
 // Header is the name of the field, in requests and in responses.
@@ -53,6 +54,9 @@
 	// Tenant is the tenant that the request belongs to, and KeyTag the tag of its key; both are
 	// empty for an anonymous request.
 	Tenant, KeyTag string
+	// StatedLimit is the limit that the instance stated in its answers, as far as the sender knows. It has
+	// a field of its own, HeaderLimit.
+	StatedLimit statement.Limit
 }
 
 // CertainRepeat is the value of RepeatPercent for a send that is a repeat for sure.
@@ -168,6 +172,8 @@
 	ReasonProbe Reason = "probe"
 	// ReasonKeyRevoked: the tenant of the request no longer has its key.
 	ReasonKeyRevoked Reason = "key-revoked"
+	// ReasonLimited: the limit that the instance states leaves no room.
+	ReasonLimited Reason = "limited"
 	// ReasonRepeats: the calls that a repeated run makes would exceed the limit on repeats.
 	ReasonRepeats Reason = "repeat-bound"
 )
--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -19,7 +19,7 @@
 // body is admitted immediately, unless the queue would refuse the request. No part of a
 // refused body has been sent and its request has not been executed.
 func (p *Proxy) Admit(ctx context.Context, request *message.Request, bytes int64) server.Admission {
-	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
+	order, err := hop.OrderFrom(request.Header)
 	if err != nil {
 		return p.refuseAdmission(request, Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
 	}
@@ -34,7 +34,7 @@
 	}
 	grant, refusal, wait := p.link.Acquire(ctx, p.linkTicket(request, order, bytes), bytes)
 	if refusal != queue.None {
-		delivery := p.refuse(linkReasonOf(refusal), wait)
+		delivery := p.refuse(p.linkReasonOf(refusal), wait)
 		p.log(request, order, delivery)
 		return p.refuseAdmission(request, delivery)
 	}
@@ -55,8 +55,11 @@
 // admitSmall admits a small body immediately, unless the queue would refuse the request
 // now. The body of a refused request is thus never sent over the link.
 func (p *Proxy) admitSmall(request *message.Request, order hop.Order) server.Admission {
+	if wait := p.limitedFor(order); wait > 0 {
+		return p.refuseAdmission(request, p.refuse(hop.ReasonLimited, wait))
+	}
 	if refusal, wait := p.queue.Refusal(p.ticketFor(request, order)); refusal != queue.None {
-		delivery := p.refuse(reasonOf(refusal), wait)
+		delivery := p.refuse(p.reasonOf(refusal), wait)
 		p.log(request, order, delivery)
 		return p.refuseAdmission(request, delivery)
 	}
@@ -74,11 +77,11 @@
 	return ticket
 }
 
-func linkReasonOf(refusal queue.Refusal) hop.Reason {
+func (p *Proxy) linkReasonOf(refusal queue.Refusal) hop.Reason {
 	if refusal == queue.Busy {
 		return hop.ReasonLink
 	}
-	return reasonOf(refusal)
+	return p.reasonOf(refusal)
 }
 
 func (p *Proxy) refuseAdmission(request *message.Request, delivery Delivery) server.Admission {
--- a/internal/dataplane/inbound/check.go
+++ b/internal/dataplane/inbound/check.go
@@ -23,6 +23,7 @@
 		return hop.ReasonEvacuated
 	case !listed && order.Revision > uint64(current.KnownRevision(order.Instance)):
 		p.cold.noteUnlisted(order.Instance, current, time.Now())
+		p.stated.assume(snapshot.InstanceID{Name: order.Instance}, order.StatedLimit, time.Now())
 		return hop.ReasonNone // the sender's configuration is newer; the instance itself checks its name
 	case !listed, instance.State == snapshot.InstanceDraining:
 		return hop.ReasonDraining
@@ -30,6 +31,9 @@
 		return hop.ReasonWrongInstance
 	}
 	p.updateSlots(instance.Slots)
+	if p.stated.assume(instance.ID(), order.StatedLimit, time.Now()) {
+		p.queue.LimitChanged()
+	}
 	return hop.ReasonNone
 }
 
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -88,6 +88,8 @@
 	link     *transfer.Gate
 	speed    speedEstimate
 	cold     *coldTracker
+	stated   *statedLimit
+	rates    rateLimits
 	slots    atomic.Int64
 	stop     atomic.Pointer[plannedStop]
 	stale    staleInstances
@@ -127,7 +129,9 @@
 	created.probes = newProbeSemaphore()
 	created.crashes = &crashDetector{isGone: created.instance.RefusesConnections, crashed: created.crashed}
 	created.cold = newColdTracker(options)
-	created.queue = queue.NewRateLimited(options.Slots, created.cold.limit)
+	created.stated = newStatedLimit(options.Statements, time.Now())
+	created.rates = rateLimits{cold: created.cold.limit, stated: created.stated}
+	created.queue = queue.NewRateLimited(options.Slots, created.rates)
 	created.slots.Store(int64(options.Slots))
 	var err error
 	created.metrics, err = newMetrics(options.Registerer, created.queue)
@@ -178,11 +182,11 @@
 	if request.Method == quota.Method && request.Target == quota.Target && p.options.Quota != nil {
 		return p.grantTokens(request)
 	}
-	order, err := hop.DecodeOrder(request.Header.Get(hop.Header))
+	order, err := hop.OrderFrom(request.Header)
 	if err != nil {
 		return p.answerFor(request, Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
 	}
-	delete(request.Header, hop.Header)
+	hop.Strip(request.Header)
 	return p.answerFor(request, p.Deliver(ctx, request, order))
 }
 
@@ -269,12 +273,15 @@
 	if order.RepeatPercent >= hop.CertainRepeat && !p.options.Budget.Fits(repetitionOf(order), time.Now()) {
 		return p.refuse(hop.ReasonRepeats, 0)
 	}
+	if wait := p.limitedFor(order); wait > 0 {
+		return p.refuse(hop.ReasonLimited, wait)
+	}
 	asked := time.Now()
 	slot, refusal, wait := p.queue.Acquire(ctx, p.ticketFor(request, order))
 	waited := time.Since(asked)
 	p.metrics.observeWait(waited)
 	if refusal != queue.None {
-		delivery := p.refuse(reasonOf(refusal), wait)
+		delivery := p.refuse(p.reasonOf(refusal), wait)
 		delivery.Report.Waited = waited
 		return delivery
 	}
@@ -344,14 +351,14 @@
 	return ticket
 }
 
-func reasonOf(refusal queue.Refusal) hop.Reason {
+func (p *Proxy) reasonOf(refusal queue.Refusal) hop.Reason {
 	switch refusal {
 	case queue.Expired:
 		return hop.ReasonDeadline
 	case queue.Cancelled:
 		return hop.ReasonCancelled
 	case queue.RateLimited:
-		return hop.ReasonCold
+		return p.rates.reason(time.Now())
 	default:
 		return hop.ReasonOverloaded
 	}
--- a/internal/dataplane/inbound/statements.go
+++ b/internal/dataplane/inbound/statements.go
@@ -18,12 +18,13 @@
 		return
 	}
 	stated := statement.Decode(p.options.Names, header)
-	process := p.processOf(order.Instance)
-	change := p.options.Statements.Observe(process, stated, sent, time.Now())
+	change, record, limitChanged := p.stated.observe(p.processOf(order.Instance), stated, sent, time.Now())
+	if limitChanged {
+		p.queue.LimitChanged()
+	}
 	if !change.Limit && !change.Leaving {
 		return
 	}
-	record := p.options.Statements.Get(process)
 	fields := logrus.Fields{"request": request.ID, "instance": order.Instance, "service": p.options.Service, "sent_ms_ago": time.Since(sent).Milliseconds()}
 	if change.Leaving {
 		p.options.Logger.WithFields(fields).Info("the instance states that it leaves")
@@ -34,6 +35,15 @@
 	}
 }
 
+// limitedFor returns how long the request would have to wait for the limit that the instance states, if
+// its sender cannot have known of the limit and has other instances to choose from; otherwise zero.
+func (p *Proxy) limitedFor(order hop.Order) time.Duration {
+	if order.OnlyCandidate || order.StatedLimit.Stated {
+		return 0
+	}
+	return p.stated.Delay(p.queue.Usage().Waiting, time.Now())
+}
+
 // logLimit logs a change of the limit that the instance states, as often as the limit on log lines allows.
 func (p *Proxy) logLimit(fields logrus.Fields, previous, current statement.Limit) {
 	entry, ok := p.lines.Take(true)
--- a/internal/dataplane/outbound/feedback.go
+++ b/internal/dataplane/outbound/feedback.go
@@ -48,6 +48,8 @@
 		return balance.RequestFailed
 	case hop.ReasonCold:
 		return balance.RateLimited
+	case hop.ReasonLimited:
+		return balance.Limited
 	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.NotAccepting
 	case hop.ReasonConnect, hop.ReasonBroken, hop.ReasonCrashed:
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -35,6 +35,11 @@
 		remaining -= hopMargin
 	}
 	due, value := e.due(choice, remaining)
+	limit := e.proxy.options.Statements.Get(choice.Instance.ID()).Limit()
+	maxWait := e.maxWait(due, remaining)
+	if limit.Stated {
+		maxWait = min(maxWait, e.limitedWait(choice, due, remaining))
+	}
 	return hop.Order{
 		Instance:        choice.Instance.Name,
 		CallerService:   e.proxy.options.Service,
@@ -42,7 +47,7 @@
 		ValueRank:       int(value),
 		Remaining:       remaining,
 		Due:             due,
-		MaxWait:         e.maxWait(due, remaining),
+		MaxWait:         maxWait,
 		ServiceTime:     min(time.Duration(startShare*float64(choice.ServiceTime)), remaining/2),
 		MeanServiceTime: choice.MeanServiceTime,
 		Revision:        uint64(e.current.Version().Revision),
@@ -53,6 +58,7 @@
 		Suspected:       e.suspicion.standing == suspects.Suspected,
 		Tenant:          e.identity.Name(),
 		KeyTag:          e.keyTag(),
+		StatedLimit:     limit,
 	}
 }
 
@@ -111,6 +117,16 @@
 	}
 }
 
+// limitedWait returns how long the request may wait at an instance that states a limit: not at all while
+// another instance states none. Otherwise no longer than it can be in time while requests are refused: a
+// longer queue makes all answers late and serves none more.
+func (e *exchange) limitedWait(choice balance.Choice, due, remaining time.Duration) time.Duration {
+	if e.hasUnlimitedExcept(choice.Instance.Name) {
+		return 0
+	}
+	return finalAttemptWait(due, remaining, e.proxy.callerRetries.Pressure(e.route.Name, time.Now()))
+}
+
 // finalAttemptWait returns how long a request waits whose caller has too little time to retry:
 // until its deadline, but no longer than others while new requests find no slot either, as
 // waiting would most likely be in vain.
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -260,7 +260,7 @@
 	names := p.options.Names
 	for _, name := range []string{
 		names.RequestID, names.Deadline, names.ExpectInstance, names.CallerService, names.Tenant,
-		names.NotExecuted, names.Load, hop.Header,
+		names.NotExecuted, names.Load, hop.Header, hop.HeaderLimit,
 	} {
 		delete(header, name)
 	}
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -143,7 +143,7 @@
 // the whole request, so a request that was sent in part has not run.
 func (n *sidecarPools) send(ctx context.Context, request *message.Request, instance snapshot.Instance, order hop.Order, mayGiveUp func() bool) sendResult {
 	header := maps.Clone(request.Header)
-	header[hop.Header] = []string{order.Encode()}
+	order.AddTo(header)
 	if n.idHeader != "" {
 		header[n.idHeader] = []string{request.ID}
 	}
--- a/internal/dataplane/outbound/statements.go
+++ b/internal/dataplane/outbound/statements.go
@@ -21,6 +21,18 @@
 	}
 }
 
+// hasUnlimitedExcept reports whether an instance other than the given one may be tried that states no
+// limit on its requests.
+func (e *exchange) hasUnlimitedExcept(excepted string) bool {
+	for _, instance := range e.instances() {
+		if instance.State == snapshot.InstanceReady && instance.Name != excepted && !e.tried[instance.Name] &&
+			!e.proxy.options.Statements.Get(instance.ID()).Limit().Stated {
+			return true
+		}
+	}
+	return false
+}
+
 // pruneStatements forgets the statements of processes that the configuration no longer lists.
 func (p *Proxy) pruneStatements(now time.Time) {
 	current := p.options.Snapshots.Current()
--- a/internal/dataplane/outbound/suspicion.go
+++ b/internal/dataplane/outbound/suspicion.go
@@ -89,7 +89,7 @@
 	switch reason {
 	case hop.ReasonProbe:
 		return true
-	case hop.ReasonOverloaded, hop.ReasonCold, hop.ReasonLink:
+	case hop.ReasonOverloaded, hop.ReasonCold, hop.ReasonLimited, hop.ReasonLink:
 		return e.suspicion.standing == suspects.Suspected
 	default:
 		return false
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -83,8 +83,9 @@
 	limiter RateLimiter
 
 	mutex sync.Mutex
-	// timerPending is set while a timer of scheduleGrant runs.
+	// timerPending is set while a timer of scheduleGrant runs, which ends at grantAt.
 	timerPending bool
+	grantAt      time.Time
 	slots        int
 	running      int
 	waiting      waiters
@@ -118,6 +119,16 @@
 	q.grantWaiting(time.Now())
 }
 
+// LimitChanged applies a change of the rate limit to the requests that wait: those that can start now
+// start, and those that would have to wait for too long are refused.
+func (q *Queue) LimitChanged() {
+	now := time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.grantWaiting(now)
+	q.refuseRateLimited(now)
+}
+
 // Usage returns the current usage.
 func (q *Queue) Usage() Usage {
 	q.mutex.Lock()
@@ -178,7 +189,7 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	waiter := &waiter{ticket: ticket, result: make(chan grantResult, 1)}
+	waiter := &waiter{ticket: ticket, giveUpAt: now.Add(ticket.MaxWait), result: make(chan grantResult, 1)}
 	heap.Push(&q.waiting, waiter)
 	q.grantWaiting(now)
 	q.mutex.Unlock()
@@ -234,7 +245,7 @@
 		case received := <-waiter.result:
 			return received.slot, received.refusal, q.meanServiceTime()
 		case <-timer.C:
-			refusal = Busy
+			refusal = q.waitRefusal()
 			var extension time.Duration
 			if removed, extension = q.expireWait(waiter); extension > 0 {
 				timer.Reset(extension)
@@ -349,7 +360,7 @@
 			continue
 		}
 		if delay := q.limiter.Begin(now); delay > 0 {
-			q.scheduleGrant(delay)
+			q.scheduleGrant(delay, now)
 			return
 		}
 		next := heap.Pop(&q.waiting).(*waiter)
--- a/internal/dataplane/queue/rate_limit.go
+++ b/internal/dataplane/queue/rate_limit.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
 
 // RateLimiter limits the rate at which requests start, in addition to the slots.
 type RateLimiter interface {
@@ -21,12 +25,14 @@
 // Delay implements Pace.
 func (unlimited) Delay(int, time.Time) time.Duration { return 0 }
 
-// scheduleGrant grants slots to waiters after the delay. The caller must hold the mutex.
-func (q *Queue) scheduleGrant(delay time.Duration) {
-	if q.timerPending {
+// scheduleGrant grants slots to waiters after the delay, unless that is scheduled for an earlier time
+// already. The caller must hold the mutex.
+func (q *Queue) scheduleGrant(delay time.Duration, now time.Time) {
+	at := now.Add(delay)
+	if q.timerPending && !at.Before(q.grantAt) {
 		return
 	}
-	q.timerPending = true
+	q.timerPending, q.grantAt = true, at
 	time.AfterFunc(delay, func() {
 		q.mutex.Lock()
 		defer q.mutex.Unlock()
@@ -34,3 +40,35 @@
 		q.grantWaiting(time.Now())
 	})
 }
+
+// waitRefusal returns why a request that has waited for as long as it may got no slot.
+func (q *Queue) waitRefusal() Refusal {
+	now := time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.running < q.slots && q.limiter.Delay(0, now) > 0 {
+		return RateLimited
+	}
+	return Busy
+}
+
+// refuseRateLimited refuses the waiters that the rate limit would hold back for longer than they may
+// wait. The caller must hold the mutex.
+func (q *Queue) refuseRateLimited(now time.Time) {
+	inOrder := slices.SortedFunc(slices.Values(q.waiting), func(a, b *waiter) int {
+		if a.ticket.precedes(b.ticket) {
+			return -1
+		}
+		return 1
+	})
+	ahead := 0
+	for _, each := range inOrder {
+		starts := now.Add(q.limiter.Delay(ahead, now))
+		if starts.After(each.giveUpAt) && !each.ticket.OnlyCandidate || starts.After(each.ticket.LatestStart) {
+			heap.Remove(&q.waiting, each.index)
+			each.result <- grantResult{refusal: RateLimited}
+			continue
+		}
+		ahead++
+	}
+}
--- a/internal/dataplane/queue/rate_limit_test.go
+++ b/internal/dataplane/queue/rate_limit_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 )
 
 // TestRateLimitedRequestsStartInOrder checks that with free slots, requests start as the
@@ -65,3 +65,69 @@
 		}
 	})
 }
+
+// changingLimit is a rate limit whose rate changes.
+type changingLimit struct{ *ratelimit.Limit }
+
+func (l changingLimit) set(perSecond float64) {
+	now := time.Now()
+	l.Set(ratelimit.Bounds{Rate: perSecond, Burst: 1}, ratelimit.Forever, now)
+}
+
+// TestLoweredLimitRefusesWaitersAtOnce checks that requests which wait for a rate limit are refused, as
+// rate limited, as soon as the limit falls so far that they cannot start in time. If they waited on until
+// then, their callers would learn of it much later, and as of an overload.
+func TestLoweredLimitRefusesWaitersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limit := changingLimit{ratelimit.NewLimit(time.Now())}
+		limit.set(10)
+		q := queue.NewRateLimited(100, limit)
+		const waiting = 40
+		refusals := make(chan queue.Refusal, waiting)
+		for range waiting {
+			go func() {
+				_, refusal, _ := q.Acquire(context.Background(), ticket(1, 5500*time.Millisecond))
+				refusals <- refusal
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		limit.set(1)
+		q.LimitChanged()
+		synctest.Wait()
+		c.Check(len(refusals), qt.Equals, waiting-5)
+		for range waiting - 5 {
+			c.Check(<-refusals, qt.Equals, queue.RateLimited)
+		}
+		for range 5 {
+			c.Check(<-refusals, qt.Equals, queue.None)
+		}
+		c.Check(time.Since(began).Round(time.Millisecond), qt.Equals, 5*time.Second)
+	})
+}
+
+// TestRaisedLimitStartsWaiters checks that requests which wait for a low limit start as soon as it rises.
+func TestRaisedLimitStartsWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limit := changingLimit{ratelimit.NewLimit(time.Now())}
+		limit.set(0.1)
+		q := queue.NewRateLimited(4, limit)
+		started := make(chan struct{}, 2)
+		for range 2 {
+			go func() {
+				_, refusal, _ := q.Acquire(context.Background(), ticket(1, time.Minute))
+				c.Check(refusal, qt.Equals, queue.None)
+				started <- struct{}{}
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		limit.set(100)
+		q.LimitChanged()
+		<-started
+		<-started
+		c.Check(time.Since(began) < 50*time.Millisecond, qt.IsTrue) // virtual time
+	})
+}
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -14,8 +14,10 @@
 // waiter is a queued request.
 type waiter struct {
 	ticket Ticket
-	result chan grantResult // buffered, so that the single send never blocks
-	index  int
+	// giveUpAt is when the request has waited for as long as it may, unless that is extended.
+	giveUpAt time.Time
+	result   chan grantResult // buffered, so that the single send never blocks
+	index    int
 }
 
 // lengthWeight is how much later a request is ordered per unit of its processing time: many
--- a/internal/dataplane/statement/statement.go
+++ b/internal/dataplane/statement/statement.go
@@ -49,7 +49,7 @@
 	if len(values) == 0 {
 		return decoded
 	}
-	perSecond, ok := parseRate(values[0])
+	perSecond, ok := ParseRate(values[0])
 	if !ok || len(values) > 1 {
 		decoded.MalformedLimit = true
 		return decoded
@@ -58,9 +58,9 @@
 	return decoded
 }
 
-// parseRate parses a decimal number such as "4", "4.25" or ".5". Signs, exponents and the other
+// ParseRate parses a decimal number such as "4", "4.25" or ".5". Signs, exponents and the other
 // notations that strconv accepts are no decimal numbers.
-func parseRate(text string) (rate float64, ok bool) {
+func ParseRate(text string) (rate float64, ok bool) {
 	digits, dots := 0, 0
 	for _, character := range text {
 		switch {
