app: an instance that states in its answers that it leaves gets requests to its end (known red)

What callers saw: nothing yet; the users' new rule on leavings that are stated in answers is broken whenever the store goes on listing the instance. Four rows with real nodes: listed as ready, restart of the node beside the instance, its entry written again as ready, both.

--- /dev/null
+++ b/internal/app/store_leaving_answer_test.go
@@ -0,0 +1,100 @@
+package app
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/winchhead/winchhead/internal/emulator/instance"
+)
+
+// leavingJudge records which requests reach an instance that states that it leaves, when they began, and
+// when each machine first passed that on.
+type leavingJudge struct {
+	instance string
+
+	mutex      sync.Mutex
+	passedOnAt map[int]time.Time
+	sentAt     map[string]time.Time
+}
+
+// began records that a request begins.
+func (j *leavingJudge) began(id string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.sentAt[id] = time.Now()
+}
+
+// ended records the answer to a request.
+func (j *leavingJudge) ended(id string, got answer) {
+	if got.header.Get(instance.HeaderStamp) != j.instance {
+		return
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if _, known := j.passedOnAt[machineOf(id)]; !known && got.header.Get(instance.HeaderLeaving) != "" {
+		j.passedOnAt[machineOf(id)] = time.Now()
+	}
+}
+
+// lateRuns counts the runs of requests that began at any machine more than a duration after the machine had
+// passed on that the instance leaves.
+func (j *leavingJudge) lateRuns(runs []instance.Run, allowed time.Duration) (late int) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	for _, run := range runs {
+		passedOn, known := j.passedOnAt[machineOf(run.ID)]
+		if known && j.sentAt[run.ID].After(passedOn.Add(allowed)) {
+			late++
+		}
+	}
+	return late
+}
+
+// TestStoreLeavingStatedInAnswers guards against requests to an instance that states in its answers that it
+// leaves, while the store still lists it as ready: if only the node beside it knew, a restart of that node
+// would let requests through again; if only the node that heard an answer knew, all others would go on.
+func TestStoreLeavingStatedInAnswers(t *testing.T) {
+	const (
+		duration = 5 * time.Second
+		interval = 10 * time.Millisecond
+		// allowed is how long after an answer was passed on a request may begin that reaches the instance.
+		allowed = 300 * time.Millisecond
+		leaver  = 3
+	)
+	for name, row := range map[string]struct{ restart, listAgain bool }{
+		"listed as ready":                        {},
+		"the node beside the instance restarts":  {restart: true},
+		"its entry is written again as ready":    {listAgain: true},
+		"restarts while its entry is written on": {restart: true, listAgain: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			load := newLimitLoad(t, []string{"front", "front", "front", "data", "data", "data"}, interval)
+			judge := &leavingJudge{instance: load.r.machines[leaver].instance.Name, passedOnAt: map[int]time.Time{}, sentAt: map[string]time.Time{}}
+			load.leaving = judge
+			load.r.machines[leaver].instance.SetStatement(instance.LeavingLine)
+			disturbed := make(chan struct{})
+			time.AfterFunc(duration/2, func() {
+				defer close(disturbed)
+				if row.restart {
+					load.restart(leaver)
+				}
+				if row.listAgain {
+					load.r.put(leaver, "ready")
+				}
+			})
+			load.run(duration)
+			<-disturbed
+			c := load.r.c
+			runs := load.r.machines[leaver].instance.Runs()
+			c.Logf("%d requests reached the instance, statuses %v", len(runs), load.statuses)
+			c.Check(len(judge.passedOnAt) > 0, qt.IsTrue)
+			c.Check(judge.lateRuns(runs, allowed), qt.Equals, 0)
+			c.Check(load.statuses[http.StatusOK] > 0, qt.IsTrue)
+		})
+	}
+}
--- a/internal/app/store_limit_test.go
+++ b/internal/app/store_limit_test.go
@@ -110,6 +110,8 @@
 	interval time.Duration
 	// judges are those of the instances, by machine.
 	judges map[int]*limitJudge
+	// leaving is the judge of an instance that leaves, if there is one.
+	leaving *leavingJudge
 
 	mutex    sync.Mutex
 	statuses map[int]int
@@ -137,7 +139,13 @@
 
 func (l *limitLoad) send(sender int, id string) {
 	began := time.Now()
+	if l.leaving != nil {
+		l.leaving.began(id)
+	}
 	got := l.r.send(sender, http.MethodGet, "/read/x", id, instance.HeaderDeadline, "1200")
+	if l.leaving != nil {
+		l.leaving.ended(id, got)
+	}
 	for _, judge := range l.judges {
 		judge.passedOn(sender, got)
 	}
