dataplane: an instance that states that it leaves gets no further requests

What callers saw: nothing yet; requests went on to an instance that says in its answers that it leaves for as long as the store listed it as ready (the users' new rule on leavings).

Change: for each sender an instance that has stated that it leaves counts as draining for the life of that process, whatever its entry says later; the node beside it refuses for all senders with the reason of a draining instance, checked again right before a request is sent. What a sender knows does not end with the node beside the instance.

--- a/internal/app/store_leaving_answer_test.go
+++ b/internal/app/store_leaving_answer_test.go
@@ -98,3 +98,27 @@
 		})
 	}
 }
+
+// TestStoreOnlyInstanceLeaves checks that requests are refused at once, with a time to retry, when the only
+// instance of a service has stated that it leaves, and served by the next instance.
+func TestStoreOnlyInstanceLeaves(t *testing.T) {
+	r := newStoreHarness(t, []string{"front", "data"}, nil)
+	r.startAll()
+	r.machines[1].instance.SetStatement(instance.LeavingLine)
+	r.c.Check(r.send(0, http.MethodGet, "/read/x", "last").status, qt.Equals, http.StatusOK)
+	refused := r.send(0, http.MethodGet, "/read/x", "refused")
+	r.c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	r.c.Check(refused.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	r.c.Check(r.runs("refused"), qt.HasLen, 0)
+
+	former := r.machines[1].instance
+	former.Close()
+	next := &instance.Instance{Name: "i-next", Address: former.Address}
+	_, err := next.Start()
+	r.c.Assert(err, qt.IsNil)
+	r.c.Cleanup(next.Close)
+	r.machines[1].instance = next
+	r.store.Delete("servers/" + former.Name)
+	r.awaitRevision(r.put(1, "ready"))
+	r.c.Check(r.send(0, http.MethodGet, "/read/x", "next").status, qt.Equals, http.StatusOK)
+}
--- a/internal/app/store_limit_test.go
+++ b/internal/app/store_limit_test.go
@@ -108,6 +108,8 @@
 	r        *storeHarness
 	senders  []int
 	interval time.Duration
+	// deadline is what callers send, in milliseconds.
+	deadline string
 	// judges are those of the instances, by machine.
 	judges map[int]*limitJudge
 	// leaving is the judge of an instance that leaves, if there is one.
@@ -142,7 +144,7 @@
 	if l.leaving != nil {
 		l.leaving.began(id)
 	}
-	got := l.r.send(sender, http.MethodGet, "/read/x", id, instance.HeaderDeadline, "1200")
+	got := l.r.send(sender, http.MethodGet, "/read/x", id, instance.HeaderDeadline, l.deadline)
 	if l.leaving != nil {
 		l.leaving.ended(id, got)
 	}
@@ -180,9 +182,9 @@
 }
 
 // newLimitLoad starts machines of the services, of which the first ones send every interval, and waits
-// until a configuration with a latency target of half a second is in force.
+// until a configuration is in force.
 func newLimitLoad(t *testing.T, services []string, interval time.Duration) *limitLoad {
-	load := &limitLoad{interval: interval, judges: make(map[int]*limitJudge)}
+	load := &limitLoad{interval: interval, deadline: "60000", judges: make(map[int]*limitJudge)}
 	load.r = newStoreHarness(t, services, func(index int, emulated *instance.Instance) {
 		if services[index] == "front" {
 			load.senders = append(load.senders, index)
@@ -194,12 +196,23 @@
 		emulated.Work = workFor(limitedWork)
 	})
 	load.r.startAll()
-	text := strings.NewReplacer(`"targetLatencyMs":20000`, `"targetLatencyMs":500`, `"timeoutMs":30000`, `"timeoutMs":1500`).Replace(
-		fmt.Sprintf(configurationOf, 2, ""))
-	load.r.awaitRevision(snapshot.Revision(load.r.store.Put("op/config", []byte(text))))
+	load.configure(2, strings.NewReplacer())
 	return load
 }
 
+// configure puts a configuration into force.
+func (l *limitLoad) configure(version int, edits *strings.Replacer) {
+	text := edits.Replace(fmt.Sprintf(configurationOf, version, ""))
+	l.r.awaitRevision(snapshot.Revision(l.r.store.Put("op/config", []byte(text))))
+}
+
+// setLatencyTarget puts a configuration with a latency target of half a second into force, so that
+// requests that cannot be served soon are refused.
+func (l *limitLoad) setLatencyTarget() {
+	l.configure(3, strings.NewReplacer(`"targetLatencyMs":20000`, `"targetLatencyMs":500`, `"timeoutMs":30000`, `"timeoutMs":1500`))
+	l.deadline = "1200"
+}
+
 // state makes the instance of a machine state a limit.
 func (l *limitLoad) state(index int, perSecond float64) {
 	l.r.machines[index].instance.SetStatement(instance.LimitLine(perSecond))
@@ -255,6 +268,7 @@
 	t.Run("the only instance", func(t *testing.T) {
 		t.Parallel()
 		load := newLimitLoad(t, []string{"front", "front", "front", "data"}, 5*interval)
+		load.setLatencyTarget()
 		load.state(3, limit)
 		load.run(duration)
 		load.checkBound(3, limit)
@@ -263,6 +277,7 @@
 	t.Run("all instances", func(t *testing.T) {
 		t.Parallel()
 		load := newLimitLoad(t, []string{"front", "front", "front", "data", "data", "data"}, 5*interval)
+		load.setLatencyTarget()
 		for index := 3; index < 6; index++ {
 			load.state(index, limit)
 		}
--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -197,7 +197,7 @@
 		if known == nil || !known.isRateLimited(now) {
 			continue
 		}
-		if remaining := known.rateLimitEnd().Sub(now); shortest == 0 || remaining < shortest {
+		if remaining := known.rateLimitEnd(now).Sub(now); shortest == 0 || remaining < shortest {
 			shortest = remaining
 		}
 	}
@@ -327,6 +327,7 @@
 		known.rateLimitedUntil = now.Add(report.RetryAfter)
 	case Limited:
 		known.limitedUntil = now.Add(min(report.RetryAfter, maxLimitedPeriod))
+		known.limitRoomAt = now.Add(report.RetryAfter)
 	case NotAccepting:
 		known.ejectedUntil = now.Add(notAcceptingEjection)
 	case DeliveryFailed:
--- a/internal/dataplane/balance/balance_test.go
+++ b/internal/dataplane/balance/balance_test.go
@@ -215,6 +215,24 @@
 	c.Check(b.RateLimitedFor([]snapshot.Instance{warm}, soon), qt.Equals, time.Duration(0))
 }
 
+// TestLimitedInstanceIsTriedAgainSoon checks that an instance which has reached its stated limit is left
+// alone only briefly, as the limit may end at any time, while callers are told when it is to have room.
+func TestLimitedInstanceIsTriedAgainSoon(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	b := balance.New(balance.Options{Zone: "near", Mechanisms: mechanism.All()})
+	limited := instance("home", "near")
+	choice, found := pick(b, now, "", limited)
+	c.Assert(found, qt.IsTrue)
+	transition := choice.Done(balance.Limited, &hop.Report{Outcome: hop.Refused, Reason: hop.ReasonLimited, RetryAfter: 5 * time.Second, Slots: 4}, 0, now)
+	c.Check(transition, qt.Equals, balance.Unchanged)
+	_, found = pick(b, now.Add(50*time.Millisecond), "", limited)
+	c.Check(found, qt.IsFalse)
+	c.Check(b.RateLimitedFor([]snapshot.Instance{limited}, now.Add(50*time.Millisecond)), qt.Equals, 4950*time.Millisecond)
+	_, found = pick(b, now.Add(time.Second), "", limited)
+	c.Check(found, qt.IsTrue)
+}
+
 // TestWarmInstanceIsNotRateLimitedForEarlierRequests: a request takes its timestamp before
 // it waits for the balancer's lock. Meanwhile another request may record that the instance
 // became warm, with a later timestamp. The waiting request must not treat the instance as
--- a/internal/dataplane/balance/instance_state.go
+++ b/internal/dataplane/balance/instance_state.go
@@ -59,9 +59,10 @@
 	cold coldstart.Phase
 	// rateLimitedUntil is when the instance, while warming up, accepts the next request.
 	rateLimitedUntil time.Time
-	// limitedUntil is when the instance, which states a limit on its requests, accepts the next one.
-	limitedUntil time.Time
-	lastPickedAt time.Time
+	// limitedUntil is when an instance that has reached its stated limit is tried again, limitRoomAt when
+	// it was to have room again.
+	limitedUntil, limitRoomAt time.Time
+	lastPickedAt              time.Time
 	// silentSince is when the instance or its node last answered, or when the first of
 	// the requests in progress was sent if that was later.
 	silentSince time.Time
@@ -180,9 +181,9 @@
 }
 
 // rateLimitEnd returns when a rate-limited instance accepts the next request.
-func (s *instanceState) rateLimitEnd() time.Time {
-	if s.limitedUntil.After(s.rateLimitedUntil) {
-		return s.limitedUntil
+func (s *instanceState) rateLimitEnd(now time.Time) time.Time {
+	if s.limitedUntil.After(now) {
+		return s.limitRoomAt
 	}
 	return s.rateLimitedUntil
 }
--- a/internal/dataplane/inbound/check.go
+++ b/internal/dataplane/inbound/check.go
@@ -21,6 +21,8 @@
 	switch {
 	case current.IsEvacuated(p.options.Zone):
 		return hop.ReasonEvacuated
+	case p.options.Statements.IsLeaving(p.processOf(order.Instance)):
+		return hop.ReasonDraining
 	case !listed && order.Revision > uint64(current.KnownRevision(order.Instance)):
 		p.cold.noteUnlisted(order.Instance, current, time.Now())
 		p.stated.assume(snapshot.InstanceID{Name: order.Instance}, order.StatedLimit, time.Now())
--- a/internal/dataplane/outbound/regions_test.go
+++ b/internal/dataplane/outbound/regions_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/tenancy"
 )
@@ -54,7 +55,7 @@
 			}
 		}
 		sent := &exchange{
-			proxy: &Proxy{options: Options{Regions: regions}}, route: route, identity: identity, service: "a",
+			proxy: &Proxy{options: Options{Regions: regions, Statements: statement.NewTracker()}}, route: route, identity: identity, service: "a",
 			current: empty.WithFleet(snapshot.Version{Revision: 2}, snapshot.Content{Instances: listed}),
 		}
 		for range 2 { // the first send and a repeat
--- a/internal/dataplane/outbound/statements.go
+++ b/internal/dataplane/outbound/statements.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"slices"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
@@ -21,6 +22,33 @@
 	}
 }
 
+// instances returns the instances of the selected target that the request may run at. Those that have
+// stated that they leave count as draining, whatever the configuration says.
+func (e *exchange) instances() []snapshot.Instance {
+	permitted := e.permittedInstances()
+	leaving := e.proxy.options.Statements.Leaving()
+	if !e.hasAny(leaving) {
+		return permitted
+	}
+	marked := slices.Clone(permitted)
+	for i := range marked {
+		if _, leaves := leaving[marked[i].ID()]; leaves {
+			marked[i].State = snapshot.InstanceDraining
+		}
+	}
+	return marked
+}
+
+// hasAny reports whether any of the processes is one of the selected target.
+func (e *exchange) hasAny(processes map[snapshot.InstanceID]struct{}) bool {
+	for process := range processes {
+		if instance, listed := e.current.Instance(process.Name); listed && instance.Service == e.service {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUnlimitedExcept reports whether an instance other than the given one may be tried that states no
 // limit on its requests.
 func (e *exchange) hasUnlimitedExcept(excepted string) bool {
--- a/internal/dataplane/outbound/tenants.go
+++ b/internal/dataplane/outbound/tenants.go
@@ -70,8 +70,8 @@
 	return e.proxy.errorAnswer(e.request, http.StatusUnauthorized, string(tenancy.Unknown), 0)
 }
 
-// instances returns the instances of the selected target that may serve the request.
-func (e *exchange) instances() []snapshot.Instance {
+// permittedInstances returns the instances of the selected target in the allowed regions.
+func (e *exchange) permittedInstances() []snapshot.Instance {
 	if !tenancy.RestrictsRegions(e.route, e.identity) {
 		return e.current.Instances(e.service)
 	}
--- a/internal/dataplane/statement/tracker.go
+++ b/internal/dataplane/statement/tracker.go
@@ -17,6 +17,9 @@
 	// count is the number of records: while there is none, answers that state nothing take no lock.
 	count atomic.Int64
 
+	// leaving holds the processes that leave. The map is replaced, never changed; nil: none.
+	leaving atomic.Pointer[map[snapshot.InstanceID]struct{}]
+
 	mutex   sync.RWMutex
 	records map[snapshot.InstanceID]*Record
 }
@@ -42,7 +45,44 @@
 		t.records[process] = record
 		t.count.Store(int64(len(t.records)))
 	}
-	return record.Observe(stated, sent, received)
+	change := record.Observe(stated, sent, received)
+	if change.Leaving {
+		t.collectLeaving()
+	}
+	return change
+}
+
+// collectLeaving updates leaving. The caller must hold the mutex.
+func (t *Tracker) collectLeaving() {
+	var found map[snapshot.InstanceID]struct{}
+	for process, record := range t.records {
+		if !record.IsLeaving() {
+			continue
+		}
+		if found == nil {
+			found = make(map[snapshot.InstanceID]struct{})
+		}
+		found[process] = struct{}{}
+	}
+	if found == nil {
+		t.leaving.Store(nil)
+		return
+	}
+	t.leaving.Store(&found)
+}
+
+// Leaving returns the processes that leave. The caller must not change the map.
+func (t *Tracker) Leaving() map[snapshot.InstanceID]struct{} {
+	if found := t.leaving.Load(); found != nil {
+		return *found
+	}
+	return nil
+}
+
+// IsLeaving reports whether a process has stated that it leaves.
+func (t *Tracker) IsLeaving(process snapshot.InstanceID) bool {
+	_, found := t.Leaving()[process]
+	return found
 }
 
 // Get returns the record of a process, which is empty if it has stated nothing.
@@ -96,5 +136,6 @@
 			delete(t.records, process)
 		}
 	}
+	t.collectLeaving()
 	t.count.Store(int64(len(t.records)))
 }
