storesoak: instances state limits and leavings in their answers, judged by the machine where a request began

The check counts arrivals at the instance, rejected ones included, from machines that had passed the limit on half a second before and were not disturbed since, against one and a half times the limit and 5 in any 4 s; a request that begins over 2 s after its machine passed a leaving on is late, and only a stop, kill or pause of that machine excuses it.

--- a/internal/bench/command/store_soak.go
+++ b/internal/bench/command/store_soak.go
@@ -17,23 +17,24 @@
 type storeSoakCommand struct {
 	environment
 	binaryFlags
-	Seed         uint64  `long:"seed" default:"1" description:"seed of the first soak; the others have the next ones"`
-	Seeds        int     `long:"seeds" default:"1" description:"how many soaks, one after the other"`
-	Machines     int     `long:"machines" default:"8" description:"machines of the fleet, each with a node process; 80 is the usual size"`
-	Zones        int     `long:"zones" default:"2" description:"zones that the machines are spread over"`
-	Routes       int     `long:"routes" default:"200" description:"the most routes that changes add, in all; a third of them is there from the start"`
-	SlowestLink  float64 `long:"slowest-link" value-name:"MBITS" description:"rate of the slowest machines' links; others have up to 20 times that; none if left out"`
-	Busy         int     `long:"busy" description:"processes that use processors beside the fleet"`
-	Faults       int     `long:"faults" default:"20" description:"faults of each soak"`
-	Rate         float64 `long:"rate" default:"150" description:"calls per second"`
-	RestoreShare float64 `long:"restore-share" description:"share of the faults, 0 to 1, in which the store comes back from a copy some seconds old"`
-	LeaveRate    float64 `long:"leave-rate" description:"instances per second that say that they leave and are replaced, beside the faults; changes then come in quick succession"`
-	CrashRate    float64 `long:"crash-rate" description:"calls per second that crash the instances which run them; these start again under their names"`
-	Tenants      int     `long:"tenants" description:"tenants that send the calls, with keys that change, and one of them ten times as much as its quota allows"`
-	Regressions  bool    `long:"regressions" description:"play the soaks that once broke a promise, as they were played"`
-	JSON         bool    `long:"json" description:"print the reports as JSON"`
-	Chart        string  `long:"report" value-name:"FILE" description:"draw how long changes took and what was served, over time (.png, .svg, .pdf)"`
-	Verbose      bool    `long:"verbose" description:"print what the nodes log"`
+	Seed          uint64  `long:"seed" default:"1" description:"seed of the first soak; the others have the next ones"`
+	Seeds         int     `long:"seeds" default:"1" description:"how many soaks, one after the other"`
+	Machines      int     `long:"machines" default:"8" description:"machines of the fleet, each with a node process; 80 is the usual size"`
+	Zones         int     `long:"zones" default:"2" description:"zones that the machines are spread over"`
+	Routes        int     `long:"routes" default:"200" description:"the most routes that changes add, in all; a third of them is there from the start"`
+	SlowestLink   float64 `long:"slowest-link" value-name:"MBITS" description:"rate of the slowest machines' links; others have up to 20 times that; none if left out"`
+	Busy          int     `long:"busy" description:"processes that use processors beside the fleet"`
+	Faults        int     `long:"faults" default:"20" description:"faults of each soak"`
+	Rate          float64 `long:"rate" default:"150" description:"calls per second"`
+	RestoreShare  float64 `long:"restore-share" description:"share of the faults, 0 to 1, in which the store comes back from a copy some seconds old"`
+	LeaveRate     float64 `long:"leave-rate" description:"instances per second that say that they leave and are replaced, beside the faults; changes then come in quick succession"`
+	CrashRate     float64 `long:"crash-rate" description:"calls per second that crash the instances which run them; these start again under their names"`
+	Tenants       int     `long:"tenants" description:"tenants that send the calls, with keys that change, and one of them ten times as much as its quota allows"`
+	StatementRate float64 `long:"statement-rate" description:"instances per second that begin to state limits on their requests in their answers, or that they leave, beside the faults"`
+	Regressions   bool    `long:"regressions" description:"play the soaks that once broke a promise, as they were played"`
+	JSON          bool    `long:"json" description:"print the reports as JSON"`
+	Chart         string  `long:"report" value-name:"FILE" description:"draw how long changes took and what was served, over time (.png, .svg, .pdf)"`
+	Verbose       bool    `long:"verbose" description:"print what the nodes log"`
 }
 
 // Execute runs the soak tests and prints a line for each seed.
@@ -86,7 +87,7 @@
 		tests = append(tests, storesoak.Options{
 			Seed: c.Seed + uint64(i), Machines: c.Machines, Zones: c.Zones, Routes: c.Routes, SlowestLink: c.SlowestLink,
 			CPULoadProcesses: c.Busy, Faults: c.Faults, Rate: c.Rate, CrashRate: c.CrashRate, ReplacementRate: c.LeaveRate, RestoreShare: c.RestoreShare,
-			Tenants: c.Tenants,
+			Tenants: c.Tenants, StatementRate: c.StatementRate,
 		})
 	}
 	return tests
@@ -118,12 +119,13 @@
 		return printJSON(c.stdout, reports)
 	}
 	table := newTable(c.stdout, "SEED", "SECONDS", "FAULTS", "CHANGES", "SENT", "SERVED", "REFUSED", "FAILED",
-		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "CRASHES", "AFTER THIRD", "SHUT OUT", "IN FORCE P50", "P99", "MAX", "REPEATS", "NO KEY", "LATE REVOKED", "WRONG 401", "QUOTA")
+		"DOUBLED", "RAN REFUSED", "WRONG", "UNTOLD", "UNASKED", "WENT BACK", "LOST", "LATE", "LATE CHANGES", "INVALID", "FELL OVER", "CRASHES", "AFTER THIRD", "SHUT OUT", "IN FORCE P50", "P99", "MAX", "REPEATS", "NO KEY", "LATE REVOKED", "WRONG 401", "QUOTA", "LIMITS", "LIMIT SHARE", "LEAVINGS", "AFTER LEAVING")
 	for _, r := range reports {
 		table.row(r.Seed, fmt.Sprintf("%.0f", r.Seconds), r.Faults, r.Changes, r.Sent, r.Served, r.Refused, r.Failed,
 			r.RanTwice, r.RanRefused, r.Wrong, r.NoRetryAfter, r.UnmatchedRuns, r.RolledBack, r.Lost, r.LateAnswers, r.LateChanges, r.Invalid, r.ColdOverloads, r.Crashes, r.AfterThirdCrash, r.WronglyRefused,
 			fmt.Sprintf("%.3f", r.InForce.P50), fmt.Sprintf("%.3f", r.InForce.P99), fmt.Sprintf("%.3f", r.InForce.Max), fmt.Sprintf("%.2f", r.RetryBoundShare),
-			r.Unauthenticated, r.LateRevocations, r.WronglyUnauthenticated, fmt.Sprintf("%.2f", r.QuotaBoundShare))
+			r.Unauthenticated, r.LateRevocations, r.WronglyUnauthenticated, fmt.Sprintf("%.2f", r.QuotaBoundShare),
+			r.StatedLimits, fmt.Sprintf("%.2f", r.LimitBoundShare), r.StatedLeavings, fmt.Sprintf("%.3f", r.LastAfterLeaving))
 	}
 	table.flush()
 	for _, r := range reports {
--- a/internal/bench/storesoak/callers.go
+++ b/internal/bench/storesoak/callers.go
@@ -51,6 +51,7 @@
 	responseBody string
 	stamp        string
 	retryAfter   string // Retry-After header of the response
+	stated       statedAnswer
 	err          error
 }
 
@@ -154,6 +155,7 @@
 	}
 	planned.status, planned.responseBody = response.StatusCode, string(body)
 	planned.stamp, planned.retryAfter = response.Header.Get(instance.HeaderStamp), response.Header.Get("Retry-After")
+	planned.stated = newStatedAnswer(response.Header)
 	if response.Header.Get(instance.HeaderID) != planned.id {
 		planned.err = errors.New("the response has the id of another request")
 	}
--- a/internal/bench/storesoak/check.go
+++ b/internal/bench/storesoak/check.go
@@ -68,6 +68,15 @@
 	// machines that were not impaired meanwhile.
 	InForce Quantiles `json:"seconds_until_in_force"`
 
+	// StatedLimits and StatedLeavings count how often instances stated limits, and that they leave.
+	StatedLimits   int `json:"stated_limits"`
+	StatedLeavings int `json:"stated_leavings"`
+	// LimitBoundShare is the largest used share of the bound of a stated limit in any window.
+	LimitBoundShare float64 `json:"limits"`
+	// LastAfterLeaving is the longest time, in seconds, from when a machine had passed on that an instance
+	// leaves until a request began there that reached the instance.
+	LastAfterLeaving float64 `json:"seconds_after_leaving"`
+
 	// Unauthenticated ran with no key or one that never existed, or for another tenant than the key's.
 	Unauthenticated int `json:"unauthenticated"`
 	// LateRevocations ran with a key that had been revoked for longer than a change may take.
@@ -149,6 +158,7 @@
 	s.checkColdInstances()
 	s.checkCrashes(calls, runs)
 	s.checkTenants(calls, runs)
+	s.checkStatements(calls)
 	s.report.ServedShare = servedShares(calls)
 	s.checkRetryBound(calls)
 }
--- a/internal/bench/storesoak/crash.go
+++ b/internal/bench/storesoak/crash.go
@@ -35,6 +35,7 @@
 func (f *fleet) enableCrashes(emulated *instance.Instance, m *machine) {
 	emulated.CrashesOn = func(id string) bool { return strings.HasPrefix(id, crashPrefix) }
 	emulated.OnCrash = func() {
+		f.statements.end(emulated.Name)
 		down := shortestDowntime + time.Duration(rand.Int64N(int64(longestDowntime-shortestDowntime)))
 		time.AfterFunc(down, func() { f.restartInstance(emulated, m) })
 	}
@@ -44,6 +45,7 @@
 func (f *fleet) restartInstance(emulated *instance.Instance, m *machine) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	emulated.SetStatement("")
 	if m.instance != emulated || emulated.Restart() != nil {
 		return
 	}
--- a/internal/bench/storesoak/faults.go
+++ b/internal/bench/storesoak/faults.go
@@ -23,6 +23,8 @@
 	// impaired are the machines whose process or links are disturbed: time bounds do not
 	// apply to them during the fault.
 	impaired []int
+	// ofProcess is set if the processes of the impaired machines are stopped, killed or paused.
+	ofProcess bool
 	// storeState is the state of the store during the fault.
 	storeState storeState
 	// duration is the minimum time for which it lasts; zero: as drawn.
@@ -69,7 +71,7 @@
 
 func (f *fleet) killAndRestart(name string, numbers []int) fault {
 	return fault{
-		name: name, machines: numbers, impaired: numbers,
+		name: name, machines: numbers, impaired: numbers, ofProcess: true,
 		begin: func(context.Context) error {
 			return f.forAll(numbers, func(m *machine) error { return m.process.Kill() })
 		},
@@ -93,7 +95,7 @@
 func pauseNodes(random *rand.Rand, f *fleet) fault {
 	numbers := randomMachines(random, f, 1+random.IntN(2))
 	return fault{
-		name: "pause nodes", machines: numbers, impaired: numbers,
+		name: "pause nodes", machines: numbers, impaired: numbers, ofProcess: true,
 		begin: func(context.Context) error {
 			return f.forAll(numbers, func(m *machine) error { return m.process.Pause() })
 		},
@@ -107,7 +109,7 @@
 func stopNode(random *rand.Rand, f *fleet) fault {
 	m := randomMachine(random, f)
 	return fault{
-		name: "stop a node gracefully", machines: []int{m.number}, impaired: []int{m.number}, planned: true,
+		name: "stop a node gracefully", machines: []int{m.number}, impaired: []int{m.number}, ofProcess: true, planned: true,
 		begin: func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, drainGrace+time.Second)
 			defer cancel()
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -35,6 +35,7 @@
 	nested      *nestedCalls
 	withdrawals withdrawals
 	backups     backups
+	statements  statements
 }
 
 // ports are the same on all machines. The last two belong to the StallingProxies in front
--- a/internal/bench/storesoak/history.go
+++ b/internal/bench/storesoak/history.go
@@ -38,7 +38,7 @@
 	for _, m := range f.machines {
 		all = append(all, m.number)
 	}
-	h.end(h.begin(fault{name: "start of the fleet", machines: all, impaired: all}))
+	h.end(h.begin(fault{name: "start of the fleet", machines: all, impaired: all, ofProcess: true}))
 	h.spans[0].from = from
 }
 
--- a/internal/bench/storesoak/nested.go
+++ b/internal/bench/storesoak/nested.go
@@ -27,6 +27,8 @@
 	sent    time.Time
 	// ofRetry is set if the run that made the call was not the first arrival of its request.
 	ofRetry bool
+	// stated is what the answer stated.
+	stated statedAnswer
 }
 
 // nestedCalls holds the calls from instances of serviceRead to serviceWrite. A run responds
@@ -43,8 +45,8 @@
 
 // arrival is one request that reached an instance, whether it was handled or not.
 type arrival struct {
-	service string
-	at      time.Time
+	service, instance string
+	at                time.Time
 }
 
 func newNestedCalls() *nestedCalls {
@@ -60,7 +62,7 @@
 	emulated.OnArrival = func(id string) {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
-		n.arrivals[id] = append(n.arrivals[id], arrival{m.service, time.Now()})
+		n.arrivals[id] = append(n.arrivals[id], arrival{m.service, emulated.Name, time.Now()})
 	}
 	if m.service != serviceRead {
 		return
@@ -134,6 +136,11 @@
 		return false
 	}
 	_ = response.Body.Close()
+	n.mutex.Lock()
+	answered := n.calls[id]
+	answered.stated = newStatedAnswer(response.Header)
+	n.calls[id] = answered
+	n.mutex.Unlock()
 	return response.StatusCode == http.StatusOK
 }
 
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -39,6 +39,9 @@
 	// RestoreShare is the share of faults that restore the store from a backup; the others are
 	// drawn from all kinds.
 	RestoreShare float64
+	// StatementRate is how many instances per second begin to state in their answers that they limit their
+	// requests, or that they leave, in addition to the faults; zero: none.
+	StatementRate float64
 	// work emulates the work of a request; nil: work.
 	work func(id string, gone <-chan struct{})
 	// Tenants is how many tenants send the calls, with keys that change; zero: nobody needs a key.
@@ -143,11 +146,19 @@
 			s.replaceInstances(background, s.options.ReplacementRate)
 		}
 	}()
+	statementsEnded := make(chan struct{})
+	go func() {
+		defer close(statementsEnded)
+		if s.options.StatementRate > 0 {
+			s.stateThings(background, s.options.StatementRate)
+		}
+	}()
 	go s.fleet.backups.run(background, s.fleet.store)
 	err := s.injectFaults(ctx)
 	stopBackground()
 	<-crashesEnded
 	<-replacementsEnded
+	<-statementsEnded
 	if err == nil {
 		s.history.lastFaultEnded = time.Now()
 		err = wait.For(ctx, recoveryTime)
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -30,6 +30,8 @@
 		Seed: 5, Machines: 12, Zones: 3, Routes: 200, Faults: 5, Rate: 100, ReplacementRate: 1, RestoreShare: 0.6, Cause: "a store that is restored from a backup",
 	}, {
 		Seed: 6, Machines: 12, Zones: 3, Routes: 20, Faults: 5, Rate: 100, Tenants: 4, Cause: "tenants whose keys change",
+	}, {
+		Seed: 7, Machines: 12, Zones: 3, Routes: 20, Faults: 6, Rate: 150, StatementRate: 1, Cause: "instances that state limits and leavings in their answers",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.MinMachines { // the command replays the larger ones
@@ -60,6 +62,8 @@
 			c.Check(report.Unauthenticated, qt.Equals, 0)
 			c.Check(report.QuotaBoundShare <= 1, qt.IsTrue)
 			c.Check(report.QuotaBoundShare > 0, qt.Equals, each.Tenants > 0)
+			c.Check(report.LimitBoundShare <= 1, qt.IsTrue)
+			c.Check(report.StatedLimits > 0, qt.Equals, each.StatementRate > 0)
 			c.Check(report.Withdrawals > 0 || each.ReplacementRate == 0, qt.IsTrue)
 		})
 	}
