--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/winchhead/winchhead/internal/configuration"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -71,6 +72,8 @@
 	Restores Restores
 	// Suspects holds the requests that may crash instances; nil means an empty tracker.
 	Suspects *suspects.Tracker
+	// Statements holds what instances stated about themselves; nil: nothing.
+	Statements *statement.Tracker
 	// Quota holds what the tenants used of their quotas; nil: nothing.
 	Quota    TenantUsage
 	Gatherer prometheus.Gatherer
@@ -88,6 +91,9 @@
 	if options.Suspects == nil {
 		options.Suspects = suspects.NewTracker()
 	}
+	if options.Statements == nil {
+		options.Statements = statement.NewTracker()
+	}
 	server := &Server{options: options, router: chi.NewRouter()}
 	server.router.Group(func(router chi.Router) {
 		router.Use(middleware.Throttle(maxRequests))
@@ -99,6 +105,7 @@
 		router.Get(pathExplain, server.explain)
 		router.Get(pathMembers, server.members)
 		router.Get(pathTenants, server.tenants)
+		router.Get(pathStatements, server.statements)
 		router.Get(pathSuspects, server.suspects)
 		router.Post(pathClearSuspect, server.clearSuspect)
 	})
--- a/internal/app/container.go
+++ b/internal/app/container.go
@@ -14,6 +14,7 @@
 	"github.com/winchhead/winchhead/internal/configuration"
 	"github.com/winchhead/winchhead/internal/dataplane"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/keys"
 	"github.com/winchhead/winchhead/internal/logging"
@@ -61,6 +62,7 @@
 		newApplier,
 		newClaimReplica,
 		suspects.NewTracker,
+		statement.NewTracker,
 		newDistribution,
 		newClaims,
 		newNodeReadiness,
@@ -269,25 +271,27 @@
 type adminInputs struct {
 	dig.In
 
-	Settings settings.Settings
-	Applier  *configuration.Applier
-	Node     *distribution.Node
-	Suspects *suspects.Tracker
-	Quota    *quota.Limiter
-	Registry *prometheus.Registry
-	Logger   logrus.FieldLogger
+	Settings   settings.Settings
+	Applier    *configuration.Applier
+	Node       *distribution.Node
+	Suspects   *suspects.Tracker
+	Statements *statement.Tracker
+	Quota      *quota.Limiter
+	Registry   *prometheus.Registry
+	Logger     logrus.FieldLogger
 }
 
 func newAdmin(inputs adminInputs) *admin.Server {
 	return admin.New(admin.Options{
-		Zone:      inputs.Settings.Node.Zone,
-		Snapshots: inputs.Applier,
-		Fleet:     inputs.Node,
-		Status:    inputs.Node,
-		Restores:  inputs.Applier,
-		Suspects:  inputs.Suspects,
-		Quota:     inputs.Quota,
-		Gatherer:  inputs.Registry,
-		Logger:    logging.Part(inputs.Logger, "admin"),
+		Zone:       inputs.Settings.Node.Zone,
+		Snapshots:  inputs.Applier,
+		Fleet:      inputs.Node,
+		Status:     inputs.Node,
+		Restores:   inputs.Applier,
+		Suspects:   inputs.Suspects,
+		Statements: inputs.Statements,
+		Quota:      inputs.Quota,
+		Gatherer:   inputs.Registry,
+		Logger:     logging.Part(inputs.Logger, "admin"),
 	})
 }
--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -20,6 +20,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/outbound"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
+	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/mirror"
@@ -187,6 +188,7 @@
 	Listeners  *listeners
 	Applier    *configuration.Applier
 	Suspects   *suspects.Tracker
+	Statements *statement.Tracker
 	Quota      *quota.Limiter
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
@@ -220,18 +222,19 @@
 		return nil, &SettingsError{Err: err}
 	}
 	return dataplane.New(dataplane.Options{
-		Names:     platform.HeaderNames(),
-		Snapshots: inputs.Applier,
-		Service:   configured.Inbound.Service,
-		Zone:      configured.Node.Zone,
-		Backend:   configured.Inbound.Backend,
-		Slots:     configured.Inbound.Slots,
-		NodePort:  outbound.PortOf(configured.Inbound.Listen),
-		Budget:    retryBudget(configured),
-		Regions:   regions,
-		Suspects:  inputs.Suspects,
-		Quota:     inputs.Quota,
-		Cold:      inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
+		Names:      platform.HeaderNames(),
+		Snapshots:  inputs.Applier,
+		Service:    configured.Inbound.Service,
+		Zone:       configured.Node.Zone,
+		Backend:    configured.Inbound.Backend,
+		Slots:      configured.Inbound.Slots,
+		NodePort:   outbound.PortOf(configured.Inbound.Listen),
+		Budget:     retryBudget(configured),
+		Regions:    regions,
+		Suspects:   inputs.Suspects,
+		Statements: inputs.Statements,
+		Quota:      inputs.Quota,
+		Cold:       inbound.ColdBounds{Overage: configured.Inbound.ColdOverage, Slack: configured.Inbound.ColdSlack},
 
 		Mechanisms:         configured.Mechanisms,
 		LinkBytesPerSecond: configured.Node.LinkMbps * bytesPerMegabit,
--- a/internal/dataplane/statement/record.go
+++ b/internal/dataplane/statement/record.go
@@ -12,6 +12,8 @@
 	confirmedAt time.Time
 	// leavingSince is when the first answer arrived that states that the instance leaves; zero: none.
 	leavingSince time.Time
+	// refused counts the requests that this node refused because of the limit.
+	refused int
 	// listedAt is when the process was last known to be listed.
 	listedAt time.Time
 }
@@ -64,6 +66,9 @@
 // LimitedSince returns since when the instance has stated a limit.
 func (r Record) LimitedSince() time.Time { return r.limitedSince }
 
+// Refused returns how many requests this node has refused because of the limit.
+func (r Record) Refused() int { return r.refused }
+
 // IsLeaving reports whether the instance has stated that it leaves. No later answer takes that back.
 func (r Record) IsLeaving() bool { return !r.leavingSince.IsZero() }
 
--- a/internal/dataplane/statement/tracker.go
+++ b/internal/dataplane/statement/tracker.go
@@ -52,6 +52,15 @@
 	return change
 }
 
+// CountRefusal counts a request that this node refused because of the limit of a process.
+func (t *Tracker) CountRefusal(process snapshot.InstanceID) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if record := t.records[process]; record != nil {
+		record.refused++
+	}
+}
+
 // collectLeaving updates leaving. The caller must hold the mutex.
 func (t *Tracker) collectLeaving() {
 	var found map[snapshot.InstanceID]struct{}
