inbound: requests take no lock for stated limits while the instance states none

Cause: each request locked the stated limit three times and the queue once more, whether there is a limit or not. A flag that is read without a lock comes first.

--- a/internal/dataplane/inbound/stated_limit.go
+++ b/internal/dataplane/inbound/stated_limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
@@ -45,6 +46,8 @@
 type statedLimit struct {
 	statements *statement.Tracker
 	bucket     *ratelimit.Limit
+	// limiting is set while there is a limit: without one, requests take no lock.
+	limiting atomic.Bool
 
 	mutex sync.Mutex
 	// process is the process of the instance to which limit applies.
@@ -81,6 +84,9 @@
 // assume applies the limit of a process that a sender has heard of, if this node has no answer of the
 // process yet. Of several the lowest counts. It reports whether the limit changed.
 func (s *statedLimit) assume(process snapshot.InstanceID, heard statement.Limit, now time.Time) bool {
+	if !heard.Stated && !s.limiting.Load() {
+		return false
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	changed := s.follow(process, now)
@@ -113,6 +119,7 @@
 		return false
 	}
 	s.limit = limit
+	s.limiting.Store(limit.Stated)
 	return s.setBounds(now)
 }
 
@@ -137,6 +144,9 @@
 
 // Begin implements queue.RateLimiter.
 func (s *statedLimit) Begin(now time.Time) time.Duration {
+	if !s.limiting.Load() {
+		return 0
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.slowUnconfirmed(now)
@@ -145,6 +155,9 @@
 
 // Delay implements queue.RateLimiter.
 func (s *statedLimit) Delay(before int, now time.Time) time.Duration {
+	if !s.limiting.Load() {
+		return 0
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.slowUnconfirmed(now)
--- a/internal/dataplane/inbound/stated_limit_fleet_test.go
+++ b/internal/dataplane/inbound/stated_limit_fleet_test.go
@@ -4,11 +4,13 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -339,6 +341,21 @@
 	c.Check(heldBack[oneAtATime] > 0, qt.IsTrue)
 }
 
+// BenchmarkStatements is the cost that statements add to a request to an instance that states nothing.
+func BenchmarkStatements(b *testing.B) {
+	stated := newStatedLimit(statement.NewTracker(), time.Now())
+	rates := rateLimits{cold: ratelimit.NewLimit(time.Now()), stated: stated}
+	names := message.Names{Limit: "Server-Limit", Leaving: "Server-Leaving"}
+	header := http.Header{"Content-Type": {"text/plain"}, "Content-Length": {"5"}}
+	for b.Loop() {
+		now := time.Now()
+		stated.statements.IsLeaving(modelProcess)
+		stated.assume(modelProcess, statement.Limit{}, now)
+		rates.Begin(now)
+		stated.observe(modelProcess, statement.Decode(names, header), now, now)
+	}
+}
+
 // TestStatedLimitIsUsed checks that at least 0.9 of a limit is used while more is asked for, also where
 // answers take long.
 func TestStatedLimitIsUsed(t *testing.T) {
--- a/internal/dataplane/inbound/statements.go
+++ b/internal/dataplane/inbound/statements.go
@@ -38,7 +38,7 @@
 // limitedFor returns how long the request would have to wait for the limit that the instance states, if
 // its sender cannot have known of the limit and has other instances to choose from; otherwise zero.
 func (p *Proxy) limitedFor(order hop.Order) time.Duration {
-	if order.OnlyCandidate || order.StatedLimit.Stated {
+	if order.OnlyCandidate || order.StatedLimit.Stated || !p.stated.limiting.Load() {
 		return 0
 	}
 	return p.stated.Delay(p.queue.Usage().Waiting, time.Now())
