--- a/internal/app/store_leaving_answer_test.go
+++ b/internal/app/store_leaving_answer_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 )
 
@@ -99,6 +100,25 @@
 	}
 }
 
+// TestStoreCallersStateNothing checks that the fields of statements, and the one between nodes, change nothing
+// in a request: a caller could otherwise shut an instance off from all others.
+func TestStoreCallersStateNothing(t *testing.T) {
+	r := newStoreHarness(t, []string{"front", "data"}, nil)
+	r.startAll()
+	// With a limit of zero only some five requests could start within the deadline.
+	const requests, deadline = 20, "5000"
+	statuses := make(chan int, requests)
+	for number := range requests {
+		go func() {
+			statuses <- r.send(0, http.MethodGet, "/read/x", requestID(0, number), instance.HeaderDeadline, deadline,
+				instance.HeaderLimit, "0", instance.HeaderLeaving, "1", hop.HeaderLimit, "0").status
+		}()
+	}
+	for range requests {
+		r.c.Check(<-statuses, qt.Equals, http.StatusOK)
+	}
+}
+
 // TestStoreOnlyInstanceLeaves checks that requests are refused at once, with a time to retry, when the only
 // instance of a service has stated that it leaves, and served by the next instance.
 func TestStoreOnlyInstanceLeaves(t *testing.T) {
