dataplane: the local instance's answers are recorded once; a suspected request may wait for a limit

Cause, found in reading: the outbound proxy recorded the answers of the local instance a second time, with a time of sending before the wait for a slot, so that a limit which had just ended could come back until the next answer. And a suspected request, which has a single candidate, was not allowed to wait for the limit, nor for the probe before it, where other instances state none. Change: the outbound proxy leaves the local instance to the inbound one; suspected requests keep their wait. Names and a return value that said nothing are mended. Result: tests of the data plane and the real-node tests of limits and leavings pass.

--- a/internal/dataplane/inbound/stated_limit.go
+++ b/internal/dataplane/inbound/stated_limit.go
@@ -67,8 +67,8 @@
 	return &statedLimit{statements: statements, bucket: ratelimit.NewLimit(now)}
 }
 
-// observe records what an answer of a process states. It returns how that changes the record, the record,
-// and whether the limit on the instance's requests changed.
+// observe records what an answer of a process states. It returns how that changes the record of the process,
+// the record, and whether the rate at which requests start changed.
 func (s *statedLimit) observe(process snapshot.InstanceID, stated statement.Statement, sent, now time.Time) (change statement.Change, record statement.Record, limitChanged bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -78,7 +78,12 @@
 	wasSlowed := s.slowed
 	s.answered, s.confirmedAt, s.slowed = true, now, false
 	s.answerTime = max(now.Sub(sent), time.Duration(answerTimeDecay*float64(s.answerTime)))
-	return change, record, s.apply(record.Limit(), now) || wasSlowed && s.setBounds(now)
+	limitChanged = s.apply(record.Limit(), now)
+	if wasSlowed && !limitChanged {
+		s.setBounds(now)
+		limitChanged = true
+	}
+	return change, record, limitChanged
 }
 
 // assume applies the limit of a process that a sender has heard of, if this node has no answer of the
@@ -120,17 +125,17 @@
 	}
 	s.limit = limit
 	s.limiting.Store(limit.Stated)
-	return s.setBounds(now)
+	s.setBounds(now)
+	return true
 }
 
-// setBounds applies the limit to the bucket; it always reports a change. The caller must hold the mutex.
-func (s *statedLimit) setBounds(now time.Time) bool {
+// setBounds applies the limit to the bucket. The caller must hold the mutex.
+func (s *statedLimit) setBounds(now time.Time) {
 	effective := s.limit
 	if s.slowed {
 		effective.PerSecond = min(effective.PerSecond, probeRate)
 	}
 	s.bucket.Set(boundsOf(effective), ratelimit.Forever, now)
-	return true
 }
 
 // slowUnconfirmed slows the requests down if no answer has confirmed the limit for too long. The caller
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -37,7 +37,7 @@
 	due, value := e.due(choice, remaining)
 	limit := e.proxy.options.Statements.Get(choice.Instance.ID()).Limit()
 	maxWait := e.maxWait(due, remaining)
-	if limit.Stated {
+	if limit.Stated && e.suspicion.standing != suspects.Suspected { // a suspected request has one candidate
 		maxWait = min(maxWait, e.limitedWait(choice, due, remaining))
 	}
 	return hop.Order{
--- a/internal/dataplane/outbound/statements.go
+++ b/internal/dataplane/outbound/statements.go
@@ -9,9 +9,10 @@
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// observeStatement records what an answer that goes to the caller states about its instance.
+// observeStatement records what an answer that goes to the caller states about its instance. The inbound
+// proxy has already recorded the answers of the local instance.
 func (e *exchange) observeStatement(choice balance.Choice, sent sendResult) {
-	if sent.answer == nil {
+	if sent.answer == nil || choice.Local {
 		return
 	}
 	stated := statement.Decode(e.proxy.options.Names, sent.answer.Header)
@@ -27,7 +28,7 @@
 func (e *exchange) instances() []snapshot.Instance {
 	permitted := e.permittedInstances()
 	leaving := e.proxy.options.Statements.Leaving()
-	if !e.hasAny(leaving) {
+	if !e.targetHasAny(leaving) {
 		return permitted
 	}
 	marked := slices.Clone(permitted)
@@ -39,8 +40,8 @@
 	return marked
 }
 
-// hasAny reports whether any of the processes is one of the selected target.
-func (e *exchange) hasAny(processes map[snapshot.InstanceID]struct{}) bool {
+// targetHasAny reports whether any of the processes is one of the selected target.
+func (e *exchange) targetHasAny(processes map[snapshot.InstanceID]struct{}) bool {
 	for process := range processes {
 		if instance, listed := e.current.Instance(process.Name); listed && instance.Service == e.service {
 			return true
