inbound: bodies refused because of a stated limit are counted and logged like other requests

Cause, found in reading: the refusal before a body is sent left no line and no count, so winchhead statements showed too few. Result: TestBodiesBeyondTheLimitAreRefused checks the refusal, its time and the count; the tests of inbound pass.

--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -55,15 +55,19 @@
 // admitSmall admits a small body immediately, unless the queue would refuse the request
 // now. The body of a refused request is thus never sent over the link.
 func (p *Proxy) admitSmall(request *message.Request, order hop.Order) server.Admission {
-	if wait := p.limitedFor(order); wait > 0 {
-		return p.refuseAdmission(request, p.refuse(hop.ReasonLimited, wait))
+	reason, wait := hop.ReasonNone, p.limitedFor(order)
+	if wait > 0 {
+		reason = hop.ReasonLimited
+	} else if refusal, slotWait := p.queue.Refusal(p.ticketFor(request, order)); refusal != queue.None {
+		reason, wait = p.reasonOf(refusal), slotWait
 	}
-	if refusal, wait := p.queue.Refusal(p.ticketFor(request, order)); refusal != queue.None {
-		delivery := p.refuse(p.reasonOf(refusal), wait)
-		p.log(request, order, delivery)
-		return p.refuseAdmission(request, delivery)
+	if reason == hop.ReasonNone {
+		return server.Admission{}
 	}
-	return server.Admission{}
+	delivery := p.refuse(reason, wait)
+	p.countLimited(order, reason)
+	p.log(request, order, delivery)
+	return p.refuseAdmission(request, delivery)
 }
 
 // linkTicket returns the ticket with which a request queues for the link. The time to
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -219,9 +219,7 @@
 func (p *Proxy) Deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
 	delivery := p.deliver(ctx, request, order)
 	delivery.Report.ExternalCallers = p.isShared(request, order)
-	if delivery.Report.Reason == hop.ReasonLimited {
-		p.options.Statements.CountRefusal(p.processOf(order.Instance))
-	}
+	p.countLimited(order, delivery.Report.Reason)
 	p.metrics.observeDelivery(delivery.Report)
 	p.log(request, order, delivery)
 	return delivery
--- a/internal/dataplane/inbound/statements.go
+++ b/internal/dataplane/inbound/statements.go
@@ -44,6 +44,13 @@
 	return p.stated.Delay(p.queue.Usage().Waiting, time.Now())
 }
 
+// countLimited counts a request that is refused because of the limit that the instance states.
+func (p *Proxy) countLimited(order hop.Order, reason hop.Reason) {
+	if reason == hop.ReasonLimited {
+		p.options.Statements.CountRefusal(p.processOf(order.Instance))
+	}
+}
+
 // logLimit logs a change of the limit that the instance states, as often as the limit on log lines allows.
 func (p *Proxy) logLimit(fields logrus.Fields, previous, current statement.Limit) {
 	entry, ok := p.lines.Take(true)
--- a/internal/dataplane/inbound/statements_test.go
+++ b/internal/dataplane/inbound/statements_test.go
@@ -1,6 +1,7 @@
 package inbound_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
+	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/emulator/instance"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -53,3 +55,25 @@
 		})
 	}
 }
+
+// TestBodiesBeyondTheLimitAreRefused checks that a sender which cannot know of a limit is told before it sends
+// a body, and that operators see that refusal like those of other requests.
+func TestBodiesBeyondTheLimitAreRefused(t *testing.T) {
+	c := qt.New(t)
+	statements := statement.NewTracker()
+	emulated := &instance.Instance{Name: "i-1"}
+	emulated.SetStatement(instance.LimitLine(0))
+	proxy := newServedProxy(t, emulated, inbound.Options{Mechanisms: mechanism.All(), Statements: statements})
+	order := hop.Order{Instance: "i-1", Remaining: time.Minute, MaxWait: time.Minute}
+	c.Assert(deliver(proxy, "first", order).Report.Outcome, qt.Equals, hop.Answered)
+	c.Check(deliver(proxy, "second", order).Report.Reason, qt.Equals, hop.ReasonLimited)
+	header := http.Header{}
+	order.AddTo(header)
+	admission := proxy.Admit(t.Context(), &message.Request{ID: "body", Header: header, Arrived: time.Now()}, 100)
+	c.Assert(admission.Refusal, qt.IsNotNil)
+	report, err := hop.DecodeReport(admission.Refusal.Header.Get(hop.Header))
+	c.Assert(err, qt.IsNil)
+	c.Check(report.Reason, qt.Equals, hop.ReasonLimited)
+	c.Check(report.RetryAfter > 0, qt.IsTrue)
+	c.Check(statements.Get(snapshot.InstanceID{Name: "i-1"}).Refused(), qt.Equals, 2)
+}
