app: the load and the judges of statements are a harness of their own

The test of limits had grown to one file of judges, load and rows, which the test of leavings used too.

--- a/internal/app/store_leaving_answer_test.go
+++ b/internal/app/store_leaving_answer_test.go
@@ -74,7 +74,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			load := newLimitLoad(t, []string{"front", "front", "front", "data", "data", "data"}, interval)
+			load := newStatementLoad(t, []string{"front", "front", "front", "data", "data", "data"}, interval)
 			judge := &leavingJudge{instance: load.r.machines[leaver].instance.Name, passedOnAt: map[int]time.Time{}, sentAt: map[string]time.Time{}}
 			load.leaving = judge
 			load.r.machines[leaver].instance.SetStatement(instance.LeavingLine)
