--- a/internal/app/store_statement_harness_test.go
+++ b/internal/app/store_statement_harness_test.go
@@ -234,4 +234,3 @@
 	l.r.c.Check(most > 0, qt.IsTrue)
 	l.r.c.Check(most <= allowedIn(perSecond), qt.IsTrue, qt.Commentf("%d requests in %s, allowed are %d", most, limitWindow, allowedIn(perSecond)))
 }
-
