inbound: what started under a higher limit counts against a lower one

Cause: requests that start until the first answer tells of the fall came on top of what the lower limit grants from then on, with the tokens saved before. Class: a bound over a window, enforced by a bucket that forgets what the window saw. Change: when an answer lowers the limit, what has started beyond the lower one since that answer's request was sent is owed, for 4 s at most, and saved tokens end.

--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -48,4 +48,8 @@
 		Seed: 5002, Machines: 80, Zones: 4, Routes: 3000, SlowestLink: 5, Faults: 10, Rate: 200, ReplacementRate: 3, Kinds: 22,
 		Cause: "a list with an unusable configuration kept an old one in force (TestNoDocumentFromListWithInvalidConfiguration)",
 	},
+	{
+		Seed: 21022, Machines: 12, Zones: 3, Routes: 20, Faults: 7, Rate: 150, ReplacementRate: 0.2, StatementRate: 1, Kinds: 25,
+		Cause: "what had started under a higher limit did not count against a lower one (TestLimitFallsWhileRequestsAreInProgress)",
+	},
 }
--- a/internal/dataplane/inbound/stated_limit.go
+++ b/internal/dataplane/inbound/stated_limit.go
@@ -61,10 +61,12 @@
 	confirmedAt time.Time
 	answerTime  time.Duration
 	slowed      bool
+	// started counts the requests that have started while there is a limit.
+	started startCounter
 }
 
 func newStatedLimit(statements *statement.Tracker, now time.Time) *statedLimit {
-	return &statedLimit{statements: statements, bucket: ratelimit.NewLimit(now)}
+	return &statedLimit{statements: statements, bucket: ratelimit.NewLimit(now), started: startCounter{epoch: now}}
 }
 
 // observe records what an answer of a process states. It returns how that changes the record of the process,
@@ -78,7 +80,11 @@
 	wasSlowed := s.slowed
 	s.answered, s.confirmedAt, s.slowed = true, now, false
 	s.answerTime = max(now.Sub(sent), time.Duration(answerTimeDecay*float64(s.answerTime)))
+	isLowered := s.limit.Stated && record.Limit().Stated && record.Limit().PerSecond < s.limit.PerSecond
 	limitChanged = s.apply(record.Limit(), now)
+	if isLowered {
+		s.oweExcess(sent, now)
+	}
 	if wasSlowed && !limitChanged {
 		s.setBounds(now)
 		limitChanged = true
@@ -138,6 +144,13 @@
 	s.bucket.Set(boundsOf(effective), ratelimit.Forever, now)
 }
 
+// oweExcess makes what has started beyond a lowered limit, since a request was sent whose answer tells of it,
+// count against those that start next. The caller must hold the mutex.
+func (s *statedLimit) oweExcess(since, now time.Time) {
+	allowed := boundsOf(s.limit).Rate * now.Sub(since).Seconds()
+	s.bucket.Owe(float64(s.started.since(since, now))-allowed, now)
+}
+
 // slowUnconfirmed slows the requests down if no answer has confirmed the limit for too long. The caller
 // must hold the mutex.
 func (s *statedLimit) slowUnconfirmed(now time.Time) {
@@ -155,7 +168,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.slowUnconfirmed(now)
-	return s.bucket.Begin(now)
+	delay := s.bucket.Begin(now)
+	if delay == 0 {
+		s.started.add(now)
+	}
+	return delay
 }
 
 // Delay implements queue.RateLimiter.
--- a/internal/dataplane/inbound/stated_limit_fleet_test.go
+++ b/internal/dataplane/inbound/stated_limit_fleet_test.go
@@ -397,6 +397,51 @@
 	}
 }
 
+// TestLimitFallsWhileRequestsAreInProgress checks the bound when a limit falls, to a tenth and to zero, and the
+// answers that tell it take long: what starts until then, and after that, must not add up to more.
+func TestLimitFallsWhileRequestsAreInProgress(t *testing.T) {
+	for _, longestWork := range []time.Duration{60 * time.Millisecond, 400 * time.Millisecond} {
+		for _, row := range []struct{ before, after float64 }{{5, 0}, {5, 0.5}, {20, 2}, {60, 0}} {
+			worst := 0.0
+			for seed := range uint64(100) {
+				m := newFleetModel(seed, 12, heardBySenders)
+				m.longestWork = longestWork
+				m.load(60)
+				m.state(statement.Limit{Stated: true, PerSecond: row.before})
+				statedAt := m.now
+				m.run(6*time.Second + m.between(0, time.Second))
+				m.state(statement.Limit{Stated: true, PerSecond: row.after})
+				m.run(15 * time.Second)
+				worst = max(worst, m.worstShare(statedAt))
+			}
+			t.Logf("work up to %s, %v to %v a second: %.2f of the bound", longestWork, row.before, row.after, worst)
+			qt.Check(t, worst <= 0.9, qt.IsTrue, qt.Commentf("work up to %s, %v to %v a second: %.2f of the bound", longestWork, row.before, row.after, worst))
+		}
+	}
+}
+
+// TestLimitThatChangesWithEachAnswer checks that at least 0.9 of the lower one is used where an instance states
+// two limits in turn, and that the bound holds.
+func TestLimitThatChangesWithEachAnswer(t *testing.T) {
+	const lower, higher, seconds = 10, 20, 20
+	m := newFleetModel(3, 80, heardBySenders)
+	m.load(200)
+	m.state(statement.Limit{Stated: true, PerSecond: higher})
+	statedAt := m.now
+	var change func()
+	change = func() {
+		m.state(statement.Limit{Stated: true, PerSecond: lower + higher - m.limit.PerSecond})
+		m.after(30*time.Millisecond, change)
+	}
+	m.after(0, change)
+	m.run(4 * time.Second)
+	m.granted = 0
+	m.run((4 + seconds) * time.Second)
+	t.Logf("%d requests in %d s, %.2f of the bound", m.granted, seconds, m.worstShare(statedAt))
+	qt.Check(t, m.granted >= 0.9*lower*seconds, qt.IsTrue)
+	qt.Check(t, m.worstShare(statedAt) <= 0.9, qt.IsTrue)
+}
+
 // TestUsedAgainAfterTheLimitEnded checks that an instance whose limit has ended is found out at the next
 // request that its limit lets through.
 func TestUsedAgainAfterTheLimitEnded(t *testing.T) {
--- a/internal/dataplane/ratelimit/ratelimit.go
+++ b/internal/dataplane/ratelimit/ratelimit.go
@@ -42,6 +42,18 @@
 	l.tokens = min(l.tokens, l.bounds.Burst)
 }
 
+// maxDebtTime limits a debt to what the rate allows in that time.
+const maxDebtTime = 4 * time.Second
+
+// Owe takes away the saved tokens, and a number of requests that have started beyond the bounds from those
+// that may start next.
+func (l *Limit) Owe(requests float64, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refill(now)
+	l.tokens = max(min(l.tokens, 0)-max(requests, 0), -l.bounds.Rate*maxDebtTime.Seconds())
+}
+
 // InForceFor returns the remaining time for which the bounds are in force.
 func (l *Limit) InForceFor(now time.Time) time.Duration {
 	l.mutex.Lock()
--- a/internal/dataplane/ratelimit/ratelimit_test.go
+++ b/internal/dataplane/ratelimit/ratelimit_test.go
@@ -66,6 +66,20 @@
 	c.Check(limit.Delay(2, epoch.Add(delay)) > limit.Delay(0, epoch.Add(delay)), qt.IsTrue)
 }
 
+// TestDebtDelaysTheNextRequest checks that requests which started beyond the bounds delay the next ones, but by
+// no more than maxDebtTime.
+func TestDebtDelaysTheNextRequest(t *testing.T) {
+	c := qt.New(t)
+	limit := ratelimit.NewLimit(epoch)
+	limit.Set(ratelimit.Bounds{Rate: 2, Burst: 10}, ratelimit.Forever, epoch)
+	now := epoch.Add(time.Minute)
+	c.Check(limit.Delay(9, now), qt.Equals, time.Duration(0))
+	limit.Owe(3, now)
+	c.Check(limit.Begin(now).Round(time.Millisecond), qt.Equals, 2*time.Second)
+	limit.Owe(1000, now)
+	c.Check(limit.Begin(now).Round(time.Millisecond), qt.Equals, 4500*time.Millisecond)
+}
+
 // TestLimitEnds checks that the limit ends at its time, and that there is none without a rate.
 func TestLimitEnds(t *testing.T) {
 	c := qt.New(t)
