--- a/internal/dataplane/statement/record.go
+++ b/internal/dataplane/statement/record.go
@@ -20,7 +20,7 @@
 
 // Change is how an answer changed a record.
 type Change struct {
-	// Limit is set if the limit changed, Leaving if the instance turned out to leave.
+	// Limit is set if the limit changed, Leaving if the answer is the first one to state that the instance leaves.
 	Limit, Leaving bool
 	// Previous is the limit before.
 	Previous Limit
