--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -150,7 +150,7 @@
 	go func() {
 		defer close(statementsEnded)
 		if s.options.StatementRate > 0 {
-			s.stateThings(background, s.options.StatementRate)
+			s.runStatements(background, s.options.StatementRate)
 		}
 	}()
 	go s.fleet.backups.run(background, s.fleet.store)
--- a/internal/bench/storesoak/statements.go
+++ b/internal/bench/storesoak/statements.go
@@ -106,9 +106,9 @@
 	}
 }
 
-// stateThings lets instances state limits, and that they leave, at an average of rate per second until the
+// runStatements lets instances state limits, or that they leave, at an average of rate per second until the
 // context ends.
-func (s *soak) stateThings(ctx context.Context, rate float64) {
+func (s *soak) runStatements(ctx context.Context, rate float64) {
 	const stream, leavingOneIn = 5, 3
 	random := rand.New(rand.NewPCG(s.options.Seed, s.options.Seed+stream))
 	stating := make(chan struct{}, max(int(maxStatingShare*float64(len(s.fleet.machines))), 1))
