--- a/internal/distribution/late_reader.go
+++ b/internal/distribution/late_reader.go
@@ -14,6 +14,9 @@
 func (e *Engine) detectLateAnswer() {
 	r := &e.sourceReader
 	if r.poll == 0 || e.push.newestVersion().Revision.Unmarked() <= r.pollAfter {
+		// The newest version can also fall, when a document is refused. A time that nothing clears would
+		// remain due, and the engine would ask to be woken again at once.
+		r.overtakenAt = time.Time{}
 		return
 	}
 	if r.overtakenAt.IsZero() {
