transfer: schedule all that a node sends over its machine's link

Cause: responses were written as they came. Packs of up to 540 KB on a link of 10 Mbit/s held back small responses, and of several packs each took as long as all of them together. Only request bodies were paced.

Change: transfer.Egress replaces Pacer. Bodies of 16 KiB and more are sent in chunks of 8 KiB within 0.93 of the link, by priority, then those that can still be in time, then by due time plus twice the remaining transmission time; one chunk in eight goes to the body that has waited longest. Small messages are written at once and charged. Responses carry their priority and due time (message.Urgency). Connections within the machine are not scheduled. The kernel holds at most 16 KiB of unsent data of a scheduled connection. A body is dropped when its connection ends. At most 4 MiB of responses are held for clients that do not read; beyond that, the connection without progress for the longest time is closed. Switch: mechanisms.egress_schedule.

--- a/internal/app/page_test.go
+++ b/internal/app/page_test.go
@@ -45,7 +45,9 @@
 	c.Assert(err, qt.IsNil)
 	r := newStoreHarness(t, []string{"data"}, nil)
 	registry := prometheus.NewRegistry()
-	node, err := New(r.settings(0, r.url), Options{Logger: logging.Discard(), Registry: registry})
+	configured := r.settings(0, r.url)
+	configured.Node.LinkMbps = 10 // the metrics of the link are registered where it is known
+	node, err := New(configured, Options{Logger: logging.Discard(), Registry: registry})
 	c.Assert(err, qt.IsNil)
 	defer node.Close()
 	descriptions := make(chan *prometheus.Desc, 1000)
--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -69,6 +69,8 @@
 	// ExpectContinue sends the body only after a 100 (Continue) response. If the server sends a
 	// final response instead, no part of the body has been sent.
 	ExpectContinue bool
+	// Order says when the body is sent over the machine's link.
+	Order transfer.Order
 }
 
 // Response is a response whose body is read from Body. Close must be called.
@@ -97,8 +99,8 @@
 	// RunsOnlyComplete is set when the server runs a request only after it has received the
 	// full body.
 	RunsOnlyComplete bool
-	// Pacer limits the rate at which bodies are sent; nil: no limit.
-	Pacer *transfer.Pacer
+	// Egress schedules what is sent over the machine's link; nil: nothing is paced.
+	Egress *transfer.Egress
 	// PaceHeader is the field of a 100 (Continue) response that holds the rate at which the
 	// server accepts the body, in bytes per second.
 	PaceHeader string
--- a/internal/dataplane/client/conn.go
+++ b/internal/dataplane/client/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 )
 
 const (
@@ -124,28 +126,12 @@
 		c.unsent = request.Body
 		return nil
 	}
-	c.writeBody(request.Body, 0)
+	c.writeBody(request.Body, request.Order)
 	return nil
 }
 
-// writeBody starts to write a body, at no more than pace bytes per second.
-func (c *conn) writeBody(body []byte, pace int64) {
-	writing, pacer := &bodyWrite{ended: make(chan struct{})}, c.pool.options.Pacer
-	c.writing = writing
-	go func() {
-		defer close(writing.ended)
-		writing.err = pacer.Write(c.Conn, body, pace)
-	}()
-}
-
-// bodyWrite is the writing of a body in the background.
-type bodyWrite struct {
-	ended chan struct{} // closed when the writing ends
-	err   error         // set before ended is closed
-}
-
 // handleContinue sends the body that waits for a 100 (Continue) response.
-func (c *conn) handleContinue(response *http.Response) {
+func (c *conn) handleContinue(response *http.Response, order transfer.Order) {
 	if c.unsent == nil {
 		return
 	}
@@ -155,10 +141,12 @@
 	}
 	body := c.unsent
 	c.unsent = nil
-	c.writeBody(body, pace)
+	order.Pace = pace
+	c.writeBody(body, order)
 }
 
 func (c *conn) writeAll(data []byte) *Error {
+	c.pool.options.Egress.Charge(len(data))
 	written, err := c.Conn.Write(data)
 	switch {
 	case err == nil:
@@ -207,7 +195,7 @@
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, eris.New("the server switched to another protocol")
 		case response.StatusCode == http.StatusContinue:
-			c.handleContinue(response)
+			c.handleContinue(response, request.Order)
 		case response.StatusCode == http.StatusProcessing && c.pool.options.ProgressHeader != "":
 			c.pool.reportsProgress.Store(true)
 			interim--
@@ -227,6 +215,7 @@
 		_ = lingerer.SetLinger(0)
 	}
 	_ = c.Conn.Close()
+	c.cancelBody()
 }
 
 // awaitWritten reports whether the whole request was written. A server that runs only
@@ -236,7 +225,9 @@
 		return c.written()
 	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(bodyFinishTimeout))
+	timer := time.AfterFunc(bodyFinishTimeout, c.writing.cancel)
 	<-c.writing.ended
+	timer.Stop()
 	_ = c.Conn.SetWriteDeadline(time.Time{})
 	return c.writing.err == nil
 }
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -66,6 +66,7 @@
 	options      Options
 	accounts     *budget.Accounts
 	quota        *quota.Limiter
+	link         link
 	inbound      *inbound.Proxy
 	outbound     *outbound.Proxy
 	callerServer *server.Server
@@ -89,6 +90,9 @@
 		quota:    options.Quota,
 	}
 	var err error
+	if created.link, err = newLink(options); err != nil {
+		return nil, err
+	}
 	if created.inbound, err = created.newInbound(); err != nil {
 		return nil, err
 	}
@@ -98,10 +102,12 @@
 	created.callerServer = server.New(server.Options{
 		Handler: created.outbound, Limits: created.callerLimits,
 		RequestID: options.Names.RequestID, Refuse: created.outbound.Refuse, Check: created.outbound.Check,
+		Egress: created.link.forResponses(options), Memory: created.link.memory,
 	})
 	created.nodeServer = server.New(server.Options{
 		Handler: created.inbound, Limits: created.nodeLimits, Admit: created.inbound.Admit,
 		RequestID: options.Names.RequestID, Refuse: plainTextRefusal, ProgressHeader: hop.HeaderProgress,
+		Egress: created.link.forResponses(options), Memory: created.link.memory,
 	})
 	return created, nil
 }
@@ -130,22 +136,22 @@
 func (n *Node) newOutbound() (*outbound.Proxy, error) {
 	options := n.options
 	return outbound.New(outbound.Options{
-		Names:              options.Names,
-		Snapshots:          options.Snapshots,
-		Service:            options.Service,
-		Zone:               options.Zone,
-		Regions:            options.Regions,
-		Backend:            options.Backend,
-		LocalInbound:       n.inbound,
-		NodePort:           options.NodePort,
-		Budget:             n.accounts,
-		Suspects:           options.Suspects,
-		Statements:         options.Statements,
-		Quota:              n.quota,
-		LinkBytesPerSecond: options.LinkBytesPerSecond,
-		Mechanisms:         options.Mechanisms,
-		Logger:             options.Logger.WithField("part", "outbound"),
-		Registerer:         options.Registerer,
+		Names:        options.Names,
+		Snapshots:    options.Snapshots,
+		Service:      options.Service,
+		Zone:         options.Zone,
+		Regions:      options.Regions,
+		Backend:      options.Backend,
+		LocalInbound: n.inbound,
+		NodePort:     options.NodePort,
+		Budget:       n.accounts,
+		Suspects:     options.Suspects,
+		Statements:   options.Statements,
+		Quota:        n.quota,
+		Egress:       n.link.forRequests(options),
+		Mechanisms:   options.Mechanisms,
+		Logger:       options.Logger.WithField("part", "outbound"),
+		Registerer:   options.Registerer,
 	})
 }
 
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -187,7 +187,9 @@
 		return p.answerFor(request, Delivery{Report: p.report(hop.Refused, hop.ReasonMalformed), Err: err})
 	}
 	hop.Strip(request.Header)
-	return p.answerFor(request, p.Deliver(ctx, request, order))
+	answer := p.answerFor(request, p.Deliver(ctx, request, order))
+	answer.Urgency = urgencyOf(request, order)
+	return answer
 }
 
 // grantTokens answers another node's request for tokens of a tenant.
--- a/internal/dataplane/message/message.go
+++ b/internal/dataplane/message/message.go
@@ -68,6 +68,14 @@
 	Length int64
 	// Abort closes the connection without a response.
 	Abort bool
+	// Urgency says which of several large responses is sent first; nil: it has the lowest priority.
+	Urgency *Urgency
+}
+
+// Urgency is the priority of a response (0 is the highest) and when it should be sent completely.
+type Urgency struct {
+	Priority int
+	Due      time.Time
 }
 
 // Finish closes Stream, if there is one.
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -28,6 +28,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
+	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
 	"github.com/winchhead/winchhead/internal/tenancy"
@@ -57,8 +58,8 @@
 	LocalInbound LocalInbound
 	// NodePort is the port on which the sidecars of other instances accept requests.
 	NodePort int
-	// LinkBytesPerSecond is the capacity of the machine's network link; zero: not known.
-	LinkBytesPerSecond float64
+	// Egress schedules what is sent over the machine's network link; nil: nothing is paced.
+	Egress *transfer.Egress
 	// Mechanisms are the mechanisms that are switched on.
 	Mechanisms mechanism.Set
 	// Budget limits the repeats of requests that start at this node.
@@ -176,6 +177,7 @@
 	defer release()
 	started.ctx = ctx
 	answer := started.run()
+	answer.Urgency = started.answerUrgency()
 	started.returnToken()
 	if answer.Stream != nil {
 		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -58,7 +58,7 @@
 // sidecarPools keeps connections to the sidecars of other instances.
 type sidecarPools struct {
 	port     int
-	pacer    *transfer.Pacer
+	egress   *transfer.Egress
 	idHeader string
 	// askFirst says that bodies are sent only after the receiving node has admitted them.
 	askFirst bool
@@ -67,14 +67,10 @@
 }
 
 func newSidecarPools(options Options) *sidecarPools {
-	created := &sidecarPools{
+	return &sidecarPools{
 		port: options.NodePort, idHeader: options.Names.RequestID, askFirst: options.Mechanisms.LinkAdmission,
-		pools: make(map[string]*client.Pool),
+		egress: options.Egress, pools: make(map[string]*client.Pool),
 	}
-	if created.askFirst {
-		created.pacer = transfer.NewPacer(options.LinkBytesPerSecond)
-	}
-	return created
 }
 
 // nodeAddress returns the address on which an instance's sidecar accepts requests.
@@ -105,7 +101,7 @@
 			ConnectTimeout:   nodeConnectTimeout,
 			IdleTimeout:      nodeIdleTimeout,
 			RunsOnlyComplete: true,
-			Pacer:            n.pacer,
+			Egress:           n.egress,
 			PaceHeader:       hop.HeaderPace,
 			ProgressHeader:   hop.HeaderProgress,
 			Dial:             client.DialRemote,
@@ -151,6 +147,7 @@
 		Method: request.Method, Target: request.Target, Host: request.Host,
 		Header: header, Body: request.Body, ID: request.ID,
 		ExpectContinue: n.askFirst && len(request.Body) >= transfer.MinAdmissionBytes,
+		Order:          bodyOrder(order),
 		SilenceLimit:   silenceLimitOf(order),
 		MayGiveUp:      mayGiveUp,
 	})
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -28,6 +28,8 @@
 	refused bool
 	// reportsProgress is set when the client asked for progress reports.
 	reportsProgress bool
+	// heldBytes is the size of the response, counted in the connection's held responses.
+	heldBytes int64
 }
 
 // connection is one connection of a client. One goroutine reads requests, one
@@ -41,6 +43,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  chan *exchange
+	// answers writes the responses where they are scheduled on the machine's link, and held counts
+	// those that are ready; nil: neither.
+	answers *answerWriter
+	held    *heldResponses
 
 	mutex       sync.Mutex
 	pendingFell *sync.Cond // uses mutex; signalled when pending decreases
@@ -62,6 +68,9 @@
 		queue:  make(chan *exchange, maxPipelined),
 	}
 	created.pendingFell = sync.NewCond(&created.mutex)
+	if created.egress() != nil {
+		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
+	}
 	return created
 }
 
@@ -79,6 +88,7 @@
 	}
 	<-written
 	c.closeNow()
+	c.held.remove()
 }
 
 // closeNow closes the connection and cancels the requests in progress on it.
@@ -168,7 +178,10 @@
 	go func() {
 		ctx, cancel := context.WithCancel(c.ctx)
 		defer cancel()
-		taken.answer <- c.server.options.Handler.Serve(ctx, taken.request)
+		answer := c.server.options.Handler.Serve(ctx, taken.request)
+		taken.heldBytes = int64(len(answer.Body))
+		c.held.add(taken.heldBytes)
+		taken.answer <- answer
 	}()
 }
 
--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 )
 
 // Handler answers requests. The context ends when the client has left.
@@ -52,6 +53,11 @@
 	// ProgressInterval is the interval of progress reports; zero: the default, which suits
 	// the client package.
 	ProgressInterval time.Duration
+	// Egress schedules the responses on the machine's link; nil: they are written at once.
+	Egress *transfer.Egress
+	// Memory bounds the responses held for clients that do not read, where Egress is set; nil: there
+	// is no bound.
+	Memory *ResponseMemory
 }
 
 // Admission is the decision about a body that has not been sent yet.
--- a/internal/dataplane/server/write.go
+++ b/internal/dataplane/server/write.go
@@ -15,7 +15,7 @@
 // writeAnswers writes the responses in the order of the requests, until the last one or
 // until one cannot be written completely.
 func (c *connection) writeAnswers() {
-	writer := bufio.NewWriterSize(c.conn, writeBufferBytes)
+	writer := bufio.NewWriterSize(c.answerDestination(), writeBufferBytes)
 	broken := false
 	for next := range c.queue {
 		answer := c.awaitAnswer(next)
@@ -23,6 +23,7 @@
 			broken = !c.writeAnswer(writer, next, answer)
 		}
 		answer.Finish()
+		c.held.release(next.heldBytes)
 		c.finishExchange()
 	}
 }
@@ -34,6 +35,7 @@
 		c.closeNow()
 		return false
 	}
+	c.answers.begin(answer)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := writeMessage(writer, next, answer, closes); err != nil {
 		c.closeNow()
--- a/internal/dataplane/transfer/model_test.go
+++ b/internal/dataplane/transfer/model_test.go
@@ -73,7 +73,7 @@
 			}
 			sent++
 			mutex.Unlock()
-			err := (*transfer.Pacer)(nil).Write(link, make([]byte, bodyBytes), gate.Pace())
+			err := (*transfer.Egress)(nil).Write(link, make([]byte, bodyBytes), transfer.Order{Pace: gate.Pace()})
 			grant.Received()
 			mutex.Lock()
 			c.Check(err, qt.IsNil)
