inbound, balance: admit and spread large responses by the backlog of links

Packs of 90 KB fill the 10 Mbit/s links of the fastest tile instances while the links of slower ones are idle: instances were chosen by their work time only, nothing bounded what a link owes, and nodes whose saturated links delay a SYN were ejected.

- The sidecar learns the mean response size of each route.
A request whose response is large is refused (link-busy, with the time after which it fits) if the response could not be sent in time, and is expected on the link while it waits and runs (inbound.EgressLink; nil: nothing changes).
- Reports carry the link's backlog and rate in Winchhead-Hop-Link.
The field is listed in Connection, so that earlier builds remove it before an answer goes to a caller; responses that close their connection drop it.
- The balancer adds the link wait (less the age of the report, none after 2 s) and the transmission, and spreads what this node asks for over the links in proportion to their rates: backlogs alone are mostly drained before the next request and left the busiest link at 1.4 of the mean.
- An attempt to connect, or a liveness check, that times out counts as Busy while the link was reported busy or carries large bodies of this node.
A refused or reset connection still ejects.
A response that is still being received at the deadline no longer ejects either.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -36,6 +36,9 @@
 	RateLimited Result = 7
 	// Limited: the limit that the instance states on its requests is reached for now.
 	Limited Result = 8
+	// ConnectTimedOut: the instance's node did not answer an attempt to connect, or a liveness check, in
+	// time. If its link is busy, it counts as Busy, otherwise as DeliveryFailed.
+	ConnectTimedOut Result = 9
 )
 
 const (
@@ -124,6 +127,9 @@
 	// state is where the request counts as in progress. Its result must not affect a
 	// later process that runs under the same instance name.
 	state *instanceState
+	// largeBodyBegan is when the request began if it is tracked because it or its response is expected
+	// to be a large body.
+	largeBodyBegan time.Time
 }
 
 // Pick chooses an instance. It returns false if none is left.
@@ -144,10 +150,14 @@
 	}
 	chosen.outstanding++
 	chosen.lastPickedAt = request.Now
+	route, local, largeBodyBegan := b.routeStatsOf(request.Route), b.isLocal(&cheapest.instance), time.Time{}
+	if !local {
+		largeBodyBegan = chosen.link.begin(request.Bytes, route.answerBytes, request.Now)
+	}
 	return Choice{
-		Instance: cheapest.instance, ExpectedLatency: cheapest.expectedLatency, ServiceTime: cheapest.serviceTime, MeanServiceTime: b.routeStatsOf(request.Route).meanServiceTime,
+		Instance: cheapest.instance, ExpectedLatency: cheapest.expectedLatency, ServiceTime: cheapest.serviceTime, MeanServiceTime: route.meanServiceTime,
 		balancer: b, route: request.Route, state: chosen,
-		Local: b.isLocal(&cheapest.instance),
+		Local: local, largeBodyBegan: largeBodyBegan,
 	}, true
 }
 
@@ -162,7 +172,7 @@
 			known.ejectedUntil.After(request.Now) == ejected && !known.isRateLimited(request.Now) &&
 			(!skipFull || b.isInOwnZone(instance) || !known.isFull(instance, request.Now))
 	}
-	sampler := b.newSampler(request, eligible)
+	sampler, spread := b.newSampler(request, eligible), b.newLinkSpread(request)
 	for i := range request.Instances {
 		instance := &request.Instances[i]
 		if !eligible(instance) {
@@ -173,6 +183,7 @@
 			continue
 		}
 		evaluated := b.evaluate(instance, known, request)
+		evaluated.cost += spread.cost(&known.link, request.Now)
 		switch {
 		case !found || evaluated.cost < best.cost:
 			best, found, ties = evaluated, true, 1
@@ -289,6 +300,9 @@
 	Ejected Transition = 1
 	// Recovered: the instance answers again.
 	Recovered Transition = 2
+	// LinkBusy: an attempt to connect timed out and counts as Busy, as the link is busy. The
+	// availability is unchanged.
+	LinkBusy Transition = 3
 )
 
 // Done reports how the request ended. report is nil if the instance's sidecar sent
@@ -299,6 +313,9 @@
 	defer b.mutex.Unlock()
 	known := c.state
 	known.outstanding = max(known.outstanding-1, 0)
+	known.link.end(c.largeBodyBegan, report != nil, now)
+	linkBusy := result == ConnectTimedOut && b.isLinkBusy(known, now)
+	result = resultOf(result, linkBusy)
 	if report != nil {
 		known.silentSince = now
 		known.reportedLoad, known.outstandingAtReport, known.reportedAt = report.Running+report.Waiting, known.outstanding, now
@@ -308,6 +325,7 @@
 		known.setReportedSlowdown(report.SlowdownPercent, now)
 		b.serviceLoadOf(c.Instance.Service).record(report, now)
 		known.backlog, known.linkRate = report.Backlog, kibibyte*float64(report.LinkRate)
+		known.link.report(report.Link, now)
 	}
 	wasEjected := known.ejected
 	known.ejected = result == DeliveryFailed || result == NotAccepting || wasEjected && result != Served && result != RequestFailed
@@ -335,6 +353,8 @@
 		known.consecutiveFailures++
 	}
 	switch {
+	case linkBusy:
+		return LinkBusy
 	case known.ejected == wasEjected:
 		return Unchanged
 	case known.ejected:
--- a/internal/dataplane/balance/candidate.go
+++ b/internal/dataplane/balance/candidate.go
@@ -57,6 +57,7 @@
 	wait := known.slotWait(instance, load, time.Duration(float64(b.meanServiceTime)*slowdown), request.Now)
 	if !b.isLocal(instance) {
 		wait += known.transferTime(request.Bytes, request.Now)
+		wait += b.responseTime(known, route, wait+serviceTime, request.Now)
 	}
 	result := candidate{instance: *instance, expectedLatency: wait + serviceTime, serviceTime: serviceTime}
 	result.cost = b.latenessCost(route, request, wait, serviceTime) + b.zoneCost(instance, route, request) +
--- a/internal/dataplane/balance/instance_state.go
+++ b/internal/dataplane/balance/instance_state.go
@@ -44,6 +44,8 @@
 	// of the report; linkRate is the rate of the link in bytes per second; zero: not known.
 	backlog  time.Duration
 	linkRate float64
+	// link is the link by which the instance's node sends its responses.
+	link linkState
 	// slowdown is the instance's service time divided by that of an average instance, as of
 	// slowdownUpdatedAt. slowdownReported says that the instance's sidecar measured
 	// it, from the requests of all senders.
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -57,6 +57,8 @@
 	// StatedLimit is the limit that the instance stated in its answers, as far as the sender knows. It has
 	// a field of its own, HeaderLimit.
 	StatedLimit statement.Limit
+	// Local is set when the sender is the sidecar of the instance itself. It is not transmitted.
+	Local bool
 }
 
 // CertainRepeat is the value of RepeatPercent for a send that is a repeat for sure.
@@ -202,6 +204,8 @@
 	// ExternalCallers is set when the sidecars of all services send requests of this route: external
 	// callers send them, not instances.
 	ExternalCallers bool
+	// Link is the backlog of responses on the instance's link. It has a field of its own, HeaderLink.
+	Link Link
 }
 
 const reportFields = 13
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -61,6 +61,8 @@
 	Statements *statement.Tracker
 	// Quota grants tokens of tenants to other nodes; nil refuses them.
 	Quota *quota.Limiter
+	// Egress schedules what the node sends over the machine's link; nil if that is not known.
+	Egress EgressLink
 	// Mechanisms are the mechanisms that are enabled.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -86,19 +88,21 @@
 	instance *client.Pool
 	queue    *queue.Queue
 	link     *transfer.Gate
-	speed    speedEstimate
-	cold     *coldTracker
-	stated   *statedLimit
-	rates    rateLimits
-	slots    atomic.Int64
-	stop     atomic.Pointer[plannedStop]
-	stale    staleInstances
-	crashes  *crashDetector
-	probes   probeSemaphore
-	origins  originTracker
-	active   atomic.Int64
-	lines    *boundedlog.Limiter
-	metrics  *metrics
+	// responses expects large responses on the egress direction of the link.
+	responses *responseLink
+	speed     speedEstimate
+	cold      *coldTracker
+	stated    *statedLimit
+	rates     rateLimits
+	slots     atomic.Int64
+	stop      atomic.Pointer[plannedStop]
+	stale     staleInstances
+	crashes   *crashDetector
+	probes    probeSemaphore
+	origins   originTracker
+	active    atomic.Int64
+	lines     *boundedlog.Limiter
+	metrics   *metrics
 }
 
 // New returns a Proxy, or an error if its metrics cannot be registered.
@@ -134,6 +138,9 @@
 	created.queue = queue.NewRateLimited(options.Slots, created.rates)
 	created.slots.Store(int64(options.Slots))
 	var err error
+	if created.responses, err = newResponseLink(options); err != nil {
+		return nil, err
+	}
 	created.metrics, err = newMetrics(options.Registerer, created.queue)
 	return created, err
 }
@@ -211,7 +218,7 @@
 		answer = message.Whole(http.StatusServiceUnavailable, nil, nil)
 		set(answer.Header, p.options.Names.RequestID, request.ID)
 	}
-	answer.Header[hop.Header] = []string{delivery.Report.Encode()}
+	delivery.Report.AddTo(answer.Header)
 	return answer
 }
 
@@ -265,7 +272,7 @@
 	case standing == suspects.Suspected, order.Suspected:
 		return p.deliverSuspect(ctx, request, order, standing == suspects.Suspected)
 	}
-	return p.deliverAdmitted(ctx, request, order)
+	return p.deliverOverLink(ctx, request, order)
 }
 
 // deliverAdmitted waits for a slot and sends the request.
@@ -379,5 +386,6 @@
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
 		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.speed.hundredths(),
 		ColdFor: p.cold.limit.InForceFor(time.Now()),
+		Link:    p.responses.report(),
 	}
 }
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -151,6 +151,7 @@
 func (p *Proxy) forwardResponse(response *client.Response, request *message.Request, order hop.Order, started time.Time, slot *queue.Slot, cancel func()) Delivery {
 	answer := &message.Response{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
+	hop.StripReport(answer.Header)
 	body, complete, err := response.Buffer()
 	if err == nil {
 		p.clearSuspicion(request)
--- a/internal/dataplane/message/message.go
+++ b/internal/dataplane/message/message.go
@@ -94,6 +94,14 @@
 // StripHopByHop removes the fields that concern one connection only, including those that
 // the Connection field names.
 func StripHopByHop(header http.Header) {
+	StripListed(header)
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+}
+
+// StripListed removes the fields that the Connection field names.
+func StripListed(header http.Header) {
 	for _, value := range header["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
 			if name = strings.TrimSpace(name); name != "" {
@@ -101,9 +109,6 @@
 			}
 		}
 	}
-	for _, name := range hopByHop {
-		delete(header, name)
-	}
 }
 
 // PathOf returns the part of a request target before the query, without scheme
--- a/internal/dataplane/outbound/feedback.go
+++ b/internal/dataplane/outbound/feedback.go
@@ -24,6 +24,9 @@
 	}
 	if transition := choice.Done(e.balanceResult(choice, sent), report, bytes, time.Now()); transition != balance.Unchanged {
 		e.proxy.log.availabilityChanged(e, choice, sent, transition)
+		if transition == balance.LinkBusy {
+			e.proxy.metrics.busyLinks.Inc()
+		}
 	}
 	e.proxy.metrics.sent(sent.report)
 }
@@ -53,6 +56,9 @@
 	case hop.ReasonDraining, hop.ReasonEvacuated, hop.ReasonWrongInstance, hop.ReasonUnconfigured:
 		return balance.NotAccepting
 	case hop.ReasonConnect, hop.ReasonBroken, hop.ReasonCrashed:
+		if sent.connectTimedOut {
+			return balance.ConnectTimedOut
+		}
 		return balance.DeliveryFailed
 	default:
 		return balance.Abandoned
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -106,9 +106,13 @@
 	if sent.err != nil {
 		entry = entry.WithError(sent.err)
 	}
-	if transition == balance.Recovered {
+	switch transition {
+	case balance.Recovered:
 		entry.Info("instance answers again")
 		return
+	case balance.LinkBusy:
+		entry.Info("the attempt to connect timed out and the link is busy: the instance is not ejected")
+		return
 	}
 	entry.Warn("instance ejected: it gets no requests for a while")
 }
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -38,6 +38,7 @@
 	budgetEmpty prometheus.Counter
 	losses      *prometheus.CounterVec
 	lostTime    *prometheus.HistogramVec
+	busyLinks   prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -77,10 +78,14 @@
 		Help:    "Where the time of requests went that did not end in time: waiting, instance, between nodes, sends before.",
 		Buckets: prometheus.ExponentialBuckets(0.01, 4, 6),
 	}, []string{"where"})
+	created.busyLinks = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_busy_link_timeouts_total",
+		Help: "Attempts to connect to a node that timed out and did not eject its instance, as the link is busy.",
+	})
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.busyLinks} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -157,17 +157,20 @@
 	if err != nil {
 		return failedSend(err)
 	}
-	report, err := hop.DecodeReport(response.Header.Get(hop.Header))
+	headerRead := time.Now()
+	report, err := hop.ReportFrom(response.Header)
 	if err != nil {
 		_ = response.Close()
 		return sendResult{report: hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonInvalid}, err: err}
 	}
-	delete(response.Header, hop.Header)
+	hop.StripReport(response.Header)
 	if report.Outcome != hop.Answered {
 		response.Discard()
 		return sendResult{report: report, reported: true}
 	}
-	return takeAnswer(response, report)
+	result := takeAnswer(response, report)
+	result.report.Link = result.report.Link.After(time.Since(headerRead))
+	return result
 }
 
 // silenceLimitOf returns how long a request may see no progress. There is no limit for one that
@@ -182,7 +185,10 @@
 func failedSend(err error) sendResult {
 	var failure *client.Error
 	if errors.As(err, &failure) && failure.Progress != client.SentWhole {
-		return sendResult{report: hop.Report{Outcome: hop.Refused, Reason: hop.ReasonConnect}, err: err}
+		return sendResult{
+			report: hop.Report{Outcome: hop.Refused, Reason: hop.ReasonConnect}, err: err,
+			connectTimedOut: isConnectTimeout(failure),
+		}
 	}
 	return sendResult{report: hop.Report{Outcome: hop.Unknown, Reason: reasonOf(err)}, err: err}
 }
@@ -208,7 +214,7 @@
 	case err != nil:
 		_ = response.Close()
 		report.Outcome, report.Reason = hop.Unknown, hop.ReasonBroken
-		return sendResult{report: report, err: err}
+		return sendResult{report: report, reported: true, err: err}
 	case !whole:
 		answer.Body, answer.Stream = body, &responseStream{response: response}
 		return sendResult{report: report, answer: answer, reported: true}
--- a/internal/dataplane/server/server_test.go
+++ b/internal/dataplane/server/server_test.go
@@ -292,3 +292,25 @@
 	_, body := r.read(c)
 	c.Check(body, qt.Equals, "1:")
 }
+
+// TestCloseDropsListedFields guards against fields of one connection that a client passes on: net/http drops
+// the list of them when it reads that the connection closes.
+func TestCloseDropsListedFields(t *testing.T) {
+	for name, closes := range map[string]bool{"kept open": false, "closed": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newTestServer(t, func(_ context.Context, request *message.Request) *message.Response {
+				return message.Whole(http.StatusOK, http.Header{"Connection": {"Listed"}, "Listed": {"1"}}, []byte(request.ID))
+			})
+			if closes {
+				r.server.Drain()
+			}
+			r.send(c, get("1"))
+			response, _ := r.read(c)
+			c.Check(response.Close, qt.Equals, closes)
+			c.Check(response.Header.Get("Listed") == "", qt.Equals, closes)
+			message.StripHopByHop(response.Header)
+			c.Check(response.Header["Listed"], qt.IsNil)
+		})
+	}
+}
--- a/internal/dataplane/server/write.go
+++ b/internal/dataplane/server/write.go
@@ -74,6 +74,7 @@
 		header["Content-Length"] = []string{strconv.FormatInt(answer.Length, 10)}
 	}
 	if closes {
+		message.StripListed(header) // net/http forgets the list together with "close"
 		header["Connection"] = []string{"close"}
 	}
 	if err := header.Write(writer); err != nil {
