inbound: refuse a body whose response could not be sent in time

The link was checked when a request had been received whole, so that bodies were sent for requests that were then refused. Admit now makes the same check before the body is sent. Shown by TestLargeResponsesWaitForTheLink; the tests of internal/dataplane/... pass.

--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -29,6 +29,9 @@
 	if reason := p.checkTarget(order); reason != hop.ReasonNone {
 		return p.refuseAdmission(request, p.refuse(reason, 0))
 	}
+	if wait := p.responseExcess(request, order); wait > 0 {
+		return p.refuseAdmission(request, p.refuse(hop.ReasonLink, wait))
+	}
 	if bytes < transfer.MinQueuedBytes {
 		return p.admitSmall(request, order)
 	}
--- a/internal/dataplane/inbound/response_link.go
+++ b/internal/dataplane/inbound/response_link.go
@@ -73,13 +73,18 @@
 	}
 	l.admission.Lock()
 	defer l.admission.Unlock()
-	demand.backlog, demand.rate = l.egress.Owed(), l.egress.Rate()
-	if excess := demand.excess(); excess > 0 && mayRefuse {
+	if excess := l.excess(demand); excess > 0 && mayRefuse {
 		return nil, excess
 	}
 	return l.egress.Expect(demand.bytes), 0
 }
 
+// excess returns by how much a request would exceed its time with the link as it is now.
+func (l *responseLink) excess(demand linkDemand) time.Duration {
+	demand.backlog, demand.rate = l.egress.Owed(), l.egress.Rate()
+	return demand.excess()
+}
+
 // learn records the size of a response of the instance.
 func (l *responseLink) learn(route string, response *message.Response) {
 	if response == nil || response.Status >= http.StatusMultipleChoices {
@@ -118,6 +123,19 @@
 	return delivery
 }
 
+// responseExcess returns by how much a request of another node whose body is not sent yet would exceed its
+// time because of the link, so that the body is not sent in vain.
+func (p *Proxy) responseExcess(request *message.Request, order hop.Order) time.Duration {
+	if p.responses == nil {
+		return 0
+	}
+	route, known := p.routeOf(request)
+	if !known {
+		return 0
+	}
+	return p.responses.excess(p.linkDemandOf(request, order, route))
+}
+
 // linkDemandOf returns what the response of a request demands of the link.
 func (p *Proxy) linkDemandOf(request *message.Request, order hop.Order, route string) linkDemand {
 	bytes := p.responses.sizes.mean(route)
--- a/internal/dataplane/inbound/response_link_test.go
+++ b/internal/dataplane/inbound/response_link_test.go
@@ -97,6 +97,11 @@
 	c.Check(report.Reason, qt.Equals, hop.ReasonLink)
 	c.Check(report.RetryAfter > 0, qt.IsTrue)
 	c.Check(reached, qt.Equals, 2)
+	refused := proxy.Admit(context.Background(), &message.Request{
+		ID: "q", Method: http.MethodPost, Target: "/", Path: "/", Host: "h.example", Arrived: time.Now(),
+		Header: http.Header{hop.Header: {hop.Order{Instance: "i-1", Remaining: time.Minute, MaxWait: time.Second}.Encode()}},
+	}, 2000)
+	c.Assert(refused.Refusal, qt.IsNotNil) // before its body is sent
 
 	answer, report = serve(true) // a response from elsewhere would use the link as well
 	c.Check(report.Outcome, qt.Equals, hop.Answered)
