--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -88,21 +88,22 @@
 	instance *client.Pool
 	queue    *queue.Queue
 	link     *transfer.Gate
-	// responses expects large responses on the egress direction of the link.
+	speed    speedEstimate
+	cold     *coldTracker
+	stated   *statedLimit
+	rates    rateLimits
+	slots    atomic.Int64
+	stop     atomic.Pointer[plannedStop]
+	stale    staleInstances
+	crashes  *crashDetector
+	probes   probeSemaphore
+	origins  originTracker
+	active   atomic.Int64
+	lines    *boundedlog.Limiter
+	metrics  *metrics
+
+	// responses admits large responses to the egress direction of the link.
 	responses *responseLink
-	speed     speedEstimate
-	cold      *coldTracker
-	stated    *statedLimit
-	rates     rateLimits
-	slots     atomic.Int64
-	stop      atomic.Pointer[plannedStop]
-	stale     staleInstances
-	crashes   *crashDetector
-	probes    probeSemaphore
-	origins   originTracker
-	active    atomic.Int64
-	lines     *boundedlog.Limiter
-	metrics   *metrics
 }
 
 // New returns a Proxy, or an error if its metrics cannot be registered.
@@ -385,7 +386,6 @@
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
 		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.speed.hundredths(),
-		ColdFor: p.cold.limit.InForceFor(time.Now()),
-		Link:    p.responses.report(),
+		ColdFor: p.cold.limit.InForceFor(time.Now()), Link: p.responses.report(),
 	}
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -88,10 +88,11 @@
 	answer *message.Response // set if the report's outcome is hop.Answered
 	// reported is false if the instance's sidecar sent no report.
 	reported bool
+	err      error
+
 	// connectTimedOut is set if the instance's sidecar did not answer an attempt to connect, or a
 	// liveness check, in time; a refused or reset connection is another failure.
 	connectTimedOut bool
-	err             error
 }
 
 // run sends the request until there is a final answer.
