--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -127,6 +127,7 @@
 		Quota:              n.quota,
 		Slots:              options.Slots,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
+		Egress:             n.link.forResponses(options),
 		Mechanisms:         options.Mechanisms,
 		Logger:             options.Logger.WithField("part", "inbound"),
 		Registerer:         options.Registerer,
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -38,6 +38,9 @@
 	// EgressSchedule sends large responses within the rate of the machine's link, in the order of
 	// their priorities and due times.
 	EgressSchedule bool `yaml:"egress_schedule" help:"send large answers within the link's rate, the most urgent first"`
+	// LinkBacklog takes the backlog of the machines' links into account when an instance is chosen or a
+	// request admitted whose route has large responses.
+	LinkBacklog bool `yaml:"link_backlog" help:"weigh the backlog of the links where responses are large"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
 }
@@ -47,6 +50,6 @@
 	return Set{
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
-		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true,
+		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true,
 	}
 }
