Use the load that instances state in their answers

Instances state their running and waiting requests, and some of them how long work takes at the moment. Nobody read it: requests that an instance goes on with after their callers left were not seen, and expected service times followed a change of the instance's speed only over some 48 requests.

The sidecar keeps their slots until a load shows that they have ended, at most for the time of such work; it scales expected service times and the reported speed by the stated slowdown. Instances that state no slowdown are treated as before.

--- a/internal/dataplane/hop/header.go
+++ b/internal/dataplane/hop/header.go
@@ -44,3 +44,7 @@
 	delete(header, Header)
 	delete(header, HeaderLimit)
 }
+
+// StartShare is the share of the expected service time that must be left when the instance begins.
+// With less time, its work would most likely be wasted.
+const StartShare = 0.7
--- a/internal/dataplane/inbound/crash.go
+++ b/internal/dataplane/inbound/crash.go
@@ -130,6 +130,7 @@
 // crashed records and logs a crash of the instance with the requests that were in progress.
 func (p *Proxy) crashed(runs []runInProgress) {
 	p.metrics.crashes.Inc()
+	p.load.crashed()
 	running := make([]suspects.InProgress, len(runs))
 	for i, run := range runs {
 		running[i] = suspects.InProgress{Fingerprint: run.fingerprint, Probe: run.probe}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -87,6 +87,7 @@
 	queue    *queue.Queue
 	link     *transfer.Gate
 	speed    speedEstimate
+	load     *instanceLoad
 	cold     *coldTracker
 	stated   *statedLimit
 	rates    rateLimits
@@ -134,7 +135,10 @@
 	created.queue = queue.NewRateLimited(options.Slots, created.rates)
 	created.slots.Store(int64(options.Slots))
 	var err error
-	created.metrics, err = newMetrics(options.Registerer, created.queue)
+	if created.metrics, err = newMetrics(options.Registerer, created.queue); err != nil {
+		return nil, err
+	}
+	created.load, err = newInstanceLoad(options)
 	return created, err
 }
 
@@ -349,7 +353,7 @@
 		ticket.Length = 0
 	}
 	ticket.OnlyCandidate = ticket.OnlyCandidate && enabled.KeepOnlyCandidate
-	return ticket
+	return p.scaleToLoad(ticket, request, order)
 }
 
 func (p *Proxy) reasonOf(refusal queue.Refusal) hop.Reason {
@@ -377,7 +381,7 @@
 	const kibibyte = 1024
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
-		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.speed.hundredths(),
+		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.slowdownPercent(),
 		ColdFor: p.cold.limit.InForceFor(time.Now()),
 	}
 }
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -100,7 +100,7 @@
 	options.Names = message.Names{
 		RequestID: instance.HeaderID, Deadline: instance.HeaderDeadline, ExpectInstance: instance.HeaderExpect,
 		NotExecuted: instance.HeaderNotExecuted, Stamp: instance.HeaderStamp,
-		Limit: instance.HeaderLimit, Leaving: instance.HeaderLeaving,
+		Limit: instance.HeaderLimit, Leaving: instance.HeaderLeaving, Load: instance.HeaderLoad,
 	}
 	options.Snapshots = fixedSnapshot{built.WithFleet(version, snapshot.Content{Instances: []snapshot.Instance{{
 		Name: emulated.Name, Service: "a", Address: address, State: snapshot.InstanceReady, Slots: 4,
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -43,10 +43,7 @@
 		Name: "winchhead_dataplane_instance_limit_per_second",
 		Help: "The limit that the instance beside the node states, in requests per second; 0 if it states none.",
 	})
-	if registerer == nil {
-		return created, nil
-	}
-	collectors := []prometheus.Collector{
+	return created, registerAll(registerer,
 		created.deliveries, created.waits, created.crashes, created.limited, created.statedLimit,
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
@@ -54,13 +51,20 @@
 			func() int { return waiting.Usage().Waiting }),
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
+	)
+}
+
+// registerAll registers collectors, unless there is no registerer.
+func registerAll(registerer prometheus.Registerer, collectors ...prometheus.Collector) error {
+	if registerer == nil {
+		return nil
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
-			return nil, eris.Wrap(err, "register the metrics of the data plane")
+			return eris.Wrap(err, "register the metrics of the data plane")
 		}
 	}
-	return created, nil
+	return nil
 }
 
 func usageGauge(name, help string, value func() int) prometheus.Collector {
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -19,15 +19,17 @@
 // send sends the request to the instance and classifies the result.
 func (p *Proxy) send(ctx context.Context, request *message.Request, order hop.Order, deadline time.Time, slot *queue.Slot) Delivery {
 	started := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancelSend := context.WithDeadline(ctx, deadline)
+	begun, cancel := p.load.begin(started, cancelSend)
 	response, err := p.instance.Do(ctx, p.instanceRequest(request, order, deadline))
 	if err != nil {
 		cancel()
-		delivery := p.sendFailure(err, request, order, slot)
+		delivery := p.sendFailure(err, request, order, slot, begun)
 		delivery.Report.Execution = time.Since(started)
 		return delivery
 	}
 	p.observeStatement(request, order, response.Status, response.Header, started)
+	p.observeLoad(begun, request, order, response.Status, response.Header, p.rejectionReason(response) == hop.ReasonNone, started)
 	if reason := p.rejectionReason(response); reason != hop.ReasonNone {
 		response.Discard()
 		cancel()
@@ -47,7 +49,7 @@
 		slot.Release(true)
 		return Delivery{Report: p.report(hop.Unknown, hop.ReasonInvalid), Err: errNoStamp}
 	}
-	return p.forwardResponse(response, request, order, started, slot, cancel)
+	return p.forwardResponse(response, request, order, started, slot, begun, cancel)
 }
 
 // processOf returns the current process of an instance, or just its name if it is not listed.
@@ -114,12 +116,12 @@
 }
 
 // sendFailure classifies a send that got no response.
-func (p *Proxy) sendFailure(err error, request *message.Request, order hop.Order, slot *queue.Slot) Delivery {
+func (p *Proxy) sendFailure(err error, request *message.Request, order hop.Order, slot *queue.Slot, begun *loadedRun) Delivery {
 	var failure *client.Error
 	if !errors.As(err, &failure) {
 		failure = &client.Error{Progress: client.SentWhole, Err: err}
 	}
-	slot.Release(false)
+	p.releaseUnanswered(begun, order, slot, failure)
 	switch {
 	case failure.Progress == client.NotSent:
 		return Delivery{Report: p.report(hop.Refused, hop.ReasonConnect), Err: err}
@@ -148,7 +150,7 @@
 
 // forwardResponse forwards a response: a short one once it is complete, a long one or an
 // event stream as it arrives.
-func (p *Proxy) forwardResponse(response *client.Response, request *message.Request, order hop.Order, started time.Time, slot *queue.Slot, cancel func()) Delivery {
+func (p *Proxy) forwardResponse(response *client.Response, request *message.Request, order hop.Order, started time.Time, slot *queue.Slot, begun *loadedRun, cancel func()) Delivery {
 	answer := &message.Response{Status: response.Status, Header: response.Header, Length: response.Length}
 	message.StripHopByHop(answer.Header)
 	body, complete, err := response.Buffer()
@@ -169,6 +171,7 @@
 	execution := time.Since(started)
 	if answer.Status < http.StatusMultipleChoices {
 		p.speed.record(execution, order.MeanServiceTime)
+		p.load.recordExecution(begun, execution, order.MeanServiceTime)
 	}
 	report := p.report(hop.Answered, hop.ReasonNone)
 	report.Execution = execution
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -35,6 +35,9 @@
 	IdleLimit bool `yaml:"rest_limit" help:"send what may run once only on connections that hardly rested"`
 	// LinkAdmission admits large bodies to the links of machines before they are sent.
 	LinkAdmission bool `yaml:"link_admission" help:"admit large bodies to the links of machines before they are sent"`
+	// LoadReports uses the load that instances state in their answers, if it includes their
+	// slowdown.
+	LoadReports bool `yaml:"load_reports" help:"use the load that instances state in their answers"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
 }
@@ -44,6 +47,6 @@
 	return Set{
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
-		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, LapseGrace: true,
+		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, LoadReports: true, LapseGrace: true,
 	}
 }
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -19,9 +19,7 @@
 	serviceSpread = 1.5
 	// minWaitShare is the share of the target latency that may always be spent waiting.
 	minWaitShare = 0.2
-	// startShare is the share of the expected service time that must be left when the instance
-	// begins. With less time, its work would most likely be wasted.
-	startShare = 0.7
+	startShare   = hop.StartShare
 
 	// finalAttemptTargets is the number of target latencies of time left at which a caller cannot
 	// retry after a refusal: its request waits for as long as it can still be answered.
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -27,6 +27,7 @@
 	HeaderTenant      = "Winchhead-Tenant"
 	HeaderLimit       = "Server-Limit"
 	HeaderLeaving     = "Server-Leaving"
+	HeaderLoad        = "Winchhead-Server-Load"
 )
 
 // Fault is a failure that the instance causes on a request.
