--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -89,6 +89,7 @@
 	queue    *queue.Queue
 	link     *transfer.Gate
 	speed    speedEstimate
+	load     *instanceLoad
 	cold     *coldTracker
 	stated   *statedLimit
 	rates    rateLimits
@@ -142,7 +143,10 @@
 	if created.responses, err = newResponseLink(options); err != nil {
 		return nil, err
 	}
-	created.metrics, err = newMetrics(options.Registerer, created.queue)
+	if created.metrics, err = newMetrics(options.Registerer, created.queue); err != nil {
+		return nil, err
+	}
+	created.load, err = newInstanceLoad(options)
 	return created, err
 }
 
@@ -359,7 +363,7 @@
 		ticket.Length = 0
 	}
 	ticket.OnlyCandidate = ticket.OnlyCandidate && enabled.KeepOnlyCandidate
-	return ticket
+	return p.scaleToLoad(ticket, request, order)
 }
 
 func (p *Proxy) reasonOf(refusal queue.Refusal) hop.Reason {
@@ -387,7 +391,7 @@
 	const kibibyte = 1024
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
-		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.speed.hundredths(),
+		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.slowdownPercent(),
 		ColdFor: p.cold.limit.InForceFor(time.Now()), Link: p.responses.report(),
 	}
 }
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -41,6 +41,9 @@
 	// LinkBacklog takes the backlog of the machines' links into account when an instance is chosen or a
 	// request admitted whose route has large responses.
 	LinkBacklog bool `yaml:"link_backlog" help:"weigh the backlog of the links where responses are large"`
+	// LoadReports uses the load that instances state in their answers, if it includes their
+	// slowdown.
+	LoadReports bool `yaml:"load_reports" help:"use the load that instances state in their answers"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
 }
@@ -50,6 +53,6 @@
 	return Set{
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
-		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true,
+		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true, LoadReports: true,
 	}
 }
