queue: slots are reserved for requests of higher priority

Cause: where reads of 360 ms arrive at twice the capacity, they hold all slots of an instance, and a call of 22 ms that should start within 47 ms of its arrival finds none.

Change: while requests of priority 0 arrive, the slots that a priority and all lower ones may hold together are limited. The reserve is a whole number of slots. It grows while higher-priority requests get their slots after their due time and shrinks while they do not; it is at most the largest one that leaves 0.05 of the slots idle, with the slots that higher priorities ask for as the mean of a Poisson distribution; it ends 3 s after the last request of priority 0. A limit is never below one slot. The expected wait of a request counts the slots that its priority may use. Without requests of priority 0 nothing changes. Switch: mechanisms.slot_reservation. Metric: winchhead_dataplane_reserved_slots.

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -132,6 +132,9 @@
 	created.stated = newStatedLimit(options.Statements, time.Now())
 	created.rates = rateLimits{cold: created.cold.limit, stated: created.stated}
 	created.queue = queue.NewRateLimited(options.Slots, created.rates)
+	if options.Mechanisms.SlotReservation {
+		created.queue.ReserveByPriority()
+	}
 	created.slots.Store(int64(options.Slots))
 	var err error
 	created.metrics, err = newMetrics(options.Registerer, created.queue)
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -52,6 +52,8 @@
 			func() int { return waiting.Usage().Running }),
 		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
 			func() int { return waiting.Usage().Waiting }),
+		usageGauge("winchhead_dataplane_reserved_slots", "Slots of the instance that requests of the lowest priority in use may not take.",
+			waiting.Reserved),
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
 	}
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -35,6 +35,10 @@
 	IdleLimit bool `yaml:"rest_limit" help:"send what may run once only on connections that hardly rested"`
 	// LinkAdmission admits large bodies to the links of machines before they are sent.
 	LinkAdmission bool `yaml:"link_admission" help:"admit large bodies to the links of machines before they are sent"`
+	// SlotReservation keeps slots of an instance free for requests of higher priority.
+	SlotReservation bool `yaml:"slot_reservation" help:"keep slots free for requests of higher priority while requests of priority 0 arrive"`
+	// CallPriority gives calls of instances the priority of the request that they are made for.
+	CallPriority bool `yaml:"call_priority" help:"give calls of instances the priority of the request that they are made for, and let them wait until their deadline"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
 }
@@ -45,5 +49,6 @@
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
 		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, LapseGrace: true,
+		SlotReservation: true, CallPriority: true,
 	}
 }
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -71,6 +71,9 @@
 	// tenant has had more than its fair share. The queue sets both.
 	cost        time.Duration
 	beyondShare bool
+	// startBy is Due as it was on arrival, and canBeDue says that it was not over then. The queue sets both.
+	startBy  time.Time
+	canBeDue bool
 }
 
 // Usage is the number of requests that hold a slot, that wait for one, and of all slots.
@@ -94,6 +97,8 @@
 	// grantedAt holds the time at which each slot in use was granted.
 	grantedAt map[*Slot]time.Time
 	fairness  fairness
+	// reservation is nil unless ReserveByPriority was called.
+	reservation *reservation
 }
 
 // initialServiceTime is assumed as the mean service time before any request has ended.
@@ -165,6 +170,7 @@
 	queue    *Queue
 	once     sync.Once
 	expected time.Duration
+	priority int
 }
 
 // Release passes the slot to the next request. If ran is set, the instance processed the
@@ -179,12 +185,13 @@
 	now := time.Now()
 	q.mutex.Lock()
 	ticket = q.ranked(ticket, now)
-	q.fairness.arrived(ticket, now)
+	q.arrived(ticket, now)
 	if refusal, wait := q.refusal(ticket, now); refusal != None {
+		q.refused(ticket, refusal, now)
 		q.mutex.Unlock()
 		return nil, refusal, wait
 	}
-	if q.running < q.slots && q.waiting.Len() == 0 && q.limiter.Begin(now) == 0 {
+	if q.hasSlotFor(ticket) && q.waiting.Len() == 0 && q.limiter.Begin(now) == 0 {
 		slot := q.grant(ticket, now)
 		q.mutex.Unlock()
 		return slot, None, 0
@@ -205,7 +212,8 @@
 	ticket = q.ranked(ticket, now)
 	refusal, wait := q.refusal(ticket, now)
 	if refusal != None {
-		q.fairness.arrived(ticket, now) // it asks for no slot any more
+		q.arrived(ticket, now) // it asks for no slot any more
+		q.refused(ticket, refusal, now)
 	}
 	return refusal, wait
 }
@@ -214,6 +222,7 @@
 func (q *Queue) ranked(ticket Ticket, now time.Time) Ticket {
 	ticket.cost = q.expected(ticket)
 	ticket.beyondShare = q.fairness.exceeds(ticket, now)
+	ticket.startBy, ticket.canBeDue = ticket.Due, ticket.Due.After(now)
 	return ticket
 }
 
@@ -245,7 +254,7 @@
 		case received := <-waiter.result:
 			return received.slot, received.refusal, q.meanServiceTime()
 		case <-timer.C:
-			refusal = q.waitRefusal()
+			refusal = q.waitRefusal(waiter.ticket)
 			var extension time.Duration
 			if removed, extension = q.expireWait(waiter); extension > 0 {
 				timer.Reset(extension)
@@ -279,7 +288,10 @@
 			return false, min(extension, recheckInterval)
 		}
 	}
-	return q.waiting.remove(waiter), 0
+	if removed = q.waiting.remove(waiter); removed && !q.hasSlotFor(waiter.ticket) {
+		q.refused(waiter.ticket, Busy, time.Now())
+	}
+	return removed, 0
 }
 
 // recheckInterval is the time between two checks of whether a waiter beyond its maximum
@@ -309,10 +321,10 @@
 			work += q.expected(other.ticket)
 		}
 	}
-	if q.running >= q.slots {
+	if !q.hasSlotFor(ticket) {
 		work += q.serviceTime // until the next slot is free
 	}
-	slotWait, rateWait := work/time.Duration(q.slots), q.limiter.Delay(count, now)
+	slotWait, rateWait := work/time.Duration(q.reservation.usable(ticket.Priority, q.slots)), q.limiter.Delay(count, now)
 	if rateWait > slotWait {
 		return rateWait, RateLimited
 	}
@@ -330,7 +342,8 @@
 func (q *Queue) grant(ticket Ticket, now time.Time) *Slot {
 	q.running++
 	q.fairness.granted(ticket, now)
-	slot := &Slot{queue: q, expected: q.expected(ticket)}
+	q.reservation.granted(ticket, now)
+	slot := &Slot{queue: q, expected: q.expected(ticket), priority: ticket.Priority}
 	q.grantedAt[slot] = now
 	return slot
 }
@@ -342,8 +355,9 @@
 	now := time.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	held := now.Sub(q.grantedAt[slot])
+	q.reservation.released(slot.priority, held, ran)
 	if ran {
-		held := now.Sub(q.grantedAt[slot])
 		q.serviceTime += (held - q.serviceTime) / serviceTimeSmoothing
 	}
 	delete(q.grantedAt, slot)
@@ -353,7 +367,8 @@
 
 // grantWaiting grants free slots to waiters. The caller must hold the mutex.
 func (q *Queue) grantWaiting(now time.Time) {
-	for q.running < q.slots && q.waiting.Len() > 0 {
+	q.reservation.update(q.slots, now)
+	for q.waiting.Len() > 0 && q.hasSlotFor(q.waiting[0].ticket) {
 		if next := q.waiting[0]; !next.ticket.LatestStart.After(now) {
 			heap.Pop(&q.waiting)
 			next.result <- grantResult{refusal: Expired}
@@ -366,4 +381,5 @@
 		next := heap.Pop(&q.waiting).(*waiter)
 		next.result <- grantResult{slot: q.grant(next.ticket, now)}
 	}
+	q.recheckReserve(now)
 }
--- a/internal/dataplane/queue/rate_limit.go
+++ b/internal/dataplane/queue/rate_limit.go
@@ -42,11 +42,11 @@
 }
 
 // waitRefusal returns why a request that has waited for as long as it may got no slot.
-func (q *Queue) waitRefusal() Refusal {
+func (q *Queue) waitRefusal(ticket Ticket) Refusal {
 	now := time.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.running < q.slots && q.limiter.Delay(0, now) > 0 {
+	if q.hasSlotFor(ticket) && q.limiter.Delay(0, now) > 0 {
 		return RateLimited
 	}
 	return Busy
