dataplane: calls get the priority of their parents and wait until their deadline

Cause: a call competes at the called service by the priority of its own route, whatever it is made for, and gives up its slot after the time in which it can be in time. A rejected call fails its parent, whose callers retry.

Change: the inbound proxy tells package callpriority which requests the instance runs (route, effective priority), the outbound proxy asks it about each request that external callers are not known to send. For each call route, expectation maximization estimates how often each running route makes such calls; a parent that always runs stands for requests that the instance does not send. After 30 of them, a call gets the priority of its most likely parent if that is higher, and waits until it can no longer be answered by its deadline. hop.Order.Priority carries the priority, so that it holds for calls of calls. At most 64 parent and 64 call routes are stored. Switch: mechanisms.call_priority. Metric: winchhead_dataplane_calls_total.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -66,6 +67,7 @@
 	options      Options
 	accounts     *budget.Accounts
 	quota        *quota.Limiter
+	calls        *callpriority.Tracker
 	inbound      *inbound.Proxy
 	outbound     *outbound.Proxy
 	callerServer *server.Server
@@ -87,6 +89,7 @@
 		options:  options,
 		accounts: budget.New(options.Budget),
 		quota:    options.Quota,
+		calls:    callpriority.New(),
 	}
 	var err error
 	if created.inbound, err = created.newInbound(); err != nil {
@@ -119,6 +122,7 @@
 		Suspects:           options.Suspects,
 		Statements:         options.Statements,
 		Quota:              n.quota,
+		Calls:              n.calls,
 		Slots:              options.Slots,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
 		Mechanisms:         options.Mechanisms,
@@ -142,6 +146,7 @@
 		Suspects:           options.Suspects,
 		Statements:         options.Statements,
 		Quota:              n.quota,
+		Calls:              n.calls,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
 		Mechanisms:         options.Mechanisms,
 		Logger:             options.Logger.WithField("part", "outbound"),
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -16,6 +16,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -61,6 +62,8 @@
 	Statements *statement.Tracker
 	// Quota grants tokens of tenants to other nodes; nil refuses them.
 	Quota *quota.Limiter
+	// Calls learns which requests of the instance make calls; nil: their priority is not inferred.
+	Calls *callpriority.Tracker
 	// Mechanisms are the mechanisms that are enabled.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -306,14 +309,16 @@
 		slot.Release(false)
 		return p.refuse(hop.ReasonRepeats, 0)
 	}
+	parent := p.beginParent(request, order)
 	delivery := p.send(ctx, request, order, deadline, slot)
 	if delivery.Response != nil {
 		if rest, ok := delivery.Response.Stream.(*stream); ok {
-			rest.run = run
+			rest.run, rest.parent = run, parent
 			return delivery
 		}
 	}
 	run.End()
+	parent.End(time.Now())
 	return delivery
 }
 
--- a/internal/dataplane/inbound/inbound_test.go
+++ b/internal/dataplane/inbound/inbound_test.go
@@ -90,12 +90,12 @@
 func (f fixedSnapshot) Current() *snapshot.Snapshot { return f.current }
 
 // newServedProxy returns a proxy for an emulated instance that its snapshot lists.
-func newServedProxy(t *testing.T, emulated *instance.Instance, options inbound.Options) *inbound.Proxy {
+func newServedProxy(t *testing.T, emulated *instance.Instance, options inbound.Options, routes ...snapshot.Route) *inbound.Proxy {
 	address, err := emulated.Start()
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(emulated.Close)
 	version := snapshot.Version{Revision: 1}
-	built, err := snapshot.New(version, nil, []snapshot.Service{{Name: "a"}}, nil)
+	built, err := snapshot.New(version, routes, []snapshot.Service{{Name: "a"}}, nil)
 	qt.Assert(t, err, qt.IsNil)
 	options.Names = message.Names{
 		RequestID: instance.HeaderID, Deadline: instance.HeaderDeadline, ExpectInstance: instance.HeaderExpect,
@@ -117,7 +117,7 @@
 
 func deliver(proxy *inbound.Proxy, id string, order hop.Order) inbound.Delivery {
 	return proxy.Deliver(context.Background(), &message.Request{
-		ID: id, Method: http.MethodGet, Target: "/t", Host: "h.example", Header: http.Header{}, Arrived: time.Now(),
+		ID: id, Method: http.MethodGet, Target: "/t", Path: "/t", Host: "h.example", Header: http.Header{}, Arrived: time.Now(),
 	}, order)
 }
 
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
@@ -181,6 +182,7 @@
 	slot     *queue.Slot
 	cancel   func()
 	run      *budget.Run
+	parent   *callpriority.Run
 }
 
 // Read reads the response of the instance.
@@ -192,5 +194,6 @@
 	s.cancel()
 	s.slot.Release(true)
 	s.run.End()
+	s.parent.End(time.Now())
 	return err
 }
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/callerretry"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
@@ -45,6 +46,7 @@
 	// callerTimeout is how long the caller waits.
 	callerTimeout time.Duration
 	caller        callerretry.Caller
+	call          callpriority.Assessment
 	service       string
 
 	// permitted are the instances of the service in the allowed regions, once they are known.
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -38,6 +38,7 @@
 	budgetEmpty prometheus.Counter
 	losses      *prometheus.CounterVec
 	lostTime    *prometheus.HistogramVec
+	calls       *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -77,10 +78,14 @@
 		Help:    "Where the time of requests went that did not end in time: waiting, instance, between nodes, sends before.",
 		Buckets: prometheus.ExponentialBuckets(0.01, 4, 6),
 	}, []string{"where"})
+	created.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_calls_total",
+		Help: "Requests known to be calls of the local instance, by whether they got a higher priority than that of their route (raised) or not (own).",
+	}, []string{"priority"})
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.calls} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
@@ -104,6 +109,15 @@
 	m.lostTime.WithLabelValues("before").Observe(times.EarlierSends.Seconds())
 }
 
+// called counts a call of the local instance.
+func (m *metrics) called(raised bool) {
+	priority := "own"
+	if raised {
+		priority = "raised"
+	}
+	m.calls.WithLabelValues(priority).Inc()
+}
+
 func (m *metrics) arrived(service string, kind repeats.Kind) {
 	m.arrivals.WithLabelValues(service, string(kind)).Inc()
 }
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -9,7 +9,6 @@
 	"github.com/winchhead/winchhead/internal/dataplane/repeats"
 	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
 	"github.com/winchhead/winchhead/internal/suspects"
-	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
 const (
@@ -36,19 +35,20 @@
 	}
 	due, value := e.due(choice, remaining)
 	limit := e.proxy.options.Statements.Get(choice.Instance.ID()).Limit()
-	maxWait := e.maxWait(due, remaining)
+	serviceTime := min(time.Duration(startShare*float64(choice.ServiceTime)), remaining/2)
+	maxWait := callWait(e.call, e.maxWait(due, remaining), remaining, serviceTime)
 	if limit.Stated && e.suspicion.standing != suspects.Suspected { // a suspected request has one candidate
 		maxWait = min(maxWait, e.limitedWait(choice, due, remaining))
 	}
 	return hop.Order{
 		Instance:        choice.Instance.Name,
 		CallerService:   e.proxy.options.Service,
-		Priority:        tenancy.Priority(e.route, e.identity),
+		Priority:        e.call.Priority,
 		ValueRank:       int(value),
 		Remaining:       remaining,
 		Due:             due,
 		MaxWait:         maxWait,
-		ServiceTime:     min(time.Duration(startShare*float64(choice.ServiceTime)), remaining/2),
+		ServiceTime:     serviceTime,
 		MeanServiceTime: choice.MeanServiceTime,
 		Revision:        uint64(e.current.Version().Revision),
 		Repeatable:      e.route.MayRepeat(e.request.Method),
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -20,6 +20,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/callerretry"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/losses"
@@ -59,6 +60,8 @@
 	NodePort int
 	// LinkBytesPerSecond is the capacity of the machine's network link; zero: not known.
 	LinkBytesPerSecond float64
+	// Calls infers the priority of calls that the local instance makes; nil: they have that of their route.
+	Calls *callpriority.Tracker
 	// Mechanisms are the mechanisms that are switched on.
 	Mechanisms mechanism.Set
 	// Budget limits the repeats of requests that start at this node.
@@ -222,6 +225,7 @@
 		proxy: p, request: request, current: current, route: route, identity: identity,
 		deadline: deadline, callerTimeout: callerTimeout,
 		caller:  p.callerRetries.Arrived(route.Name, callerTimeout, request.Arrived),
+		call:    p.assessCall(current, route, identity, request.Arrived),
 		service: p.targets.choose(route),
 		tried:   make(map[string]bool),
 	}, nil
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -44,6 +44,8 @@
 	}
 	snapshot.routes = sortedByMatchOrder(routes)
 	snapshot.table = newRouteTable(snapshot.routes)
+	isUrgent := func(route Route) bool { return route.Priority == 0 }
+	snapshot.ranksRoutes = slices.ContainsFunc(routes, isUrgent) && slices.ContainsFunc(routes, func(route Route) bool { return !isUrgent(route) })
 	return snapshot, nil
 }
 
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -105,6 +105,8 @@
 	table      routeTable
 	tenants    tenantIndex
 	fleet      fleet
+	// ranksRoutes is set if there are routes of priority 0 and of others.
+	ranksRoutes bool
 }
 
 // Version returns the version of the document that the snapshot was compiled from.
@@ -117,6 +119,9 @@
 // Routes returns the routes in matching order. The caller must not modify them.
 func (s *Snapshot) Routes() []Route { return s.routes }
 
+// RanksRoutes reports whether there are routes of priority 0 and routes of lower priority.
+func (s *Snapshot) RanksRoutes() bool { return s.ranksRoutes }
+
 // Service returns the service of a name, if it is part of the snapshot.
 func (s *Snapshot) Service(name string) (Service, bool) {
 	service, ok := s.services[name]
