Merge: slot reservation by priority, and the priority of calls

Joins the reservation of slots and the inferred priority of calls with the schedule of links and the load reports.

The tests of internal/dataplane pass on the joined code.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -67,6 +68,7 @@
 	accounts     *budget.Accounts
 	quota        *quota.Limiter
 	link         link
+	calls        *callpriority.Tracker
 	inbound      *inbound.Proxy
 	outbound     *outbound.Proxy
 	callerServer *server.Server
@@ -88,6 +90,7 @@
 		options:  options,
 		accounts: budget.New(options.Budget),
 		quota:    options.Quota,
+		calls:    callpriority.New(),
 	}
 	var err error
 	if created.link, err = newLink(options); err != nil {
@@ -125,6 +128,7 @@
 		Suspects:           options.Suspects,
 		Statements:         options.Statements,
 		Quota:              n.quota,
+		Calls:              n.calls,
 		Slots:              options.Slots,
 		LinkBytesPerSecond: options.LinkBytesPerSecond,
 		Egress:             n.link.forResponses(options),
@@ -149,6 +153,7 @@
 		Suspects:     options.Suspects,
 		Statements:   options.Statements,
 		Quota:        n.quota,
+		Calls:        n.calls,
 		Egress:       n.link.forRequests(options),
 		Mechanisms:   options.Mechanisms,
 		Logger:       options.Logger.WithField("part", "outbound"),
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -16,6 +16,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -63,6 +64,8 @@
 	Quota *quota.Limiter
 	// Egress schedules what the node sends over the machine's link; nil if that is not known.
 	Egress EgressLink
+	// Calls learns which requests of the instance make calls; nil: their priority is not inferred.
+	Calls *callpriority.Tracker
 	// Mechanisms are the mechanisms that are enabled.
 	Mechanisms mechanism.Set
 	Logger     logrus.FieldLogger
@@ -138,6 +141,9 @@
 	created.stated = newStatedLimit(options.Statements, time.Now())
 	created.rates = rateLimits{cold: created.cold.limit, stated: created.stated}
 	created.queue = queue.NewRateLimited(options.Slots, created.rates)
+	if options.Mechanisms.SlotReservation {
+		created.queue.ReserveByPriority()
+	}
 	created.slots.Store(int64(options.Slots))
 	var err error
 	if created.responses, err = newResponseLink(options); err != nil {
@@ -317,14 +323,16 @@
 		slot.Release(false)
 		return p.refuse(hop.ReasonRepeats, 0)
 	}
+	parent := p.beginParent(request, order)
 	delivery := p.send(ctx, request, order, deadline, slot)
 	if delivery.Response != nil {
 		if rest, ok := delivery.Response.Stream.(*stream); ok {
-			rest.run = run
+			rest.run, rest.parent = run, parent
 			return delivery
 		}
 	}
 	run.End()
+	parent.End(time.Now())
 	return delivery
 }
 
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -44,6 +44,10 @@
 	// LoadReports uses the load that instances state in their answers, if it includes their
 	// slowdown.
 	LoadReports bool `yaml:"load_reports" help:"use the load that instances state in their answers"`
+	// SlotReservation keeps slots of an instance free for requests of higher priority.
+	SlotReservation bool `yaml:"slot_reservation" help:"keep slots free for requests of higher priority while requests of priority 0 arrive"`
+	// CallPriority gives calls of instances the priority of the request that they are made for.
+	CallPriority bool `yaml:"call_priority" help:"give calls of instances the priority of the request that they are made for, and let them wait until their deadline"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
 }
@@ -53,6 +57,6 @@
 	return Set{
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
-		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true, LoadReports: true,
+		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true, LoadReports: true, SlotReservation: true, CallPriority: true,
 	}
 }
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -39,6 +39,7 @@
 	losses      *prometheus.CounterVec
 	lostTime    *prometheus.HistogramVec
 	busyLinks   prometheus.Counter
+	calls       *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -82,10 +83,14 @@
 		Name: "winchhead_dataplane_busy_link_timeouts_total",
 		Help: "Attempts to connect to a node that timed out and did not eject its instance, as the link is busy.",
 	})
+	created.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_calls_total",
+		Help: "Requests known to be calls of the local instance, by whether they got a higher priority than that of their route (raised) or not (own).",
+	}, []string{"priority"})
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.busyLinks} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.busyLinks, created.calls} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
@@ -109,6 +114,15 @@
 	m.lostTime.WithLabelValues("before").Observe(times.EarlierSends.Seconds())
 }
 
+// called counts a call of the local instance.
+func (m *metrics) called(raised bool) {
+	priority := "own"
+	if raised {
+		priority = "raised"
+	}
+	m.calls.WithLabelValues(priority).Inc()
+}
+
 func (m *metrics) arrived(service string, kind repeats.Kind) {
 	m.arrivals.WithLabelValues(service, string(kind)).Inc()
 }
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -20,6 +20,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/callerretry"
+	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/inbound"
 	"github.com/winchhead/winchhead/internal/dataplane/losses"
@@ -60,6 +61,8 @@
 	NodePort int
 	// Egress schedules what is sent over the machine's network link; nil: nothing is paced.
 	Egress *transfer.Egress
+	// Calls infers the priority of calls that the local instance makes; nil: they have that of their route.
+	Calls *callpriority.Tracker
 	// Mechanisms are the mechanisms that are switched on.
 	Mechanisms mechanism.Set
 	// Budget limits the repeats of requests that start at this node.
@@ -224,6 +227,7 @@
 		proxy: p, request: request, current: current, route: route, identity: identity,
 		deadline: deadline, callerTimeout: callerTimeout,
 		caller:  p.callerRetries.Arrived(route.Name, callerTimeout, request.Arrived),
+		call:    p.assessCall(current, route, identity, request.Arrived),
 		service: p.targets.choose(route),
 		tried:   make(map[string]bool),
 	}, nil
