dataplane: a test that both proxies of a node share what they know about calls

Cause: the tests of the proxies set the tracker themselves; a node that passes none to one of its proxies infers nothing, and no test failed.

Change: TestCallsOfRunningRequests runs a whole node whose instance runs two requests of priority 0 while calls of a route of priority 1 arrive. The set-up of the node takes the instance, the routes and the registerer.

--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/winchhead/winchhead/internal/dataplane"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
@@ -33,16 +34,24 @@
 // startNode runs the data plane of an emulated instance's sidecar and returns it with its address
 // for callers.
 func startNode(c *qt.C) (node *dataplane.Node, callers string) {
-	emulated := &instance.Instance{Name: "i-1"}
+	return startNodeOf(c, &instance.Instance{Name: "i-1"}, nil, typedRoute("r", "h.example", 0))
+}
+
+// typedRoute returns a route to the service of the instance.
+func typedRoute(name, host string, priority int) snapshot.Route {
+	return snapshot.TypedRoute{
+		Name: name, Host: host, PathPrefix: "/", Repeatable: true, TimeoutMillis: 10000, TargetLatencyMillis: 5000,
+		MaxAttempts: 2, Priority: priority, Targets: []snapshot.WeightedService{{Service: "data", Weight: 1}},
+	}.Compile()
+}
+
+// startNodeOf is startNode for the instance and the routes. The metrics are registered unless registerer is nil.
+func startNodeOf(c *qt.C, emulated *instance.Instance, registerer prometheus.Registerer, routes ...snapshot.Route) (node *dataplane.Node, callers string) {
 	backend, err := emulated.Start()
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(emulated.Close)
 	document, err := snapshot.NewDocument(snapshot.Content{Revision: 1})
 	c.Assert(err, qt.IsNil)
-	routes := []snapshot.Route{snapshot.TypedRoute{
-		Name: "r", Host: "h.example", PathPrefix: "/", Repeatable: true, TimeoutMillis: 10000, TargetLatencyMillis: 5000,
-		MaxAttempts: 2, Targets: []snapshot.WeightedService{{Service: "data", Weight: 1}},
-	}.Compile()}
 	built, err := snapshot.New(document.Version(), routes, []snapshot.Service{{Name: "data"}}, nil)
 	c.Assert(err, qt.IsNil)
 	built = built.WithFleet(document.Version(), snapshot.Content{Instances: []snapshot.Instance{
@@ -54,7 +63,7 @@
 		Snapshots:  fixedSource{built}, Service: "data", Backend: backend, Slots: 4,
 		Budget: budget.Options{Ratio: 1, Slack: 10, Window: time.Second},
 		Limits: server.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
-		Logger: logging.Discard(),
+		Logger: logging.Discard(), Registerer: registerer,
 	})
 	c.Assert(err, qt.IsNil)
 	outbound, err := net.Listen("tcp", "127.0.0.1:0")
