Tell senders how slow an instance is at the moment

An instance that takes 2.5 times as long for 0.6 s was noticed only after the phase: the measured speed is smoothed over 48 requests, and senders keep a reported slowdown with a half-life of 10 s. Reporting the slowdown of the moment in the existing field makes it worse at a high load, as senders avoid the instance and hear nothing of its recovery.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -306,6 +306,7 @@
 			known.cold.Report(report.ColdFor, now)
 		}
 		known.setReportedSlowdown(report.SlowdownPercent, now)
+		known.momentary.set(report, now)
 		b.serviceLoadOf(c.Instance.Service).record(report, now)
 		known.backlog, known.linkRate = report.Backlog, kibibyte*float64(report.LinkRate)
 	}
@@ -349,7 +350,7 @@
 func (b *Balancer) recordExecution(route string, known *instanceState, execution time.Duration, bytes int, now time.Time) {
 	b.meanServiceTime += (execution - b.meanServiceTime) / routeMeanDivisor
 	stats := b.routeStatsOf(route)
-	execution = time.Duration(float64(execution) / known.warmUpSlowdown(now))
+	execution = time.Duration(float64(execution) / known.warmUpSlowdown(now) / known.momentary.at(now))
 	if stats.measured && !known.slowdownReported {
 		known.recordSlowdown(float64(execution)/float64(max(stats.meanServiceTime, time.Millisecond)), now)
 	}
--- a/internal/dataplane/balance/candidate.go
+++ b/internal/dataplane/balance/candidate.go
@@ -50,7 +50,7 @@
 	enabled := b.options.Mechanisms
 	slowdown := known.warmUpSlowdown(request.Now)
 	if enabled.Speeds {
-		slowdown *= known.slowdownAt(request.Now)
+		slowdown *= known.slowdownAt(request.Now) * known.momentary.at(request.Now)
 	}
 	serviceTime := time.Duration(float64(route.meanServiceTime) * slowdown)
 	load := known.load(b.serviceLoadOf(instance.Service).expectedLoad(slotsOf(instance), request.Now), request.Now)
--- a/internal/dataplane/balance/instance_state.go
+++ b/internal/dataplane/balance/instance_state.go
@@ -50,6 +50,8 @@
 	slowdown          float64
 	slowdownUpdatedAt time.Time
 	slowdownReported  bool
+	// momentary is the slowdown beyond that, as the instance states it itself.
+	momentary momentarySlowdown
 	// ejected is set from an ejection until the instance answers again.
 	ejected             bool
 	consecutiveFailures int
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -202,6 +202,9 @@
 	// ExternalCallers is set when the sidecars of all services send requests of this route: external
 	// callers send them, not instances.
 	ExternalCallers bool
+	// MomentaryPercent is how long the instance takes at the moment, in percent of its usual time; zero when
+	// not known. It has a field of its own, HeaderMomentary.
+	MomentaryPercent int
 }
 
 const reportFields = 13
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -215,7 +215,7 @@
 		answer = message.Whole(http.StatusServiceUnavailable, nil, nil)
 		set(answer.Header, p.options.Names.RequestID, request.ID)
 	}
-	answer.Header[hop.Header] = []string{delivery.Report.Encode()}
+	delivery.Report.AddTo(answer.Header)
 	return answer
 }
 
@@ -381,7 +381,7 @@
 	const kibibyte = 1024
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
-		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.slowdownPercent(),
+		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.usualPercent(), MomentaryPercent: p.load.momentaryPercent(time.Now()),
 		ColdFor: p.cold.limit.InForceFor(time.Now()),
 	}
 }
--- a/internal/dataplane/inbound/instance_load.go
+++ b/internal/dataplane/inbound/instance_load.go
@@ -175,27 +175,35 @@
 	l.speed.record(execution, ordinary, begun.percentAtStart, begun.percentAtAnswer)
 }
 
-// slowdownPercent returns the instance's processing time at the moment in percent of that of an ordinary
-// instance, and its usual one; zero if the instance does not state its slowdown or its usual speed is not known.
-func (l *instanceLoad) slowdownPercent(now time.Time) (current, usual int) {
+// momentaryPercent returns how long work takes at the moment, in percent of the instance's usual time, as it states
+// it; zero if that is not known.
+func (l *instanceLoad) momentaryPercent(now time.Time) int {
 	if !l.enabled {
-		return 0, 0
+		return 0
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	percent := l.record.SlowdownPercent(now)
-	usual = l.speed.percent()
-	if percent == 0 || usual == 0 {
-		return 0, 0
+	return l.record.SlowdownPercent(now)
+}
+
+// usualPercent returns the instance's usual processing time in percent of that of an ordinary instance; zero if it is
+// not known or the instance does not state its slowdown.
+func (l *instanceLoad) usualPercent() int {
+	if !l.enabled {
+		return 0
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.record.StatesSlowdown() {
+		return 0
 	}
-	return max(usual*percent/100, 1), usual
+	return l.speed.percent()
 }
 
 // expectedServiceTime returns how long the instance is expected to work on a request for which an ordinary
 // instance needs the given time; zero if that is not known.
 func (l *instanceLoad) expectedServiceTime(ordinary time.Duration, now time.Time) time.Duration {
-	percent, _ := l.slowdownPercent(now)
-	return ordinary * time.Duration(percent) / 100
+	return ordinary * time.Duration(l.usualPercent()*l.momentaryPercent(now)) / (100 * 100)
 }
 
 // loadMetrics show the load that the instance states.
@@ -216,8 +224,8 @@
 	return created, registerAll(registerer, created.malformed, created.abandoned, created.expired,
 		usageGauge("winchhead_dataplane_abandoned_slots", "Slots taken by requests whose callers left.", load.heldSlots),
 		usageGauge("winchhead_dataplane_instance_slowdown_percent",
-			"Processing time of the instance at the moment, as it states it, in percent of that of an average instance; 0: not known.",
-			func() int { current, _ := load.slowdownPercent(time.Now()); return current }),
+			"Processing time of the instance at the moment, as it states it, in percent of its usual time; 0: not known.",
+			func() int { return load.momentaryPercent(time.Now()) }),
 	)
 }
 
@@ -259,11 +267,11 @@
 	return ticket
 }
 
-// slowdownPercent returns the slowdown that is reported to senders: the one of the moment if the instance states
-// it, otherwise the one that this node measures.
-func (p *Proxy) slowdownPercent() int {
-	if current, _ := p.load.slowdownPercent(time.Now()); current > 0 {
-		return current
+// usualPercent returns the slowdown that is reported to senders, apart from the one of the moment: if the instance
+// states the latter, without it, and otherwise as this node measures it.
+func (p *Proxy) usualPercent() int {
+	if usual := p.load.usualPercent(); usual > 0 {
+		return usual
 	}
 	return p.speed.hundredths()
 }
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -157,12 +157,11 @@
 	if err != nil {
 		return failedSend(err)
 	}
-	report, err := hop.DecodeReport(response.Header.Get(hop.Header))
+	report, err := hop.ReportFrom(response.Header)
 	if err != nil {
 		_ = response.Close()
 		return sendResult{report: hop.Report{Outcome: hop.Unknown, Reason: hop.ReasonInvalid}, err: err}
 	}
-	delete(response.Header, hop.Header)
 	if report.Outcome != hop.Answered {
 		response.Discard()
 		return sendResult{report: report, reported: true}
