Count a request as running only until its answer's header arrives

A body on its way keeps a request in progress at the sidecar although the instance may have ended it. A load that arrived at that time released the slot of an abandoned request too early.

Such requests no longer count as surely running. 50,000 checks of TestNeverMoreThanTheSlots with bodies that take any time pass.

--- a/internal/dataplane/inbound/instance_load.go
+++ b/internal/dataplane/inbound/instance_load.go
@@ -76,6 +76,9 @@
 	if !l.enabled || status == http.StatusMisdirectedRequest {
 		return nil
 	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.runs.Answered(begun.run, now)
 	load, stated, err := instanceload.Decode(l.names, header)
 	if err != nil {
 		l.metrics.malformed.Inc()
@@ -84,13 +87,11 @@
 	if !stated {
 		return nil
 	}
-	l.mutex.Lock()
 	begun.percentAtAnswer = load.SlowdownPercent
 	l.record.Observe(load, sent, now)
 	if l.runs.Observe(begun.run, load, executed, now) {
 		time.AfterFunc(instanceload.FlightTime, l.settle)
 	}
-	l.mutex.Unlock()
 	return nil
 }
 
--- a/internal/dataplane/instanceload/runs.go
+++ b/internal/dataplane/instanceload/runs.go
@@ -15,6 +15,8 @@
 	sent time.Time
 	// peak is the largest number of requests that were in progress at the same time as this one.
 	peak int
+	// answered is set once the header of its answer has arrived.
+	answered bool
 	// abandonedUntil is when an abandoned request counts as ended at the latest.
 	abandonedUntil time.Time
 }
@@ -62,9 +64,10 @@
 	return run
 }
 
-// End removes a request from those in progress.
-func (r *Runs) End(run *Run, now time.Time) {
-	r.inProgress = remove(r.inProgress, run)
+// Answered records that the header of the answer to a request has arrived. Its body may still be on its way, but
+// whether the instance counts the request as running is not known any more.
+func (r *Runs) Answered(run *Run, now time.Time) {
+	run.answered = true
 	for _, each := range r.unsettled {
 		if now.Sub(each.received) < FlightTime {
 			each.running = remove(each.running, run)
@@ -72,10 +75,17 @@
 	}
 }
 
+// End removes a request from those in progress.
+func (r *Runs) End(run *Run, now time.Time) {
+	r.Answered(run, now)
+	r.inProgress = remove(r.inProgress, run)
+}
+
 // Abandon makes a request one on which the instance may go on although it gets no answer any more.
 // expected is its expected service time.
 func (r *Runs) Abandon(run *Run, expected time.Duration, now time.Time) {
 	r.End(run, now)
+	run.answered = false
 	run.abandonedUntil = now.Add(expected)
 	if until := run.sent.Add(abandonedServiceTimes * expected); until.After(run.abandonedUntil) {
 		run.abandonedUntil = until
@@ -83,7 +93,7 @@
 	r.abandoned = append(r.abandoned, run)
 }
 
-// Observe records the load of the answer to a request that is still in progress, and reports whether Settle
+// Observe records the load of the answer to a request, after Answered and before End, and reports whether Settle
 // must be called FlightTime later. executed is false if the answer rejects the request.
 func (r *Runs) Observe(run *Run, load Load, executed bool, now time.Time) (settle bool) {
 	total := load.Running + load.Waiting
@@ -99,9 +109,9 @@
 	return true
 }
 
-// sentBefore returns the requests that were sent before another one.
+// sentBefore returns the unanswered requests that were sent before another one.
 func sentBefore(runs []*Run, other *Run) []*Run {
-	return slices.DeleteFunc(slices.Clone(runs), func(each *Run) bool { return !each.sent.Before(other.sent) })
+	return slices.DeleteFunc(slices.Clone(runs), func(each *Run) bool { return each.answered || !each.sent.Before(other.sent) })
 }
 
 // Settle applies the loads that arrived FlightTime ago, and returns the abandoned requests that have ended
--- a/internal/dataplane/instanceload/runs_test.go
+++ b/internal/dataplane/instanceload/runs_test.go
@@ -19,6 +19,7 @@
 	slots      int
 	includes   bool // the load includes the request with whose answer it comes
 	inProgress []*instanceload.Run
+	closing    []*instanceload.Run // answered, with a body on its way
 	abandoned  []*instanceload.Run // on which the instance still works
 	working    []*instanceload.Run // at the instance
 	answers    []runAnswer         // on their way
@@ -43,7 +44,7 @@
 }
 
 func (m *sidecarModel) send() {
-	if len(m.inProgress)+m.runs.Abandoned() >= m.slots {
+	if len(m.inProgress)+len(m.closing)+m.runs.Abandoned() >= m.slots {
 		return
 	}
 	run := m.runs.Begin(m.now)
@@ -71,9 +72,14 @@
 	if !slices.Contains(m.inProgress, received.run) {
 		return // its caller left
 	}
+	m.runs.Answered(received.run, m.now)
 	m.runs.Observe(received.run, received.load, true, m.now)
-	m.runs.End(received.run, m.now)
-	m.inProgress = without(m.inProgress, received.run)
+	m.inProgress, m.closing = without(m.inProgress, received.run), append(m.closing, received.run)
+}
+
+func (m *sidecarModel) close(i int) {
+	m.runs.End(m.closing[i], m.now)
+	m.closing = slices.Delete(m.closing, i, i+1)
 }
 
 func (m *sidecarModel) leave(i int, stops bool) {
@@ -106,6 +112,8 @@
 				m.send()
 			case action < 6 && len(m.working) > 0:
 				m.finish(pick(len(m.working)))
+			case action < 7 && len(m.closing) > 0:
+				m.close(pick(len(m.closing)))
 			case action < 9 && len(m.answers) > 0:
 				m.receive(pick(len(m.answers)))
 			case action == 9 && len(m.inProgress) > 0:
@@ -132,6 +140,7 @@
 			m.send()
 			m.finish(0)
 			m.receive(0)
+			m.close(0)
 			for range 8 {
 				m.tick(time.Millisecond)
 				m.send()
