--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -206,6 +206,9 @@
 	ExternalCallers bool
 	// Link is the backlog of responses on the instance's link. It has a field of its own, HeaderLink.
 	Link Link
+	// MomentaryPercent is how long the instance takes at the moment, in percent of its usual time; zero when
+	// not known. It has a field of its own, HeaderMomentary.
+	MomentaryPercent int
 }
 
 const reportFields = 13
--- a/internal/dataplane/hop/link.go
+++ b/internal/dataplane/hop/link.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -63,35 +62,3 @@
 	}
 	return Link{Backlog: time.Duration(backlog) * time.Millisecond, Rate: int(rate)}, nil
 }
-
-// AddTo sets the fields of the report in the header of a response. It replaces fields of these names
-// that the instance has set.
-func (r Report) AddTo(header http.Header) {
-	StripReport(header)
-	header[Header] = []string{r.Encode()}
-	if r.Link.IsKnown() {
-		header[HeaderLink] = []string{r.Link.Encode()}
-		header[headerConnection] = append(header[headerConnection], HeaderLink)
-	}
-}
-
-// ReportFrom reads the report from the header of a response. A field HeaderLink that cannot be read is
-// ignored, as the rest of the report is valid without it.
-func ReportFrom(header http.Header) (Report, error) {
-	report, err := DecodeReport(header.Get(Header))
-	if err != nil {
-		return report, err
-	}
-	if values := header[HeaderLink]; len(values) == 1 {
-		if link, err := DecodeLink(values[0]); err == nil {
-			report.Link = link
-		}
-	}
-	return report, nil
-}
-
-// StripReport removes the fields of the report from the header of a response.
-func StripReport(header http.Header) {
-	delete(header, Header)
-	delete(header, HeaderLink)
-}
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -399,7 +399,7 @@
 	const kibibyte = 1024
 	return hop.Report{
 		Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots,
-		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.slowdownPercent(),
+		Backlog: p.link.Backlog(), LinkRate: int(p.link.Rate() / kibibyte), SlowdownPercent: p.usualPercent(), MomentaryPercent: p.load.momentaryPercent(time.Now()),
 		ColdFor: p.cold.limit.InForceFor(time.Now()), Link: p.responses.report(),
 	}
 }
