admission: late requests wait as long as the forecast says they are served

Cause: a request that could not be in time was rejected at its due time, although the slots could still serve it by its deadline, and was offered to up to four instances while the whole service was full.

Change: package admission decides from the work ahead and the slot time that requests which go first keep taking; the queue moves waiting requests that can only be late behind the others, reviews them every 20 ms and rejects those that will not start. Senders ask at most two instances that have no capacity, one while the service is known to be full, and spread Retry-After within a third of the caller's remaining time. Winchhead-Hop-Admission carries what the sidecar needs; without it today's rule applies. Switch: mechanisms.admission.

--- a/internal/dataplane/hop/header.go
+++ b/internal/dataplane/hop/header.go
@@ -16,6 +16,7 @@
 // AddTo adds the order to the header of a request.
 func (o Order) AddTo(header http.Header) {
 	header[Header] = []string{o.Encode()}
+	o.Admission.addTo(header)
 	if o.StatedLimit.Stated {
 		header[HeaderLimit] = []string{strconv.FormatFloat(o.StatedLimit.PerSecond, 'f', -1, 64)}
 	}
@@ -27,6 +28,7 @@
 	if err != nil {
 		return order, err
 	}
+	order.Admission = admissionFrom(header)
 	values := header[HeaderLimit]
 	if len(values) == 0 {
 		return order, nil
@@ -43,4 +45,5 @@
 func Strip(header http.Header) {
 	delete(header, Header)
 	delete(header, HeaderLimit)
+	delete(header, HeaderAdmission)
 }
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -57,6 +57,8 @@
 	// StatedLimit is the limit that the instance stated in its answers, as far as the sender knows. It has
 	// a field of its own, HeaderLimit.
 	StatedLimit statement.Limit
+	// Admission says how the request may wait. It has a field of its own, HeaderAdmission.
+	Admission Admission
 }
 
 // CertainRepeat is the value of RepeatPercent for a send that is a repeat for sure.
--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -75,6 +75,7 @@
 func (p *Proxy) linkTicket(request *message.Request, order hop.Order, bytes int64) queue.Ticket {
 	ticket := p.ticketFor(request, order)
 	ticket.Tenant = "" // shares are shares of slot time
+	ticket.Forecast = false
 	afterLink := p.link.Duration(bytes) + p.queue.Wait(ticket)
 	ticket.LatestStart = ticket.LatestStart.Add(-afterLink)
 	ticket.MaxWait = max(ticket.MaxWait-afterLink, 0)
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -338,6 +338,7 @@
 		MaxWait:     order.MaxWait, Expected: order.ServiceTime, Length: order.ServiceTime, OnlyCandidate: order.OnlyCandidate,
 		Tenant: order.Tenant,
 	}
+	p.addAdmission(&ticket, order)
 	enabled := p.options.Mechanisms
 	if !enabled.ValueOrder {
 		ticket.Value = queue.ValueFull
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -55,7 +55,7 @@
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
 	}
-	for _, collector := range collectors {
+	for _, collector := range append(collectors, lateCounters(waiting)...) {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -37,6 +37,9 @@
 	LinkAdmission bool `yaml:"link_admission" help:"admit large bodies to the links of machines before they are sent"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
 	LapseGrace bool `yaml:"lapse_grace" help:"await entries that lapsed while the store was away"`
+	// Admission decides by forecast whether a request that can only be late waits or is rejected, and asks fewer
+	// instances while a service is full.
+	Admission bool `yaml:"admission" help:"keep late requests that will be served, and reject the others at once"`
 }
 
 // All returns a Set with all mechanisms enabled.
@@ -45,5 +48,6 @@
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
 		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, LapseGrace: true,
+		Admission: true,
 	}
 }
--- /dev/null
+++ b/internal/dataplane/outbound/admission.go
@@ -0,0 +1,88 @@
+package outbound
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/balance"
+	"github.com/winchhead/winchhead/internal/dataplane/hop"
+	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
+	"github.com/winchhead/winchhead/internal/snapshot"
+	"github.com/winchhead/winchhead/internal/suspects"
+)
+
+// admissionUse remembers for the current configuration whether it calls for admission by forecast.
+type admissionUse struct{ cached atomic.Pointer[cachedUse] }
+
+type cachedUse struct {
+	current *snapshot.Snapshot
+	used    bool
+}
+
+// in reports whether a configuration calls for admission by forecast: it has routes of priority 0 with a
+// target latency, which go before others under overload.
+func (u *admissionUse) in(current *snapshot.Snapshot) bool {
+	if cached := u.cached.Load(); cached != nil && cached.current == current {
+		return cached.used
+	}
+	used := false
+	for _, route := range current.Routes() {
+		used = used || route.Priority == 0 && route.TargetLatency > 0
+	}
+	u.cached.Store(&cachedUse{current: current, used: used})
+	return used
+}
+
+// usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is late.
+func (e *exchange) usesAdmission() bool {
+	return e.proxy.options.Mechanisms.Admission && e.route.TargetLatency > 0 && e.proxy.admissionUse.in(e.current)
+}
+
+// admission returns how the request may wait at the chosen instance. Where the instance states a limit, other
+// rules bound the wait; a suspected request runs alone.
+func (e *exchange) admission(choice balance.Choice, limited bool) hop.Admission {
+	if !e.usesAdmission() || limited || e.suspicion.standing == suspects.Suspected {
+		return hop.Admission{}
+	}
+	return hop.Admission{Late: true, Retried: e.elapsed() > 0, Elsewhere: e.mayServeElsewhere(choice.Instance.Name)}
+}
+
+// mayServeElsewhere reports whether another instance than the given one will be asked if that one rejects the
+// request.
+func (e *exchange) mayServeElsewhere(name string) bool {
+	return e.fullRefusals+1 < e.proxy.services.MaxRejections(e.service, time.Now()) && e.hasUntriedExcept(name)
+}
+
+// mayAskFurther reports whether a further instance may be asked after those that had no capacity.
+func (e *exchange) mayAskFurther() bool {
+	if !e.usesAdmission() || e.fullRefusals == 0 {
+		return e.fullRefusals < maxFullRefusals
+	}
+	if limit := e.proxy.services.MaxRejections(e.service, time.Now()); e.fullRefusals >= limit {
+		e.proxy.metrics.rejectedEarly(e.service, limit)
+		return false
+	}
+	return true
+}
+
+// recordCapacity records whether an instance of the service had capacity for the request.
+func (e *exchange) recordCapacity(sent sendResult) {
+	if !sent.reported {
+		return
+	}
+	switch sent.report.Reason {
+	case hop.ReasonNone:
+		e.proxy.services.Reported(e.service, false, time.Now())
+	case hop.ReasonOverloaded:
+		e.proxy.services.Reported(e.service, true, time.Now())
+	}
+}
+
+// spreadRetry adds a random part to the wait of a refused caller.
+func (e *exchange) spreadRetry(refusal retryafter.Refusal) time.Duration {
+	if !e.usesAdmission() {
+		return spread(refusal.Wait())
+	}
+	return refusal.SpreadWait(rand.Float64())
+}
--- a/internal/dataplane/outbound/exchange.go
+++ b/internal/dataplane/outbound/exchange.go
@@ -95,7 +95,7 @@
 func (e *exchange) run() *message.Response {
 	e.registerRequest()
 	defer e.returnRepeat()
-	for e.tries < maxTries && e.fullRefusals < maxFullRefusals {
+	for e.tries < maxTries && e.mayAskFurther() {
 		if e.assess() == suspects.Quarantined {
 			return e.refuseQuarantined()
 		}
@@ -113,6 +113,7 @@
 		e.lastReport = sent.report
 		e.reportToBalancer(choice, sent)
 		e.recordArrival(sent)
+		e.recordCapacity(sent)
 		if answer, final := e.handleResult(sent); final {
 			return answer
 		}
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,6 +39,7 @@
 	budgetEmpty prometheus.Counter
 	losses      *prometheus.CounterVec
 	lostTime    *prometheus.HistogramVec
+	early       *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -77,10 +79,14 @@
 		Help:    "Where the time of requests went that did not end in time: waiting, instance, between nodes, sends before.",
 		Buckets: prometheus.ExponentialBuckets(0.01, 4, 6),
 	}, []string{"where"})
+	created.early = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_early_rejections_total",
+		Help: "Requests rejected without asking further instances, by service and by how many had no capacity (1: the service was known to be full).",
+	}, []string{"service", "asked"})
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.early} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
@@ -104,6 +110,11 @@
 	m.lostTime.WithLabelValues("before").Observe(times.EarlierSends.Seconds())
 }
 
+// rejectedEarly records a request that is rejected although further instances are left.
+func (m *metrics) rejectedEarly(service string, asked int) {
+	m.early.WithLabelValues(service, strconv.Itoa(asked)).Inc()
+}
+
 func (m *metrics) arrived(service string, kind repeats.Kind) {
 	m.arrivals.WithLabelValues(service, string(kind)).Inc()
 }
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -59,6 +59,7 @@
 		Tenant:          e.identity.Name(),
 		KeyTag:          e.keyTag(),
 		StatedLimit:     limit,
+		Admission:       e.admission(choice, limit.Stated),
 	}
 }
 
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/winchhead/winchhead/internal/dataplane/admission"
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/callerretry"
@@ -94,6 +95,8 @@
 	stop    context.CancelFunc
 
 	externalRoutes externalRoutes
+	services       *admission.Services
+	admissionUse   admissionUse
 }
 
 // New returns a Proxy.
@@ -119,6 +122,7 @@
 		losses:        losses.New(options.Logger),
 		log:           newRequestLog(options.Logger),
 		metrics:       registered,
+		services:      admission.NewServices(),
 	}
 	created.repeatLedger = repeats.New(options.Logger, created.budgetState)
 	if options.Quota != nil {
@@ -260,7 +264,7 @@
 	names := p.options.Names
 	for _, name := range []string{
 		names.RequestID, names.Deadline, names.ExpectInstance, names.CallerService, names.Tenant,
-		names.NotExecuted, names.Load, hop.Header, hop.HeaderLimit,
+		names.NotExecuted, names.Load, hop.Header, hop.HeaderLimit, hop.HeaderAdmission,
 	} {
 		delete(header, name)
 	}
--- a/internal/dataplane/outbound/refuse.go
+++ b/internal/dataplane/outbound/refuse.go
@@ -50,10 +50,10 @@
 	if e.minRetryAfter == 0 {
 		e.minRetryAfter = e.proxy.balancer.RateLimitedFor(e.instances(), time.Now())
 	}
-	return spread(retryafter.Refusal{
+	return e.spreadRetry(retryafter.Refusal{
 		Cause: e.refusalCause(), NextSlot: e.minRetryAfter,
 		Left: time.Until(e.request.Arrived.Add(e.callerTimeout)), Pressure: pressure,
-	}.Wait())
+	})
 }
 
 // refusalCause returns why the request is refused.
--- /dev/null
+++ b/internal/dataplane/queue/late.go
@@ -0,0 +1,178 @@
+package queue
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/admission"
+)
+
+// reviewInterval is the time between two reviews of the waiting requests whose tickets ask for a forecast.
+const reviewInterval = 20 * time.Millisecond
+
+// LateCounts count requests whose tickets ask for a forecast and that could only be late.
+type LateCounts struct {
+	// Waited began to wait as late ones on arrival, Demoted did so after they had waited to be in time.
+	Waited, Demoted uint64
+	// Rejected were rejected on arrival, Withdrawn while they waited, as the forecast no longer held.
+	Rejected, Withdrawn uint64
+	// Started got a slot.
+	Started uint64
+}
+
+// LateCounts returns the counts since the queue was created.
+func (q *Queue) LateCounts() LateCounts {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.late
+}
+
+// admit decides whether a request may wait, and returns the ticket with which it does. The caller must hold
+// the mutex.
+func (q *Queue) admit(ticket Ticket, now time.Time) (Ticket, Refusal, time.Duration) {
+	ticket.Forecast = ticket.Forecast && q.grants.Known(q.serviceTime, now)
+	wait, reason := q.expectedWait(ticket, now)
+	if !ticket.Forecast || reason == RateLimited || !ticket.LatestStart.After(now) {
+		ticket.Forecast = false
+		refusal, wait := q.refusal(ticket, now)
+		return ticket, refusal, wait
+	}
+	late := ticket.late()
+	arrival := admission.Arrival{
+		Wait: q.stretched(wait), MayWait: ticket.Due.Sub(now), Left: ticket.LatestStart.Sub(now),
+		Elsewhere: ticket.Elsewhere, Late: q.backlog(late, q.workAhead(late), now),
+	}
+	if ticket.Value == ValueLate {
+		arrival.MayWait = -1
+	}
+	switch arrival.Decide() {
+	case admission.Wait:
+		return ticket, None, 0
+	case admission.WaitLate:
+		return late, None, 0
+	default:
+		q.late.Rejected++
+		return ticket, Busy, arrival.RetryIn()
+	}
+}
+
+// recordGrant records that a request gets a slot. The caller must hold the mutex.
+func (q *Queue) recordGrant(ticket Ticket, now time.Time) {
+	q.grants.Granted(ticket.Priority, ticket.Value == ValueLate, q.expected(ticket), now)
+	if ticket.Forecast && ticket.Value == ValueLate {
+		q.late.Started++
+	}
+}
+
+// late returns the ticket of a request that can only be late. Late requests are ordered by their latest
+// start, so that as many as possible are served.
+func (t Ticket) late() Ticket {
+	t.Value, t.Due = ValueLate, t.LatestStart
+	return t
+}
+
+// workAhead returns the slot time of the waiting requests that precede a request. The caller must hold the
+// mutex.
+func (q *Queue) workAhead(ticket Ticket) time.Duration {
+	work := time.Duration(0)
+	for _, other := range q.waiting {
+		if other.ticket.precedes(ticket) {
+			work += q.expected(other.ticket)
+		}
+	}
+	return work
+}
+
+// backlog returns what a late request waits for, given the expected slot time of the waiting requests that
+// precede it. The caller must hold the mutex.
+func (q *Queue) backlog(ticket Ticket, waitingAhead time.Duration, now time.Time) admission.Backlog {
+	ahead := q.stretched(waitingAhead)
+	if q.running >= q.slots {
+		ahead += q.serviceTime // until the next slot is free
+	}
+	return admission.Backlog{Slots: q.slots, Ahead: ahead, Overtaking: q.grants.Overtaking(ticket.Priority, now)}
+}
+
+// stretched converts expected slot time to the time for which slots are held.
+func (q *Queue) stretched(expected time.Duration) time.Duration {
+	return time.Duration(q.grants.Stretch() * float64(expected))
+}
+
+// countWaiting counts a request that begins to wait. The caller must hold the mutex.
+func (q *Queue) countWaiting(ticket Ticket) {
+	if ticket.Forecast && ticket.Value == ValueLate {
+		q.late.Waited++
+	}
+}
+
+// giveUpAt returns when a request has waited for as long as it may.
+func (t Ticket) giveUpAt(now time.Time) time.Time {
+	if latest := now.Add(t.MaxWait); !t.Forecast && latest.Before(t.LatestStart) {
+		return latest
+	}
+	return t.LatestStart
+}
+
+// scheduleReview reviews the waiting requests after an interval if any of them asks for a forecast. The
+// caller must hold the mutex.
+func (q *Queue) scheduleReview() {
+	forecast := func(each *waiter) bool { return each.ticket.Forecast }
+	if q.reviewPending || !slices.ContainsFunc(q.waiting, forecast) {
+		return
+	}
+	q.reviewPending = true
+	time.AfterFunc(reviewInterval, func() {
+		q.mutex.Lock()
+		defer q.mutex.Unlock()
+		q.reviewPending = false
+		q.review(time.Now())
+		q.scheduleReview()
+	})
+}
+
+// review moves the requests that can no longer be in time behind the others, and rejects those that will not
+// start by their latest start. The caller must hold the mutex.
+func (q *Queue) review(now time.Time) {
+	known := q.grants.Known(q.serviceTime, now)
+	q.demote(now)
+	work := time.Duration(0)
+	inOrder := q.waiting.inOrder()
+	for _, each := range inOrder {
+		ticket := each.ticket
+		last := inOrder[len(inOrder)-1].ticket
+		if ticket.Forecast && ticket.Value == ValueLate && !(ticket.OnlyCandidate && last.Priority > ticket.Priority) &&
+			!(known && q.backlog(ticket, work, now).Keeps(ticket.LatestStart.Sub(now))) {
+			q.late.Withdrawn++
+			heap.Remove(&q.waiting, each.index)
+			each.result <- grantResult{refusal: Busy}
+			continue
+		}
+		work += q.expected(ticket)
+	}
+}
+
+// demote moves the requests that can no longer be in time behind the others. The caller must hold the mutex.
+func (q *Queue) demote(now time.Time) {
+	for _, each := range slices.Clone(q.waiting) {
+		if each.ticket.Forecast && each.ticket.Value != ValueLate && !each.ticket.Due.After(now) {
+			q.late.Demoted++
+			each.ticket = each.ticket.late()
+			heap.Fix(&q.waiting, each.index)
+		}
+	}
+}
+
+// inOrder returns the waiters in the order in which they get slots.
+func (w waiters) inOrder() []*waiter {
+	return slices.SortedFunc(slices.Values(w), func(a, b *waiter) int {
+		switch {
+		case a.ticket.precedes(b.ticket):
+			return -1
+		case b.ticket.precedes(a.ticket):
+			return 1
+		default:
+			return 0
+		}
+	})
+}
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -9,6 +9,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/admission"
 )
 
 // Refusal is the reason why a request got no slot.
@@ -66,6 +68,14 @@
 	// requests wait as well, it then waits beyond MaxWait, up to LatestStart, because the
 	// next slot would go to them instead.
 	OnlyCandidate bool
+	// Forecast is set if the caller wants a late answer as well: a request that can no longer be in time
+	// waits on behind the others, beyond MaxWait, as long as it is forecast to start by its latest start.
+	Forecast bool
+	// Elsewhere is set if another instance may serve the request in time: if it can only be late here, it
+	// does not begin to wait.
+	Elsewhere bool
+	// Retried is set if the caller was rejected before. The request precedes new ones that are due no sooner.
+	Retried bool
 
 	// cost is the time for which the request is expected to hold a slot, and beyondShare says that its
 	// tenant has had more than its fair share. The queue sets both.
@@ -94,6 +104,11 @@
 	// grantedAt holds the time at which each slot in use was granted.
 	grantedAt map[*Slot]time.Time
 	fairness  fairness
+	// grants and late belong to the requests with forecasts; reviewPending is set while a timer of
+	// scheduleReview runs.
+	grants        *admission.Grants
+	late          LateCounts
+	reviewPending bool
 }
 
 // initialServiceTime is assumed as the mean service time before any request has ended.
@@ -107,7 +122,7 @@
 func NewRateLimited(slots int, limiter RateLimiter) *Queue {
 	return &Queue{
 		limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time),
-		fairness: maxMinShares{},
+		fairness: maxMinShares{}, grants: admission.NewGrants(),
 	}
 }
 
@@ -180,7 +195,8 @@
 	q.mutex.Lock()
 	ticket = q.ranked(ticket, now)
 	q.fairness.arrived(ticket, now)
-	if refusal, wait := q.refusal(ticket, now); refusal != None {
+	ticket, refusal, wait := q.admit(ticket, now)
+	if refusal != None {
 		q.mutex.Unlock()
 		return nil, refusal, wait
 	}
@@ -189,9 +205,11 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	waiter := &waiter{ticket: ticket, giveUpAt: now.Add(ticket.MaxWait), result: make(chan grantResult, 1)}
+	waiter := &waiter{ticket: ticket, giveUpAt: ticket.giveUpAt(now), result: make(chan grantResult, 1)}
 	heap.Push(&q.waiting, waiter)
+	q.countWaiting(ticket)
 	q.grantWaiting(now)
+	q.scheduleReview()
 	q.mutex.Unlock()
 	return q.await(ctx, waiter)
 }
@@ -203,7 +221,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	ticket = q.ranked(ticket, now)
-	refusal, wait := q.refusal(ticket, now)
+	_, refusal, wait := q.admit(ticket, now)
 	if refusal != None {
 		q.fairness.arrived(ticket, now) // it asks for no slot any more
 	}
@@ -236,8 +254,7 @@
 // await waits until the waiter gets a slot or is refused. More urgent requests that arrive
 // later may delay it for longer than was expected.
 func (q *Queue) await(ctx context.Context, waiter *waiter) (*Slot, Refusal, time.Duration) {
-	maxWait := min(waiter.ticket.MaxWait, time.Until(waiter.ticket.LatestStart))
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(time.Until(waiter.giveUpAt))
 	defer timer.Stop()
 	refusal, removed := Cancelled, false
 	for pending := true; pending; {
@@ -330,6 +347,7 @@
 func (q *Queue) grant(ticket Ticket, now time.Time) *Slot {
 	q.running++
 	q.fairness.granted(ticket, now)
+	q.recordGrant(ticket, now)
 	slot := &Slot{queue: q, expected: q.expected(ticket)}
 	q.grantedAt[slot] = now
 	return slot
@@ -345,6 +363,7 @@
 	if ran {
 		held := now.Sub(q.grantedAt[slot])
 		q.serviceTime += (held - q.serviceTime) / serviceTimeSmoothing
+		q.grants.Released(slot.expected, held)
 	}
 	delete(q.grantedAt, slot)
 	q.running--
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -39,7 +39,11 @@
 	if t.Value != other.Value {
 		return t.Value < other.Value
 	}
-	return t.effectiveDue().Before(other.effectiveDue())
+	due, otherDue := t.effectiveDue(), other.effectiveDue()
+	if t.Retried != other.Retried && due.Equal(otherDue) {
+		return t.Retried
+	}
+	return due.Before(otherDue)
 }
 
 // waiters is a heap of queued requests, ordered by Ticket.precedes.
