--- a/internal/dataplane/admission/admission.go
+++ b/internal/dataplane/admission/admission.go
@@ -64,9 +64,10 @@
 
 // Arrival is a request that asks for a slot.
 type Arrival struct {
-	// Wait is how long it would wait among the requests that can be in time, MayWait how long it may
-	// wait there and still be in time.
-	Wait, MayWait time.Duration
+	// InTime is what it would wait for among the requests that can be in time, MayWait how long it may wait
+	// there and still be in time.
+	InTime  Backlog
+	MayWait time.Duration
 	// Left is the time to its latest start.
 	Left time.Duration
 	// Elsewhere is set if another instance may serve it in time.
@@ -77,8 +78,9 @@
 
 // Decide returns what becomes of the request.
 func (a Arrival) Decide() Decision {
+	wait, ok := a.InTime.Forecast()
 	switch {
-	case a.Wait <= a.MayWait && a.Wait <= a.Left:
+	case ok && wait <= min(a.MayWait, a.Left):
 		return Wait
 	case a.Elsewhere, !a.Late.Admits(a.Left):
 		return Reject
@@ -90,8 +92,10 @@
 // RetryIn returns after how long a request that was rejected finds capacity, by the forecast. Without any
 // capacity in sight it is the whole time to its latest start: as late as the caller may retry.
 func (a Arrival) RetryIn() time.Duration {
-	if wait, ok := a.Late.Forecast(); ok {
-		return min(max(wait-a.Left, a.Wait-a.MayWait, 0), a.Left)
+	late, lateOK := a.Late.Forecast()
+	wait, ok := a.InTime.Forecast()
+	if !lateOK || !ok {
+		return a.Left
 	}
-	return a.Left
+	return min(max(late-a.Left, wait-a.MayWait, 0), a.Left)
 }
--- a/internal/dataplane/hop/admission.go
+++ b/internal/dataplane/hop/admission.go
@@ -16,7 +16,7 @@
 	Late bool
 	// Retried is set if the caller was rejected before.
 	Retried bool
-	// Elsewhere is set if another instance may serve the request in time.
+	// Elsewhere is set if another instance may serve the request in time: it does not wait to be late.
 	Elsewhere bool
 }
 
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -51,7 +51,7 @@
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
 		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
-			func() int { return waiting.Usage().Waiting }),
+			func() int { usage := waiting.Usage(); return usage.Waiting + usage.Late }),
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
 	}
--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -34,9 +34,12 @@
 	return used
 }
 
-// usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is late.
+// usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is
+// late. A caller that does not retry, such as an instance that calls another service, is worth a longer wait
+// and more tries: its own request fails with this one.
 func (e *exchange) usesAdmission() bool {
-	return e.proxy.options.Mechanisms.Admission && e.route.TargetLatency > 0 && e.proxy.admissionUse.in(e.current)
+	return e.proxy.options.Mechanisms.Admission && e.caller.RetriesRefused && e.route.TargetLatency > 0 &&
+		e.proxy.admissionUse.in(e.current)
 }
 
 // admission returns how the request may wait at the chosen instance. Where the instance states a limit, other
@@ -84,5 +87,8 @@
 	if !e.usesAdmission() {
 		return spread(refusal.Wait())
 	}
+	if !e.proxy.services.IsFull(e.service, time.Now()) {
+		refusal.NextSlot = 0 // the forecast of one instance says nothing about the others
+	}
 	return refusal.SpreadWait(rand.Float64())
 }
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -11,6 +11,18 @@
 // reviewInterval is the time between two reviews of the waiting requests whose tickets ask for a forecast.
 const reviewInterval = 20 * time.Millisecond
 
+// Overtaking tells how many slots are taken by requests that go ahead of late ones of a class.
+type Overtaking interface {
+	Overtaking(class admission.Class, now time.Time) float64
+}
+
+// SetOvertaking replaces the measurement of those slots, to compare rules.
+func (q *Queue) SetOvertaking(other Overtaking) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.overtaking = other
+}
+
 // LateCounts count requests whose tickets ask for a forecast and that could only be late.
 type LateCounts struct {
 	// Waited began to wait as late ones on arrival, Demoted did so after they had waited to be in time.
@@ -32,16 +44,17 @@
 // the mutex.
 func (q *Queue) admit(ticket Ticket, now time.Time) (Ticket, Refusal, time.Duration) {
 	ticket.Forecast = ticket.Forecast && q.grants.Known(q.serviceTime, now)
-	wait, reason := q.expectedWait(ticket, now)
+	_, reason := q.expectedWait(ticket, now)
 	if !ticket.Forecast || reason == RateLimited || !ticket.LatestStart.After(now) {
 		ticket.Forecast = false
 		refusal, wait := q.refusal(ticket, now)
 		return ticket, refusal, wait
 	}
-	late := ticket.late()
+	late := q.asLate(ticket)
+	inTime := q.backlog(q.workAhead(ticket), q.grants.Recent(ticket.class(), now))
 	arrival := admission.Arrival{
-		Wait: q.stretched(wait), MayWait: ticket.Due.Sub(now), Left: ticket.LatestStart.Sub(now),
-		Elsewhere: ticket.Elsewhere, Late: q.backlog(late, q.workAhead(late), now),
+		InTime: inTime, MayWait: ticket.Due.Sub(now), Left: late.LatestStart.Sub(now), Elsewhere: ticket.Elsewhere,
+		Late: q.backlog(q.workAhead(late), q.overtaking.Overtaking(late.class(), now)),
 	}
 	if ticket.Value == ValueLate {
 		arrival.MayWait = -1
@@ -57,19 +70,28 @@
 	}
 }
 
+func (t Ticket) class() admission.Class {
+	return admission.Class{Priority: t.Priority, Value: int(t.Value)}
+}
+
 // recordGrant records that a request gets a slot. The caller must hold the mutex.
 func (q *Queue) recordGrant(ticket Ticket, now time.Time) {
-	q.grants.Granted(ticket.Priority, ticket.Value == ValueLate, q.expected(ticket), now)
+	q.grants.Granted(ticket.class(), q.expected(ticket), now)
 	if ticket.Forecast && ticket.Value == ValueLate {
 		q.late.Started++
 	}
 }
 
-// late returns the ticket of a request that can only be late. Late requests are ordered by their latest
+// lateStartMargin is how much earlier than its latest start, in expected service times, a late request must
+// start: it starts at the last moment more often than others, and its work may take longer than expected.
+const lateStartMargin = 1
+
+// asLate returns the ticket of a request that can only be late. Late requests are ordered by their latest
 // start, so that as many as possible are served.
-func (t Ticket) late() Ticket {
-	t.Value, t.Due = ValueLate, t.LatestStart
-	return t
+func (q *Queue) asLate(ticket Ticket) Ticket {
+	ticket.LatestStart = ticket.LatestStart.Add(-lateStartMargin * q.expected(ticket))
+	ticket.Value, ticket.Due = ValueLate, ticket.LatestStart
+	return ticket
 }
 
 // workAhead returns the slot time of the waiting requests that precede a request. The caller must hold the
@@ -84,14 +106,14 @@
 	return work
 }
 
-// backlog returns what a late request waits for, given the expected slot time of the waiting requests that
-// precede it. The caller must hold the mutex.
-func (q *Queue) backlog(ticket Ticket, waitingAhead time.Duration, now time.Time) admission.Backlog {
+// backlog returns what a request waits for, given the expected slot time of the waiting requests that precede
+// it and the slots that those take which will overtake it. The caller must hold the mutex.
+func (q *Queue) backlog(waitingAhead time.Duration, overtaking float64) admission.Backlog {
 	ahead := q.stretched(waitingAhead)
 	if q.running >= q.slots {
 		ahead += q.serviceTime // until the next slot is free
 	}
-	return admission.Backlog{Slots: q.slots, Ahead: ahead, Overtaking: q.grants.Overtaking(ticket.Priority, now)}
+	return admission.Backlog{Slots: q.slots, Ahead: ahead, Overtaking: overtaking}
 }
 
 // stretched converts expected slot time to the time for which slots are held.
@@ -106,12 +128,18 @@
 	}
 }
 
-// giveUpAt returns when a request has waited for as long as it may.
+// giveUpAt returns when a request has waited for as long as it may. If another instance may serve it, that is
+// when it can no longer be in time here: it may find a free slot there.
 func (t Ticket) giveUpAt(now time.Time) time.Time {
-	if latest := now.Add(t.MaxWait); !t.Forecast && latest.Before(t.LatestStart) {
+	latest := t.LatestStart
+	switch {
+	case t.Forecast && t.Elsewhere && t.Due.Before(latest):
+		return t.Due
+	case !t.Forecast && now.Add(t.MaxWait).Before(latest):
+		return now.Add(t.MaxWait)
+	default:
 		return latest
 	}
-	return t.LatestStart
 }
 
 // scheduleReview reviews the waiting requests after an interval if any of them asks for a forecast. The
@@ -142,7 +170,7 @@
 		ticket := each.ticket
 		last := inOrder[len(inOrder)-1].ticket
 		if ticket.Forecast && ticket.Value == ValueLate && !(ticket.OnlyCandidate && last.Priority > ticket.Priority) &&
-			!(known && q.backlog(ticket, work, now).Keeps(ticket.LatestStart.Sub(now))) {
+			!(known && q.backlog(work, q.overtaking.Overtaking(ticket.class(), now)).Keeps(ticket.LatestStart.Sub(now))) {
 			q.late.Withdrawn++
 			heap.Remove(&q.waiting, each.index)
 			each.result <- grantResult{refusal: Busy}
@@ -155,14 +183,25 @@
 // demote moves the requests that can no longer be in time behind the others. The caller must hold the mutex.
 func (q *Queue) demote(now time.Time) {
 	for _, each := range slices.Clone(q.waiting) {
-		if each.ticket.Forecast && each.ticket.Value != ValueLate && !each.ticket.Due.After(now) {
+		if each.ticket.Forecast && !each.ticket.Elsewhere && each.ticket.Value != ValueLate && !each.ticket.Due.After(now) {
 			q.late.Demoted++
-			each.ticket = each.ticket.late()
+			each.ticket = q.asLate(each.ticket)
 			heap.Fix(&q.waiting, each.index)
 		}
 	}
 }
 
+// countLate returns the number of the waiters that can only be late, by forecast.
+func (w waiters) countLate() int {
+	late := 0
+	for _, each := range w {
+		if each.ticket.Forecast && !each.ticket.Elsewhere && each.ticket.Value == ValueLate {
+			late++
+		}
+	}
+	return late
+}
+
 // inOrder returns the waiters in the order in which they get slots.
 func (w waiters) inOrder() []*waiter {
 	return slices.SortedFunc(slices.Values(w), func(a, b *waiter) int {
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -71,8 +71,8 @@
 	// Forecast is set if the caller wants a late answer as well: a request that can no longer be in time
 	// waits on behind the others, beyond MaxWait, as long as it is forecast to start by its latest start.
 	Forecast bool
-	// Elsewhere is set if another instance may serve the request in time: if it can only be late here, it
-	// does not begin to wait.
+	// Elsewhere is set if another instance may serve the request in time: as soon as it can only be late
+	// here, it does not wait.
 	Elsewhere bool
 	// Retried is set if the caller was rejected before. The request precedes new ones that are due no sooner.
 	Retried bool
@@ -86,6 +86,8 @@
 // Usage is the number of requests that hold a slot, that wait for one, and of all slots.
 type Usage struct {
 	Running, Waiting, Slots int
+	// Late is the number of further requests that wait behind all that can be in time, which they do not delay.
+	Late int
 }
 
 // Queue is safe for concurrent use.
@@ -107,6 +109,7 @@
 	// grants and late belong to the requests with forecasts; reviewPending is set while a timer of
 	// scheduleReview runs.
 	grants        *admission.Grants
+	overtaking    Overtaking
 	late          LateCounts
 	reviewPending bool
 }
@@ -120,9 +123,10 @@
 // NewRateLimited returns a Queue with the given number of slots and a limit on the rate at
 // which requests start.
 func NewRateLimited(slots int, limiter RateLimiter) *Queue {
+	grants := admission.NewGrants()
 	return &Queue{
 		limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time),
-		fairness: maxMinShares{}, grants: admission.NewGrants(),
+		fairness: maxMinShares{}, grants: grants, overtaking: grants,
 	}
 }
 
@@ -148,7 +152,8 @@
 func (q *Queue) Usage() Usage {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return Usage{Running: q.running, Waiting: q.waiting.Len(), Slots: q.slots}
+	late := q.waiting.countLate()
+	return Usage{Running: q.running, Waiting: q.waiting.Len() - late, Slots: q.slots, Late: late}
 }
 
 // Wait returns how long a request that arrives now would wait for a slot.
