outbound: a request that free instances rejected counts as rejected

Cause: with half of all requests rejected at random, one instance that was asked for a response in time and had no room made the whole service count as full, so that the callers returned too late.

Change: where admission by forecast is used, the cause is Full only if the service is known to be full or more instances had no capacity than rejected the request.

--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -82,6 +82,12 @@
 	}
 }
 
+// mostlyRejected reports whether instances with free slots rejected the request, while only some others, as one
+// that is asked for a response in time, had no capacity and the service is not known to be full.
+func (e *exchange) mostlyRejected() bool {
+	return e.usesAdmission() && e.rejections > 0 && e.rejections >= e.fullRefusals && !e.proxy.services.IsFull(e.service, time.Now())
+}
+
 // spreadRetry adds a random part to the wait of a refused caller.
 func (e *exchange) spreadRetry(refusal retryafter.Refusal) time.Duration {
 	if !e.usesAdmission() {
--- a/internal/dataplane/outbound/refuse.go
+++ b/internal/dataplane/outbound/refuse.go
@@ -61,7 +61,7 @@
 	switch {
 	case !e.hasReady():
 		return retryafter.NoInstance
-	case e.rejections > 0 && e.fullRefusals == 0:
+	case e.rejections > 0 && e.fullRefusals == 0, e.mostlyRejected():
 		return retryafter.Rejected
 	default:
 		return retryafter.Full
