--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -59,6 +59,8 @@
 	StatedLimit statement.Limit
 	// Local is set when the sender is the sidecar of the instance itself. It is not transmitted.
 	Local bool
+	// Admission says how the request may wait. It has a field of its own, HeaderAdmission.
+	Admission Admission
 }
 
 // CertainRepeat is the value of RepeatPercent for a send that is a repeat for sure.
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -43,17 +43,17 @@
 		Name: "winchhead_dataplane_instance_limit_per_second",
 		Help: "The limit that the instance beside the node states, in requests per second; 0 if it states none.",
 	})
-	return created, registerAll(registerer,
+	return created, registerAll(registerer, append(lateCounters(waiting),
 		created.deliveries, created.waits, created.crashes, created.limited, created.statedLimit,
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
 		usageGauge("winchhead_dataplane_waiting_requests", "Requests that wait for a slot of the instance.",
-			func() int { return waiting.Usage().Waiting }),
+			func() int { usage := waiting.Usage(); return usage.Waiting + usage.Late }),
 		usageGauge("winchhead_dataplane_reserved_slots", "Slots of the instance that requests of the lowest priority in use may not take.",
 			waiting.Reserved),
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
-	)
+	)...)
 }
 
 // registerAll registers collectors, unless there is no registerer.
--- a/internal/dataplane/outbound/metrics.go
+++ b/internal/dataplane/outbound/metrics.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -40,6 +41,7 @@
 	lostTime    *prometheus.HistogramVec
 	busyLinks   prometheus.Counter
 	calls       *prometheus.CounterVec
+	early       *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) (*metrics, error) {
@@ -87,10 +89,14 @@
 		Name: "winchhead_dataplane_calls_total",
 		Help: "Requests known to be calls of the local instance, by whether they got a higher priority than that of their route (raised) or not (own).",
 	}, []string{"priority"})
+	created.early = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "winchhead_dataplane_early_rejections_total",
+		Help: "Requests rejected without asking further instances, by service and by how many had no capacity (1: the service was known to be full).",
+	}, []string{"service", "asked"})
 	if registerer == nil {
 		return created, nil
 	}
-	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.busyLinks, created.calls} {
+	for _, collector := range []prometheus.Collector{created.requests, created.duration, created.sends, created.repeats, created.arrivals, created.budgetEmpty, created.losses, created.lostTime, created.busyLinks, created.calls, created.early} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, eris.Wrap(err, "register the metrics of the data plane")
 		}
@@ -123,6 +129,11 @@
 	m.calls.WithLabelValues(priority).Inc()
 }
 
+// rejectedEarly records a request that is rejected although further instances are left.
+func (m *metrics) rejectedEarly(service string, asked int) {
+	m.early.WithLabelValues(service, strconv.Itoa(asked)).Inc()
+}
+
 func (m *metrics) arrived(service string, kind repeats.Kind) {
 	m.arrivals.WithLabelValues(service, string(kind)).Inc()
 }
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -58,6 +58,7 @@
 		KeyTag:          e.keyTag(),
 		StatedLimit:     limit,
 		Local:           choice.Local,
+		Admission:       e.admission(choice, limit.Stated),
 	}
 }
 
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -9,6 +9,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/admission"
 )
 
 // Refusal is the reason why a request got no slot.
@@ -66,6 +68,14 @@
 	// requests wait as well, it then waits beyond MaxWait, up to LatestStart, because the
 	// next slot would go to them instead.
 	OnlyCandidate bool
+	// Forecast is set if the caller wants a late answer as well: a request that can no longer be in time
+	// waits on behind the others, beyond MaxWait, as long as it is forecast to start by its latest start.
+	Forecast bool
+	// Elsewhere is set if another instance may serve the request in time: as soon as it can only be late
+	// here, it does not wait.
+	Elsewhere bool
+	// Retried is set if the caller was rejected before. The request precedes new ones that are due no sooner.
+	Retried bool
 
 	// cost is the time for which the request is expected to hold a slot, and beyondShare says that its
 	// tenant has had more than its fair share. The queue sets both.
@@ -79,6 +89,8 @@
 // Usage is the number of requests that hold a slot, that wait for one, and of all slots.
 type Usage struct {
 	Running, Waiting, Slots int
+	// Late is the number of further requests that wait behind all that can be in time, which they do not delay.
+	Late int
 }
 
 // Queue is safe for concurrent use.
@@ -99,6 +111,12 @@
 	fairness  fairness
 	// reservation is nil unless ReserveByPriority was called.
 	reservation *reservation
+	// grants and late belong to the requests with forecasts; reviewPending is set while a timer of
+	// scheduleReview runs.
+	grants        *admission.Grants
+	overtaking    Overtaking
+	late          LateCounts
+	reviewPending bool
 }
 
 // initialServiceTime is assumed as the mean service time before any request has ended.
@@ -110,9 +128,10 @@
 // NewRateLimited returns a Queue with the given number of slots and a limit on the rate at
 // which requests start.
 func NewRateLimited(slots int, limiter RateLimiter) *Queue {
+	grants := admission.NewGrants()
 	return &Queue{
 		limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time),
-		fairness: maxMinShares{},
+		fairness: maxMinShares{}, grants: grants, overtaking: grants,
 	}
 }
 
@@ -138,7 +157,8 @@
 func (q *Queue) Usage() Usage {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return Usage{Running: q.running, Waiting: q.waiting.Len(), Slots: q.slots}
+	late := q.waiting.countLate()
+	return Usage{Running: q.running, Waiting: q.waiting.Len() - late, Slots: q.slots, Late: late}
 }
 
 // Wait returns how long a request that arrives now would wait for a slot.
@@ -186,7 +206,8 @@
 	q.mutex.Lock()
 	ticket = q.ranked(ticket, now)
 	q.arrived(ticket, now)
-	if refusal, wait := q.refusal(ticket, now); refusal != None {
+	ticket, refusal, wait := q.admit(ticket, now)
+	if refusal != None {
 		q.refused(ticket, refusal, now)
 		q.mutex.Unlock()
 		return nil, refusal, wait
@@ -196,9 +217,11 @@
 		q.mutex.Unlock()
 		return slot, None, 0
 	}
-	waiter := &waiter{ticket: ticket, giveUpAt: now.Add(ticket.MaxWait), result: make(chan grantResult, 1)}
+	waiter := &waiter{ticket: ticket, giveUpAt: ticket.giveUpAt(now), result: make(chan grantResult, 1)}
 	heap.Push(&q.waiting, waiter)
+	q.countWaiting(ticket)
 	q.grantWaiting(now)
+	q.scheduleReview()
 	q.mutex.Unlock()
 	return q.await(ctx, waiter)
 }
@@ -210,7 +233,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	ticket = q.ranked(ticket, now)
-	refusal, wait := q.refusal(ticket, now)
+	_, refusal, wait := q.admit(ticket, now)
 	if refusal != None {
 		q.arrived(ticket, now) // it asks for no slot any more
 		q.refused(ticket, refusal, now)
@@ -245,8 +268,7 @@
 // await waits until the waiter gets a slot or is refused. More urgent requests that arrive
 // later may delay it for longer than was expected.
 func (q *Queue) await(ctx context.Context, waiter *waiter) (*Slot, Refusal, time.Duration) {
-	maxWait := min(waiter.ticket.MaxWait, time.Until(waiter.ticket.LatestStart))
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(time.Until(waiter.giveUpAt))
 	defer timer.Stop()
 	refusal, removed := Cancelled, false
 	for pending := true; pending; {
@@ -343,6 +365,7 @@
 	q.running++
 	q.fairness.granted(ticket, now)
 	q.reservation.granted(ticket, now)
+	q.recordGrant(ticket, now)
 	slot := &Slot{queue: q, expected: q.expected(ticket), priority: ticket.Priority}
 	q.grantedAt[slot] = now
 	return slot
@@ -359,6 +382,7 @@
 	q.reservation.released(slot.priority, held, ran)
 	if ran {
 		q.serviceTime += (held - q.serviceTime) / serviceTimeSmoothing
+		q.grants.Released(slot.expected, held)
 	}
 	delete(q.grantedAt, slot)
 	q.running--
