outbound: calls of instances are not admitted as requests that can only be late

A call with less time than others also counted as a retry and queued behind them.

Change: a request that is known to be a call waits by its deadline only, and has no earlier attempt.

Result: the new checks of TestCallOrder fail without the change.

--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -35,10 +35,10 @@
 }
 
 // usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is
-// late. A caller that does not retry, such as an instance that calls another service, is worth a longer wait
-// and more tries: its own request fails with this one.
+// late. A call of an instance, or of another caller that does not retry, is worth a longer wait and more tries:
+// the request that it is made for fails with it.
 func (e *exchange) usesAdmission() bool {
-	return e.proxy.options.Mechanisms.Admission && e.caller.RetriesRefused && e.route.TargetLatency > 0 &&
+	return e.proxy.options.Mechanisms.Admission && !e.call.IsCall && e.caller.RetriesRefused && e.route.TargetLatency > 0 &&
 		e.proxy.admissionUse.in(e.current)
 }
 
--- a/internal/dataplane/outbound/calls_test.go
+++ b/internal/dataplane/outbound/calls_test.go
@@ -12,6 +12,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
@@ -65,6 +66,10 @@
 					want = 0
 				}
 				c.Check(got.Priority, qt.Equals, want)
+				if row.isCall { // not held back as one that can only be late, nor taken for a retry
+					c.Check(got.Admission, qt.Equals, hop.Admission{})
+					c.Check(queue.Value(got.ValueRank), qt.Equals, queue.ValueFull)
+				}
 				c.Check(got.MaxWait == got.Remaining-got.ServiceTime, qt.Equals, row.isCall, qt.Commentf("%+v", got))
 			})
 		})
--- a/internal/dataplane/outbound/order.go
+++ b/internal/dataplane/outbound/order.go
@@ -97,8 +97,8 @@
 
 // elapsed returns how long before this request the caller first sent it.
 func (e *exchange) elapsed() time.Duration {
-	if !e.caller.RetriesRefused {
-		return 0 // its shorter timeout has other reasons
+	if !e.caller.RetriesRefused || e.call.IsCall {
+		return 0 // its shorter timeout has other reasons: a call ends with the request that it is made for
 	}
 	return e.caller.Elapsed
 }
