Log lines tell which class holds the slots and how the link stands

Cause: a line about a refused request named the running and waiting requests, but not which priorities held the slots, how many of them were reserved, how busy the link was, or that the forecast withdrew a late request. Bodies refused because of the response link had no line at all. The end of a request named neither its effective priority nor the route for which a call was made.

The losses of a second count the priorities of what was lost; `winchhead losses` prints them.

--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -57,7 +57,7 @@
 	for _, ending := range losses.Endings() {
 		header = append(header, string(ending))
 	}
-	header = append(header, "waiting_ms", "instance_ms", "between_ms", "again_ms", "reasons", "instances")
+	header = append(header, "waiting_ms", "instance_ms", "between_ms", "again_ms", "priorities", "reasons", "instances")
 	_, _ = fmt.Fprintln(table, strings.Join(header, "\t"))
 	for _, row := range report.Rows {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s", row.Second, row.Route, row.Service)
@@ -65,8 +65,8 @@
 			_, _ = fmt.Fprintf(table, "\t%d", row.Endings[ending])
 		}
 		lost := int64(max(row.Lost(), 1))
-		_, _ = fmt.Fprintf(table, "\t%d\t%d\t%d\t%d\t%s\t%s\n", row.WaitingMillis/lost, row.InstanceMillis/lost,
-			row.BetweenNodesMillis/lost, row.EarlierSendsMillis/lost, topCounts(row.Reasons), topCounts(row.Instances))
+		_, _ = fmt.Fprintf(table, "\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", row.WaitingMillis/lost, row.InstanceMillis/lost,
+			row.BetweenNodesMillis/lost, row.EarlierSendsMillis/lost, topCounts(row.Priorities), topCounts(row.Reasons), topCounts(row.Instances))
 	}
 	_ = table.Flush()
 	if len(report.Rows) > 0 {
--- a/internal/dataplane/callpriority/callpriority.go
+++ b/internal/dataplane/callpriority/callpriority.go
@@ -27,6 +27,7 @@
 
 // parentRoute is a route of which the local instance runs requests.
 type parentRoute struct {
+	name string
 	// running is the number of its requests that run now, by effective priority.
 	running map[int]int
 	total   int
@@ -92,7 +93,7 @@
 		if len(t.parents) >= maxRoutes {
 			return nil
 		}
-		found = &parentRoute{running: make(map[int]int)}
+		found = &parentRoute{name: route, running: make(map[int]int)}
 		t.parents[route] = found
 	}
 	return found
@@ -117,6 +118,9 @@
 	Priority int
 	// IsCall is set if requests of its route are known to be sent by requests that the instance runs.
 	IsCall bool
+	// Parent is the route of the request for which the call is most likely made; empty if it is no call. It
+	// is only logged.
+	Parent string
 }
 
 // Assess records a request that the local instance may have sent, and returns its assessment. own is the
@@ -142,5 +146,9 @@
 	if call.seen < minCalls {
 		return Assessment{Priority: own}
 	}
-	return Assessment{Priority: min(own, call.likelyPriority(own)), IsCall: call.background.likelihood < 0.5}
+	assessed := Assessment{Priority: min(own, call.likelyPriority(own)), IsCall: call.background.likelihood < 0.5}
+	if assessed.IsCall {
+		assessed.Parent = call.likelyParent()
+	}
+	return assessed
 }
--- a/internal/dataplane/callpriority/estimate.go
+++ b/internal/dataplane/callpriority/estimate.go
@@ -111,3 +111,14 @@
 	}
 	return likely
 }
+
+// likelyParent returns the route that most likely made the last call; empty if no parent route is known.
+func (c *callRoute) likelyParent() string {
+	name, highest := "", -1.0
+	for parent, known := range c.links {
+		if known.likelihood > highest || known.likelihood == highest && parent.name < name {
+			name, highest = parent.name, known.likelihood
+		}
+	}
+	return name
+}
--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -30,7 +30,9 @@
 		return p.refuseAdmission(request, p.refuse(reason, 0))
 	}
 	if wait := p.responseExcess(request, order); wait > 0 {
-		return p.refuseAdmission(request, p.refuse(hop.ReasonLink, wait))
+		delivery := p.refuse(hop.ReasonLink, wait)
+		p.log(request, order, delivery)
+		return p.refuseAdmission(request, delivery)
 	}
 	if bytes < transfer.MinQueuedBytes {
 		return p.admitSmall(request, order)
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -188,6 +188,8 @@
 	Response *message.Response
 	// Err is the reason why there is no answer. It is only logged.
 	Err error
+	// withdrawn is set if the request waited to be served late until the forecast no longer held.
+	withdrawn bool
 }
 
 // Serve handles a request from another node.
@@ -245,29 +247,6 @@
 	return delivery
 }
 
-// log logs a request that the instance did not answer.
-func (p *Proxy) log(request *message.Request, order hop.Order, delivery Delivery) {
-	if delivery.Report.Outcome == hop.Answered {
-		return
-	}
-	entry, ok := p.lines.Take(true)
-	if !ok {
-		return
-	}
-	entry = entry.WithFields(logrus.Fields{
-		"request": request.ID, "instance": order.Instance, "outcome": string(delivery.Report.Outcome),
-		"reason": string(delivery.Report.Reason), "priority": order.Priority, "value": order.ValueRank,
-		"ms": time.Since(request.Arrived).Milliseconds(), "left_ms": (order.Remaining - time.Since(request.Arrived)).Milliseconds(),
-		"may_wait_ms": order.MaxWait.Milliseconds(), "due_ms": order.Due.Milliseconds(),
-		"expected_ms": order.ServiceTime.Milliseconds(), "wait_ms": delivery.Report.RetryAfter.Milliseconds(), "running": delivery.Report.Running,
-		"waiting": delivery.Report.Waiting, "slots": delivery.Report.Slots, "sender_revision": order.Revision,
-	})
-	if delivery.Err != nil {
-		entry = entry.WithError(delivery.Err)
-	}
-	entry.Warn("request not answered by the instance")
-}
-
 // deliver implements Deliver without logs and metrics.
 func (p *Proxy) deliver(ctx context.Context, request *message.Request, order hop.Order) Delivery {
 	p.active.Add(1)
@@ -303,7 +282,7 @@
 	p.metrics.observeWait(waited)
 	if refusal != queue.None {
 		delivery := p.refuse(p.reasonOf(refusal), wait)
-		delivery.Report.Waited = waited
+		delivery.Report.Waited, delivery.withdrawn = waited, refusal == queue.Withdrawn
 		return delivery
 	}
 	if reason := p.recheckTarget(ctx, request, order, deadline); reason != hop.ReasonNone {
--- a/internal/dataplane/losses/losses.go
+++ b/internal/dataplane/losses/losses.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,8 @@
 	// Instance is the last instance to which the request was sent.
 	Instance string
 	Times    Times
+	// Priority is the effective priority of the request.
+	Priority int
 }
 
 // Message is the message of the log lines.
@@ -72,6 +75,9 @@
 	FieldBetween   = "between_ms"
 	FieldAgain     = "again_ms"
 	FieldOmitted   = "routes_omitted"
+
+	// FieldPriorities counts the requests that did not end in time by their effective priority.
+	FieldPriorities = "priorities"
 )
 
 const (
@@ -101,6 +107,8 @@
 	reasons   map[string]int
 	instances map[string]int
 	times     Times
+
+	priorities map[string]int
 }
 
 // New returns a Ledger that writes to the logger.
@@ -120,7 +128,7 @@
 		}
 		found = &routeTotals{
 			service: request.Service, endings: make(map[Ending]int),
-			reasons: make(map[string]int), instances: make(map[string]int),
+			reasons: make(map[string]int), instances: make(map[string]int), priorities: make(map[string]int),
 		}
 		l.routes[request.Route] = found
 	}
@@ -138,6 +146,7 @@
 	if request.Instance != "" {
 		s.instances[request.Instance]++
 	}
+	s.priorities[strconv.Itoa(request.Priority)]++
 	s.times.Waiting += request.Times.Waiting
 	s.times.Instance += request.Times.Instance
 	s.times.BetweenNodes += request.Times.BetweenNodes
@@ -187,7 +196,8 @@
 	fields := logrus.Fields{
 		FieldRoute: route, FieldService: found.service, FieldSecond: l.second.UTC().Format(SecondFormat),
 		FieldReasons: formatCounts(found.reasons), FieldInstances: formatCounts(found.instances),
-		FieldWaiting: found.times.Waiting.Milliseconds(), FieldInstance: found.times.Instance.Milliseconds(),
+		FieldPriorities: formatCounts(found.priorities),
+		FieldWaiting:    found.times.Waiting.Milliseconds(), FieldInstance: found.times.Instance.Milliseconds(),
 		FieldBetween: found.times.BetweenNodes.Milliseconds(), FieldAgain: found.times.EarlierSends.Milliseconds(),
 	}
 	for ending, count := range found.endings {
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -35,7 +35,7 @@
 		"reason": string(e.lastReason), "tries": e.tries, "reached": e.possibleRuns,
 		"ms": duration.Milliseconds(), "left_ms": time.Until(e.deadline).Milliseconds(),
 		"since_first_ms": e.caller.Elapsed.Milliseconds(), "retries_refused": e.caller.RetriesRefused,
-	})
+	}).WithFields(e.classFields())
 	if failed {
 		fingerprint := suspects.NewFingerprint(e.request.Method, e.request.Host, e.request.Target, e.request.Body)
 		entry.WithFields(logrus.Fields{"target": e.request.Target, "fingerprint": fingerprint.String()}).Warn("request ended")
--- a/internal/dataplane/outbound/loss.go
+++ b/internal/dataplane/outbound/loss.go
@@ -18,6 +18,7 @@
 	}
 	e.proxy.losses.Note(losses.Request{
 		Route: e.route.Name, Service: e.service, Ending: ending, Reason: string(e.lastReason), Instance: e.lastInstance, Times: times,
+		Priority: e.call.Priority,
 	}, now)
 	if ending != losses.InTime {
 		e.proxy.metrics.lost(e.service, ending, times)
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -175,7 +175,7 @@
 			!(known && q.backlog(ticket, work, q.overtaking.Overtaking(ticket.class(), now)).Keeps(ticket.LatestStart.Sub(now))) {
 			q.late.Withdrawn++
 			heap.Remove(&q.waiting, each.index)
-			each.result <- grantResult{refusal: Busy}
+			each.result <- grantResult{refusal: Withdrawn}
 			continue
 		}
 		work += q.expected(ticket)
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -28,6 +28,8 @@
 	Cancelled Refusal = 3
 	// RateLimited: the rate limit, rather than the lack of a slot, makes the wait too long.
 	RateLimited Refusal = 4
+	// Withdrawn: the request waited as one that can only be late, and the forecast no longer held.
+	Withdrawn Refusal = 5
 )
 
 // Value is how much an answer is still worth to its caller.
--- a/internal/lossreport/lossreport.go
+++ b/internal/lossreport/lossreport.go
@@ -28,6 +28,8 @@
 	// Reasons and Instances count the requests that did not end in time.
 	Reasons   map[string]int `json:"reasons"`
 	Instances map[string]int `json:"instances"`
+	// Priorities counts them by their effective priority; empty in logs of earlier builds.
+	Priorities map[string]int `json:"priorities"`
 	// The total time of the requests that did not end in time, by where it was spent; see
 	// losses.Times.
 	WaitingMillis      int64 `json:"waiting_ms"`
@@ -71,6 +73,9 @@
 	Between   int64  `json:"between_ms"`
 	Again     int64  `json:"again_ms"`
 	Omitted   int    `json:"routes_omitted"`
+
+	// Priorities is missing in logs of earlier builds.
+	Priorities string `json:"priorities"`
 }
 
 type rowKey struct{ second, route string }
@@ -114,7 +119,7 @@
 	if row == nil {
 		row = &Row{
 			Second: parsed.Second, Route: parsed.Route, Service: parsed.Service, Endings: make(map[losses.Ending]int),
-			Reasons: make(map[string]int), Instances: make(map[string]int),
+			Reasons: make(map[string]int), Instances: make(map[string]int), Priorities: make(map[string]int),
 		}
 		rows[key] = row
 	}
@@ -131,6 +136,7 @@
 	}
 	addCounts(r.Reasons, parsed.Reasons)
 	addCounts(r.Instances, parsed.Instances)
+	addCounts(r.Priorities, parsed.Priorities)
 	r.WaitingMillis += parsed.Waiting
 	r.InstanceMillis += parsed.Instance
 	r.BetweenNodesMillis += parsed.Between
