Tests of the growth of the heavy-load mechanisms from 100 to 1,000 nodes

Cause: no test showed that the header fields between nodes, the state of a node and its messages stay the same as the fleet grows.

Change: the replay of the tile service takes the number of instances and senders; TestLinkBacklogGrowth compares 100 and 1,000 nodes in it.

--- a/internal/dataplane/inbound/link_load_test.go
+++ b/internal/dataplane/inbound/link_load_test.go
@@ -50,6 +50,11 @@
 	entries []snapshot.Instance
 
 	arrived, inTime, served, refused, ejections int
+
+	// end is when the last request arrives. sends counts the offers of requests to instances, reports the
+	// reports of links and reportBytes the bytes of their fields.
+	end                         time.Duration
+	sends, reports, reportBytes int
 }
 
 // tileNode is an instance with its link, which is an EgressLink in virtual time.
@@ -99,20 +104,27 @@
 		SlowdownPercent: int(100 * n.slowdown), Link: n.link.report(),
 	}
 	if report.Link.IsKnown() { // as it is transmitted
-		report.Link, _ = hop.DecodeLink(report.Link.Encode())
+		encoded := report.Link.Encode()
+		report.Link, _ = hop.DecodeLink(encoded)
+		n.fleet.reports++
+		n.fleet.reportBytes += len(hop.HeaderLink) + len(encoded)
 	}
 	return report
 }
 
 func newTileFleet(mechanisms mechanism.Set, seed uint64) *tileFleet {
+	return newTileFleetOf(mechanisms, seed, tileInstances, tileSenders)
+}
+
+func newTileFleetOf(mechanisms mechanism.Set, seed uint64, instances, senders int) *tileFleet {
 	start := time.Unix(1_000_000, 0)
-	fleet := &tileFleet{now: start, start: start, random: rand.New(rand.NewPCG(seed, 1))}
-	for i := range tileSenders {
+	fleet := &tileFleet{now: start, start: start, end: tileEnd, random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range senders {
 		fleet.senders = append(fleet.senders, balance.New(balance.Options{
 			Zone: "z", Mechanisms: mechanisms, Random: rand.New(rand.NewPCG(seed, uint64(i+2))),
 		}))
 	}
-	for i := range tileInstances {
+	for i := range instances {
 		node := &tileNode{fleet: fleet, slowdown: []float64{0.7, 0.7, 1.6}[i%3]}
 		node.link, _ = newResponseLink(Options{Egress: node, Mechanisms: mechanisms})
 		fleet.nodes = append(fleet.nodes, node)
@@ -128,9 +140,9 @@
 // the given time on; zero: it always is.
 func (f *tileFleet) run(packsPerSecond float64, unreachableAfter time.Duration) {
 	f.arrive(packs, packsPerSecond)
-	f.arrive(lookups, lookupsPerSecond)
+	f.arrive(lookups, lookupsPerSecond*float64(len(f.nodes))/tileInstances)
 	if unreachableAfter > 0 {
-		f.nodes[tileInstances-1].unreachableSince = f.start.Add(unreachableAfter)
+		f.nodes[len(f.nodes)-1].unreachableSince = f.start.Add(unreachableAfter)
 	}
 	for f.events.Len() > 0 {
 		next := heap.Pop(&f.events).(event)
@@ -145,10 +157,10 @@
 
 func (f *tileFleet) arrive(route tileRoute, perSecond float64) {
 	f.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
-		if f.now.Sub(f.start) >= tileEnd {
+		if f.now.Sub(f.start) >= f.end {
 			return
 		}
-		request := &tileRequest{fleet: f, route: route, sender: f.senders[f.random.IntN(tileSenders)], arrived: f.now, tried: make(map[string]bool), bytes: lookupBytes, work: 0.5 + f.random.Float64()}
+		request := &tileRequest{fleet: f, route: route, sender: f.senders[f.random.IntN(len(f.senders))], arrived: f.now, tried: make(map[string]bool), bytes: lookupBytes, work: 0.5 + f.random.Float64()}
 		if route == packs {
 			request.bytes = min(minPackBytes+f.random.ExpFloat64()*(meanPackBytes-minPackBytes), maxPackBytes)
 			if f.now.Sub(f.start) >= tileWarmUp {
@@ -189,6 +201,7 @@
 		return
 	}
 	r.tried[choice.Instance.Name] = true
+	r.fleet.sends++
 	node := r.fleet.nodes[slices.IndexFunc(r.fleet.entries, func(entry snapshot.Instance) bool { return entry.Name == choice.Instance.Name })]
 	if node.isUnreachable() {
 		const connectTimeout = 300 * time.Millisecond
