dataplane: read bodies of known length into memory of that size

Cause: responses up to 1 MiB were read by io.ReadAll, which collects growing pieces and copies them at the end, and request bodies by bytes.Buffer, which doubles when less than 512 bytes are free although it was grown to the stated length. Both sidecars hold such bodies.

Change: message.ReadBody allocates the stated length once and checks that the body ends there. The client uses it for buffered responses below 1 MiB, the server for request bodies. Bodies without a length, responses to HEAD and longer responses are read as before.

--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/dataplane/message"
 )
 
 func (c *conn) newResponse(parsed *http.Response) *Response {
@@ -67,10 +69,21 @@
 	if r.Length > MaxBufferedBodyBytes || strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
 		return nil, false, nil
 	}
+	if r.hasKnownBody() {
+		start, err = message.ReadBody(r.Body, r.Length)
+		return start, err == nil, err
+	}
 	start, err = io.ReadAll(io.LimitReader(r.Body, MaxBufferedBodyBytes))
 	return start, err == nil && len(start) < MaxBufferedBodyBytes, err
 }
 
+// hasKnownBody reports whether a body of the stated length follows, short enough to be buffered whole.
+// The response to a HEAD request states the length of a body that does not follow.
+func (r *Response) hasKnownBody() bool {
+	body, ok := r.Body.(*bodyReader)
+	return ok && body.inner != http.NoBody && r.Length >= 0 && r.Length < MaxBufferedBodyBytes
+}
+
 // Discard reads and drops the body of an unwanted response, if it is short, so that the
 // connection can be reused.
 func (r *Response) Discard() {
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -170,21 +170,17 @@
 	}
 	defer c.server.bodies.release(reserved)
 	c.bound.set(limits.MaxBodyBytes + limits.MaxBodyBytes/8 + readSlack) // an eighth for the chunk framing
-	var buffer bytes.Buffer
-	if parsed.ContentLength > 0 {
-		buffer.Grow(int(parsed.ContentLength))
-	}
 	source := &deadlineReader{connection: c, inner: io.LimitReader(parsed.Body, limits.MaxBodyBytes+1)}
-	_, err := buffer.ReadFrom(source)
+	body, err := message.ReadBody(source, min(parsed.ContentLength, limits.MaxBodyBytes+1))
 	switch {
 	case err != nil && !isNetworkError(err) && !errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, c.server.options.Refuse(http.StatusBadRequest, "the body is malformed"), true
 	case err != nil:
 		return nil, nil, false
-	case int64(buffer.Len()) > limits.MaxBodyBytes:
+	case int64(len(body)) > limits.MaxBodyBytes:
 		return nil, c.server.options.Refuse(http.StatusRequestEntityTooLarge, "the body is too large"), true
 	}
-	return buffer.Bytes(), nil, true
+	return body, nil, true
 }
 
 // sendContinue sends a 100 (Continue) response if the client waits for one and all earlier
