server: idle connections hold no read or write buffer

Cause: each connection held 4 KiB to read and 4 KiB to write while it was idle; a node has hundreds of connections from other nodes, of which few are in use at a time.

Change: buffers come from pools. A connection gives its read buffer back when everything in it is consumed and tries to read into one when the socket becomes readable, within the wait of the runtime's poller, so that the number of system calls stays the same. Closed connections, resets and deadlines end that wait as they ended a read. A connection that is not a TCP connection keeps its read buffer. A write buffer is taken for each response. Limits, pipelining and the wait for a body are unchanged.

--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -37,8 +37,11 @@
 type connection struct {
 	server *Server
 	conn   net.Conn
+	// reader is nil while the connection waits for a request without a buffer.
 	reader *bufio.Reader
 	bound  *boundedReader
+	// first waits for requests; nil: the connection keeps its read buffer.
+	first *firstRead
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,11 +65,11 @@
 		server: server,
 		conn:   conn,
 		bound:  bound,
-		reader: bufio.NewReaderSize(bound, readBufferBytes),
 		ctx:    ctx,
 		cancel: cancel,
 		queue:  make(chan *exchange, maxPipelined),
 	}
+	created.first = newFirstRead(created)
 	created.pendingFell = sync.NewCond(&created.mutex)
 	if created.egress() != nil {
 		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
@@ -82,6 +85,7 @@
 		c.writeAnswers()
 	}()
 	end := c.readRequests()
+	c.releaseReader()
 	close(c.queue)
 	if end == clientLeft {
 		c.closeNow()
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -33,7 +33,7 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	for {
 		c.bound.set(readSlack)
-		if _, err := c.reader.Peek(1); err != nil {
+		if err := c.awaitRequest(); err != nil {
 			return clientLeft // or the idle timeout expired
 		}
 		if !c.beginReading() {
--- a/internal/dataplane/server/server_test.go
+++ b/internal/dataplane/server/server_test.go
@@ -39,12 +39,12 @@
 	reader *bufio.Reader
 }
 
-func newTestServer(t *testing.T, serve handler) *testServer {
+func newTestServer(t testing.TB, serve handler) *testServer {
 	return newCheckingServer(t, serve, nil)
 }
 
 // newCheckingServer is like newTestServer, with a check of requests before their bodies are read.
-func newCheckingServer(t *testing.T, serve handler, check func(request *message.Request) *message.Response) *testServer {
+func newCheckingServer(t testing.TB, serve handler, check func(request *message.Request) *message.Response) *testServer {
 	created := server.New(server.Options{
 		Check:   check,
 		Handler: serve, RequestID: idHeader,
--- a/internal/dataplane/server/write.go
+++ b/internal/dataplane/server/write.go
@@ -15,12 +15,12 @@
 // writeAnswers writes the responses in the order of the requests, until the last one or
 // until one cannot be written completely.
 func (c *connection) writeAnswers() {
-	writer := bufio.NewWriterSize(c.answerDestination(), writeBufferBytes)
+	destination := c.answerDestination()
 	broken := false
 	for next := range c.queue {
 		answer := c.awaitAnswer(next)
 		if !broken {
-			broken = !c.writeAnswer(writer, next, answer)
+			broken = !c.writeAnswer(destination, next, answer)
 		}
 		answer.Finish()
 		c.held.release(next.heldBytes)
@@ -29,7 +29,7 @@
 }
 
 // writeAnswer writes a response and reports whether further ones may follow on the connection.
-func (c *connection) writeAnswer(writer *bufio.Writer, next *exchange, answer *message.Response) bool {
+func (c *connection) writeAnswer(destination io.Writer, next *exchange, answer *message.Response) bool {
 	closes := c.decideClose(next, answer.Abort)
 	if answer.Abort {
 		c.closeNow()
@@ -37,6 +37,8 @@
 	}
 	c.answers.begin(answer)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	writer := takeWriter(destination)
+	defer releaseWriter(writer)
 	if err := writeMessage(writer, next, answer, closes); err != nil {
 		c.closeNow()
 		return false
