client: idle connections hold no read buffer

Cause: each connection to another node kept a read buffer of 4 KiB while it was idle.

Change: the pool gives the buffer back when a connection becomes idle and takes one when the connection is reused. Data received after a response stays in the buffer, so that the connection is not reused. A connection that is closed does not give its buffer back, as its response may still be read.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -5,7 +5,6 @@
 package client
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -253,6 +252,7 @@
 			return p.dial(ctx)
 		}
 		if candidate.isReusable(p.options.Now()) {
+			candidate.takeReader()
 			return candidate, nil
 		}
 		p.drop(candidate)
@@ -287,7 +287,9 @@
 	p.open++
 	p.lastReceipt = now
 	p.mutex.Unlock()
-	return &conn{Conn: dialed, pool: p, idleSince: now, reader: bufio.NewReaderSize(dialed, readBufferBytes), idleTimeout: p.options.IdleTimeout}, nil
+	created := &conn{Conn: dialed, pool: p, idleSince: now, idleTimeout: p.options.IdleTimeout}
+	created.takeReader()
+	return created, nil
 }
 
 func (p *Pool) drop(c *conn) {
@@ -300,6 +302,7 @@
 // put returns a connection to the pool for the next request.
 func (p *Pool) put(c *conn) {
 	c.idleSince = p.options.Now()
+	c.releaseReader()
 	p.mutex.Lock()
 	closed := p.closed
 	if !closed {
--- a/internal/dataplane/client/conn.go
+++ b/internal/dataplane/client/conn.go
@@ -34,7 +34,8 @@
 // conn is one connection to the server and the state of the exchange on it.
 type conn struct {
 	net.Conn
-	pool      *Pool
+	pool *Pool
+	// reader is nil while the connection is idle.
 	reader    *bufio.Reader
 	exchanges int
 	// idleSince is when the last response ended, or the connection was established: nothing
@@ -53,7 +54,7 @@
 // isReusable reports whether an idle connection is open, has received nothing and has not
 // reached its idle timeout.
 func (c *conn) isReusable(now time.Time) bool {
-	return now.Sub(c.idleSince) < c.idleTimeout && c.reader.Buffered() == 0 && isOpenAndEmpty(c.Conn)
+	return now.Sub(c.idleSince) < c.idleTimeout && !c.hasUnread() && isOpenAndEmpty(c.Conn)
 }
 
 // exchange writes a request and reads the header of its response.
