server: idle connections have neither a queue of 64 pointers nor a writer

Cause: each connection had a channel for 64 pipelined requests and a goroutine, with a stack of 4 KiB after its first response, that waited for the next one.

Change: answerQueue grows with the requests that wait and gives the memory of a pipelined burst back. A writer runs for a connection only while it has responses to write. The limit of 64 queued requests is unchanged.

--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,8 +33,8 @@
 	heldBytes int64
 }
 
-// connection is one connection of a client. One goroutine reads requests, one
-// writes responses, and one runs for each request in progress.
+// connection is one connection of a client. One goroutine reads requests, one writes responses while
+// there are any to write, and one runs for each request in progress.
 type connection struct {
 	server *Server
 	conn   net.Conn
@@ -45,7 +46,11 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	queue  chan *exchange
+	queue  *answerQueue
+	// destination is what responses are written to. broken is set when one could not be written
+	// completely; only the writer uses it.
+	destination io.Writer
+	broken      bool
 	// answers writes the responses where they are scheduled on the machine's link, and held counts
 	// those that are ready; nil: neither.
 	answers *answerWriter
@@ -67,10 +72,11 @@
 		bound:  bound,
 		ctx:    ctx,
 		cancel: cancel,
-		queue:  make(chan *exchange, maxPipelined),
+		queue:  newAnswerQueue(),
 	}
 	created.first = newFirstRead(created)
 	created.pendingFell = sync.NewCond(&created.mutex)
+	created.destination = created.answerDestination()
 	if created.egress() != nil {
 		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
 	}
@@ -79,18 +85,12 @@
 
 // run serves the connection until it ends.
 func (c *connection) run() {
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		c.writeAnswers()
-	}()
 	end := c.readRequests()
 	c.releaseReader()
-	close(c.queue)
 	if end == clientLeft {
 		c.closeNow()
 	}
-	<-written
+	c.queue.awaitWritten()
 	c.closeNow()
 	c.held.remove()
 }
@@ -173,9 +173,16 @@
 	}
 }
 
+// enqueue queues a request for its response.
+func (c *connection) enqueue(taken *exchange) {
+	if c.queue.add(taken) {
+		c.server.write(c)
+	}
+}
+
 // dispatch queues a request for its response and runs it in a new goroutine.
 func (c *connection) dispatch(taken *exchange) {
-	c.queue <- taken
+	c.enqueue(taken)
 	if taken.refused {
 		return
 	}
--- a/internal/dataplane/server/idle_memory_test.go
+++ b/internal/dataplane/server/idle_memory_test.go
@@ -16,7 +16,7 @@
 
 // maxIdleHeapBytes is the bound for an idle connection: the connection and its descriptor, that of
 // the test's client included, and no buffers.
-const maxIdleHeapBytes = 6 << 10
+const maxIdleHeapBytes = 4 << 10
 
 // TestIdleConnectionMemory guards against buffers and goroutines that idle connections keep: a
 // node has hundreds of connections from other nodes, of which few are in use at a time.
@@ -24,6 +24,7 @@
 	c := qt.New(t)
 	const connections = 300
 	r := newTestServer(t, echo)
+	goroutinesBefore := runtime.NumGoroutine()
 	heapBefore, stacksBefore := liveBytes()
 	idle := make([]net.Conn, connections)
 	for i := range idle {
@@ -36,6 +37,8 @@
 	heap, stacks := liveBytes()
 	heap, stacks = (heap-heapBefore)/connections, (stacks-stacksBefore)/connections
 	t.Logf("for each idle connection: %d bytes of heap, %d of stacks; %d goroutines", heap, stacks, runtime.NumGoroutine())
+	const writers = 50 // the server keeps some that are idle
+	c.Check(runtime.NumGoroutine()-goroutinesBefore < connections+writers, qt.IsTrue)
 	c.Check(heap < maxIdleHeapBytes, qt.IsTrue, qt.Commentf("%d bytes", heap))
 }
 
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -247,7 +247,7 @@
 	}
 	refused := &exchange{closeAfter: true, answer: make(chan *message.Response, 1)}
 	refused.answer <- answer
-	c.queue <- refused
+	c.enqueue(refused)
 	return true
 }
 
--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -76,6 +76,7 @@
 // Server serves listeners until it is closed. It is safe for concurrent use.
 type Server struct {
 	options  Options
+	writers  *writers
 	bodies   bodyMemory
 	draining atomic.Bool
 	active   atomic.Int64
@@ -92,7 +93,9 @@
 	if options.ProgressInterval == 0 {
 		options.ProgressInterval = defaultProgressInterval
 	}
-	return &Server{options: options, connections: make(map[*connection]struct{}), bodies: bodyMemory{limit: maxBodyMemory}}
+	return &Server{
+		options: options, connections: make(map[*connection]struct{}), bodies: bodyMemory{limit: maxBodyMemory}, writers: newWriters(),
+	}
 }
 
 // Serve accepts connections until the listener or the server is closed.
@@ -187,6 +190,9 @@
 // Close closes all listeners and connections and waits until every connection has ended.
 func (s *Server) Close() {
 	s.mutex.Lock()
+	if !s.closed {
+		close(s.writers.closed)
+	}
 	s.closed = true
 	for _, listener := range s.listeners {
 		_ = listener.Close()
--- a/internal/dataplane/server/write.go
+++ b/internal/dataplane/server/write.go
@@ -12,15 +12,13 @@
 
 const writeBufferBytes = 4 << 10
 
-// writeAnswers writes the responses in the order of the requests, until the last one or
-// until one cannot be written completely.
+// writeAnswers writes the responses in the order of the requests, while there are any. After one that
+// cannot be written completely, the others are dropped.
 func (c *connection) writeAnswers() {
-	destination := c.answerDestination()
-	broken := false
-	for next := range c.queue {
+	for next := c.queue.take(); next != nil; next = c.queue.take() {
 		answer := c.awaitAnswer(next)
-		if !broken {
-			broken = !c.writeAnswer(destination, next, answer)
+		if !c.broken {
+			c.broken = !c.writeAnswer(next, answer)
 		}
 		answer.Finish()
 		c.held.release(next.heldBytes)
@@ -29,7 +27,7 @@
 }
 
 // writeAnswer writes a response and reports whether further ones may follow on the connection.
-func (c *connection) writeAnswer(destination io.Writer, next *exchange, answer *message.Response) bool {
+func (c *connection) writeAnswer(next *exchange, answer *message.Response) bool {
 	closes := c.decideClose(next, answer.Abort)
 	if answer.Abort {
 		c.closeNow()
@@ -37,7 +35,7 @@
 	}
 	c.answers.begin(answer)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	writer := takeWriter(destination)
+	writer := takeWriter(c.destination)
 	defer releaseWriter(writer)
 	if err := writeMessage(writer, next, answer, closes); err != nil {
 		c.closeNow()
