client: close idle connections to a node beyond those used lately

Cause: the connections that a burst opened to a node stayed for the idle timeout of 25 s, at both ends.

Change: a pool remembers the most connections used at once for 5 to 10 s. At each prune (every 2 s) the pools of nodes close the idle connections beyond it, those first that have been idle for longest. One connection stays until its idle timeout. The pool of the local instance is not trimmed, as each new connection costs the instance work. dropIdle takes closed connections from the list and the number of open ones at once, since their difference is the number in use.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -133,6 +133,7 @@
 	lastReceipt time.Time
 	idle        []*conn // the most recently used is last
 	open        int
+	use         recentUse
 	closed      bool
 }
 
@@ -272,6 +273,7 @@
 		return nil
 	}
 	p.idle = p.idle[:len(p.idle)-1]
+	p.recordUse()
 	return last
 }
 
@@ -285,6 +287,7 @@
 	now := p.options.Now()
 	p.mutex.Lock()
 	p.open++
+	p.recordUse()
 	p.lastReceipt = now
 	p.mutex.Unlock()
 	created := &conn{Conn: dialed, pool: p, idleSince: now, idleTimeout: p.options.IdleTimeout}
@@ -331,8 +334,9 @@
 		}
 	}
 	p.idle = kept
+	p.open -= len(dropped) // with the list, as the difference is the number in use
 	p.mutex.Unlock()
 	for _, candidate := range dropped {
-		p.drop(candidate)
+		_ = candidate.Conn.Close()
 	}
 }
--- a/internal/dataplane/outbound/sidecar_pools.go
+++ b/internal/dataplane/outbound/sidecar_pools.go
@@ -114,13 +114,14 @@
 	return pool
 }
 
-// prune closes connections that were idle for too long and removes the pools of nodes without
-// connections.
+// prune closes connections that were idle for too long or exceed what was needed lately, and removes
+// the pools of nodes without connections.
 func (n *sidecarPools) prune(now time.Time) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for address, pool := range n.pools {
 		pool.Prune(now)
+		pool.Trim(now)
 		if pool.Open() == 0 {
 			delete(n.pools, address)
 		}
