--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -5,7 +5,6 @@
 package client
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -134,6 +133,7 @@
 	lastReceipt time.Time
 	idle        []*conn // the most recently used is last
 	open        int
+	use         recentUse
 	closed      bool
 }
 
@@ -253,6 +253,7 @@
 			return p.dial(ctx)
 		}
 		if candidate.isReusable(p.options.Now()) {
+			candidate.takeReader()
 			return candidate, nil
 		}
 		p.drop(candidate)
@@ -272,6 +273,7 @@
 		return nil
 	}
 	p.idle = p.idle[:len(p.idle)-1]
+	p.recordUse()
 	return last
 }
 
@@ -285,9 +287,12 @@
 	now := p.options.Now()
 	p.mutex.Lock()
 	p.open++
+	p.recordUse()
 	p.lastReceipt = now
 	p.mutex.Unlock()
-	return &conn{Conn: dialed, pool: p, idleSince: now, reader: bufio.NewReaderSize(dialed, readBufferBytes), idleTimeout: p.options.IdleTimeout}, nil
+	created := &conn{Conn: dialed, pool: p, idleSince: now, idleTimeout: p.options.IdleTimeout}
+	created.takeReader()
+	return created, nil
 }
 
 func (p *Pool) drop(c *conn) {
@@ -300,6 +305,7 @@
 // put returns a connection to the pool for the next request.
 func (p *Pool) put(c *conn) {
 	c.idleSince = p.options.Now()
+	c.releaseReader()
 	p.mutex.Lock()
 	closed := p.closed
 	if !closed {
@@ -328,8 +334,9 @@
 		}
 	}
 	p.idle = kept
+	p.open -= len(dropped) // with the list, as the difference is the number in use
 	p.mutex.Unlock()
 	for _, candidate := range dropped {
-		p.drop(candidate)
+		_ = candidate.Conn.Close()
 	}
 }
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,17 +33,24 @@
 	heldBytes int64
 }
 
-// connection is one connection of a client. One goroutine reads requests, one
-// writes responses, and one runs for each request in progress.
+// connection is one connection of a client. One goroutine reads requests, one writes responses while
+// there are any to write, and one runs for each request in progress.
 type connection struct {
 	server *Server
 	conn   net.Conn
+	// reader is nil while the connection waits for a request without a buffer.
 	reader *bufio.Reader
 	bound  *boundedReader
+	// first waits for requests; nil: the connection keeps its read buffer.
+	first *firstRead
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	queue  chan *exchange
+	queue  *answerQueue
+	// destination is what responses are written to. broken is set when one could not be written
+	// completely; only the writer uses it.
+	destination io.Writer
+	broken      bool
 	// answers writes the responses where they are scheduled on the machine's link, and held counts
 	// those that are ready; nil: neither.
 	answers *answerWriter
@@ -62,12 +70,13 @@
 		server: server,
 		conn:   conn,
 		bound:  bound,
-		reader: bufio.NewReaderSize(bound, readBufferBytes),
 		ctx:    ctx,
 		cancel: cancel,
-		queue:  make(chan *exchange, maxPipelined),
+		queue:  newAnswerQueue(),
 	}
+	created.first = newFirstRead(created)
 	created.pendingFell = sync.NewCond(&created.mutex)
+	created.destination = created.answerDestination()
 	if created.egress() != nil {
 		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
 	}
@@ -76,17 +85,12 @@
 
 // run serves the connection until it ends.
 func (c *connection) run() {
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		c.writeAnswers()
-	}()
 	end := c.readRequests()
-	close(c.queue)
+	c.releaseReader()
 	if end == clientLeft {
 		c.closeNow()
 	}
-	<-written
+	c.queue.awaitWritten()
 	c.closeNow()
 	c.held.remove()
 }
@@ -169,9 +173,16 @@
 	}
 }
 
+// enqueue queues a request for its response.
+func (c *connection) enqueue(taken *exchange) {
+	if c.queue.add(taken) {
+		c.server.write(c)
+	}
+}
+
 // dispatch queues a request for its response and runs it in a new goroutine.
 func (c *connection) dispatch(taken *exchange) {
-	c.queue <- taken
+	c.enqueue(taken)
 	if taken.refused {
 		return
 	}
