queue: a late request takes a slot that is free

A request that could only be late was rejected as "overloaded" on arrival, whatever slots were free, in two cases: if another instance might serve it in time, and if its latest start was closer than one expected service time. Each late request of a service with capacity was thus sent to two instances, and the untrue rejection counted towards the service being full.

A request that would not wait now starts, as no other request can take the slot.

--- a/internal/dataplane/admission/admission.go
+++ b/internal/dataplane/admission/admission.go
@@ -82,6 +82,8 @@
 	switch {
 	case ok && wait <= min(a.MayWait, a.Left):
 		return Wait
+	case a.Late.Ahead <= 0: // it does not wait: a slot is free, and no other request is served before it
+		return WaitLate
 	case a.Elsewhere, !a.Late.Admits(a.Left):
 		return Reject
 	default:
--- a/internal/dataplane/admission/admission_test.go
+++ b/internal/dataplane/admission/admission_test.go
@@ -32,6 +32,7 @@
 		"late, no slots left":              {admission.Arrival{InTime: someWork, MayWait: 100 * ms, Left: time.Hour, Late: nothingLeft}, admission.Reject},
 		"late, hardly any slots left":      {admission.Arrival{InTime: someWork, MayWait: 100 * ms, Left: time.Hour, Late: all}, admission.Reject},
 		"can only be late, free slot":      {admission.Arrival{InTime: free, MayWait: -1, Left: time.Second, Late: free}, admission.WaitLate},
+		"late, free slot, others may do":   {admission.Arrival{InTime: free, MayWait: -1, Left: time.Second, Late: free, Elsewhere: true}, admission.WaitLate},
 		"in time, but overtaken all along": {admission.Arrival{InTime: nothingLeft, MayWait: 250 * ms, Left: time.Second, Late: nothingLeft}, admission.Reject},
 		"deadline before the due time":     {admission.Arrival{InTime: someWork, MayWait: time.Second, Left: 100 * ms, Late: someWork}, admission.Reject},
 	} {
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -63,6 +63,9 @@
 	case admission.Wait:
 		return ticket, None, 0
 	case admission.WaitLate:
+		if arrival.Late.Ahead <= 0 {
+			late.LatestStart = ticket.LatestStart // it starts now
+		}
 		return late, None, 0
 	default:
 		q.late.Rejected++
--- a/internal/dataplane/queue/late_test.go
+++ b/internal/dataplane/queue/late_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// TestLateRequestTakesFreeSlot guards against a late request that is rejected although a slot is free that no
+// other request can take: because another instance may serve it, or because it must start at once.
+func TestLateRequestTakesFreeSlot(t *testing.T) {
+	for name, row := range map[string]struct {
+		elsewhere, reserve bool
+		latest             time.Duration
+	}{
+		"another instance may serve it":  {elsewhere: true, latest: time.Minute},
+		"it must start at once":          {latest: work / 2},
+		"slots are reserved from others": {reserve: true, latest: work / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := warmed()
+				if row.reserve {
+					q.ReserveFixed(1)
+					q.SetSlots(2)
+					occupy(q, forecastTicket(time.Second, time.Hour), work)
+					time.Sleep(work) // the reserve applies while requests of priority 0 arrive
+					for range 2 {
+						lower := ticket(7, time.Minute)
+						lower.Priority = 1
+						occupy(q, lower, work)
+					}
+				}
+				late := forecastTicket(-work, row.latest)
+				late.Elsewhere = row.elsewhere
+				began := time.Now()
+				qt.Check(t, <-occupy(q, late, work), qt.Equals, queue.None)
+				qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // TestLateRequestIsWithdrawn guards against a request that is held until its deadline in vain: when requests
 // that go ahead of it begin to take all slots, it is rejected long before.
 func TestLateRequestIsWithdrawn(t *testing.T) {
