inbound: absurd service times of other nodes give no negative ones

The expected service time was computed in integers from the mean service time in the order of another node, the usual and the stated slowdown. 25 minutes and the largest slowdowns overflowed it, and a negative time in a malformed order was kept: the latest start of the request was then after its deadline.

Measured: the rows "negative", "long, slow" and "longer than it" of TestExpectedServiceTime fail without the change (-5s, 200h, -5ns) and pass with it; go test -p 3 ./internal/dataplane/inbound ./internal/dataplane passes.

--- a/internal/dataplane/inbound/instance_load.go
+++ b/internal/dataplane/inbound/instance_load.go
@@ -201,10 +201,15 @@
 	return l.speed.percent()
 }
 
+// maxExpectedServiceTime bounds the expected service time: the time stated by another node is not limited, and no
+// request runs for a day.
+const maxExpectedServiceTime = 24 * time.Hour
+
 // expectedServiceTime returns how long the instance is expected to work on a request for which an ordinary
 // instance needs the given time; zero if that is not known.
 func (l *instanceLoad) expectedServiceTime(ordinary time.Duration, now time.Time) time.Duration {
-	return ordinary * time.Duration(l.usualPercent()*l.momentaryPercent(now)) / (100 * 100)
+	slowdown := float64(l.usualPercent()) / 100 * float64(l.momentaryPercent(now)) / 100
+	return time.Duration(min(max(float64(ordinary), 0)*slowdown, float64(maxExpectedServiceTime)))
 }
 
 // loadMetrics show the load that the instance states.
