queue: a withdrawn request counts against the reserve of its priority

The reserve of slots grows while requests of higher priority get no slot by their due time. A waiting request that the review rejected because its forecast no longer held was not counted, although it got no slot at all: the worse the overload, the less the reserve grew.

It is counted like a request whose wait ends without a slot.

Measured: TestWithdrawnRequestIsOverdue fails without the change (0 overdue requests, want 1) and passes with it; go test -p 3 ./internal/dataplane/queue ./internal/dataplane/outbound passes.

--- a/internal/dataplane/queue/export_test.go
+++ b/internal/dataplane/queue/export_test.go
@@ -67,3 +67,10 @@
 func (q *Queue) ReserveFixed(slots int) {
 	q.reservation = newReservation(func(*boundary, int, time.Time) int { return slots })
 }
+
+// Overdue returns the number of requests ahead of a priority that got no slot by their due time, weighted by age.
+func (q *Queue) Overdue(priority int) float64 {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.reservation.boundaries[classOf(priority)].overdue
+}
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -176,15 +176,23 @@
 		last := inOrder[len(inOrder)-1].ticket
 		if ticket.Forecast && ticket.Value == ValueLate && !(ticket.OnlyCandidate && last.Priority > ticket.Priority) &&
 			!(known && q.backlog(ticket, work, q.overtaking.Overtaking(ticket.class(), now)).Keeps(ticket.LatestStart.Sub(now))) {
-			q.late.Withdrawn++
-			heap.Remove(&q.waiting, each.index)
-			each.result <- grantResult{refusal: Busy}
+			q.withdraw(each, now)
 			continue
 		}
 		work += q.expected(ticket)
 	}
 }
 
+// withdraw rejects a waiting request. The caller must hold the mutex.
+func (q *Queue) withdraw(withdrawn *waiter, now time.Time) {
+	q.late.Withdrawn++
+	heap.Remove(&q.waiting, withdrawn.index)
+	if !q.hasSlotFor(withdrawn.ticket) {
+		q.refused(withdrawn.ticket, Busy, now)
+	}
+	withdrawn.result <- grantResult{refusal: Busy}
+}
+
 // demote moves the requests that can no longer be in time behind the others. The caller must hold the mutex.
 func (q *Queue) demote(now time.Time) {
 	for _, each := range slices.Clone(q.waiting) {
--- a/internal/dataplane/queue/late_test.go
+++ b/internal/dataplane/queue/late_test.go
@@ -137,6 +137,23 @@
 	})
 }
 
+// TestWithdrawnRequestIsOverdue guards against a reserve that does not grow although requests of higher priority
+// get no slots, because they are rejected while they wait.
+func TestWithdrawnRequestIsOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := warmed()
+		q.ReserveByPriority()
+		occupy(q, forecastTicket(time.Second, time.Hour), work)
+		late := occupy(q, forecastTicket(work/4, time.Minute), work)
+		c.Check(q.Overdue(1), qt.Equals, 0.0)
+		q.SetOvertaking(allSlots{})
+		c.Check(<-late, qt.Equals, queue.Busy)
+		c.Check(q.Overdue(1), qt.Equals, 1.0)
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestWaitingRequestIsDemoted: a request that had expected to be in time moves behind the others when its due
 // time is over, and is served after them.
 func TestWaitingRequestIsDemoted(t *testing.T) {
