admission: a service is known to be full by priority

A sender asked only one instance, and told it that no other might serve the request, while a fifth of the latest reports of the service were rejections, of whatever priority. A burst of requests of the lowest priority, which are rejected for lack of capacity, thus cost requests of higher priority their second try although their class had capacity.

Reports are counted by priority. Rejections tell about their priority and lower ones, other reports about their priority and higher ones.

--- a/internal/dataplane/admission/admission_test.go
+++ b/internal/dataplane/admission/admission_test.go
@@ -105,23 +105,50 @@
 func TestServices(t *testing.T) {
 	c := qt.New(t)
 	services, now := admission.NewServices(), time.Unix(1000, 0)
-	c.Check(services.IsFull("s", now), qt.IsFalse)
+	c.Check(services.IsFull("s", 1, now), qt.IsFalse)
 	for range 3 {
-		services.Reported("s", true, now)
+		services.Reported("s", 1, true, now)
 	}
-	c.Check(services.IsFull("s", now), qt.IsFalse, qt.Commentf("a few rejections by chance"))
+	c.Check(services.IsFull("s", 1, now), qt.IsFalse, qt.Commentf("a few rejections by chance"))
 	for i := range 20 {
-		services.Reported("s", i%2 == 0, now)
+		services.Reported("s", 1, i%2 == 0, now)
 	}
-	c.Check(services.IsFull("s", now), qt.IsTrue)
-	c.Check(services.MaxRejections("s", now), qt.Equals, 1)
-	c.Check(services.MaxRejections("other", now), qt.Equals, 2)
+	c.Check(services.IsFull("s", 1, now), qt.IsTrue)
+	c.Check(services.MaxRejections("s", 1, now), qt.Equals, 1)
+	c.Check(services.MaxRejections("other", 1, now), qt.Equals, 2)
 	for range 200 {
-		services.Reported("s", false, now)
+		services.Reported("s", 1, false, now)
 	}
-	c.Check(services.IsFull("s", now), qt.IsFalse)
+	c.Check(services.IsFull("s", 1, now), qt.IsFalse)
 	for range 200 {
-		services.Reported("s", true, now)
+		services.Reported("s", 1, true, now)
 	}
-	c.Check(services.IsFull("s", now.Add(5*time.Second)), qt.IsFalse, qt.Commentf("rejections of seconds ago"))
+	c.Check(services.IsFull("s", 1, now.Add(5*time.Second)), qt.IsFalse, qt.Commentf("rejections of seconds ago"))
+}
+
+// TestFullForLowerPriorities guards against requests that are rejected after one instance because the service is
+// full for requests of lower priority only.
+func TestFullForLowerPriorities(t *testing.T) {
+	const urgent, ordinary, lowest = 0, 1, 500
+	c := qt.New(t)
+	services, now := admission.NewServices(), time.Unix(1000, 0)
+	isFull := func() (full [3]bool) {
+		for i, priority := range []int{urgent, ordinary, lowest} {
+			full[i] = services.IsFull("s", priority, now)
+		}
+		return full
+	}
+	for range 20 {
+		services.Reported("s", lowest, true, now)
+		services.Reported("s", ordinary, false, now)
+	}
+	c.Check(isFull(), qt.Equals, [3]bool{false, false, true})
+	for range 20 {
+		services.Reported("s", ordinary, true, now)
+	}
+	c.Check(isFull(), qt.Equals, [3]bool{false, true, true})
+	for range 20 {
+		services.Reported("s", urgent, true, now)
+	}
+	c.Check(isFull(), qt.Equals, [3]bool{true, true, true})
 }
--- a/internal/dataplane/admission/fullness.go
+++ b/internal/dataplane/admission/fullness.go
@@ -14,6 +14,8 @@
 	// fullShare is the share of rejections among the reports from which a service counts as full: another
 	// instance then rejects the request as well, or takes it in place of a later one.
 	fullShare = 0.2
+	// reportPriorities is the number of priorities that are told apart. All beyond share the last one.
+	reportPriorities = 8
 	// maxServices bounds the number of services that are tracked.
 	maxServices = 10_000
 	// MaxFullRejections is the number of instances that may reject a request for lack of capacity, and
@@ -22,7 +24,8 @@
 	MaxFullRejectionsOfFull = 1
 )
 
-// Services tells from the latest reports which services are full. It is safe for concurrent use.
+// Services tells from the latest reports which services are full, for requests of each priority: where only
+// requests of lower priority are rejected, others have capacity. It is safe for concurrent use.
 type Services struct {
 	mutex    sync.Mutex
 	services map[string]*reports
@@ -30,16 +33,19 @@
 
 // reports counts the reports of one service, weighted by age as of updatedAt.
 type reports struct {
-	all, rejections float64
-	updatedAt       time.Time
+	byPriority [reportPriorities]reportCounts
+	updatedAt  time.Time
 }
 
+// reportCounts are the reports on the requests of one priority.
+type reportCounts struct{ rejected, others float64 }
+
 // NewServices returns Services without reports.
 func NewServices() *Services { return &Services{services: make(map[string]*reports)} }
 
-// Reported records a report of an instance of a service, and whether it rejects a request for lack of
-// capacity.
-func (s *Services) Reported(service string, rejected bool, now time.Time) {
+// Reported records a report of an instance of a service on a request of a priority, and whether it rejects the
+// request for lack of capacity.
+func (s *Services) Reported(service string, priority int, rejected bool, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.services[service]
@@ -51,14 +57,16 @@
 		s.services[service] = known
 	}
 	known.decay(now)
-	known.all++
+	counts := &known.byPriority[reportPriority(priority)]
 	if rejected {
-		known.rejections++
+		counts.rejected++
+	} else {
+		counts.others++
 	}
 }
 
-// IsFull reports whether a service as a whole is known to be full.
-func (s *Services) IsFull(service string, now time.Time) bool {
+// IsFull reports whether a service as a whole is known to be full for requests of a priority.
+func (s *Services) IsFull(service string, priority int, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.services[service]
@@ -66,17 +74,34 @@
 		return false
 	}
 	known.decay(now)
-	return known.all >= minReports && known.rejections >= fullShare*known.all
+	return known.isFull(reportPriority(priority))
 }
 
-// MaxRejections returns how many instances of a service may reject a request for lack of capacity.
-func (s *Services) MaxRejections(service string, now time.Time) int {
-	if s.IsFull(service, now) {
+// MaxRejections returns how many instances of a service may reject a request of a priority for lack of capacity.
+func (s *Services) MaxRejections(service string, priority int, now time.Time) int {
+	if s.IsFull(service, priority, now) {
 		return MaxFullRejectionsOfFull
 	}
 	return MaxFullRejections
 }
 
+func reportPriority(priority int) int { return min(max(priority, 0), reportPriorities-1) }
+
+// isFull applies the reports that tell about a priority: where a request is rejected, so is one of lower
+// priority, and where one is not, neither is one of higher priority.
+func (r *reports) isFull(priority int) bool {
+	rejected, others := 0.0, 0.0
+	for each, counts := range r.byPriority {
+		if each <= priority {
+			rejected += counts.rejected
+		}
+		if each >= priority {
+			others += counts.others
+		}
+	}
+	return rejected+others >= minReports && rejected >= fullShare*(rejected+others)
+}
+
 func (r *reports) decay(now time.Time) {
 	age := now.Sub(r.updatedAt)
 	if age <= 0 {
@@ -84,6 +109,8 @@
 	}
 	r.updatedAt = now
 	factor := math.Exp2(-float64(age) / float64(reportHalfLife))
-	r.all *= factor
-	r.rejections *= factor
+	for i := range r.byPriority {
+		r.byPriority[i].rejected *= factor
+		r.byPriority[i].others *= factor
+	}
 }
--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -54,7 +54,7 @@
 // mayServeElsewhere reports whether another instance than the given one will be asked if that one rejects the
 // request.
 func (e *exchange) mayServeElsewhere(name string) bool {
-	return e.fullRefusals+1 < e.proxy.services.MaxRejections(e.service, time.Now()) && e.hasUntriedExcept(name)
+	return e.fullRefusals+1 < e.proxy.services.MaxRejections(e.service, e.call.Priority, time.Now()) && e.hasUntriedExcept(name)
 }
 
 // mayAskFurther reports whether a further instance may be asked after those that had no capacity.
@@ -62,7 +62,7 @@
 	if !e.usesAdmission() || e.fullRefusals == 0 {
 		return e.fullRefusals < maxFullRefusals
 	}
-	if limit := e.proxy.services.MaxRejections(e.service, time.Now()); e.fullRefusals >= limit {
+	if limit := e.proxy.services.MaxRejections(e.service, e.call.Priority, time.Now()); e.fullRefusals >= limit {
 		e.proxy.metrics.rejectedEarly(e.service, limit)
 		return false
 	}
@@ -76,16 +76,16 @@
 	}
 	switch sent.report.Reason {
 	case hop.ReasonNone:
-		e.proxy.services.Reported(e.service, false, time.Now())
+		e.proxy.services.Reported(e.service, e.call.Priority, false, time.Now())
 	case hop.ReasonOverloaded:
-		e.proxy.services.Reported(e.service, true, time.Now())
+		e.proxy.services.Reported(e.service, e.call.Priority, true, time.Now())
 	}
 }
 
 // mostlyRejected reports whether instances with free slots rejected the request, while only some others, as one
 // that is asked for a response in time, had no capacity and the service is not known to be full.
 func (e *exchange) mostlyRejected() bool {
-	return e.usesAdmission() && e.rejections > 0 && e.rejections >= e.fullRefusals && !e.proxy.services.IsFull(e.service, time.Now())
+	return e.usesAdmission() && e.rejections > 0 && e.rejections >= e.fullRefusals && !e.proxy.services.IsFull(e.service, e.call.Priority, time.Now())
 }
 
 // spreadRetry adds a random part to the wait of a refused caller.
@@ -93,7 +93,7 @@
 	if !e.usesAdmission() {
 		return spread(refusal.Wait())
 	}
-	if !e.proxy.services.IsFull(e.service, time.Now()) {
+	if !e.proxy.services.IsFull(e.service, e.call.Priority, time.Now()) {
 		refusal.NextSlot = 0 // the forecast of one instance says nothing about the others
 	}
 	return refusal.SpreadWait(rand.Float64())
--- a/internal/dataplane/outbound/admission_test.go
+++ b/internal/dataplane/outbound/admission_test.go
@@ -44,10 +44,17 @@
 		"the service is known to be full": {func(proxy *Proxy, _ *snapshot.Route) {
 			for range 10 {
 				if proxy != nil {
-					proxy.services.Reported("s", true, time.Now())
+					proxy.services.Reported("s", 0, true, time.Now())
 				}
 			}
 		}, []hop.Admission{last}},
+		"the service is full for lower priorities": {func(proxy *Proxy, _ *snapshot.Route) {
+			for range 10 {
+				if proxy != nil {
+					proxy.services.Reported("s", 1, true, time.Now())
+				}
+			}
+		}, []hop.Admission{elsewhere, last}},
 		"callers do not retry": {func(proxy *Proxy, _ *snapshot.Route) {
 			if proxy != nil {
 				for range 10 {
