balance: connect timeouts eject as before where links are not known

An attempt to connect that timed out did not eject the instance while or shortly after a large body was on its way, also in deployments that state no capacity of their links.

A busy link is assumed only if this node knows the capacity of its link or another node has reported its own.

Measured: the row "large response received just now, links not known" of TestConnectTimeoutAtBusyLink fails without the condition and passes with it; go test -p 3 ./internal/dataplane/{balance,outbound,inbound} and ./internal/dataplane passes.

--- a/internal/dataplane/balance/balance.go
+++ b/internal/dataplane/balance/balance.go
@@ -72,6 +72,8 @@
 	LocalAddress string
 	// Mechanisms are the mechanisms that are switched on.
 	Mechanisms mechanism.Set
+	// LinkKnown is set if the capacity of this machine's link is known.
+	LinkKnown bool
 	// Random breaks ties; nil: a randomly seeded source.
 	Random *rand.Rand
 }
@@ -86,6 +88,8 @@
 	serviceLoads    map[string]*serviceLoad
 	meanServiceTime time.Duration // of the requests of all routes
 	prunedAt        time.Time
+	// linksReported is set once another node has reported its link.
+	linksReported bool
 }
 
 // New returns a Balancer without any measurements.
@@ -327,6 +331,7 @@
 		b.serviceLoadOf(c.Instance.Service).record(report, now)
 		known.backlog, known.linkRate = report.Backlog, kibibyte*float64(report.LinkRate)
 		known.link.report(report.Link, now)
+		b.linksReported = b.linksReported || report.Link.IsKnown()
 	}
 	wasEjected := known.ejected
 	known.ejected = result == DeliveryFailed || result == NotAccepting || wasEjected && result != Served && result != RequestFailed
--- a/internal/dataplane/balance/link.go
+++ b/internal/dataplane/balance/link.go
@@ -118,8 +118,9 @@
 }
 
 // isLinkBusy reports whether an attempt to connect to an instance's node that timed out tells of a busy link.
+// Where neither this node nor another one knows its link, it never does.
 func (b *Balancer) isLinkBusy(known *instanceState, now time.Time) bool {
-	return b.options.Mechanisms.LinkBacklog && known.link.isBusy(now)
+	return b.options.Mechanisms.LinkBacklog && (b.options.LinkKnown || b.linksReported) && known.link.isBusy(now)
 }
 
 // resultOf returns what a result means for the instance: an attempt to connect that timed out is a failed
--- a/internal/dataplane/balance/link_test.go
+++ b/internal/dataplane/balance/link_test.go
@@ -20,7 +20,7 @@
 }
 
 func newLinkFixture(mechanisms mechanism.Set) *linkFixture {
-	fixture := &linkFixture{New(Options{Zone: "z", Mechanisms: mechanisms}), time.Unix(1000, 0)}
+	fixture := &linkFixture{New(Options{Zone: "z", Mechanisms: mechanisms, LinkKnown: true}), time.Unix(1000, 0)}
 	stats := fixture.routeStatsOf("large")
 	stats.answerBytes = largeBytes
 	return fixture
@@ -101,7 +101,7 @@
 
 // TestConnectTimeoutAtBusyLink checks which attempts to connect that time out eject an instance. It guards
 // against ejections of healthy instances whose links are saturated, and against dead ones that are not
-// ejected because requests to them count as bodies in transit.
+// ejected because requests to them count as bodies in transit, or although nothing says that links are narrow.
 func TestConnectTimeoutAtBusyLink(t *testing.T) {
 	busy := hop.Link{Backlog: 300 * time.Millisecond, Rate: 1000}
 	off := mechanism.All()
@@ -145,6 +145,15 @@
 			f.pick(c, "large", "a").Done(ConnectTimedOut, nil, 0, f.now)
 			f.instances["a"].ejected = false
 		}, ConnectTimedOut, Ejected},
+		"large response received just now, links not known": {mechanism.All(), func(c *qt.C, f *linkFixture) {
+			f.options.LinkKnown = false
+			f.pick(c, "large", "a").Done(Served, &hop.Report{Outcome: hop.Answered}, largeBytes, f.now)
+		}, ConnectTimedOut, Ejected},
+		"large response received just now, links of others known": {mechanism.All(), func(c *qt.C, f *linkFixture) {
+			f.options.LinkKnown = false
+			f.report(c, "b", hop.Link{Rate: 1000})
+			f.pick(c, "large", "a").Done(Served, &hop.Report{Outcome: hop.Answered}, largeBytes, f.now)
+		}, ConnectTimedOut, LinkBusy},
 		"small response in transit": {mechanism.All(), func(c *qt.C, f *linkFixture) {
 			f.pick(c, "small", "a")
 			f.now = f.now.Add(connectedAfter)
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -117,10 +117,12 @@
 	}
 	stopped, stop := context.WithCancel(context.Background())
 	created := &Proxy{
-		stopped:       stopped,
-		stop:          stop,
-		options:       options,
-		balancer:      balance.New(balance.Options{Zone: options.Zone, LocalAddress: options.Backend, Mechanisms: options.Mechanisms}),
+		stopped: stopped,
+		stop:    stop,
+		options: options,
+		balancer: balance.New(balance.Options{
+			Zone: options.Zone, LocalAddress: options.Backend, Mechanisms: options.Mechanisms, LinkKnown: options.Egress != nil,
+		}),
 		sidecars:      newSidecarPools(options),
 		callerRetries: callerretry.New(),
 		losses:        losses.New(options.Logger),
