--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -60,6 +60,8 @@
 	return Set{
 		ZonePrice: true, Speeds: true, AvoidFailing: true, AvoidSilent: true, ValueOrder: true,
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
-		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true, LapseGrace: true, LinkBacklog: true, LoadReports: true, SlotReservation: true, CallPriority: true, Admission: true,
+		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true,
+		LinkBacklog: true, LoadReports: true, SlotReservation: true, CallPriority: true, LapseGrace: true,
+		Admission: true,
 	}
 }
--- a/internal/dataplane/queue/rate_limit.go
+++ b/internal/dataplane/queue/rate_limit.go
@@ -19,10 +19,10 @@
 // unlimited lets every request start immediately.
 type unlimited struct{}
 
-// Begin implements Pace.
+// Begin implements RateLimiter.
 func (unlimited) Begin(time.Time) time.Duration { return 0 }
 
-// Delay implements Pace.
+// Delay implements RateLimiter.
 func (unlimited) Delay(int, time.Time) time.Duration { return 0 }
 
 // scheduleGrant grants slots to waiters after the delay, unless that is scheduled for an earlier time
