outbound: calls do not wait by forecast

Without observations, the callers of a route count as callers that retry. A call of an instance, whose rejection fails its parent, was therefore admitted by forecast: it gave up its place at its due time if another instance was left, and was rejected after two instances, although its order let it wait until its deadline.

Measured: the row "call" of TestCallOrder fails without the change (the order says "late" and "elsewhere") and passes with it; go test -p 3 ./internal/dataplane/outbound ./internal/dataplane passes.

--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -36,9 +36,9 @@
 
 // usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is
 // late. A caller that does not retry, such as an instance that calls another service, is worth a longer wait
-// and more tries: its own request fails with this one.
+// and more tries: its own request fails with this one. Requests known to be calls need no observation of that.
 func (e *exchange) usesAdmission() bool {
-	return e.proxy.options.Mechanisms.Admission && e.caller.RetriesRefused && e.route.TargetLatency > 0 &&
+	return e.proxy.options.Mechanisms.Admission && e.caller.RetriesRefused && !e.call.IsCall && e.route.TargetLatency > 0 &&
 		e.proxy.admissionUse.in(e.current)
 }
 
--- a/internal/dataplane/outbound/calls_test.go
+++ b/internal/dataplane/outbound/calls_test.go
@@ -66,6 +66,8 @@
 				}
 				c.Check(got.Priority, qt.Equals, want)
 				c.Check(got.MaxWait == got.Remaining-got.ServiceTime, qt.Equals, row.isCall, qt.Commentf("%+v", got))
+				byForecast := !row.isCall && row.lowestPriority == 0 // which ends the wait before MaxWait
+				c.Check(got.Admission.Late, qt.Equals, byForecast, qt.Commentf("%+v", got))
 			})
 		})
 	}
