client: the body of a closed connection leaves the link

If a server answered before it had received the whole body and its connection was then closed ("Connection: close", an answer that was not read to its end), the rest of the body stayed in the schedule of the machine's link: it counted as owed, which rejects requests with large responses, until its turn came and the write failed.

Closing a connection of the pool ends the wait of its body.

Measured: TestBodyOfClosedConnectionLeavesTheLink fails without the change (29 h are owed on its slow link) and passes with it, 30 times in a row and with -race; go test -p 3 ./internal/dataplane/{client,outbound,inbound} ./internal/dataplane passes.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -292,6 +292,7 @@
 
 func (p *Pool) drop(c *conn) {
 	_ = c.Conn.Close()
+	c.cancelBody()
 	p.mutex.Lock()
 	p.open--
 	p.mutex.Unlock()
