inbound: no forecast without due times

With the order by due time switched off, all requests are due when they arrive. Those that ask for a forecast then counted as late at once: where another instance was left and no slot free, they were rejected without any wait.

They wait for MaxWait then, as without a forecast.

Measured: TestForecastNeedsDueOrder fails without the change and passes with it; go test -p 3 ./internal/dataplane/inbound passes.

--- a/internal/dataplane/inbound/ticket.go
+++ b/internal/dataplane/inbound/ticket.go
@@ -23,6 +23,7 @@
 	}
 	if !enabled.DueOrder {
 		ticket.Due = request.Arrived
+		ticket.Forecast = false // without due times, all requests would count as late
 	}
 	if !enabled.ShortFirst {
 		ticket.Length = 0
