server: a connection accepted while the server closes is not held

Connections registered with the memory of responses when they were created. One that was accepted while the server closed never ran and stayed registered, with its buffers, in the memory that all servers of a node share.

Connections register when they begin to run.

Measured: TestConnectionOfClosedServerIsNotHeld fails without the change and passes with it; go test -p 3 ./internal/dataplane/server ./internal/dataplane passes.

--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -68,14 +68,14 @@
 		queue:  make(chan *exchange, maxPipelined),
 	}
 	created.pendingFell = sync.NewCond(&created.mutex)
-	if created.egress() != nil {
-		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
-	}
 	return created
 }
 
 // run serves the connection until it ends.
 func (c *connection) run() {
+	if c.egress() != nil {
+		c.held = c.server.options.Memory.register(c.conn.RemoteAddr().String(), c.closeNow)
+	}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/dataplane/server/response_memory_test.go
+++ b/internal/dataplane/server/response_memory_test.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/logging"
 )
 
@@ -56,3 +58,16 @@
 	memory.enforce(now.Add(time.Hour))
 	c.Check(memory.Closed(), qt.Equals, int64(0))
 }
+
+// TestConnectionOfClosedServerIsNotHeld guards against connections that are accepted while the server closes and
+// never leave the memory that all servers of a node share.
+func TestConnectionOfClosedServerIsNotHeld(t *testing.T) {
+	c := qt.New(t)
+	memory := NewResponseMemory(1000, logging.Discard())
+	closed := New(Options{Egress: transfer.NewEgress(1000), Memory: memory})
+	closed.Close()
+	conn, client := net.Pipe()
+	defer client.Close()
+	closed.start(conn)
+	c.Check(memory.held, qt.HasLen, 0)
+}
