queue: the review of waiting requests in two functions

The condition under which a waiting request is rejected had four parts in one expression and said nothing about why the lack of measurements rejects. It is a function of its own. The only instance for a request keeps it while a less urgent one waits at that moment, as expireWait does, instead of one that waited at the beginning of the review.

--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -167,22 +167,29 @@
 // review moves the requests that can no longer be in time behind the others, and rejects those that will not
 // start by their latest start. The caller must hold the mutex.
 func (q *Queue) review(now time.Time) {
-	known := q.grants.Known(q.serviceTime, now)
 	q.demote(now)
 	work := time.Duration(0)
-	inOrder := q.waiting.inOrder()
-	for _, each := range inOrder {
-		ticket := each.ticket
-		last := inOrder[len(inOrder)-1].ticket
-		if ticket.Forecast && ticket.Value == ValueLate && !(ticket.OnlyCandidate && last.Priority > ticket.Priority) &&
-			!(known && q.backlog(ticket, work, q.overtaking.Overtaking(ticket.class(), now)).Keeps(ticket.LatestStart.Sub(now))) {
+	for _, each := range q.waiting.inOrder() {
+		if q.waitsInVain(each.ticket, work, now) {
 			q.withdraw(each, now)
 			continue
 		}
-		work += q.expected(ticket)
+		work += q.expected(each.ticket)
 	}
 }
 
+// waitsInVain reports whether a waiting request is not forecast to start by its latest start, given the expected
+// slot time of those that precede it. While no slots are granted, as by an instance that hangs, none is. The only
+// instance for a request keeps it while less urgent ones wait, which would get its slot. The caller must hold
+// the mutex.
+func (q *Queue) waitsInVain(ticket Ticket, workAhead time.Duration, now time.Time) bool {
+	if !ticket.Forecast || ticket.Value != ValueLate || ticket.OnlyCandidate && q.waiting.hasLessUrgent(ticket) {
+		return false
+	}
+	backlog := q.backlog(ticket, workAhead, q.overtaking.Overtaking(ticket.class(), now))
+	return !q.grants.Known(q.serviceTime, now) || !backlog.Keeps(ticket.LatestStart.Sub(now))
+}
+
 // withdraw rejects a waiting request. The caller must hold the mutex.
 func (q *Queue) withdraw(withdrawn *waiter, now time.Time) {
 	q.late.Withdrawn++
