inbound: an idle link refuses no request

The size of the responses of a route was learned only from responses. After one that was too large for the time of all later requests, as the first of its route or of the node, every request of another node was rejected for the link, and nothing could show that others are smaller.

A link that owes nothing refuses no request. Its response is expected then, so that others are still refused meanwhile.

Measured: TestSizesAreLearnedAgain fails without the change (the first request is refused) and passes with it; go test -p 3 ./internal/dataplane/inbound ./internal/dataplane passes, including the replays of the load of the links.

--- a/internal/dataplane/inbound/link_admission_test.go
+++ b/internal/dataplane/inbound/link_admission_test.go
@@ -117,6 +117,28 @@
 	c.Check(egress.expected, qt.Equals, int64(400_000))
 }
 
+// TestSizesAreLearnedAgain guards against a route of which no request is ever admitted again after a response that
+// is too large for the time of the next ones: while the link is idle, one is admitted and shows the size.
+func TestSizesAreLearnedAgain(t *testing.T) {
+	c := qt.New(t)
+	link, err := newResponseLink(Options{Egress: &fakeEgress{}, Mechanisms: mechanism.All()})
+	c.Assert(err, qt.IsNil)
+	admit := func() func() {
+		done, _ := link.admit(linkDemand{bytes: link.sizes.mean("r"), maxWait: time.Second, remaining: 4 * time.Second}, true)
+		return done
+	}
+	link.learn("r", &message.Response{Status: 200, Length: 100_000_000})
+	for range 40 {
+		done := admit()
+		c.Assert(done, qt.IsNotNil)
+		if link.sizes.mean("r") >= 4_000_000 { // of a link with 1 MB per second
+			c.Check(admit(), qt.IsNil)
+		}
+		link.learn("r", &message.Response{Status: 200, Length: 100_000})
+		done()
+	}
+}
+
 // TestNoAdmissionWithoutLink checks that nothing changes if the link is not known or the mechanism is
 // disabled.
 func TestNoAdmissionWithoutLink(t *testing.T) {
--- a/internal/dataplane/inbound/response_link.go
+++ b/internal/dataplane/inbound/response_link.go
@@ -79,9 +79,13 @@
 	return l.egress.Expect(demand.bytes), 0
 }
 
-// excess returns by how much a request would exceed its time with the link as it is now.
+// excess returns by how much a request would exceed its time with the link as it is now. An idle link refuses none:
+// after a response that was too large for all requests, only a further one shows that others are not.
 func (l *responseLink) excess(demand linkDemand) time.Duration {
 	demand.backlog, demand.rate = l.egress.Owed(), l.egress.Rate()
+	if demand.backlog == 0 {
+		return 0
+	}
 	return demand.excess()
 }
 
