queue: tests configure the reserve before the queue is used

Two tests of the review set the reserve while a queue was in use, which the race detector reports.

Measured: go test -race -run 'Late|Withdrawn|Demoted|Forecast|Retried' ./internal/dataplane/queue passes; it reported two races before.

--- a/internal/dataplane/queue/late_test.go
+++ b/internal/dataplane/queue/late_test.go
@@ -40,8 +40,11 @@
 }
 
 // warmed returns a queue of one slot that has served requests at half of its rate.
-func warmed() *queue.Queue {
+func warmed(configure ...func(*queue.Queue)) *queue.Queue {
 	q := queue.New(1)
+	for _, each := range configure {
+		each(q)
+	}
 	for range 10 {
 		occupy(q, forecastTicket(time.Second, time.Hour), work)
 		time.Sleep(arrivalEvery)
@@ -95,9 +98,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				q := warmed()
+				q := warmed(func(q *queue.Queue) {
+					if row.reserve {
+						q.ReserveFixed(1)
+					}
+				})
 				if row.reserve {
-					q.ReserveFixed(1)
 					q.SetSlots(2)
 					occupy(q, forecastTicket(time.Second, time.Hour), work)
 					time.Sleep(work) // the reserve applies while requests of priority 0 arrive
@@ -142,8 +148,7 @@
 func TestWithdrawnRequestIsOverdue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		q := warmed()
-		q.ReserveByPriority()
+		q := warmed((*queue.Queue).ReserveByPriority)
 		occupy(q, forecastTicket(time.Second, time.Hour), work)
 		late := occupy(q, forecastTicket(work/4, time.Minute), work)
 		c.Check(q.Overdue(1), qt.Equals, 0.0)
