--- a/internal/dataplane/admission/growth_test.go
+++ b/internal/dataplane/admission/growth_test.go
@@ -20,7 +20,7 @@
 		for node := range nodes {
 			now := start.Add(time.Duration(node) * time.Millisecond)
 			grants.Granted(admission.Class{Priority: node % priorities, Value: node / priorities % values}, ms, now)
-			full.Reported(fmt.Sprint("service-", node%services), node%2 == 0, now)
+			full.Reported(fmt.Sprint("service-", node%services), node%priorities, node%2 == 0, now)
 		}
 		t.Logf("%d nodes: slot time of %d classes in two windows, reports of %d services", nodes, grants.Size(), full.Size())
 		qt.Check(t, grants.Size(), qt.Equals, 2*priorities*values)
--- a/internal/dataplane/outbound/calls_test.go
+++ b/internal/dataplane/outbound/calls_test.go
@@ -71,6 +71,8 @@
 					c.Check(queue.Value(got.ValueRank), qt.Equals, queue.ValueFull)
 				}
 				c.Check(got.MaxWait == got.Remaining-got.ServiceTime, qt.Equals, row.isCall, qt.Commentf("%+v", got))
+				byForecast := !row.isCall && row.lowestPriority == 0 // which ends the wait before MaxWait
+				c.Check(got.Admission.Late, qt.Equals, byForecast, qt.Commentf("%+v", got))
 			})
 		})
 	}
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -63,6 +63,9 @@
 	case admission.Wait:
 		return ticket, None, 0
 	case admission.WaitLate:
+		if arrival.Late.Ahead <= 0 {
+			late.LatestStart = ticket.LatestStart // it starts now
+		}
 		return late, None, 0
 	default:
 		q.late.Rejected++
@@ -164,22 +167,37 @@
 // review moves the requests that can no longer be in time behind the others, and rejects those that will not
 // start by their latest start. The caller must hold the mutex.
 func (q *Queue) review(now time.Time) {
-	known := q.grants.Known(q.serviceTime, now)
 	q.demote(now)
 	work := time.Duration(0)
-	inOrder := q.waiting.inOrder()
-	for _, each := range inOrder {
-		ticket := each.ticket
-		last := inOrder[len(inOrder)-1].ticket
-		if ticket.Forecast && ticket.Value == ValueLate && !(ticket.OnlyCandidate && last.Priority > ticket.Priority) &&
-			!(known && q.backlog(ticket, work, q.overtaking.Overtaking(ticket.class(), now)).Keeps(ticket.LatestStart.Sub(now))) {
-			q.late.Withdrawn++
-			heap.Remove(&q.waiting, each.index)
-			each.result <- grantResult{refusal: Withdrawn}
+	for _, each := range q.waiting.inOrder() {
+		if q.waitsInVain(each.ticket, work, now) {
+			q.withdraw(each, now)
 			continue
 		}
-		work += q.expected(ticket)
+		work += q.expected(each.ticket)
+	}
+}
+
+// waitsInVain reports whether a waiting request is not forecast to start by its latest start, given the expected
+// slot time of those that precede it. While no slots are granted, as by an instance that hangs, none is. The only
+// instance for a request keeps it while less urgent ones wait, which would get its slot. The caller must hold
+// the mutex.
+func (q *Queue) waitsInVain(ticket Ticket, workAhead time.Duration, now time.Time) bool {
+	if !ticket.Forecast || ticket.Value != ValueLate || ticket.OnlyCandidate && q.waiting.hasLessUrgent(ticket) {
+		return false
+	}
+	backlog := q.backlog(ticket, workAhead, q.overtaking.Overtaking(ticket.class(), now))
+	return !q.grants.Known(q.serviceTime, now) || !backlog.Keeps(ticket.LatestStart.Sub(now))
+}
+
+// withdraw rejects a waiting request. The caller must hold the mutex.
+func (q *Queue) withdraw(withdrawn *waiter, now time.Time) {
+	q.late.Withdrawn++
+	heap.Remove(&q.waiting, withdrawn.index)
+	if !q.hasSlotFor(withdrawn.ticket) {
+		q.refused(withdrawn.ticket, Busy, now)
 	}
+	withdrawn.result <- grantResult{refusal: Withdrawn}
 }
 
 // demote moves the requests that can no longer be in time behind the others. The caller must hold the mutex.
--- a/internal/dataplane/queue/late_test.go
+++ b/internal/dataplane/queue/late_test.go
@@ -40,8 +40,11 @@
 }
 
 // warmed returns a queue of one slot that has served requests at half of its rate.
-func warmed() *queue.Queue {
+func warmed(configure ...func(*queue.Queue)) *queue.Queue {
 	q := queue.New(1)
+	for _, each := range configure {
+		each(q)
+	}
 	for range 10 {
 		occupy(q, forecastTicket(time.Second, time.Hour), work)
 		time.Sleep(arrivalEvery)
@@ -82,6 +85,45 @@
 	}
 }
 
+// TestLateRequestTakesFreeSlot guards against a late request that is rejected although a slot is free that no
+// other request can take: because another instance may serve it, or because it must start at once.
+func TestLateRequestTakesFreeSlot(t *testing.T) {
+	for name, row := range map[string]struct {
+		elsewhere, reserve bool
+		latest             time.Duration
+	}{
+		"another instance may serve it":  {elsewhere: true, latest: time.Minute},
+		"it must start at once":          {latest: work / 2},
+		"slots are reserved from others": {reserve: true, latest: work / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := warmed(func(q *queue.Queue) {
+					if row.reserve {
+						q.ReserveFixed(1)
+					}
+				})
+				if row.reserve {
+					q.SetSlots(2)
+					occupy(q, forecastTicket(time.Second, time.Hour), work)
+					time.Sleep(work) // the reserve applies while requests of priority 0 arrive
+					for range 2 {
+						lower := ticket(7, time.Minute)
+						lower.Priority = 1
+						occupy(q, lower, work)
+					}
+				}
+				late := forecastTicket(-work, row.latest)
+				late.Elsewhere = row.elsewhere
+				began := time.Now()
+				qt.Check(t, <-occupy(q, late, work), qt.Equals, queue.None)
+				qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // TestLateRequestIsWithdrawn guards against a request that is held until its deadline in vain: when requests
 // that go ahead of it begin to take all slots, it is rejected long before.
 func TestLateRequestIsWithdrawn(t *testing.T) {
@@ -101,6 +143,22 @@
 	})
 }
 
+// TestWithdrawnRequestIsOverdue guards against a reserve that does not grow although requests of higher priority
+// get no slots, because they are rejected while they wait.
+func TestWithdrawnRequestIsOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := warmed((*queue.Queue).ReserveByPriority)
+		occupy(q, forecastTicket(time.Second, time.Hour), work)
+		late := occupy(q, forecastTicket(work/4, time.Minute), work)
+		c.Check(q.Overdue(1), qt.Equals, 0.0)
+		q.SetOvertaking(allSlots{})
+		c.Check(<-late, qt.Equals, queue.Withdrawn)
+		c.Check(q.Overdue(1), qt.Equals, 1.0)
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestWaitingRequestIsDemoted: a request that had expected to be in time moves behind the others when its due
 // time is over, and is served after them.
 func TestWaitingRequestIsDemoted(t *testing.T) {
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -77,14 +77,14 @@
 	created.first = newFirstRead(created)
 	created.pendingFell = sync.NewCond(&created.mutex)
 	created.destination = created.answerDestination()
-	if created.egress() != nil {
-		created.held = server.options.Memory.register(conn.RemoteAddr().String(), created.closeNow)
-	}
 	return created
 }
 
 // run serves the connection until it ends.
 func (c *connection) run() {
+	if c.egress() != nil {
+		c.held = c.server.options.Memory.register(c.conn.RemoteAddr().String(), c.closeNow)
+	}
 	end := c.readRequests()
 	c.releaseReader()
 	if end == clientLeft {
