outbound: admission by forecast needs routes of different priorities

Cause: one route of priority 0 was enough, and 0 is the default: a deployment that sets no priorities would have got rules of waiting that nothing in its configuration asks for.

Change: the configuration must have routes of priority 0 and of lower priority, as for the reservation of slots and the priority of calls. The test proxies get a second route; their checks are the same.

--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,16 +21,15 @@
 	used    bool
 }
 
-// in reports whether a configuration calls for admission by forecast: it has routes of priority 0 with a
-// target latency, which go before others under overload.
+// in reports whether a configuration calls for admission by forecast: it ranks its routes, with priority 0 for
+// those that go before others under overload, and one of these has a target latency.
 func (u *admissionUse) in(current *snapshot.Snapshot) bool {
 	if cached := u.cached.Load(); cached != nil && cached.current == current {
 		return cached.used
 	}
-	used := false
-	for _, route := range current.Routes() {
-		used = used || route.Priority == 0 && route.TargetLatency > 0
-	}
+	used := current.RanksRoutes() && slices.ContainsFunc(current.Routes(), func(route snapshot.Route) bool {
+		return route.Priority == 0 && route.TargetLatency > 0
+	})
 	u.cached.Store(&cachedUse{current: current, used: used})
 	return used
 }
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -60,7 +60,9 @@
 	for _, target := range route.Targets {
 		services = append(services, snapshot.Service{Name: target.Service})
 	}
-	built, err := snapshot.New(version, []snapshot.Route{route}, services, nil)
+	lower := route // makes the configuration one that ranks its routes
+	lower.Name, lower.Match.Host, lower.Priority = "lower", "lower.example", route.Priority+1
+	built, err := snapshot.New(version, []snapshot.Route{route, lower}, services, nil)
 	c.Assert(err, qt.IsNil)
 	proxy, err := New(Options{
 		Snapshots:  fixedSource{built.WithFleet(version, snapshot.Content{Instances: instances})},
--- a/internal/dataplane/outbound/replay_test.go
+++ b/internal/dataplane/outbound/replay_test.go
@@ -159,10 +159,13 @@
 			instances = append(instances, snapshot.Instance{Name: name, Service: "s", Address: name, Slots: replaySlots, State: snapshot.InstanceReady})
 		}
 		version := snapshot.Version{Revision: 1, Hash: snapshot.ContentHash{1}}
-		built, err := snapshot.New(version, []snapshot.Route{{
+		route := snapshot.Route{
 			Name: "r", Match: snapshot.Match{Host: "h"}, Targets: []snapshot.WeightedService{{Service: "s", Weight: 1}}, Timeout: replayDeadline,
 			TargetLatency: replayTarget, MaxAttempts: 3, RepeatMethods: []string{http.MethodGet},
-		}}, []snapshot.Service{{Name: "s"}}, nil)
+		}
+		lower := route // the mechanism applies where routes are ranked
+		lower.Name, lower.Match.Host, lower.Priority = "lower", "lower.example", 1
+		built, err := snapshot.New(version, []snapshot.Route{route, lower}, []snapshot.Service{{Name: "s"}}, nil)
 		c.Assert(err, qt.IsNil)
 		var senders []*Proxy
 		for range replaySenders {
