storesoak: heavy load of large answers and of three priorities

The soak sent small answers only, on routes of one priority, to instances that do not state their load, so the egress schedule, the reserve of slots and the stated slowdown never ran under its faults.

Instances state running, waiting, slots and slowdown, and take 2.5 times as long for 0.6 s in 15 % of the time. In times without faults, the soak checks that every answer is complete, that priority 0 is served no less often than priority 2, and that small answers come. The load goes on for 15 s after the last fault, as these checks need such a time.

--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -64,6 +64,8 @@
 	timeoutMillis int
 	// tenants are the callers with keys; nil: there are none.
 	tenants *tenants
+	// heavy adds the routes of heavy load; nil: there are none.
+	heavy *heavyLoad
 }
 
 func newCatalog() *catalog {
@@ -222,6 +224,7 @@
 		newRoute("check", pathCheck, store.KindSafe, serviceWrite, c.timeoutMillis),
 	}
 	paths[len(paths)-1].AllowAnonymous = true // the calls of instances have no key
+	paths = append(paths, c.heavy.routes(c.timeoutMillis)...)
 	for route := 1; route <= len(c.states); route++ {
 		state, millis := c.stateAt(route, number), c.timeoutMillis
 		if state == absent {
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -36,6 +36,7 @@
 	withdrawals withdrawals
 	backups     backups
 	statements  statements
+	heavy       *heavyLoad
 }
 
 // ports are the same on all machines. The last two belong to the StallingProxies in front
@@ -91,7 +92,9 @@
 	}
 	f := &fleet{
 		store: store.New(), catalog: newCatalog(), logs: newNodeLogs(options.Logs), work: work, nested: newNestedCalls(), hosts: newHosts(),
+		heavy: newHeavyLoad(options),
 	}
+	f.catalog.heavy = f.heavy
 	if options.requestTimeout > 0 {
 		f.catalog.timeoutMillis = int(options.requestTimeout.Milliseconds())
 	}
@@ -164,14 +167,14 @@
 	if m.peers, err = newLinkProxy(fmt.Sprint("peers-", number), proxiedPeers, peersStallingProxy, peers, rate); err != nil {
 		return nil, err
 	}
-	m.process = process.New(binary, []string{
+	m.process = process.New(binary, append([]string{
 		"node", "--node.name=" + proxied, "--node.region=region", "--node.zone=" + at.zone,
 		"--platform.kind=store", "--platform.url=" + m.storeProxy.url(), "--platform.timeout=1500ms",
 		"--peers.listen=" + peers, "--peers.advertise=" + proxiedPeers, "--peers.readers_per_zone=1",
 		"--outbound.listen=" + m.callers, "--inbound.listen=" + inbound, "--inbound.service=" + at.service,
 		"--inbound.backend=" + application, "--inbound.drain_grace=" + drainGrace.String(), "--inbound.repeat_replicas=0",
 		"--admin.listen=" + m.ready, "--log.format=json",
-	}, f.logs.of(number))
+	}, f.heavy.nodeFlags(number)...), f.logs.of(number))
 	m.lastLine = func() string { return f.logs.lastOf(number) }
 	return m, f.newInstance(m, application, 0)
 }
@@ -182,9 +185,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	created := &instance.Instance{
-		Name: fmt.Sprintf("i-%d-%d", m.number, len(m.replaced)), Address: application, Work: f.work,
+		Name: fmt.Sprintf("i-%d-%d", m.number, len(m.replaced)), Address: application,
 	}
-	f.nested.attach(created, m, f.work)
+	created.Work = f.heavy.attach(created, m, f.work)
+	f.nested.attach(created, m, created.Work)
 	f.enableCrashes(created, m)
 	if _, err := created.Start(); err != nil {
 		return eris.Wrap(err, "start an instance")
@@ -217,7 +221,7 @@
 	f.store.PutJSON(store.KeyInstances+m.instance.Name, store.Entry{
 		StartedMillis: m.startedAt.UnixMilli(),
 		Address:       m.instance.Address,
-		Info:          store.EntryInfo{Service: m.service, Zone: m.zone, Slots: instanceSlots},
+		Info:          store.EntryInfo{Service: m.service, Zone: m.zone, Slots: f.heavy.slots(m.service)},
 		Status:        store.EntryStatus{State: state, Sequence: 1, ColdRemainingMs: coldFor.Milliseconds()},
 	})
 }
--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -18,6 +18,8 @@
 	Tenants int
 	// StatementRate is as in Options.
 	StatementRate float64
+	// HeavyRate is as in Options.
+	HeavyRate float64
 	// Kinds is how many kinds of faults existed when the violation was found.
 	Kinds int
 	// Cause describes the defect in one line.
@@ -28,7 +30,7 @@
 func (r Regression) Options() Options {
 	return Options{
 		Seed: r.Seed, Machines: r.Machines, Zones: r.Zones, Routes: r.Routes, SlowestLink: r.SlowestLink, CPULoadProcesses: r.CPULoadProcesses,
-		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, ReplacementRate: r.ReplacementRate, RestoreShare: r.RestoreShare, Tenants: r.Tenants, StatementRate: r.StatementRate, Kinds: r.Kinds,
+		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, ReplacementRate: r.ReplacementRate, RestoreShare: r.RestoreShare, Tenants: r.Tenants, StatementRate: r.StatementRate, HeavyRate: r.HeavyRate, Kinds: r.Kinds,
 	}
 }
 
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -42,6 +42,9 @@
 	// StatementRate is how many instances per second begin to state in their answers that they limit their
 	// requests, or that they leave, in addition to the faults; zero: none.
 	StatementRate float64
+	// HeavyRate is how many calls per second of large answers and of three priorities are sent, some times
+	// more than their instances can run, which are slow at times; zero: none.
+	HeavyRate float64
 	// work emulates the work of a request; nil: work.
 	work func(id string, gone <-chan struct{})
 	// Tenants is how many tenants send the calls, with keys that change; zero: nobody needs a key.
@@ -154,11 +157,15 @@
 		}
 	}()
 	go s.fleet.backups.run(background, s.fleet.store)
+	finishHeavyLoad := s.startHeavyLoad(calling)
 	err := s.injectFaults(ctx)
 	stopBackground()
 	<-crashesEnded
 	<-replacementsEnded
 	<-statementsEnded
+	if err == nil {
+		err = finishHeavyLoad(ctx)
+	}
 	if err == nil {
 		s.history.lastFaultEnded = time.Now()
 		err = wait.For(ctx, recoveryTime)
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -32,6 +32,8 @@
 		Seed: 6, Machines: 12, Zones: 3, Routes: 20, Faults: 5, Rate: 100, Tenants: 4, Cause: "tenants whose keys change",
 	}, {
 		Seed: 7, Machines: 12, Zones: 3, Routes: 20, Faults: 6, Rate: 150, StatementRate: 1, Cause: "instances that state limits and leavings in their answers",
+	}, {
+		Seed: 8, Machines: storesoak.MinMachines, Zones: 2, Routes: 20, Faults: 2, Rate: 60, HeavyRate: 40, Cause: "large answers, routes of three priorities and instances that state their load",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.MinMachines { // the command replays the larger ones
@@ -64,6 +66,7 @@
 			c.Check(report.QuotaBoundShare > 0, qt.Equals, each.Tenants > 0)
 			c.Check(report.LimitBoundShare <= 1, qt.IsTrue)
 			c.Check(report.StatedLimits > 0, qt.Equals, each.StatementRate > 0)
+			c.Check(report.HeavyLoad.PacksServed > 0, qt.Equals, each.HeavyRate > 0)
 			c.Check(report.Withdrawals > 0 || each.ReplacementRate == 0, qt.IsTrue)
 		})
 	}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -106,6 +105,11 @@
 	// FaultAfterWork is called after the work. A fault other than None replaces the one of Plan, for
 	// example because calls that the request made have failed. nil: not called.
 	FaultAfterWork func(id string) Fault
+	// BodyOf returns the body of the proper answer to a request; nil: Body.
+	BodyOf func(id string) string
+	// Load returns the figures of HeaderLoad of an answer while so many other requests run; nil: none are
+	// stated.
+	Load func(running int) string
 
 	// CrashesOn reports whether a request crashes the instance, whatever Plan returns; nil: none
 	// does. OnCrash is called after each crash; nil: not called.
@@ -117,6 +121,7 @@
 	// statement holds the header lines that every answer has.
 	statement   string
 	runs        []Run
+	running     int
 	accepted    int
 	misdirected int
 	overloaded  bool
@@ -154,28 +159,6 @@
 	i.serveGroup.Wait()
 }
 
-// SetStatement sets the header lines by which every answer states something about the instance, each
-// ended by CRLF, such as those of LimitLine and LeavingLine; empty: none.
-func (i *Instance) SetStatement(lines string) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.statement = lines
-}
-
-// LeavingLine states that the instance leaves.
-const LeavingLine = HeaderLeaving + ": 1\r\n"
-
-// LimitLine states a limit on the requests per second.
-func LimitLine(perSecond float64) string {
-	return HeaderLimit + ": " + strconv.FormatFloat(perSecond, 'f', -1, 64) + "\r\n"
-}
-
-func (i *Instance) statementLines() string {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	return i.statement
-}
-
 // SetPlan changes Plan of a running instance; nil: no faults.
 func (i *Instance) SetPlan(plan func(id string) Fault) {
 	i.mutex.Lock()
@@ -355,6 +338,7 @@
 	deadline, _ := strconv.Atoi(request.Header.Get(HeaderDeadline))
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	i.running++
 	i.runs = append(i.runs, Run{
 		ID: request.Header.Get(HeaderID), Method: request.Method, Target: request.RequestURI, Body: body,
 		Caller: request.Header.Get(HeaderCaller), Expected: request.Header.Get(HeaderExpect),
@@ -367,21 +351,14 @@
 func (i *Instance) end(run int, cancelled bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	i.running--
 	i.runs[run].Ended, i.runs[run].Cancelled = true, cancelled
 }
 
-// Body returns the body of the proper answer to a request.
-func Body(id string) string { return "answer to " + id + " " + strings.Repeat("x", 100) }
-
-// stamp returns the header lines of the answers to requests that have run.
-func (i *Instance) stamp() string {
-	return HeaderStamp + ": " + i.Name + "\r\n" + i.statementLines()
-}
-
 // respond answers a request that has run, as the fault requires, and reports whether the
 // connection stays open.
 func (i *Instance) respond(conn net.Conn, fault Fault, id string) bool {
-	body := Body(id)
+	body := i.body(id)
 	switch fault {
 	case Lost:
 		return false
@@ -415,15 +392,3 @@
 		return send(conn, "200 OK", id, i.stamp(), body)
 	}
 }
-
-func send(conn net.Conn, status, id, fields, body string) bool {
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, HeaderID, id, fields, len(body), body)
-	return err == nil
-}
-
-// reset makes the next Close of a connection send a TCP reset.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
