storesoak: readers that stop resume at once, and late answers are described

The 16 KiB receive buffer of readers that stop is smaller than a segment on loopback: a program with nothing between writer and reader took 1.1 to 2.0 s to read the rest of 290 KB after a stop of 1 to 1.8 s, so that late answers of these readers showed nothing about the nodes. With 64 KiB it takes 0.12 s; larger answers still block their writer.

A late answer is reported with its machine, status, size and the time for which its reader stopped, as large answers can be late for several reasons.

--- a/internal/bench/storesoak/check.go
+++ b/internal/bench/storesoak/check.go
@@ -302,7 +302,7 @@
 	limit := routeTimeoutMillis*time.Millisecond + responseTolerance + c.readingStop
 	if took := c.ended.Sub(c.sent); took > limit && s.history.isFaultFree(c.sent, c.ended) {
 		s.report.LateAnswers++
-		s.violation("%s took %s", c.id, took)
+		s.violation("%s took %s through machine %d: status %d, %d bytes, reader stopped for %s", c.id, took, c.machine, c.status, len(c.responseBody), c.readingStop)
 	}
 }
 
--- a/internal/bench/storesoak/heavyload_answers.go
+++ b/internal/bench/storesoak/heavyload_answers.go
@@ -19,8 +19,9 @@
 	// leastPackBytes and meanPackBytes are of the large answers, which are at most mostPackBytes long.
 	leastPackBytes, meanPackBytes, mostPackBytes = 10_000, 90_000, 540_000
 	// stoppingBufferBytes is the receive buffer of readers that stop: with the usual one the system
-	// would take a whole answer while nobody reads.
-	stoppingBufferBytes = 16 << 10
+	// would take a whole answer while nobody reads. With 16 KiB, less than a segment on loopback, the
+	// system alone took up to 2 s to resume an answer of 290 KB after a stop, with 64 KiB 0.12 s.
+	stoppingBufferBytes = 64 << 10
 )
 
 // bodyOf returns the body of the proper answer to a call: a large one for calls of routePack.
