Mechanisms for priority 0 need a share of the requests

Cause: slot reservation, the priority of calls and admission by forecast were to apply where routes have priority 0.

Change: priority 0 must have a tenth of the requests that start at a node for the priority of calls and for admission, and a fifth of those at an instance for the reservation.

--- a/internal/dataplane/outbound/admission.go
+++ b/internal/dataplane/outbound/admission.go
@@ -2,44 +2,20 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/balance"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/retryafter"
-	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/suspects"
 )
 
-// admissionUse remembers for the current configuration whether it calls for admission by forecast.
-type admissionUse struct{ cached atomic.Pointer[cachedUse] }
-
-type cachedUse struct {
-	current *snapshot.Snapshot
-	used    bool
-}
-
-// in reports whether a configuration calls for admission by forecast: it ranks its routes, with priority 0 for
-// those that go before others under overload, and one of these has a target latency.
-func (u *admissionUse) in(current *snapshot.Snapshot) bool {
-	if cached := u.cached.Load(); cached != nil && cached.current == current {
-		return cached.used
-	}
-	used := current.RanksRoutes() && slices.ContainsFunc(current.Routes(), func(route snapshot.Route) bool {
-		return route.Priority == 0 && route.TargetLatency > 0
-	})
-	u.cached.Store(&cachedUse{current: current, used: used})
-	return used
-}
-
 // usesAdmission reports whether the request is admitted by forecast. Without a target latency, no answer is
 // late. A call of an instance, or of another caller that does not retry, is worth a longer wait and more tries:
 // the request that it is made for fails with it.
 func (e *exchange) usesAdmission() bool {
 	return e.proxy.options.Mechanisms.Admission && !e.call.IsCall && e.caller.RetriesRefused && e.route.TargetLatency > 0 &&
-		e.proxy.admissionUse.in(e.current)
+		e.proxy.priorityUse.ranks(e.current)
 }
 
 // admission returns how the request may wait at the chosen instance. Where the instance states a limit, other
--- a/internal/dataplane/outbound/calls.go
+++ b/internal/dataplane/outbound/calls.go
@@ -12,7 +12,7 @@
 // makes for a request that it runs.
 func (p *Proxy) assessCall(current *snapshot.Snapshot, route *snapshot.Route, identity tenancy.Identity, now time.Time) callpriority.Assessment {
 	own := tenancy.Priority(route, identity)
-	if !p.options.Mechanisms.CallPriority || !current.RanksRoutes() || p.externalRoutes.has(route.Name) {
+	if !p.options.Mechanisms.CallPriority || !p.priorityUse.ranks(current) || p.externalRoutes.has(route.Name) {
 		return callpriority.Assessment{Priority: own}
 	}
 	assessed := p.options.Calls.Assess(route.Name, own, now)
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -100,7 +100,7 @@
 
 	externalRoutes externalRoutes
 	services       *admission.Services
-	admissionUse   admissionUse
+	priorityUse    priorityUse
 }
 
 // New returns a Proxy.
@@ -225,6 +225,7 @@
 		p.metrics.ended("", outcomeNotRun, 0)
 		return nil, p.errorAnswer(request, http.StatusServiceUnavailable, "the node stops", stoppingRetryAfter)
 	}
+	p.priorityUse.arrived(route.Priority, request.Arrived)
 	p.stripReservedHeaders(request.Header)
 	if current.RequiresKeys() {
 		delete(request.Header, tenancy.HeaderAuthorization)
--- a/internal/dataplane/outbound/outcome_test.go
+++ b/internal/dataplane/outbound/outcome_test.go
@@ -71,6 +71,9 @@
 	})
 	c.Assert(err, qt.IsNil)
 	proxy.sidecars = sidecars
+	if route.Priority == 0 {
+		useUrgentRoutes(proxy)
+	}
 	return proxy
 }
 
--- a/internal/dataplane/outbound/replay_test.go
+++ b/internal/dataplane/outbound/replay_test.go
@@ -176,6 +176,7 @@
 			})
 			c.Assert(err, qt.IsNil)
 			sender.sidecars = service
+			useUrgentRoutes(sender)
 			senders = append(senders, sender)
 		}
 		random := rand.New(rand.NewPCG(1, 2))
--- a/internal/dataplane/queue/reservation.go
+++ b/internal/dataplane/queue/reservation.go
@@ -10,6 +10,9 @@
 	classCount = 8
 	// urgentMemory is how long slots are reserved after the last request of priority 0.
 	urgentMemory = 3 * time.Second
+	// minUrgentShare is the share of priority 0 among the requests from which slots are reserved. Routes without a
+	// priority have 0 as well: the few requests of test or administrative routes reserve nothing.
+	minUrgentShare = 0.2
 	// reservationInterval is the time between two computations of the reserves.
 	reservationInterval = 100 * time.Millisecond
 	// loadWindow is the time over which the arrivals of a class are averaged.
@@ -44,7 +47,7 @@
 	// boundaries holds, for each class, what is reserved for the classes before it.
 	boundaries [classCount]boundary
 	updatedAt  time.Time
-	// urgentAt is when the last request of priority 0 arrived.
+	// urgentAt is when the last request of priority 0 arrived while enough of the requests had that priority.
 	urgentAt time.Time
 }
 
@@ -73,11 +76,20 @@
 	}
 	asking := classOf(ticket.Priority)
 	r.loads[asking].arrivals++
-	if asking == 0 {
+	if asking == 0 && r.loads[0].arrivals >= minUrgentShare*r.arrivals() {
 		r.urgentAt = now
 	}
 }
 
+// arrivals returns the number of requests of all classes, weighted by age.
+func (r *reservation) arrivals() float64 {
+	sum := 0.0
+	for _, load := range r.loads {
+		sum += load.arrivals
+	}
+	return sum
+}
+
 // waited counts the end of a request's wait for a slot, which it got or not. A request that was due before
 // it arrived says nothing about the reserve.
 func (r *reservation) waited(ticket Ticket, granted bool, now time.Time) {
