TestStoreUnrelatedCrashesBlockNoRequest waits for the records of crashes

Cause: the test took a node without suspicions for one on which the request is cleared. A node that has not received the record of a crash yet suspects nothing either; the record then arrives after the test has gone on, and the request counts as having crashed two instances. Nothing in the product is wrong.

The checks are the same; the test only waits for more before it goes on.

--- a/internal/app/store_crash_test.go
+++ b/internal/app/store_crash_test.go
@@ -175,13 +175,20 @@
 		got := <-done
 		r.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("crash %d: %s", i, got.body))
 		r.restart()
+		r.awaitCrashRecords(i + 1)
 		r.clear(fmt.Sprintf("clear-%d", i))
 	}
 }
 
-// clear sends the same request until no node suspects any request. One answer is
-// enough if the record of the crash reached the instance's node before it, but on a busy
-// machine the record may arrive later.
+// awaitCrashRecords waits until every node holds the records of that many crashes. A node that has not
+// received one yet suspects nothing, so its having no suspicion would not show that the request is cleared.
+func (r *storeHarness) awaitCrashRecords(count int) {
+	for _, m := range r.machines {
+		until(func() bool { return m.node.parts.Suspects.Crashes() >= count })
+	}
+}
+
+// clear sends the same request until no node suspects any request.
 func (r *storeHarness) clear(id string) {
 	r.c.Helper()
 	for _, m := range r.machines {
--- a/internal/suspects/tracker.go
+++ b/internal/suspects/tracker.go
@@ -107,6 +107,13 @@
 	t.hasSuspects.Store(!t.records.IsEmpty())
 }
 
+// Crashes returns the number of crash records that this node holds.
+func (t *Tracker) Crashes() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.records.crashes)
+}
+
 // Assessed is a fingerprint with its assessment.
 type Assessed struct {
 	Fingerprint Fingerprint
