inbound: log and metric of what a node believes of a cold instance

Each change of that belief is now logged with its source, and a gauge shows the time left. No decision changes.

--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/winchhead/winchhead/internal/dataplane/coldstart"
 	"github.com/winchhead/winchhead/internal/dataplane/ratelimit"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -37,6 +39,7 @@
 	// backend is the address of the instance; service and zone are those of the node.
 	backend, service, zone string
 	limit                  *ratelimit.Limit
+	logger                 logrus.FieldLogger
 
 	mutex sync.Mutex
 	phase coldstart.Phase
@@ -52,10 +55,20 @@
 func newColdTracker(options Options) *coldTracker {
 	return &coldTracker{
 		bounds: options.Cold, backend: options.Backend, service: options.Service, zone: options.Zone,
-		limit: ratelimit.NewLimit(time.Now()),
+		limit: ratelimit.NewLimit(time.Now()), logger: options.Logger,
 	}
 }
 
+// coldSource is where a belief about a cold instance comes from.
+type coldSource string
+
+// The sources of beliefs.
+const (
+	coldByEntry      coldSource = "entry"
+	coldByEvacuation coldSource = "evacuation-ended"
+	coldByUnlisted   coldSource = "not-listed-yet"
+)
+
 // update applies the instance's entry in the current configuration. After the evacuation
 // of the zone has ended, its instances may be cold although their entries do not say so
 // yet.
@@ -66,17 +79,33 @@
 		return
 	}
 	c.lastSnapshot = current
+	before := c.phase.Until()
 	if instance, listed := current.InstanceAt(c.backend); listed {
 		c.phase.Follow(instance, now)
+		c.logChange(before, coldByEntry, instance.Name, current, now)
 	}
 	service, _ := current.Service(c.service)
 	if ended := current.EndedEvacuations(c.zone); ended != c.endedEvacuations {
 		c.endedEvacuations = ended
+		before = c.phase.Until()
 		c.phase.AssumeCold(coldDuration(service), now)
+		c.logChange(before, coldByEvacuation, "", current, now)
 	}
 	c.limit.Set(c.bounds.boundsOf(service), c.phase.Until(), now)
 }
 
+// logChange logs until when the instance counts as cold, if that is no longer what it was before.
+func (c *coldTracker) logChange(before time.Time, source coldSource, instance string, current *snapshot.Snapshot, now time.Time) {
+	until := c.phase.Until()
+	if until.Equal(before) || !until.After(now) && !before.After(now) {
+		return
+	}
+	c.logger.WithFields(logrus.Fields{
+		"source": string(source), "instance": instance, "service": c.service, "version": current.Version().String(),
+		"cold_ms": max(until.Sub(now), 0).Milliseconds(), "before_ms": max(before.Sub(now), 0).Milliseconds(),
+	}).Info("the time for which the instance counts as cold has changed")
+}
+
 // noteUnlisted records that a sender with a newer configuration addressed an instance that
 // is not listed here yet. The instance has just started and is treated as cold.
 func (c *coldTracker) noteUnlisted(name string, current *snapshot.Snapshot, now time.Time) {
@@ -87,7 +116,9 @@
 	}
 	c.lastUnlistedInstance = name
 	service, _ := current.Service(c.service)
+	before := c.phase.Until()
 	c.phase.AssumeCold(coldDuration(service), now)
+	c.logChange(before, coldByUnlisted, name, current, now)
 	c.limit.Set(c.bounds.boundsOf(service), c.phase.Until(), now)
 }
 
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -149,7 +149,7 @@
 	if created.responses, err = newResponseLink(options); err != nil {
 		return nil, err
 	}
-	if created.metrics, err = newMetrics(options.Registerer, created.queue); err != nil {
+	if created.metrics, err = newMetrics(options.Registerer, created.queue, created.cold); err != nil {
 		return nil, err
 	}
 	created.load, err = newInstanceLoad(options)
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -19,7 +19,7 @@
 	limited, statedLimit prometheus.Gauge
 }
 
-func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue) (*metrics, error) {
+func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue, cold *coldTracker) (*metrics, error) {
 	created := &metrics{
 		deliveries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "winchhead_dataplane_deliveries_total",
@@ -51,6 +51,10 @@
 			func() int { usage := waiting.Usage(); return usage.Waiting + usage.Late }),
 		usageGauge("winchhead_dataplane_reserved_slots", "Slots of the instance that requests of the lowest priority in use may not take.",
 			waiting.Reserved),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "winchhead_dataplane_instance_cold_seconds",
+			Help: "Time for which the instance beside the node still counts as cold; 0 if it counts as warm.",
+		}, func() float64 { return cold.limit.InForceFor(time.Now()).Seconds() }),
 		usageGauge("winchhead_dataplane_slots", "Slots of the instance.",
 			func() int { return waiting.Usage().Slots }),
 	)...)
