Failing test: an instance that turns cold without notice

Callers saw nothing; the instance got 67 and 68 requests in its worst second where it bears 16, in each of three cases: its entry never says that it is cold, its node restarts, or an entry that is older than the end of an evacuation comes after it. The emulated instance can turn cold and states the time left in its health answers only, as instances of the users do.

--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -27,8 +27,13 @@
 	HeaderLimit       = "Server-Limit"
 	HeaderLeaving     = "Server-Leaving"
 	HeaderLoad        = "Winchhead-Server-Load"
+	HeaderInstance    = "Winchhead-Instance-Id"
+	HeaderCold        = "Winchhead-Cold-Remaining-Ms"
 )
 
+// HealthPath is the path of health checks.
+const HealthPath = "/health"
+
 // Fault is a failure that the instance causes on a request.
 type Fault uint8
 
@@ -126,9 +131,14 @@
 	misdirected int
 	overloaded  bool
 	// down is set from a crash until Restart, closed by Close; crashes counts the crashes.
-	down       bool
-	closed     bool
-	crashes    int
+	down    bool
+	closed  bool
+	crashes int
+	// healthChecks counts the health checks. While silentHealth is set they get no answer.
+	healthChecks int
+	silentHealth bool
+	// coldSpans are the times for which the instance was or will be cold.
+	coldSpans  []span
 	serveGroup sync.WaitGroup
 	conns      map[net.Conn]struct{}
 	// stale are the connections that are reset when the next request arrives on them.
@@ -257,6 +267,9 @@
 
 // handle serves one request and reports whether the connection stays open.
 func (i *Instance) handle(conn net.Conn, reader *bufio.Reader, request *http.Request) bool {
+	if request.URL.Path == HealthPath {
+		return i.answerHealth(conn)
+	}
 	id := request.Header.Get(HeaderID)
 	if i.OnArrival != nil {
 		i.OnArrival(id)
