coldstart: an older entry no longer ends the assumption that an instance is cold

Cause: after the end of an evacuation, or for an instance that is not listed yet, the node assumes its instance to be cold. The next change of the entry at the address ended that, whatever its age: one that was written before the instance turned cold and delivered late, or that of the predecessor at the address.

Fix: what the entry states and what is assumed count beside each other until the later end; another process at the address still ends both. Senders keep the most recent of the entry and the report of the instance's node.

--- a/internal/dataplane/coldstart/phase.go
+++ b/internal/dataplane/coldstart/phase.go
@@ -1,5 +1,6 @@
-// Package coldstart tracks how long an instance is cold after its start. A cold instance that is
-// overloaded crashes, restarts and is cold again.
+// Package coldstart tracks how long an instance is cold, after its start or again later, and limits the requests
+// to an instance that may have turned cold without notice. A cold instance that is overloaded crashes, restarts
+// and is cold again.
 package coldstart
 
 import (
@@ -8,29 +9,37 @@
 	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
-// Phase tracks until when an instance is cold, based on its entry in the configuration. An
-// entry states the remaining time. It counts from when the entry was first seen, which is
-// slightly after it was written and therefore errs on the safe side.
+// Phase tracks until when an instance is cold. Its entry in the configuration states the remaining time, which
+// counts from when the entry was first seen: slightly after it was written, which errs on the safe side. Other
+// news of the same process are assumptions. They count beside the entry, as an entry that is seen later may have
+// been written earlier.
 type Phase struct {
 	process         snapshot.InstanceID
 	listedRemaining time.Duration
-	until           time.Time
+	// listedUntil is the end by the entry, assumedUntil that by the last of the assumptions to end.
+	listedUntil, assumedUntil time.Time
 }
 
-// Follow applies the current entry of an instance. A different Life is a new process at the
-// same address, which is cold again even if its entry equals that of the former one.
+// Follow applies the current entry of an instance. A different process is cold again even if its entry equals
+// that of the former one, and ends the assumptions about that.
 func (p *Phase) Follow(instance snapshot.Instance, now time.Time) {
-	remaining := time.Duration(instance.WarmUpMillis) * time.Millisecond
-	if process := instance.ID(); process != p.process || remaining != p.listedRemaining {
-		p.process, p.listedRemaining, p.until = process, remaining, endOf(remaining, now)
+	process, remaining := instance.ID(), time.Duration(instance.WarmUpMillis)*time.Millisecond
+	if process != p.process {
+		*p = Phase{process: process, listedRemaining: remaining, listedUntil: endOf(remaining, now)}
+	}
+	if remaining != p.listedRemaining {
+		p.listedRemaining, p.listedUntil = remaining, endOf(remaining, now)
 	}
 }
 
 // Until returns the time until which the instance is cold.
-func (p *Phase) Until() time.Time { return p.until }
+func (p *Phase) Until() time.Time { return later(p.listedUntil, p.assumedUntil) }
 
-// Report applies the remaining cold time as reported by the instance's node.
-func (p *Phase) Report(remaining time.Duration, now time.Time) { p.until = endOf(remaining, now) }
+// Report replaces what a sender knows by the remaining cold time that the instance's node reports, until the entry
+// changes.
+func (p *Phase) Report(remaining time.Duration, now time.Time) {
+	p.listedUntil, p.assumedUntil = endOf(remaining, now), time.Time{}
+}
 
 // endOf returns the end of a phase, which is the zero time for a warm instance. It must not
 // be now, as callers read the clock before they wait for the mutex: a later call can pass an
@@ -42,10 +51,14 @@
 	return now.Add(remaining)
 }
 
-// AssumeCold treats the instance as cold for the given duration, whatever its entry says. The
-// next change of the entry takes precedence again.
+// AssumeCold treats the instance as cold for the given duration, whatever its entry says meanwhile.
 func (p *Phase) AssumeCold(duration time.Duration, now time.Time) {
-	if until := now.Add(duration); until.After(p.until) {
-		p.until = until
+	p.assumedUntil = later(p.assumedUntil, now.Add(duration))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
