--- a/internal/bench/command/store_soak.go
+++ b/internal/bench/command/store_soak.go
@@ -32,6 +32,7 @@
 	Tenants       int     `long:"tenants" description:"tenants that send the calls, with keys that change, and one of them ten times as much as its quota allows"`
 	StatementRate float64 `long:"statement-rate" description:"instances per second that begin to state limits on their requests in their answers, or that they leave, beside the faults"`
 	HeavyRate     float64 `long:"heavy-rate" description:"calls per second of large answers and of three priorities, at times up to five times as many, to instances that state their load and are slow at times"`
+	ColdRate      float64 `long:"cold-rate" description:"instances per second that turn cold while they run, beside the faults; their entries say so at once, late or never"`
 	Regressions   bool    `long:"regressions" description:"play the soaks that once broke a promise, as they were played"`
 	JSON          bool    `long:"json" description:"print the reports as JSON"`
 	Chart         string  `long:"report" value-name:"FILE" description:"draw how long changes took and what was served, over time (.png, .svg, .pdf)"`
@@ -88,7 +89,7 @@
 		tests = append(tests, storesoak.Options{
 			Seed: c.Seed + uint64(i), Machines: c.Machines, Zones: c.Zones, Routes: c.Routes, SlowestLink: c.SlowestLink,
 			CPULoadProcesses: c.Busy, Faults: c.Faults, Rate: c.Rate, CrashRate: c.CrashRate, ReplacementRate: c.LeaveRate, RestoreShare: c.RestoreShare,
-			Tenants: c.Tenants, StatementRate: c.StatementRate, HeavyRate: c.HeavyRate,
+			Tenants: c.Tenants, StatementRate: c.StatementRate, HeavyRate: c.HeavyRate, ColdRate: c.ColdRate,
 		})
 	}
 	return tests
--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -60,6 +60,8 @@
 	timeoutChanged map[int]bool
 	// declaresColdStart sets the rate that cold instances can serve in each service.
 	declaresColdStart bool
+	// healthPath is the path of health checks in the configuration; empty: it names none.
+	healthPath string
 	// timeoutMillis is the time-out of routes.
 	timeoutMillis int
 	// tenants are the callers with keys; nil: there are none.
@@ -250,6 +252,7 @@
 		service := store.Service{Name: name}
 		if c.declaresColdStart {
 			service.ColdStartS, service.ColdPerS = coldStartDuration.Seconds(), coldRatePerSecond
+			service.HealthPath = c.healthPath
 		}
 		named = append(named, service)
 	}
--- a/internal/bench/storesoak/check.go
+++ b/internal/bench/storesoak/check.go
@@ -42,6 +42,10 @@
 	Lost int `json:"lost"`
 	// ColdOverloads are instances that were overloaded while they were cold.
 	ColdOverloads int `json:"fell_over"`
+	// ColdTurns counts how often an instance turned cold while it ran. MostWhileCold is the most requests that
+	// began in a second at an instance that had.
+	ColdTurns     int `json:"cold_turns"`
+	MostWhileCold int `json:"most_while_cold"`
 	// Crashes counts the crashes by requests that crash instances.
 	Crashes int `json:"crashes"`
 	// AfterThirdCrash is how often such a request still reached instances when it had crashed
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -112,6 +112,9 @@
 	}
 	const initialShare = 3 // one in three routes exists from the start
 	f.catalog.declaresColdStart = options.Kinds == 0 || options.Kinds > kindsBeforeColdStart
+	if options.ColdRate > 0 {
+		f.catalog.healthPath = instance.HealthPath
+	}
 	f.catalog.writeFirst(options.Routes/initialShare, f.writeConfiguration)
 	if err := f.startMachines(ctx, options, places); err != nil {
 		f.close()
@@ -174,7 +177,7 @@
 		"--outbound.listen=" + m.callers, "--inbound.listen=" + inbound, "--inbound.service=" + at.service,
 		"--inbound.backend=" + application, "--inbound.drain_grace=" + drainGrace.String(), "--inbound.repeat_replicas=0",
 		"--admin.listen=" + m.ready, "--log.format=json",
-	}, f.heavy.nodeFlags(number)...), f.logs.of(number))
+	}, append(f.heavy.nodeFlags(number), f.catalog.coldNodeFlags()...)...), f.logs.of(number))
 	m.lastLine = func() string { return f.logs.lastOf(number) }
 	return m, f.newInstance(m, application, 0)
 }
--- a/internal/bench/storesoak/regressions.go
+++ b/internal/bench/storesoak/regressions.go
@@ -20,6 +20,8 @@
 	StatementRate float64
 	// HeavyRate is as in Options.
 	HeavyRate float64
+	// ColdRate is as in Options.
+	ColdRate float64
 	// Kinds is how many kinds of faults existed when the violation was found.
 	Kinds int
 	// Cause describes the defect in one line.
@@ -30,7 +32,7 @@
 func (r Regression) Options() Options {
 	return Options{
 		Seed: r.Seed, Machines: r.Machines, Zones: r.Zones, Routes: r.Routes, SlowestLink: r.SlowestLink, CPULoadProcesses: r.CPULoadProcesses,
-		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, ReplacementRate: r.ReplacementRate, RestoreShare: r.RestoreShare, Tenants: r.Tenants, StatementRate: r.StatementRate, HeavyRate: r.HeavyRate, Kinds: r.Kinds,
+		Faults: r.Faults, Rate: r.Rate, CrashRate: r.CrashRate, ReplacementRate: r.ReplacementRate, RestoreShare: r.RestoreShare, Tenants: r.Tenants, StatementRate: r.StatementRate, HeavyRate: r.HeavyRate, ColdRate: r.ColdRate, Kinds: r.Kinds,
 	}
 }
 
--- a/internal/bench/storesoak/soak.go
+++ b/internal/bench/storesoak/soak.go
@@ -45,6 +45,9 @@
 	// HeavyRate is how many calls per second of large answers and of three priorities are sent, some times
 	// more than their instances can run, which are slow at times; zero: none.
 	HeavyRate float64
+	// ColdRate is how many instances per second turn cold while they run, in addition to the faults; their
+	// entries say so at once, late or never. Zero: none.
+	ColdRate float64
 	// work emulates the work of a request; nil: work.
 	work func(id string, gone <-chan struct{})
 	// Tenants is how many tenants send the calls, with keys that change; zero: nobody needs a key.
@@ -156,6 +159,13 @@
 			s.runStatements(background, s.options.StatementRate)
 		}
 	}()
+	coldTurnsEnded := make(chan struct{})
+	go func() {
+		defer close(coldTurnsEnded)
+		if s.options.ColdRate > 0 {
+			s.turnInstancesCold(background, s.options.ColdRate)
+		}
+	}()
 	go s.fleet.backups.run(background, s.fleet.store)
 	finishHeavyLoad := s.startHeavyLoad(calling)
 	err := s.injectFaults(ctx)
@@ -163,6 +173,7 @@
 	<-crashesEnded
 	<-replacementsEnded
 	<-statementsEnded
+	<-coldTurnsEnded
 	if err == nil {
 		err = finishHeavyLoad(ctx)
 	}
--- a/internal/bench/storesoak/storesoak_test.go
+++ b/internal/bench/storesoak/storesoak_test.go
@@ -34,6 +34,8 @@
 		Seed: 7, Machines: 12, Zones: 3, Routes: 20, Faults: 6, Rate: 150, StatementRate: 1, Cause: "instances that state limits and leavings in their answers",
 	}, {
 		Seed: 8, Machines: storesoak.MinMachines, Zones: 2, Routes: 20, Faults: 2, Rate: 60, HeavyRate: 40, Cause: "large answers, routes of three priorities and instances that state their load",
+	}, {
+		Seed: 9, Machines: 12, Zones: 3, Routes: 20, Faults: 6, Rate: 250, ColdRate: 1, Cause: "instances that turn cold while they run",
 	}}
 	for _, each := range storesoak.Regressions {
 		if each.Machines == storesoak.MinMachines { // the command replays the larger ones
@@ -57,6 +59,7 @@
 			c.Check(report.RolledBack, qt.Equals, 0)
 			c.Check(report.Invalid, qt.Equals, 0)
 			c.Check(report.ColdOverloads, qt.Equals, 0)
+			c.Check(report.MostWhileCold > 0, qt.Equals, each.ColdRate > 0)
 			c.Check(report.RetryBoundShare <= 1, qt.IsTrue)
 			c.Check(report.Crashes > 0, qt.Equals, each.CrashRate > 0)
 			c.Check(report.AfterThirdCrash <= 3, qt.IsTrue)
--- a/internal/emulator/store/content.go
+++ b/internal/emulator/store/content.go
@@ -64,6 +64,7 @@
 	// requests a second a cold instance can take; zero: instances are never cold.
 	ColdStartS float64 `json:"coldStartS,omitempty"`
 	ColdPerS   float64 `json:"coldPerS,omitempty"`
+	HealthPath string  `json:"healthPath,omitempty"`
 }
 
 // Limits bound the requests of callers. Sizes are in bytes, times in milliseconds.
