coldstart: no division by zero, no uncounted start

Found on reading the change again. While checks fail or the instance counts as cold, a request behind more others than a second allows, none of which had started, divided by the number of counted starts, zero: the node would have ended. And an instance that turned out to be cold between the two looks of rateLimits.Begin let one request start that nothing counted; the result of the second look now counts. TestAllowanceDelay panicked before on Delay(3) without a counted start; TestLimitThatBeginsMeanwhile fails on the code before.

--- a/internal/dataplane/coldstart/allowance.go
+++ b/internal/dataplane/coldstart/allowance.go
@@ -57,17 +57,24 @@
 
 // Delay returns the time until a request may start that is preceded by the given number of others.
 func (a *Allowance) Delay(before int, now time.Time) time.Duration {
+	if len(a.starts) == 0 {
+		return 0
+	}
 	counted := a.counted(now)
 	missing := before - (len(a.starts) - counted)
-	if missing < 0 || len(a.starts) == 0 {
+	if missing < 0 {
 		return 0
 	}
+	periods := time.Duration(1 + missing/len(a.starts))
 	if !a.sentAt.IsZero() || a.mayCheck(now) {
-		return a.answerWait(now) * time.Duration(1+missing/len(a.starts))
+		return a.answerWait(now) * periods
+	}
+	if missing >= counted { // it waits for requests that have not started yet
+		return window * periods
 	}
-	first := len(a.starts) - counted
-	blocking := a.starts[(a.oldest+first+missing%counted)%len(a.starts)]
-	return blocking.Add(window * time.Duration(1+missing/len(a.starts))).Sub(now)
+	oldestCounted := a.oldest + len(a.starts) - counted
+	blocking := a.starts[(oldestCounted+missing)%len(a.starts)]
+	return blocking.Add(window).Sub(now)
 }
 
 // counted returns how many starts count: those within a window that the instance may have been cold for.
--- a/internal/dataplane/coldstart/allowance_test.go
+++ b/internal/dataplane/coldstart/allowance_test.go
@@ -56,6 +56,29 @@
 	c.Check(checks >= 9 && checks <= 40, qt.IsTrue, qt.Commentf("%d checks", checks))
 }
 
+// TestAllowanceDelay checks the time until requests may start that wait behind others, while checks fail and while
+// one can be sent.
+func TestAllowanceDelay(t *testing.T) {
+	c := qt.New(t)
+	var allowance coldstart.Allowance
+	allowance.SetPerSecond(3, epoch)
+	now := epoch.Add(10 * time.Second)
+	c.Assert(allowance.TakeCheck(now), qt.IsFalse)
+	c.Check(allowance.Delay(2, now), qt.Equals, time.Duration(0))
+	c.Check(allowance.Delay(3, now) > 0 && allowance.Delay(3, now) < time.Second, qt.IsTrue) // a check comes first
+
+	allowance.SetCold(now.Add(time.Hour))
+	c.Check(allowance.Delay(2, now), qt.Equals, time.Duration(0))
+	c.Check(allowance.Delay(3, now), qt.Equals, time.Second)
+	allowance.Start(now)
+	allowance.Start(now.Add(100 * time.Millisecond))
+	now = now.Add(200 * time.Millisecond)
+	c.Check(allowance.Delay(0, now), qt.Equals, time.Duration(0))
+	c.Check(allowance.Delay(1, now), qt.Equals, 800*time.Millisecond)
+	c.Check(allowance.Delay(2, now), qt.Equals, 900*time.Millisecond)
+	c.Check(allowance.Delay(3, now), qt.Equals, time.Second)
+}
+
 // coldModel is an instance and its node in virtual time.
 type coldModel struct {
 	allowance coldstart.Allowance
--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -51,8 +50,9 @@
 	bounds ColdBounds
 	// backend is the address of the instance; service and zone are those of the node.
 	backend, service, zone string
-	limit                  *ratelimit.Limit
-	checker                *healthChecker
+	// limit holds requests back while the instance counts as cold.
+	limit   *ratelimit.Limit
+	checker *healthChecker
 	// checksEnabled is set if the instance is asked whether it is cold.
 	checksEnabled bool
 	checks        *prometheus.CounterVec
@@ -101,13 +101,6 @@
 	coldByHealth     coldSource = "health"
 )
 
-// The results of a check.
-const (
-	checkWarm   = "warm"
-	checkCold   = "cold"
-	checkFailed = "failed"
-)
-
 // update applies the instance's entry in the current configuration. After the evacuation
 // of the zone has ended, its instances may be cold although their entries do not say so
 // yet.
@@ -198,76 +191,3 @@
 	defer c.mutex.Unlock()
 	return max(c.limit.Delay(before, now), c.allowance.Delay(before, now))
 }
-
-// startCheckIfDue asks the instance whether it is cold, if its requests need that. The caller must hold the mutex.
-func (c *coldTracker) startCheckIfDue(now time.Time) {
-	if !c.allowance.TakeCheck(now) {
-		return
-	}
-	if c.firstCheck == nil {
-		c.firstCheck = make(chan struct{})
-	}
-	go c.check(c.healthPath)
-}
-
-// check asks the instance whether it is cold and applies the answer.
-func (c *coldTracker) check(path string) {
-	stated, err := c.checker.check(context.Background(), path)
-	c.applyCheck(stated, err, time.Now())
-	c.limitChanged()
-}
-
-func (c *coldTracker) applyCheck(stated health, err error, now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.logCheckFailing(err)
-	switch {
-	case err != nil:
-		c.checks.WithLabelValues(checkFailed).Inc()
-		c.allowance.CheckFailed(now)
-	case stated.coldFor > 0:
-		c.checks.WithLabelValues(checkCold).Inc()
-		c.allowance.CheckAnswered(false, now)
-		before := c.phase.Until()
-		c.phase.AssumeCold(stated.coldFor, now)
-		c.logChange(before, coldByHealth, stated.instance, snapshot.Version{}, now)
-		service, _ := c.lastSnapshot.Service(c.service)
-		c.limitCold(service, now)
-	default:
-		c.checks.WithLabelValues(checkWarm).Inc()
-		c.allowance.CheckAnswered(true, now)
-	}
-	select {
-	case <-c.firstCheck:
-	default:
-		close(c.firstCheck)
-	}
-}
-
-// logCheckFailing logs when checks begin or cease to fail. The caller must hold the mutex.
-func (c *coldTracker) logCheckFailing(err error) {
-	if failing := err != nil; failing != c.checkFailing {
-		c.checkFailing = failing
-		entry := c.logger.WithField("service", c.service)
-		if failing {
-			entry.WithError(err).Warn("the instance does not answer whether it is cold: its requests are limited as if it may be")
-		} else {
-			entry.Info("the instance answers again whether it is cold")
-		}
-	}
-}
-
-// awaitFirstCheck waits for the answer to the first check of this process, which does not know how many requests
-// an earlier one has sent.
-func (c *coldTracker) awaitFirstCheck(ctx context.Context) {
-	c.mutex.Lock()
-	first := c.firstCheck
-	c.mutex.Unlock()
-	if first == nil {
-		return
-	}
-	select {
-	case <-first:
-	case <-ctx.Done():
-	}
-}
--- a/internal/dataplane/inbound/stated_limit.go
+++ b/internal/dataplane/inbound/stated_limit.go
@@ -199,7 +199,9 @@
 	if delay := l.Delay(0, now); delay > 0 {
 		return delay
 	}
-	l.cold.Begin(now)
+	if delay := l.cold.Begin(now); delay > 0 { // an answer has just told that the instance is cold
+		return delay
+	}
 	return l.stated.Begin(now)
 }
 
--- a/internal/dataplane/inbound/stated_limit_test.go
+++ b/internal/dataplane/inbound/stated_limit_test.go
@@ -85,3 +85,16 @@
 	c.Check(rates.reason(now), qt.Equals, hop.ReasonLimited)
 	c.Check(rates.Delay(0, now) >= time.Second, qt.IsTrue)
 }
+
+// limitThatBegins is a limit that comes into force between Delay and Begin.
+type limitThatBegins struct{}
+
+func (limitThatBegins) Begin(time.Time) time.Duration      { return time.Second }
+func (limitThatBegins) Delay(int, time.Time) time.Duration { return 0 }
+
+// TestLimitThatBeginsMeanwhile guards against a request that starts without being counted because its instance turns
+// out to be cold at that moment.
+func TestLimitThatBeginsMeanwhile(t *testing.T) {
+	rates := rateLimits{cold: limitThatBegins{}, stated: newStatedLimit(statement.NewTracker(), modelStart)}
+	qt.Check(t, rates.Begin(modelStart), qt.Equals, time.Second)
+}
