inbound: an instance that states that it is warm is no longer held back

What callers saw: after the end of an evacuation, 20 instances of a zone were held to 8.4 requests a second for 3 s, also those that were warm, and 0.75 s longer than those that were cold stayed so.

Cause: the end of an evacuation makes the node assume 3 s of cold. Since entries no longer end that (an older one may come late), nothing did. The instance knows.

Change: when the node begins to assume that its instance is cold it asks it, one check, and the answer replaces the assumption, unless the check was sent before it or another instance answers.

Evidence: TestAnswerEndsAnAssumption.

--- a/internal/dataplane/coldstart/allowance.go
+++ b/internal/dataplane/coldstart/allowance.go
@@ -89,7 +89,16 @@
 
 // TakeCheck reports whether a check is to be sent now. The caller must report its end.
 func (a *Allowance) TakeCheck(now time.Time) bool {
-	if len(a.starts) == 0 || !a.sentAt.IsZero() || !a.mayCheck(now) || len(a.starts)-a.counted(now) > a.reserve(now) {
+	if len(a.starts) == 0 || !a.mayCheck(now) || len(a.starts)-a.counted(now) > a.reserve(now) {
+		return false
+	}
+	return a.TakeExtraCheck(now)
+}
+
+// TakeExtraCheck reports whether a check can be sent now for another reason than the allowance. The caller must
+// report its end.
+func (a *Allowance) TakeExtraCheck(now time.Time) bool {
+	if len(a.starts) == 0 || !a.sentAt.IsZero() {
 		return false
 	}
 	a.sentAt = now
--- a/internal/dataplane/coldstart/phase.go
+++ b/internal/dataplane/coldstart/phase.go
@@ -51,6 +51,11 @@
 	return now.Add(remaining)
 }
 
+// Stated applies the remaining cold time that the instance itself states. It is newer than all that is known so far.
+func (p *Phase) Stated(remaining time.Duration, now time.Time) {
+	p.listedUntil, p.assumedUntil = time.Time{}, endOf(remaining, now)
+}
+
 // AssumeCold treats the instance as cold for the given duration, whatever its entry says meanwhile.
 func (p *Phase) AssumeCold(duration time.Duration, now time.Time) {
 	p.assumedUntil = later(p.assumedUntil, now.Add(duration))
--- a/internal/dataplane/inbound/cold.go
+++ b/internal/dataplane/inbound/cold.go
@@ -62,6 +62,10 @@
 
 	mutex sync.Mutex
 	phase coldstart.Phase
+	// phaseChangedAt is when the phase last changed by anything but a check; assumedInstance is the instance that
+	// was not listed then, empty: it was listed.
+	phaseChangedAt  time.Time
+	assumedInstance string
 	// allowance limits the requests while the instance counts as warm but may have turned cold.
 	allowance  coldstart.Allowance
 	healthPath string
@@ -114,23 +118,44 @@
 	before := c.phase.Until()
 	if instance, listed := current.InstanceAt(c.backend); listed {
 		c.phase.Follow(instance, now)
-		c.logChange(before, coldByEntry, instance.Name, current.Version(), now)
+		c.noteChange(before, coldByEntry, instance.Name, current.Version(), now)
 	}
 	service, _ := current.Service(c.service)
+	if c.checksEnabled {
+		c.healthPath = service.HealthPath
+		c.allowance.SetPerSecond(c.bounds.allowanceOf(service), now)
+	}
 	if ended := current.EndedEvacuations(c.zone); ended != c.endedEvacuations {
 		c.endedEvacuations = ended
-		before = c.phase.Until()
-		c.phase.AssumeCold(coldDuration(service), now)
-		c.logChange(before, coldByEvacuation, "", current.Version(), now)
+		c.assumeCold(coldByEvacuation, "", current, now)
+		return
 	}
 	c.limitCold(service, now)
-	if c.checksEnabled {
-		c.healthPath = service.HealthPath
-		c.allowance.SetPerSecond(c.bounds.allowanceOf(service), now)
-		c.startCheckIfDue(now)
+	c.startCheckIfDue(now)
+}
+
+// assumeCold treats the instance as cold for as long as one that has just started, or until it states otherwise:
+// it is asked at once. The caller must hold the mutex.
+func (c *coldTracker) assumeCold(source coldSource, instance string, current *snapshot.Snapshot, now time.Time) {
+	service, _ := current.Service(c.service)
+	before := c.phase.Until()
+	c.phase.AssumeCold(coldDuration(service), now)
+	c.noteChange(before, source, instance, current.Version(), now)
+	c.assumedInstance = instance
+	c.limitCold(service, now)
+	if c.allowance.TakeExtraCheck(now) {
+		c.startCheck(now)
 	}
 }
 
+// noteChange records and logs a change of the phase that is not by a check. The caller must hold the mutex.
+func (c *coldTracker) noteChange(before time.Time, source coldSource, instance string, version snapshot.Version, now time.Time) {
+	if !c.phase.Until().Equal(before) {
+		c.phaseChangedAt = now
+	}
+	c.logChange(before, source, instance, version, now)
+}
+
 // logChange logs until when the instance counts as cold, if that is no longer what it was before. The version is
 // that of the configuration that says so, or is zero. The caller must hold the mutex.
 func (c *coldTracker) logChange(before time.Time, source coldSource, instance string, version snapshot.Version, now time.Time) {
@@ -153,11 +178,7 @@
 		return
 	}
 	c.lastUnlistedInstance = name
-	service, _ := current.Service(c.service)
-	before := c.phase.Until()
-	c.phase.AssumeCold(coldDuration(service), now)
-	c.logChange(before, coldByUnlisted, name, current.Version(), now)
-	c.limitCold(service, now)
+	c.assumeCold(coldByUnlisted, name, current, now)
 }
 
 // limitCold applies the time until which the instance counts as cold. The caller must hold the mutex.
--- a/internal/dataplane/inbound/cold_check.go
+++ b/internal/dataplane/inbound/cold_check.go
@@ -16,23 +16,27 @@
 
 // startCheckIfDue asks the instance whether it is cold, if its requests need that. The caller must hold the mutex.
 func (c *coldTracker) startCheckIfDue(now time.Time) {
-	if !c.allowance.TakeCheck(now) {
-		return
+	if c.allowance.TakeCheck(now) {
+		c.startCheck(now)
 	}
+}
+
+// startCheck sends a check that was taken from the allowance. The caller must hold the mutex.
+func (c *coldTracker) startCheck(now time.Time) {
 	if c.firstCheck == nil {
 		c.firstCheck = make(chan struct{})
 	}
-	go c.check(c.healthPath)
+	go c.check(c.healthPath, now)
 }
 
 // check asks the instance whether it is cold and applies the answer.
-func (c *coldTracker) check(path string) {
+func (c *coldTracker) check(path string, sent time.Time) {
 	stated, err := c.checker.check(context.Background(), path)
-	c.applyCheck(stated, err, time.Now())
+	c.applyCheck(stated, err, sent, time.Now())
 	c.limitChanged()
 }
 
-func (c *coldTracker) applyCheck(stated health, err error, now time.Time) {
+func (c *coldTracker) applyCheck(stated health, err error, sent, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.logCheckFailing(err)
@@ -42,15 +46,10 @@
 		c.allowance.CheckFailed(now)
 	case stated.coldFor > 0:
 		c.checks.WithLabelValues(checkCold).Inc()
-		c.allowance.CheckAnswered(false, now)
-		before := c.phase.Until()
-		c.phase.AssumeCold(stated.coldFor, now)
-		c.logChange(before, coldByHealth, stated.instance, snapshot.Version{}, now)
-		service, _ := c.lastSnapshot.Service(c.service)
-		c.limitCold(service, now)
+		c.applyStated(stated, sent, now)
 	default:
 		c.checks.WithLabelValues(checkWarm).Inc()
-		c.allowance.CheckAnswered(true, now)
+		c.applyStated(stated, sent, now)
 	}
 	select {
 	case <-c.firstCheck:
@@ -59,6 +58,22 @@
 	}
 }
 
+// applyStated applies what the instance states in the answer to a check. What is known since the check was sent, or
+// of another instance, holds beside it. The caller must hold the mutex.
+func (c *coldTracker) applyStated(stated health, sent, now time.Time) {
+	c.allowance.CheckAnswered(stated.coldFor == 0, now)
+	before := c.phase.Until()
+	isNewest := !sent.Before(c.phaseChangedAt) && (c.assumedInstance == "" || c.assumedInstance == stated.instance)
+	if isNewest {
+		c.phase.Stated(stated.coldFor, now)
+	} else {
+		c.phase.AssumeCold(stated.coldFor, now)
+	}
+	c.logChange(before, coldByHealth, stated.instance, snapshot.Version{}, now)
+	service, _ := c.lastSnapshot.Service(c.service)
+	c.limitCold(service, now)
+}
+
 // logCheckFailing logs when checks begin or cease to fail. The caller must hold the mutex.
 func (c *coldTracker) logCheckFailing(err error) {
 	if failing := err != nil; failing != c.checkFailing {
--- a/internal/dataplane/inbound/cold_test.go
+++ b/internal/dataplane/inbound/cold_test.go
@@ -28,10 +28,12 @@
 }
 
 func newTestTracker() *coldTracker {
-	return newColdTracker(Options{
+	tracker := newColdTracker(Options{
 		Service: "a", Zone: "z", Backend: coldTestBackend, Names: healthNames, Mechanisms: mechanism.All(),
 		Cold: ColdBounds{Overage: 1.5, Slack: 8}, Logger: logging.Discard(),
 	}, func() {})
+	tracker.firstCheck = make(chan struct{})
+	return tracker
 }
 
 // TestUnlistedInstanceStaysCold guards against an instance that has just started and counts as warm because the
@@ -54,7 +56,7 @@
 	c := qt.New(t)
 	now := time.Now()
 	tracker := newTestTracker()
-	tracker.firstCheck = make(chan struct{})
+	tracker.update(coldSnapshot(c, 1, snapshot.Service{Name: "a", ColdRate: 5.6}, listedAt("i-1", 0)), now.Add(-time.Minute))
 	tracker.allowance.SetPerSecond(2, now.Add(-time.Minute))
 	begin := func(at time.Time) time.Duration { // without sending checks
 		delay := tracker.allowance.Delay(0, at)
@@ -66,14 +68,14 @@
 	c.Check(begin(now), qt.Equals, time.Duration(0))
 	c.Check(begin(now), qt.Equals, time.Duration(0))
 	c.Assert(tracker.allowance.TakeCheck(now), qt.IsTrue)
-	tracker.applyCheck(health{}, errors.New("refused"), now)
+	tracker.applyCheck(health{}, errors.New("refused"), now, now)
 	c.Check(tracker.checkFailing, qt.IsTrue)
 	c.Check(begin(now), qt.Equals, time.Second)
 	c.Check(tracker.allowance.TakeCheck(now), qt.IsFalse)
 
 	later := now.Add(500 * time.Millisecond)
 	c.Assert(tracker.allowance.TakeCheck(later), qt.IsTrue)
-	tracker.applyCheck(health{instance: "i-1"}, nil, later)
+	tracker.applyCheck(health{instance: "i-1"}, nil, later, later)
 	c.Check(tracker.checkFailing, qt.IsFalse)
 	c.Check(begin(later), qt.Equals, time.Duration(0))
 }
@@ -96,3 +98,33 @@
 		})
 	}
 }
+
+// TestAnswerEndsAnAssumption guards against an instance that is held back though it has stated that it is warm, and
+// against an answer that ends what is newer than its check, or concerns another instance.
+func TestAnswerEndsAnAssumption(t *testing.T) {
+	const asked, answered = 10 * time.Millisecond, 20 * time.Millisecond
+	service := snapshot.Service{Name: "a", ColdRate: 5.6, ColdMillis: 3000}
+	for name, row := range map[string]struct {
+		assumedAfter time.Duration // after the start of the test
+		unlisted     string
+		answer       health
+		want         time.Duration // for which the instance counts as cold when the answer is there
+	}{
+		"warm":                             {answer: health{instance: "i-1"}},
+		"cold":                             {answer: health{instance: "i-1", coldFor: time.Second}, want: time.Second},
+		"cold for longer than assumed":     {answer: health{instance: "i-1", coldFor: 5 * time.Second}, want: 5 * time.Second},
+		"check sent before the assumption": {assumedAfter: asked + time.Millisecond, answer: health{instance: "i-1"}, want: 3*time.Second - answered + asked + time.Millisecond},
+		"the predecessor answers":          {unlisted: "i-2", answer: health{instance: "i-1"}, want: 3*time.Second - answered},
+		"the new instance answers":         {unlisted: "i-2", answer: health{instance: "i-2", coldFor: 2 * time.Second}, want: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Now()
+			tracker := newTestTracker()
+			tracker.update(coldSnapshot(c, 1, service, listedAt("i-1", 0)), start)
+			tracker.assumeCold(coldByEvacuation, row.unlisted, tracker.lastSnapshot, start.Add(row.assumedAfter))
+			tracker.applyCheck(row.answer, nil, start.Add(asked), start.Add(answered))
+			c.Check(tracker.limit.InForceFor(start.Add(answered)), qt.Equals, row.want)
+		})
+	}
+}
--- a/internal/dataplane/inbound/stated_limit.go
+++ b/internal/dataplane/inbound/stated_limit.go
@@ -212,7 +212,7 @@
 
 // reason returns which of the limits makes requests wait for longer.
 func (l rateLimits) reason(now time.Time) hop.Reason {
-	if l.stated.Delay(0, now) >= l.cold.Delay(0, now) {
+	if l.stated.limiting.Load() && l.stated.Delay(0, now) >= l.cold.Delay(0, now) {
 		return hop.ReasonLimited
 	}
 	return hop.ReasonCold
