--- a/internal/dataplane/coldstart/phase.go
+++ b/internal/dataplane/coldstart/phase.go
@@ -58,7 +58,7 @@
 
 // AssumeCold treats the instance as cold for the given duration, whatever its entry says meanwhile.
 func (p *Phase) AssumeCold(duration time.Duration, now time.Time) {
-	p.assumedUntil = later(p.assumedUntil, now.Add(duration))
+	p.assumedUntil = later(p.assumedUntil, endOf(duration, now))
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/dataplane/coldstart/phase_test.go
+++ b/internal/dataplane/coldstart/phase_test.go
@@ -51,3 +51,11 @@
 	phase.Follow(snapshot.Instance{Name: "i-1"}, epoch.Add(4*time.Second))
 	c.Check(phase.Until(), qt.Equals, epoch.Add(4*time.Second)) // the assumption ends by itself
 }
+
+// TestAssumptionOfNoTime guards against a warm instance that counts as cold for callers that have read the clock a
+// moment earlier.
+func TestAssumptionOfNoTime(t *testing.T) {
+	var phase coldstart.Phase
+	phase.AssumeCold(0, epoch)
+	qt.Check(t, phase.Until(), qt.Equals, time.Time{})
+}
