--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -31,12 +32,15 @@
 	record  *record
 	fleet   *fleet
 	trouble bool
+
+	mutex sync.Mutex
+	// unanswered are the short bookings without a complete answer.
+	unanswered []string
 }
 
 var cases = map[string]func(*playing) (verdict, error){
 	"bodies":        playBodies,
 	"configuration": playConfiguration,
-	"stops":         playStops,
 }
 
 func main() {
