--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -21,6 +21,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
 	"github.com/winchhead/winchhead/internal/dataplane/server"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
+	"github.com/winchhead/winchhead/internal/distribution"
 	"github.com/winchhead/winchhead/internal/logging"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/mirror"
@@ -187,6 +188,7 @@
 	Settings   settings.Settings
 	Listeners  *listeners
 	Applier    *configuration.Applier
+	Node       *distribution.Node
 	Suspects   *suspects.Tracker
 	Statements *statement.Tracker
 	Quota      *quota.Limiter
@@ -245,6 +247,7 @@
 			IdleTimeout:    defaultIdleTimeout,
 		},
 		DrainNotice: configured.Inbound.DrainNotice,
+		SourceAge:   inputs.Node.SourceAge,
 		Logger:      inputs.Logger,
 		Registerer:  inputs.Registerer,
 	})
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -57,6 +57,8 @@
 	Limits server.Limits
 	// DrainNotice is how long a node that drains goes on accepting requests of callers.
 	DrainNotice time.Duration
+	// SourceAge is outbound.Options.SourceAge.
+	SourceAge func() (age time.Duration, known bool)
 
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
@@ -156,6 +158,7 @@
 		Calls:        n.calls,
 		Egress:       n.link.forRequests(options),
 		Mechanisms:   options.Mechanisms,
+		SourceAge:    options.SourceAge,
 		Logger:       options.Logger.WithField("part", "outbound"),
 		Registerer:   options.Registerer,
 	})
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -16,10 +16,26 @@
 )
 
 // requestLog logs the end of each request, up to a limited rate.
-type requestLog struct{ lines *boundedlog.Limiter }
+type requestLog struct {
+	lines *boundedlog.Limiter
+	// sourceAge is Options.SourceAge.
+	sourceAge func() (age time.Duration, known bool)
+}
+
+func newRequestLog(logger logrus.FieldLogger, sourceAge func() (age time.Duration, known bool)) *requestLog {
+	return &requestLog{lines: boundedlog.New(logger), sourceAge: sourceAge}
+}
 
-func newRequestLog(logger logrus.FieldLogger) *requestLog {
-	return &requestLog{lines: boundedlog.New(logger)}
+// versionFields returns the version that decided a request, and how long ago it was last confirmed.
+func (l *requestLog) versionFields(current *snapshot.Snapshot) logrus.Fields {
+	fields := logrus.Fields{"version": current.Version().String()}
+	if l.sourceAge == nil {
+		return fields
+	}
+	if age, known := l.sourceAge(); known {
+		fields["confirmed_ms"] = age.Milliseconds()
+	}
+	return fields
 }
 
 // ended logs the final answer to a request and what led to it.
@@ -30,12 +46,12 @@
 		return
 	}
 	entry = entry.WithFields(logrus.Fields{
-		"request": e.request.ID, "route": e.route.Name, "version": e.current.Version().String(), "tenant": e.identity.Name(),
+		"request": e.request.ID, "route": e.route.Name, "tenant": e.identity.Name(),
 		"service": e.service, "instance": e.lastInstance, "outcome": outcome, "status": status,
 		"reason": string(e.lastReason), "tries": e.tries, "reached": e.possibleRuns,
 		"ms": duration.Milliseconds(), "left_ms": time.Until(e.deadline).Milliseconds(),
 		"since_first_ms": e.caller.Elapsed.Milliseconds(), "retries_refused": e.caller.RetriesRefused,
-	}).WithFields(e.classFields())
+	}).WithFields(l.versionFields(e.current)).WithFields(e.classFields())
 	if failed {
 		fingerprint := suspects.NewFingerprint(e.request.Method, e.request.Host, e.request.Target, e.request.Body)
 		entry.WithFields(logrus.Fields{"target": e.request.Target, "fingerprint": fingerprint.String()}).Warn("request ended")
@@ -77,8 +93,7 @@
 	}
 	entry.WithFields(logrus.Fields{
 		"request": request.ID, "host": request.Host, "path": request.Path,
-		"version": current.Version().String(),
-	}).Warn("no route matches the request")
+	}).WithFields(l.versionFields(current)).Warn("no route matches the request")
 }
 
 // statementChanged logs what an instance now states about itself, as this node knows it.
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -76,7 +76,10 @@
 	Suspects *suspects.Tracker
 	// Statements holds what instances state about themselves; nil: a new, empty tracker.
 	Statements *statement.Tracker
-	Logger     logrus.FieldLogger
+	// SourceAge returns how long ago the configuration in force was last known to be the newest, for the
+	// log; nil: not known.
+	SourceAge func() (age time.Duration, known bool)
+	Logger    logrus.FieldLogger
 	// Registerer registers the metrics; nil: they are not registered.
 	Registerer prometheus.Registerer
 }
@@ -126,7 +129,7 @@
 		sidecars:      newSidecarPools(options),
 		callerRetries: callerretry.New(),
 		losses:        losses.New(options.Logger),
-		log:           newRequestLog(options.Logger),
+		log:           newRequestLog(options.Logger, options.SourceAge),
 		metrics:       registered,
 		services:      admission.NewServices(),
 	}
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -55,6 +55,7 @@
 	push         pushState
 	repair       repairState
 	sourceReader readerState
+	freshness    freshnessState
 	members      membersState
 	start        startState
 	crashes      *suspects.CrashRecords
@@ -147,6 +148,7 @@
 	e.runOverlayTimers()
 	e.runPushTimers()
 	e.runReadingTimers()
+	e.noticeUnconfirmed()
 	e.runMembersTimers()
 	e.runRecordTimers()
 	e.wakeAt = e.earliestDeadline()
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -54,12 +54,19 @@
 	n.status.Store(&published)
 }
 
+// SourceAge returns how long ago, as far as this node knows, a reader last got an answer from the source;
+// false: never.
+func (n *Node) SourceAge() (age time.Duration, known bool) {
+	confirmedAt := n.status.Load().confirmedAt
+	return n.options.Now().Sub(confirmedAt), !confirmedAt.IsZero()
+}
+
 // Status returns the status of this node.
 func (n *Node) Status() wire.StatusReply {
 	status := n.status.Load()
 	reply := status.reply
-	if !status.confirmedAt.IsZero() {
-		reply.SourceAge = n.options.Now().Sub(status.confirmedAt).Milliseconds()
+	if age, known := n.SourceAge(); known {
+		reply.SourceAge = age.Milliseconds()
 	}
 	if n.options.Generation != nil {
 		reply.Generation = n.options.Generation()
