Nodes that no report of a read reaches read the source themselves

What callers saw: a node that lost its peers and not the store refused requests with 404 on routes that existed, and handled others by routes that were gone, until the cut ended.

Cause: who reads the source was decided by what a node believes of the other members (rank in its zone, suspicions), not by how old its own knowledge is. A node of lower rank had to suspect enough of the others first, each after a link of 5 s of silence and two failed dials. Confirmations travelled with heartbeats, one hop each 2 s, so no node could tell a cut from calm. Class: a right to act that follows a view of the others which a partition freezes.

Change: each read of the source is reported along the links (once per link and reader's poll), with the revision that it found. A node that holds that revision is confirmed. One that nothing confirms for ConfirmationLimit stands in for the readers, whatever its rank, spread by truncated exponential timers; its own reads confirm its island, and it yields to readers by rank, or to a lower one that stands in. While several readers report failures, all nodes together try about once in each StandInPace. A report counts as old as it is also if it waited in a connection that was cut off. A node that hears from nobody and cannot read searches for peers. A node that starts cut off reads after one round of dials. Links to builds without reports keep the former behaviour.

--- a/internal/app/metrics.go
+++ b/internal/app/metrics.go
@@ -36,7 +36,7 @@
 	receivedBytes, receivedFrames *prometheus.Desc
 	sourceBytes, sourceReads      *prometheus.Desc
 	sourceAge, reader             *prometheus.Desc
-	links, slowPeers              *prometheus.Desc
+	links, slowPeers, standIns    *prometheus.Desc
 	members                       *prometheus.Desc
 }
 
@@ -52,10 +52,11 @@
 		receivedFrames: describe("distribution_received_frames_total", "Frames read from links, by kind of message.", "message"),
 		sourceBytes:    describe("source_bytes_total", "Bytes exchanged with the platform, by what was read.", "read"),
 		sourceReads:    describe("source_reads_total", "Requests to the platform, by what was read.", "read"),
-		sourceAge:      describe("source_age_seconds", "Time since a reader last confirmed the revision with the platform; absent when never."),
+		sourceAge:      describe("source_age_seconds", "Time since the version in force was last known to be the platform's newest; absent when never."),
 		reader:         describe("source_reader", "1 while the node reads the platform's configuration, else 0."),
 		links:          describe("distribution_links", "Links to other nodes that are up."),
 		slowPeers:      describe("distribution_slow_peers_total", "Links closed because the peer did not take what was sent."),
+		standIns:       describe("source_stand_ins_total", "Times that the node began to read the platform because nothing confirmed its version."),
 		members:        describe("fleet_members", "Instances in the node's view, by state.", "state"),
 	}
 }
@@ -78,6 +79,7 @@
 	counter(c.sourceBytes, stats.ListBytes, "members")
 	counter(c.sourceReads, stats.ListReads, "members")
 	counter(c.slowPeers, stats.SlowPeers)
+	counter(c.standIns, stats.StandIns)
 	c.collectGauges(metrics, stats)
 }
 
--- a/internal/distribution/adopt.go
+++ b/internal/distribution/adopt.go
@@ -35,6 +35,9 @@
 // not known to hold it.
 func (e *Engine) adopted(document *snapshot.Document) {
 	version := document.Version()
+	if e.push.held == nil {
+		e.countFreshnessFrom()
+	}
 	e.push.held = document
 	e.push.recent = append(e.push.recent, document)
 	if len(e.push.recent) > maxRecentDocuments {
@@ -44,5 +47,6 @@
 	clear(e.push.attempts)
 	e.push.refusals.forgetForwarded(version)
 	e.log(LogInfo, "version %s is in force, received from %s", version, e.push.adoptingFrom)
+	e.confirmPending()
 	e.announce()
 }
--- a/internal/distribution/connection.go
+++ b/internal/distribution/connection.go
@@ -64,11 +64,16 @@
 
 // IsUrgent reports whether a message is sent ahead of others on its link. Changes of instances
 // must not wait behind documents: on links of 5 Mbit/s with a 60 KB document every 0.3 s, a change
-// sent in order would reach the last of 80 nodes after 0.45 s instead of 0.06 s. Heartbeats must
-// not wait either. These messages do not depend on their order,
+// sent in order would reach the last of 80 nodes after 0.45 s instead of 0.06 s. Heartbeats and reports
+// of reads must not wait either. These messages do not depend on their order,
 // except that all must follow Hello, which is therefore urgent too.
 func IsUrgent(messageType wire.Type) bool {
-	return messageType == wire.TypeHello || messageType == wire.TypeFleetChanges || messageType == wire.TypeCrashes || messageType == wire.TypeHeartbeat
+	switch messageType {
+	case wire.TypeHello, wire.TypeFleetChanges, wire.TypeCrashes, wire.TypeHeartbeat, wire.TypeSourceReport:
+		return true
+	default:
+		return false
+	}
 }
 
 // newConnection wraps an open socket. Without config the connection is not encrypted.
--- a/internal/distribution/dispatch.go
+++ b/internal/distribution/dispatch.go
@@ -69,6 +69,8 @@
 		e.onCrashes(l, m)
 	case *wire.FleetChanges:
 		e.onFleetChanges(l, m)
+	case *wire.SourceReport:
+		e.onSourceReport(l, m)
 	case *wire.Goodbye:
 		e.onGoodbye(l, m.Reason)
 	default:
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -56,6 +56,7 @@
 	repair       repairState
 	sourceReader readerState
 	freshness    freshnessState
+	reports      reportState
 	members      membersState
 	start        startState
 	crashes      *suspects.CrashRecords
@@ -82,6 +83,10 @@
 		outbox:  newOutbox(),
 		overlay: newOverlay(),
 		push:    newPushState(),
+		freshness: freshnessState{
+			random: rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)^freshnessStream)),
+		},
+		reports: newReportState(options.Self),
 		crashes: suspects.NewCrashRecords(),
 		changes: newChangeCache(),
 	}
@@ -172,6 +177,7 @@
 	}
 	e.push.deadlines(e, earlier)
 	e.sourceReader.deadlines(earlier)
+	e.freshness.deadlines(e, earlier)
 	earlier(e.members.nextRequestAt)
 	e.start.deadlines(e, earlier)
 	return wake
--- a/internal/distribution/freshness_test.go
+++ b/internal/distribution/freshness_test.go
@@ -76,6 +76,17 @@
 	})
 }
 
+// countReaders counts the nodes that read the source.
+func (f *freshnessFleet) countReaders() int {
+	readers := 0
+	for _, name := range f.Machines() {
+		if f.Engine(name).Status().Reader {
+			readers++
+		}
+	}
+	return readers
+}
+
 // inForce publishes a change and returns how long it takes to be in force at all nodes.
 func (f *freshnessFleet) inForce(c *qt.C) time.Duration {
 	const givenUp = 30 * time.Second
@@ -420,13 +431,7 @@
 			for range changes {
 				f.publish()
 				f.Run(interval)
-				readers := 0
-				for _, name := range f.Machines() {
-					if f.Engine(name).Status().Reader {
-						readers++
-					}
-				}
-				most = max(most, readers)
+				most = max(most, f.countReaders())
 			}
 			c.Check(most, qt.Equals, freshnessZones)
 		})
--- a/internal/distribution/links.go
+++ b/internal/distribution/links.go
@@ -43,7 +43,10 @@
 	acceptsChanges bool
 	// takesOrigins is set if the peer accepts the origins of configurations.
 	takesOrigins bool
-	phase        phase
+	// acceptsReports is set if the peer accepts reports of reads of the source.
+	acceptsReports bool
+	reports        linkReports
+	phase          phase
 
 	openedAt     time.Time
 	lastReceived time.Time
@@ -130,7 +133,7 @@
 
 // sendHello sends this node's Hello.
 func (e *Engine) sendHello(l *link) {
-	purpose := wire.PurposeLinkWithOrigins
+	purpose := wire.PurposeLinkWithReports
 	if l.probe {
 		purpose = wire.PurposeProbe
 	}
@@ -254,6 +257,7 @@
 	l.held = hello.Held
 	l.acceptsChanges = hello.Purpose.AcceptsChanges()
 	l.takesOrigins = hello.Purpose.AcceptsOrigins()
+	l.acceptsReports = hello.Purpose.AcceptsReports()
 	e.setPeerInterval(l, hello.Interval)
 	e.start.setProbeResult(l.node, probeAnswered)
 	suspected := e.isSuspected(l.node)
@@ -282,6 +286,7 @@
 	e.sendRefusal(l)
 	e.sendAllCrashes(l)
 	e.sendRecentChanges(l)
+	e.sendNewestReport(l)
 	e.overlayChanged()
 }
 
--- a/internal/distribution/overlay.go
+++ b/internal/distribution/overlay.go
@@ -109,6 +109,9 @@
 func (e *Engine) runOverlayTimers() {
 	if e.passed(e.overlay.maintainAt) {
 		e.overlay.maintainAt = e.now.Add(maintainInterval)
+		if e.searchesPeers() {
+			e.overlay.maintainAt = e.now.Add(searchInterval)
+		}
 		e.verifyLostPeers()
 		e.dialGroup()
 		e.dialCandidates()
--- a/internal/distribution/polling.go
+++ b/internal/distribution/polling.go
@@ -68,6 +68,7 @@
 	r.defersToLeader = isNewer && !e.leads()
 	r.pollAt = latest(e.now, r.polledAt.Add(interval))
 	e.updateHead(event.Version, isNewer)
+	e.reportRead(false)
 }
 
 // changePollInterval returns the least time between the start of a poll that brings a new
@@ -143,7 +144,6 @@
 	case ok:
 		r.failures = 0
 		r.resigned = false
-		r.confirmedAt = e.now
 	case outcome.Status == source.StatusBusy:
 		// The source works, and another reader would add to its load unless it rejects only
 		// this node. A reader with a long Retry-After resigns at once: otherwise a
@@ -154,6 +154,9 @@
 		r.failures++
 		r.resigned = true
 	}
+	if !ok {
+		e.reportRead(true)
+	}
 	if r.resigned != was {
 		e.logResigned(outcome)
 		e.announceReading()
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -49,9 +49,6 @@
 	fetch       RequestID
 	fetchAt     time.Time
 	staleLogged bool // avoids repeated log lines
-	// confirmedAt is when any reader, as far as this node knows, last got an answer from
-	// the source.
-	confirmedAt time.Time
 	lastRequest RequestID
 }
 
@@ -99,9 +96,18 @@
 	roleReaderAtOnce readerRole = 2
 )
 
-// desiredRole decides whether this node reads the source: it does while it is among the
-// first ReadersPerZone nodes of its zone that can.
+// desiredRole decides whether this node reads the source: by its rank, or because nothing else confirms
+// its version.
 func (e *Engine) desiredRole() readerRole {
+	if e.freshness.standingIn {
+		return roleReaderAtOnce
+	}
+	return e.rankedRole()
+}
+
+// rankedRole decides whether this node reads the source by its rank: it does while it is among the first
+// ReadersPerZone nodes of its zone that can.
+func (e *Engine) rankedRole() readerRole {
 	current := e.currentRanking()
 	if !current.inGroup(e.options.Self.Node) || !e.start.mayRead(e) {
 		return roleStandby
@@ -214,6 +220,7 @@
 // reader for each. A node whose StartSettle has just passed does not wait again, because no
 // other node reads yet in a fleet that starts.
 func (e *Engine) updateRole() {
+	e.updateStandIn()
 	r := &e.sourceReader
 	desired := e.desiredRole()
 	switch {
@@ -294,19 +301,22 @@
 
 // sourceAge returns how many milliseconds ago a reader last got an answer from the source.
 func (e *Engine) sourceAge() int64 {
-	if e.sourceReader.confirmedAt.IsZero() {
+	if e.freshness.confirmedAt.IsZero() {
 		return unknownSourceAge
 	}
-	return e.now.Sub(e.sourceReader.confirmedAt).Milliseconds()
+	return e.now.Sub(e.freshness.confirmedAt).Milliseconds()
 }
 
-// sourceConfirmed records a peer's report of when a reader last got an answer from the source.
+// sourceConfirmed records what a peer knows of when a reader last got an answer from the source. It confirms
+// the version in force only if the peer's build sends no reports.
 func (e *Engine) sourceConfirmed(l *link, age int64) {
 	if age < 0 {
 		return
 	}
 	l.confirmedAt = e.now.Add(-time.Duration(age) * time.Millisecond)
-	e.sourceReader.confirmedAt = latest(e.sourceReader.confirmedAt, l.confirmedAt)
+	if !l.acceptsReports {
+		e.confirm(confirmation{revision: l.held.Revision.Unmarked(), at: l.confirmedAt, yields: true})
+	}
 }
 
 func (e *Engine) onHeartbeat(l *link, m *wire.Heartbeat) {
--- a/internal/distribution/records.go
+++ b/internal/distribution/records.go
@@ -203,6 +203,7 @@
 			e.markFleetChanged(false)
 		}
 		e.forgetPeers()
+		e.expireReports()
 	}
 	if !e.passed(e.fleet.notifyAt) {
 		return
--- a/internal/distribution/refusals.go
+++ b/internal/distribution/refusals.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"slices"
+
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/wire"
 )
@@ -37,6 +39,11 @@
 	return false
 }
 
+// hasRevision reports whether this node refused a version of the revision.
+func (r *refusals) hasRevision(revision snapshot.Revision) bool {
+	return slices.ContainsFunc(r.own, func(refused snapshot.Version) bool { return refused.Revision.Unmarked() == revision })
+}
+
 func (r *refusals) add(version snapshot.Version) {
 	r.own = append(r.own, version)
 	if len(r.own) > maxOwnRefusals {
@@ -47,6 +54,7 @@
 // refused records that the Adopter refused a version and floods the reason.
 func (e *Engine) refused(version snapshot.Version, reason string) {
 	e.push.refusals.add(version)
+	e.confirmPending()
 	e.log(LogWarning, "configuration version %s was refused: %s", version, reason)
 	e.floodRefusal(wire.Refusal{
 		Version: version,
--- a/internal/distribution/selection.go
+++ b/internal/distribution/selection.go
@@ -19,6 +19,14 @@
 // dials.
 const maxPendingDials = 6
 
+// A node that searches for peers dials maxSearchDials of them in each searchInterval, well above the time in
+// which a reachable peer answers, until maxSearchPending dials are unanswered.
+const (
+	searchInterval   = 100 * time.Millisecond
+	maxSearchDials   = 32
+	maxSearchPending = 128
+)
+
 // unreliableAfterIntervals is how many of the peer's heartbeat intervals of silence make a
 // link unreliable.
 const unreliableAfterIntervals = 1.3
@@ -164,9 +172,34 @@
 			})
 		}
 	}
+	anyMember := func(*membership.Member) bool { return true }
 	if missing := minLinks - e.countReliable(); missing > 0 {
-		e.dialNearest(missing, func(*membership.Member) bool { return true })
+		e.dialNearest(missing, anyMember)
+	}
+	if e.searchesPeers() {
+		e.dialNearest(maxSearchDials, anyMember)
+	}
+}
+
+// searchesPeers reports whether this node hears from no peer and cannot read the source either: any peer that
+// answers may bring the newest version.
+func (e *Engine) searchesPeers() bool {
+	return e.isIsolated() && e.sourceReader.failures > 0
+}
+
+// pendingDialLimit returns how many unanswered dials there may be. A node that searches for peers counts only
+// those that a reachable peer may still answer.
+func (e *Engine) pendingDialLimit() int {
+	if !e.searchesPeers() {
+		return maxPendingDials
 	}
+	overdue := 0
+	for _, l := range e.overlay.order {
+		if !l.probe && l.phase != phaseUp && e.now.Sub(l.openedAt) >= searchInterval {
+			overdue++
+		}
+	}
+	return min(maxSearchDials+overdue, maxSearchPending)
 }
 
 // countPendingDials counts the links that are not up yet, overdue ones included.
@@ -211,13 +244,16 @@
 	if l.phase != phaseUp {
 		return e.now.Before(l.openedAt.Add(e.timing.AnswerTime))
 	}
+	if e.isIsolated() {
+		return false
+	}
 	return e.now.Before(l.lastReceived.Add(time.Duration(unreliableAfterIntervals * float64(l.peerInterval))))
 }
 
 // dialNearest dials the first accepted members in rank. A member with an incoming link
 // counts as dialled.
 func (e *Engine) dialNearest(count int, accept func(*membership.Member) bool) {
-	count = min(count, maxPendingDials-e.countPendingDials())
+	count = min(count, e.pendingDialLimit()-e.countPendingDials())
 	for _, candidate := range e.candidates(count, accept) {
 		if e.overlay.linkTo(candidate.node) == nil {
 			member, _ := e.view.Member(candidate.node)
--- a/internal/distribution/simulation/fleet.go
+++ b/internal/distribution/simulation/fleet.go
@@ -73,7 +73,7 @@
 	processes  map[membership.NodeID]*process
 	names      []membership.NodeID
 	links      map[endpoint]*connection
-	cut        func(a, b *Machine) bool
+	cut        func(from, to *Machine) bool
 	violations []string
 }
 
@@ -166,9 +166,9 @@
 	f.violations = append(f.violations, f.Now().String()+": "+fmt.Sprintf(format, arguments...))
 }
 
-// Cut sets which pairs of machines cannot reach each other; nil means that all can. Frames
-// sent across a cut are delivered when it ends, if the link still exists.
-func (f *Fleet) Cut(cut func(a, b *Machine) bool) {
+// Cut sets which machines cannot reach which others; nil means that all can. Frames sent across a cut
+// are delivered when it ends, if the link still exists.
+func (f *Fleet) Cut(cut func(from, to *Machine) bool) {
 	if cut == nil {
 		cut = func(_, _ *Machine) bool { return false }
 	}
--- a/internal/distribution/simulation/network.go
+++ b/internal/distribution/simulation/network.go
@@ -71,18 +71,21 @@
 	}
 }
 
+// separated reports whether two machines cannot open a connection, which takes both directions.
+func (f *Fleet) separated(a, b *Machine) bool { return f.cut(a, b) || f.cut(b, a) }
+
 func (p *process) dial(action distribution.Dial) {
 	f := p.fleet
 	target := f.processes[membership.NodeID(action.Address)]
 	failed := func(refused bool) func() {
 		return func() { p.handle(distribution.DialFailed{Link: action.Link, Refused: refused}) }
 	}
-	if target == nil || f.cut(p.machine, target.machine) {
+	if target == nil || f.separated(p.machine, target.machine) {
 		f.forProcess(p, f.options.Timing.DialTimeout, failed(false))
 		return
 	}
 	f.forProcess(p, 2*f.jitter(f.options.Latency), func() {
-		if !target.alive || f.cut(p.machine, target.machine) {
+		if !target.alive || f.separated(p.machine, target.machine) {
 			failed(!target.alive)()
 			return
 		}
@@ -163,7 +166,7 @@
 // stalled reports whether messages to one end of the connection are currently delayed, because
 // its process is slow or the network is cut.
 func (c *connection) stalled(to int) bool {
-	return c.ends[to].process.slow || c.fleet.cut(c.ends[0].process.machine, c.ends[1].process.machine)
+	return c.ends[to].process.slow || c.fleet.cut(c.ends[1-to].process.machine, c.ends[to].process.machine)
 }
 
 // closeAsSlow closes the connection from an end whose peer is slow, and tells that end.
--- a/internal/distribution/simulation/process.go
+++ b/internal/distribution/simulation/process.go
@@ -59,6 +59,13 @@
 	f.Restart(machine.Name)
 }
 
+// Replace starts a process of another build on a machine whose process ended. wrap has the meaning that it
+// has for Start.
+func (f *Fleet) Replace(name membership.NodeID, wrap func(*distribution.Engine) Participant) {
+	f.processes[name].wrap = wrap
+	f.Restart(name)
+}
+
 // Restart starts a new process on a machine whose process ended. It keeps no state of the
 // former one.
 func (f *Fleet) Restart(name membership.NodeID) {
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -79,6 +79,7 @@
 // ranLate extends the deadlines of links by the time that this process lost.
 func (e *Engine) ranLate(late time.Duration) {
 	e.start.lateAt = e.now
+	e.freshnessRanLate()
 	for _, l := range e.overlay.order {
 		l.lastReceived = earliest(l.lastReceived.Add(late), e.now)
 		l.openedAt = earliest(l.openedAt.Add(late), e.now)
@@ -97,7 +98,8 @@
 func (e *Engine) onWakeUp() {
 	e.log(LogInfo, "slept for %s; checking its links before it reads the source again", e.now.Sub(e.wakeAt).Round(time.Millisecond))
 	e.start.recheckUntil = e.now.Add(e.timing.RecheckWait)
-	e.sourceReader.confirmedAt = time.Time{}
+	e.freshness.confirmedAt, e.freshness.pending = time.Time{}, nil
+	e.countFreshnessFrom()
 	for version, pull := range e.push.pulls {
 		pull.sentAt = e.now
 		e.push.pulls[version] = pull
--- a/internal/distribution/stats.go
+++ b/internal/distribution/stats.go
@@ -8,7 +8,7 @@
 )
 
 // messageTypeCount is one more than the highest wire.Type.
-const messageTypeCount = int(wire.TypeUpdateWithOrigin) + 1
+const messageTypeCount = int(wire.TypeSourceReport) + 1
 
 // Traffic counts frames, and bytes on the socket including the overhead of TLS.
 type Traffic struct {
@@ -35,6 +35,8 @@
 	Refused int64 `json:"refused"`
 	// SlowPeers counts the links closed because the send queue was full.
 	SlowPeers int64 `json:"slow_peers"`
+	// StandIns counts how often the node began to read the source because nothing confirmed its version.
+	StandIns int64 `json:"stand_ins"`
 }
 
 // LinkBytes returns the sum of the bytes sent and received on links.
@@ -63,7 +65,7 @@
 	// establishedLinks is the current number of established links; adopted and refused count
 	// versions.
 	establishedLinks, adopted, refused atomic.Int64
-	slowPeers                          atomic.Int64
+	slowPeers, standIns                atomic.Int64
 }
 
 func (c *counters) countSource(outcome source.Outcome) {
@@ -100,5 +102,6 @@
 		Adopted:     c.adopted.Load(),
 		Refused:     c.refused.Load(),
 		SlowPeers:   c.slowPeers.Load(),
+		StandIns:    c.standIns.Load(),
 	}
 }
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -45,7 +45,8 @@
 
 func (n *Node) publishStatus() {
 	n.counters.establishedLinks.Store(int64(n.engine.overlay.countEstablished()))
-	status := engineStatus{reply: n.engine.Status(), confirmedAt: n.engine.sourceReader.confirmedAt}
+	n.counters.standIns.Store(n.engine.freshness.standIns)
+	status := engineStatus{reply: n.engine.Status(), confirmedAt: n.engine.freshness.confirmedAt}
 	status.reply.SourceAge = unknownSourceAge
 	if current := n.status.Load(); current != nil && *current == status {
 		return
@@ -54,7 +55,7 @@
 	n.status.Store(&published)
 }
 
-// SourceAge returns how long ago, as far as this node knows, a reader last got an answer from the source;
+// SourceAge returns how long ago, as far as this node knows, its version was the newest of the source;
 // false: never.
 func (n *Node) SourceAge() (age time.Duration, known bool) {
 	confirmedAt := n.status.Load().confirmedAt
--- a/internal/distribution/timing.go
+++ b/internal/distribution/timing.go
@@ -67,6 +67,17 @@
 	// FreshnessLimit is the age of a reader's last answer from the source above which the next
 	// node in rank reads as well.
 	FreshnessLimit time.Duration
+	// ReportInterval is the least time between two confirmations by the source on one link.
+	ReportInterval time.Duration
+	// ConfirmationLimit is the age of the newest confirmation at which a node begins to read the source
+	// itself, up to StandInSpread later.
+	ConfirmationLimit, StandInSpread time.Duration
+	// StandInHold is how long other readers must have confirmed the version before a node that stands in
+	// leaves reading to them.
+	StandInHold time.Duration
+	// StandInPace is the mean time between two tries of all nodes that would stand in while the source
+	// fails. FailureMemory is how long a reader's failed read counts, longer than it waits before the next.
+	StandInPace, FailureMemory time.Duration
 	// FetchDelay and FetchStagger set how long a reader waits for peers to deliver a new
 	// revision before it fetches it: FetchDelay plus its rank times FetchStagger, up to
 	// FetchDelayMax. The first in rank fetches at once.
@@ -127,6 +138,12 @@
 		TakeOverDelay:                 700 * time.Millisecond,
 		FetchTimeout:                  10 * time.Second,
 		FreshnessLimit:                5 * time.Second,
+		ReportInterval:                3 * time.Second,
+		ConfirmationLimit:             7 * time.Second,
+		StandInSpread:                 2 * time.Second,
+		StandInHold:                   5 * time.Second,
+		StandInPace:                   500 * time.Millisecond,
+		FailureMemory:                 25 * time.Second,
 		FetchDelay:                    150 * time.Millisecond,
 		FetchStagger:                  40 * time.Millisecond,
 		FetchDelayMax:                 1500 * time.Millisecond,
@@ -169,6 +186,12 @@
 	// heartbeat, after 1.5 s at most. Above this limit, the next node reads in addition to a
 	// reader whose answers arrive slowly.
 	t.FreshnessLimit = 2500 * time.Millisecond
+	// A reader confirms the version once in each SourceWait, and a link passes on the first confirmation
+	// after ReportInterval, so that confirmations are 0.6 s apart on each link, and at most 1.1 s when
+	// a reader fails.
+	t.ReportInterval = 500 * time.Millisecond
+	t.ConfirmationLimit, t.StandInSpread = 1200*time.Millisecond, 200*time.Millisecond
+	t.StandInHold, t.StandInPace, t.FailureMemory = 2*time.Second, 100*time.Millisecond, 2*time.Second
 	t.FetchDelay, t.FetchStagger, t.FetchDelayMax = 0, 0, 0
 	t.FetchTimeout = 3 * time.Second
 	// The leader brings the revisions that follow within this time.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -108,6 +108,8 @@
 		encodeArray(e, m.Crashes, e.crash)
 	case *FleetChanges:
 		encodeArray(e, m.Changes, e.fleetChange)
+	case *SourceReport:
+		e.sourceReport(m)
 	default:
 		return false
 	}
@@ -205,6 +207,8 @@
 		}
 	case TypeCrashes:
 		return &Crashes{Crashes: decodeArray(d, minCrashBytes, d.crash)}
+	case TypeSourceReport:
+		return d.sourceReport()
 	case TypeFleetChanges:
 		return &FleetChanges{Changes: decodeArray(d, minFleetChangeBytes, d.fleetChange)}
 	default:
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,6 +43,7 @@
 	TypeLastPart Type = 18
 	// TypeUpdateWithOrigin is an Update with an Origin.
 	TypeUpdateWithOrigin Type = 19
+	TypeSourceReport     Type = 20
 )
 
 // Message is any message of the protocol.
@@ -79,13 +80,18 @@
 	// PurposeLinkWithOrigins is a PurposeLinkWithChanges whose sender accepts the origins of
 	// configurations.
 	PurposeLinkWithOrigins Purpose = 6
+	// PurposeLinkWithReports is a PurposeLinkWithOrigins whose sender accepts SourceReports.
+	PurposeLinkWithReports Purpose = 7
 )
 
 // AcceptsChanges reports whether the sender of a Hello accepts FleetChanges and frames in parts.
 func (p Purpose) AcceptsChanges() bool { return p == PurposeLinkWithChanges || p.AcceptsOrigins() }
 
 // AcceptsOrigins reports whether the sender of a Hello accepts the origins of configurations.
-func (p Purpose) AcceptsOrigins() bool { return p == PurposeLinkWithOrigins }
+func (p Purpose) AcceptsOrigins() bool { return p == PurposeLinkWithOrigins || p.AcceptsReports() }
+
+// AcceptsReports reports whether the sender of a Hello accepts SourceReports.
+func (p Purpose) AcceptsReports() bool { return p == PurposeLinkWithReports }
 
 // Reading is whether a node reads the source.
 type Reading uint8
--- a/internal/wire/type_name.go
+++ b/internal/wire/type_name.go
@@ -20,6 +20,7 @@
 	TypeFleetChanges:  "fleet_changes",
 
 	TypeUpdateWithOrigin: "update_with_origin",
+	TypeSourceReport:     "source_report",
 }
 
 // String returns the name of the type as in the labels of metrics.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -64,7 +64,7 @@
 		return wire.ClaimHolder{Node: node.Draw(t, "node"), Incarnation: incarnation.Draw(t, "i"), Number: number.Draw(t, "claim")}
 	})
 	return rapid.Custom(func(t *rapid.T) wire.Message {
-		switch wire.Type(rapid.IntRange(1, int(wire.TypeUpdateWithOrigin)).Draw(t, "type")) {
+		switch wire.Type(rapid.IntRange(1, int(wire.TypeSourceReport)).Draw(t, "type")) {
 		case wire.TypeHello:
 			return &wire.Hello{Protocol: int(positive.Draw(t, "p")), Self: record.Draw(t, "self"),
 				Held: short.Draw(t, "held"), FleetDigest: rapid.Uint64().Draw(t, "digest"),
@@ -130,6 +130,10 @@
 					Age: anyNumber.Draw(t, "age"), Requests: sliceOrNil(request).Draw(t, "requests")}
 			})
 			return &wire.Crashes{Crashes: sliceOrNil(crash).Draw(t, "crashes")}
+		case wire.TypeSourceReport:
+			return &wire.SourceReport{Reader: rapid.Uint64().Draw(t, "reader"), Sequence: number.Draw(t, "sequence"),
+				StandsIn: rapid.Bool().Draw(t, "stands in"), Failed: rapid.Bool().Draw(t, "failed"),
+				Revision: version.Draw(t, "revision").Revision, Age: anyNumber.Draw(t, "age"), SentAt: anyNumber.Draw(t, "sent")}
 		case wire.TypeFleetChanges:
 			change := rapid.Custom(func(t *rapid.T) wire.FleetChange {
 				return wire.FleetChange{Revision: version.Draw(t, "at").Revision, Resource: resource.Draw(t, "resource"), Age: anyNumber.Draw(t, "age")}
@@ -275,6 +279,7 @@
 			Listed: []wire.ListedEntry{{Order: 5}}},
 		&wire.RecordPull{Buckets: []uint64{1, 2}}, &wire.StatusRequest{}, &wire.StatusReply{Node: "a"}, &wire.Goodbye{},
 		&wire.ClaimRequest{Holder: wire.ClaimHolder{Node: "a", Number: 2}, GrantMillis: 1000}, &wire.ClaimReply{Holder: wire.ClaimHolder{Node: "b"}},
+		&wire.SourceReport{Reader: 1, Sequence: 2, Revision: 7, Age: 3, SentAt: 4},
 		&wire.Crashes{Crashes: []wire.Crash{{ID: 1, Instance: "i", Age: 5, Requests: []suspects.Request{{Probed: true}}}}},
 		&wire.FleetChanges{Changes: []wire.FleetChange{{Revision: 7, Resource: snapshot.Resource{Key: snapshot.Key{Kind: 5, Name: "i"}}, Age: 3}}},
 	}
