Configurations that the store has accepted come into force at any legal value

What callers saw: after a configuration with a weight of 9,900 or six attempts, 404 on routes that had been added and requests by routes that had moved, for good; after a restart of all nodes nothing was served.

Cause: limits of the product's own policies (weights up to 1000, 5 attempts, time-outs of 10 ms to an hour, priorities up to 100, 16 path segments, names of 63 bytes, 1000 services) were checked for all routes, also for those that the store had accepted; one value beyond them dropped the whole configuration. Class: validation repeated behind the authority that accepts.

Change: these limits are checked where policies are compiled. The random start of a weighted choice skips 1,000 choices at most, since weights may now be large.

Names keep their character set, and a dangling service still refuses the whole.

--- a/internal/dataplane/outbound/target_selector.go
+++ b/internal/dataplane/outbound/target_selector.go
@@ -41,6 +41,9 @@
 	return found.next()
 }
 
+// maxStartOffset bounds how many choices are skipped for a random start.
+const maxStartOffset = 1000
+
 // newWeightedRoundRobin starts at a random position, so that the nodes of a fleet do not all
 // start with the same target.
 func newWeightedRoundRobin(targets []snapshot.WeightedService) *weightedRoundRobin {
@@ -49,7 +52,7 @@
 	for _, target := range targets {
 		total += target.Weight
 	}
-	for range rand.IntN(max(total, 1)) {
+	for range rand.IntN(min(max(total, 1), maxStartOffset)) {
 		created.next()
 	}
 	return created
--- a/internal/policy/builtins.go
+++ b/internal/policy/builtins.go
@@ -105,8 +105,8 @@
 	if err := run.checkService(target.Service); err != nil {
 		return nil, err
 	}
-	if target.Weight < 1 || target.Weight > snapshot.MaxWeight {
-		return nil, problemf("weights are relative: 1 and 3 give one quarter and three quarters of the requests", "weight %d is not between 1 and %d", target.Weight, snapshot.MaxWeight)
+	if target.Weight < 1 || target.Weight > maxWeight {
+		return nil, problemf("weights are relative: 1 and 3 give one quarter and three quarters of the requests", "weight %d is not between 1 and %d", target.Weight, maxWeight)
 	}
 	return targetValue{target: target}, nil
 }
@@ -138,8 +138,8 @@
 	if err := run.checkService(condition.Service); err != nil {
 		return nil, err
 	}
-	if len(condition.Zone) > snapshot.MaxNameBytes {
-		return nil, problemf("use the name of a zone", "the name of the zone is longer than %d bytes", snapshot.MaxNameBytes)
+	if len(condition.Zone) > maxNameBytes {
+		return nil, problemf("use the name of a zone", "the name of the zone is longer than %d bytes", maxNameBytes)
 	}
 	if condition.AtLeast < 1 || condition.AtLeast > maxAtLeast {
 		return nil, problemf("use 1 to ask whether any instance is ready", "at_least %d is not between 1 and %d", condition.AtLeast, maxAtLeast)
--- a/internal/policy/match.go
+++ b/internal/policy/match.go
@@ -9,7 +9,6 @@
 	"go.starlark.net/starlark"
 
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
-	"github.com/winchhead/winchhead/internal/snapshot"
 )
 
 const (
@@ -59,7 +58,7 @@
 
 // checkHeaderName returns the canonical name of a header that policies may use.
 func checkHeaderName(name string) (string, error) {
-	if !isToken(name) || len(name) > snapshot.MaxNameBytes {
+	if !isToken(name) || len(name) > maxNameBytes {
 		return "", problemf("a header name consists of letters, digits and '-'", "%q is not a valid header name", truncate(name))
 	}
 	canonical := textproto.CanonicalMIMEHeaderKey(name)
@@ -111,8 +110,8 @@
 	}
 	trimmed := strings.Trim(path, "/")
 	parts := strings.Split(trimmed, "/")
-	if len(parts) > snapshot.MaxPathSegments {
-		return problemf("shorten it", "path %q has more than %d segments", truncate(path), snapshot.MaxPathSegments)
+	if len(parts) > maxPathSegments {
+		return problemf("shorten it", "path %q has more than %d segments", truncate(path), maxPathSegments)
 	}
 	for _, part := range parts {
 		if part == "." || part == ".." || (part == "" && trimmed != "") {
--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -21,10 +21,18 @@
 // default: those without side effects.
 var DefaultRepeatMethods = []string{"GET", "HEAD", "OPTIONS"}
 
+// MaxTimeout is the maximum timeout of a route that a policy declares.
+const MaxTimeout = time.Hour
+
 // Limits of one route.
 const (
-	maxTargets = 16
-	maxHeaders = 8
+	minTimeout      = 10 * time.Millisecond
+	maxAttempts     = 5
+	maxWeight       = 1000
+	maxPathSegments = 16
+	maxNameBytes    = snapshot.MaxNameBytes
+	maxTargets      = 16
+	maxHeaders      = 8
 	// maxRequestLimit is the highest value of max_in_flight and max_queued.
 	maxRequestLimit = 100_000
 )
@@ -95,7 +103,7 @@
 
 func (a *routeArguments) setName(run *execution, route *snapshot.Route) error {
 	if !isRouteName(a.name) {
-		return problemf(`use a name such as "book-journey"`, "the route's name %q is not 1 to %d letters, digits, '.', '_' and '-'", truncate(a.name), snapshot.MaxNameBytes)
+		return problemf(`use a name such as "book-journey"`, "the route's name %q is not 1 to %d letters, digits, '.', '_' and '-'", truncate(a.name), maxNameBytes)
 	}
 	route.Name = routePrefix(run.policy) + a.name
 	return nil
@@ -163,8 +171,8 @@
 	if err != nil {
 		return problemf(`write it as "500ms", "2s" or "1m"`, "timeout %q is not a duration", truncate(a.timeout))
 	}
-	if timeout < snapshot.MinRouteTimeout || timeout > snapshot.MaxRouteTimeout {
-		return problemf("use a timeout in this range", "timeout %s is not between %s and %s", timeout, snapshot.MinRouteTimeout, snapshot.MaxRouteTimeout)
+	if timeout < minTimeout || timeout > MaxTimeout {
+		return problemf("use a timeout in this range", "timeout %s is not between %s and %s", timeout, minTimeout, MaxTimeout)
 	}
 	route.Timeout = timeout
 	return nil
@@ -237,8 +245,8 @@
 }
 
 func (a *routeArguments) checkLimits(*execution, *snapshot.Route) error {
-	if a.attempts < 1 || a.attempts > snapshot.MaxRouteAttempts {
-		return problemf("use 1 to send each request at most once", "attempts %d is not between 1 and %d", a.attempts, snapshot.MaxRouteAttempts)
+	if a.attempts < 1 || a.attempts > maxAttempts {
+		return problemf("use 1 to send each request at most once", "attempts %d is not between 1 and %d", a.attempts, maxAttempts)
 	}
 	for _, limit := range []struct {
 		name  string
@@ -253,5 +261,5 @@
 
 func isRouteName(name string) bool {
 	const allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
-	return name != "" && len(name) <= snapshot.MaxNameBytes && strings.Trim(name, allowed) == ""
+	return name != "" && len(name) <= maxNameBytes && strings.Trim(name, allowed) == ""
 }
--- a/internal/proxy/inbound/admit.go
+++ b/internal/proxy/inbound/admit.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/policy"
 	"github.com/winchhead/winchhead/internal/proxy/admission"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 	"github.com/winchhead/winchhead/internal/proxy/outcome"
@@ -22,7 +23,7 @@
 	// a slot.
 	shortBodyBytes = 64 << 10
 	// maxTimeout bounds the timeout that a request may ask for.
-	maxTimeout = snapshot.MaxRouteTimeout
+	maxTimeout = policy.MaxTimeout
 )
 
 // target returns the value of outcome.HeaderTarget for this process.
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -5,24 +5,13 @@
 	"reflect"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// Limits of the fields of a route.
-const (
-	// MaxPathSegments is the maximum number of segments of a path prefix.
-	MaxPathSegments = 16
-	// MaxWeight is the maximum weight of one target.
-	MaxWeight = 1000
-	// MaxRouteTimeout is the maximum timeout of a route.
-	MaxRouteTimeout = time.Hour
-	// MinRouteTimeout is the minimum timeout of a route.
-	MinRouteTimeout = 10 * time.Millisecond
-	// MaxRouteAttempts is the maximum number of attempts for one request.
-	MaxRouteAttempts = 5
-)
+// MaxWeight is the maximum weight of one target. Sums of the weights of a route stay far below the range of
+// their type.
+const MaxWeight = 1 << 40
 
 // New returns the snapshot of the given version, with the routes in matching order. It returns an
 // error if CheckConsistency does.
@@ -134,9 +123,6 @@
 	if strings.Contains(strings.Trim(prefix, "/"), "//") {
 		return eris.Errorf("path %q has an empty segment", prefix)
 	}
-	if countSegments(prefix) > MaxPathSegments {
-		return eris.Errorf("path %q has more than %d segments", prefix, MaxPathSegments)
-	}
 	if match.Host != strings.ToLower(match.Host) || match.Host != hostName(match.Host) {
 		return eris.Errorf("host %q is not a lower-case name without a port", match.Host)
 	}
@@ -144,11 +130,11 @@
 }
 
 func checkForwarding(route *Route) error {
-	if route.Timeout < MinRouteTimeout || route.Timeout > MaxRouteTimeout {
-		return eris.Errorf("timeout %s is not between %s and %s", route.Timeout, MinRouteTimeout, MaxRouteTimeout)
+	if route.Timeout <= 0 {
+		return eris.Errorf("timeout %s is not positive", route.Timeout)
 	}
-	if route.MaxAttempts < 1 || route.MaxAttempts > MaxRouteAttempts {
-		return eris.Errorf("%d attempts is not between 1 and %d", route.MaxAttempts, MaxRouteAttempts)
+	if route.MaxAttempts < 1 {
+		return eris.Errorf("%d attempts are less than 1", route.MaxAttempts)
 	}
 	if route.Limits.MaxInFlight < 0 || route.Limits.MaxQueued < 0 {
 		return eris.New("a limit is negative")
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -11,15 +11,17 @@
 // Limits of a document. They bound the memory that a node uses and that a delta can make it
 // allocate.
 const (
-	// MaxNameBytes is the maximum length of the name of a resource.
+	// MaxNameBytes is the maximum length of the name of a resource that only policies use.
 	MaxNameBytes = 63
+	// MaxTypedNameBytes is the maximum length of the name of any other resource.
+	MaxTypedNameBytes = 4 << 10
 	// MaxProgramBytes is the maximum size of the program of one policy.
 	MaxProgramBytes = 64 << 10
 	// MaxSecretBytes is the maximum size of the value of one secret.
 	MaxSecretBytes = 4 << 10
-	// MaxResourcesPerKind is the maximum number of resources of each kind but routes, instances and tenants.
+	// MaxResourcesPerKind is the maximum number of resources of each kind that only policies use.
 	MaxResourcesPerKind = 1000
-	// MaxTypedResources is the maximum number of typed routes, of instances, and of tenants.
+	// MaxTypedResources is the maximum number of services, of typed routes, of instances, and of tenants.
 	MaxTypedResources = 20_000
 	// MaxDocumentBytes is the maximum total size of the encoded resources of a document.
 	MaxDocumentBytes = 8 << 20
@@ -30,20 +32,30 @@
 // maxResources returns the maximum number of resources of a kind in a document.
 func maxResources(kind Kind) int {
 	switch kind {
-	case KindRoute, KindInstance, KindTenant:
+	case KindService, KindRoute, KindInstance, KindTenant:
 		return MaxTypedResources
 	default:
 		return MaxResourcesPerKind
 	}
 }
 
+// maxNameBytes returns the maximum length of the name of a resource of a kind.
+func maxNameBytes(kind Kind) int {
+	switch kind {
+	case KindPolicy, KindSecret:
+		return MaxNameBytes
+	default:
+		return MaxTypedNameBytes
+	}
+}
+
 // checkName returns an error if name is not a valid name for a resource of the kind.
 func checkName(kind Kind, name string) error {
 	if name == "" {
 		return eris.Errorf("a %s has no name", kind)
 	}
-	if len(name) > MaxNameBytes {
-		return eris.Errorf("%s %.16q...: the name has %d bytes, at most %d are allowed", kind, name, len(name), MaxNameBytes)
+	if limit := maxNameBytes(kind); len(name) > limit {
+		return eris.Errorf("%s %.16q...: the name has %d bytes, at most %d are allowed", kind, name, len(name), limit)
 	}
 	for i := range len(name) {
 		if isNameByte(name[i], i == 0) {
--- a/internal/snapshot/table.go
+++ b/internal/snapshot/table.go
@@ -118,8 +118,8 @@
 	return t.hosts[string(lower)] // this conversion in a map lookup does not allocate
 }
 
-// find returns the matching route with the longest prefix. The recursion depth is at most
-// MaxPathSegments.
+// find returns the matching route with the longest prefix. The recursion depth is at most the number of
+// segments of the longest prefix.
 func (n *pathNode) find(method, path, rest string, header http.Header) *Route {
 	if len(n.children) > 0 && rest != "" {
 		segment, next, _ := strings.Cut(rest, "/")
--- a/internal/snapshot/tenant.go
+++ b/internal/snapshot/tenant.go
@@ -82,8 +82,8 @@
 	if !isQuota(tenant.Burst) {
 		return eris.Errorf("tenant %q: the burst %v is not a number from 0 on", tenant.Name, tenant.Burst)
 	}
-	if priority := tenant.Priority; priority != nil && (*priority < 0 || *priority > MaxPriority) {
-		return eris.Errorf("tenant %q: priority %d is not between 0 and %d", tenant.Name, *priority, MaxPriority)
+	if priority := tenant.Priority; priority != nil && *priority < 0 {
+		return eris.Errorf("tenant %q: priority %d is negative", tenant.Name, *priority)
 	}
 	return nil
 }
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -114,9 +114,6 @@
 // limitsName is the name of the single resource of KindLimits.
 const limitsName = "limits"
 
-// MaxPriority is the rank of the least urgent routes.
-const MaxPriority = 100
-
 func typedRouteName(route TypedRoute) string { return route.Name }
 
 func instanceName(instance Instance) string { return instance.Name }
@@ -138,8 +135,8 @@
 	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
 		return eris.Errorf("route %q: path prefix %q must begin and end with a slash", route.Name, route.PathPrefix)
 	}
-	if route.Priority < 0 || route.Priority > MaxPriority {
-		return eris.Errorf("route %q: priority %d is not between 0 and %d", route.Name, route.Priority, MaxPriority)
+	if route.Priority < 0 {
+		return eris.Errorf("route %q: priority %d is negative", route.Name, route.Priority)
 	}
 	if route.TargetLatencyMillis < 0 {
 		return eris.Errorf("route %q: the target latency is negative", route.Name)
