--- a/internal/distribution/freshness.go
+++ b/internal/distribution/freshness.go
@@ -62,7 +62,7 @@
 func (e *Engine) confirm(c confirmation) {
 	f := &e.freshness
 	switch {
-	case e.push.held == nil:
+	case e.push.held == nil: // there is nothing to confirm
 	case e.isSettled(c.revision):
 		e.applyConfirmation(c)
 	case len(f.pending) < maxPendingConfirmations:
@@ -123,29 +123,48 @@
 
 // updateStandIn decides whether this node stands in for the readers.
 func (e *Engine) updateStandIn() {
+	f := &e.freshness
+	if f.standingIn {
+		e.endStandIn()
+		return
+	}
+	if f.standInAt.IsZero() && e.startsAlone() {
+		f.standInAt = e.now.Add(e.timing.DialTimeout + e.standInSpread())
+	}
+	if !e.passed(f.standInAt) || !e.mayStandIn() {
+		return
+	}
+	if e.sourceFails() && !f.delayed {
+		f.delayed = true
+		f.standInAt = e.now.Add(e.pacedDelay())
+		return
+	}
+	e.beginStandIn()
+}
+
+func (e *Engine) beginStandIn() {
+	f := &e.freshness
+	f.standingIn = true
+	f.standIns++
+	f.othersSince, f.othersAt = time.Time{}, time.Time{}
+	e.log(LogInfo, "nothing confirms version %s, confirmed %s: stands in for the readers; %d of %d links were silent meanwhile",
+		e.push.heldVersion(), e.sinceConfirmed(), e.countSilent(e.timing.ConfirmationLimit), e.overlay.countEstablished())
+	e.overlayChanged() // links may be broken without a sign of it
+}
+
+// endStandIn ends standing in if others confirm the version again, or if the source fails this node and
+// others: they then share the tries.
+func (e *Engine) endStandIn() {
 	f := &e.freshness
 	switch {
-	case f.standingIn && (!e.mayStandIn() || e.othersConfirm()):
-		f.standingIn = false
+	case !e.mayStandIn() || e.othersConfirm():
 		e.log(LogInfo, "other nodes confirm version %s again: no longer stands in for the readers", e.push.heldVersion())
-	case f.standingIn && e.sourceReader.failures > 0 && e.sourceFails():
-		f.standingIn = false
-		f.standInAt = e.now.Add(e.pacedDelay())
-	case f.standingIn || !e.passed(f.standInAt) || !e.mayStandIn():
-		if f.standInAt.IsZero() && e.startsAlone() {
-			f.standInAt = e.now.Add(e.timing.DialTimeout + e.standInSpread())
-		}
-	case e.sourceFails() && !f.delayed:
-		f.delayed = true
+	case e.sourceReader.failures > 0 && e.sourceFails():
 		f.standInAt = e.now.Add(e.pacedDelay())
 	default:
-		f.standingIn = true
-		f.standIns++
-		f.othersSince, f.othersAt = time.Time{}, time.Time{}
-		e.log(LogInfo, "nothing confirms version %s, confirmed %s: stands in for the readers; %d of %d links were silent meanwhile",
-			e.push.heldVersion(), e.sinceConfirmed(), e.countSilent(e.timing.ConfirmationLimit), e.overlay.countEstablished())
-		e.overlayChanged()
+		return
 	}
+	f.standingIn = false
 }
 
 // mayStandIn reports whether this node may read whatever its rank. With a link to a build that passes on no
