distribution: the package comment names the files of freshness

Cause: read as a newcomer, the list of files did not say where it is decided which nodes read besides those by rank, nor that an isolated node trusts no link.

Change: comments only.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -6,8 +6,10 @@
 // Engine, by file: engine (events, actions, timers), links (lifecycle of a link),
 // overlay, selection, peers and upkeep (which links to keep), push, announce and
 // refusals (configuration versions), records, list and repair (membership of the
-// fleet), ranking, reading and members (which nodes read the platform), start (when
-// the source may be trusted). Node: node, node_links, connection, platform, status,
+// fleet), ranking, reading and members (which nodes read the platform by rank),
+// freshness (which others do), source_reports and queueing_delay (how old the knowledge
+// of the source is), change_delays (the sum of all waits), start (when the source may be
+// trusted). Node: node, node_links, connection, platform, status,
 // stats. Package simulation runs engines in virtual time.
 package distribution
 
--- a/internal/distribution/selection.go
+++ b/internal/distribution/selection.go
@@ -236,7 +236,8 @@
 
 // isReliable reports whether a link counts towards those wanted. A link that missed a
 // heartbeat, or whose peer is slow to answer the dial, is replaced before it counts as dead,
-// so that a node all of whose peers are suspended misses changes for a short time only.
+// so that a node all of whose peers are suspended misses changes for a short time only. No link
+// of an isolated node is reliable.
 func (e *Engine) isReliable(l *link) bool {
 	if e.isLate() {
 		return true // this process is short of CPU time, and more dials would use more of it
