One value that cannot be used costs its own resource, not the configuration

What callers saw: after a configuration with one odd value anywhere (a weight written 2.0, a route name that stands in two hosts, a name with a space, a key that two tenants have, a route to a service that is not listed), the one before stayed in force for good: requests by routes that had moved went to the old service, new routes got 404, and after a restart of all nodes nothing was served.

Cause: the checks behind the acceptance of the store refused the whole configuration: strict Go types in the adapter, the name set of policies, unique names over all hosts, targets, matches, keys, regions, and "no routes". Class: validation repeated behind the authority that accepts, with the whole as the unit of refusal.

A route that cannot be used, or whose access is unclear, stays in the table as unusable and its requests get 503, so that none reaches a shorter prefix; keys and tenants fail closed. Names are text that is compared and escaped where it meets headers and fields between nodes; policies keep their identifiers. Valid configurations encode as before, so nodes of earlier versions read them.

Two designs were weighed. Only valid resources from the adapter: less code, but a route that is left out falls through to a shorter prefix, and each new check of a document brings the class back. Marked resources behind one function that runs all checks (kept): all nodes see what is not used, whoever read it.

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -1,9 +1,7 @@
 package app
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -70,7 +68,7 @@
 		Store:                store,
 		Logger:               logging.Part(logger, "mirror"),
 		MemberOf:             sidecarOf(configured, regions),
-		Validate:             validator(regions),
+		Validate:             validateConfiguration,
 		Timeout:              configured.Platform.Timeout,
 		Registerer:           registerer,
 		DisableRecoveryGrace: !configured.Mechanisms.LapseGrace,
@@ -78,43 +76,8 @@
 	return storeReader{Mirror: followed, store: store}, err
 }
 
-// validator returns a function that returns why a configuration cannot come into force, or nil.
-func validator(regions map[string]string) func(*mirror.Configuration) error {
-	known := slices.Collect(maps.Values(regions))
-	return func(configuration *mirror.Configuration) error {
-		if len(known) > 0 {
-			if err := checkRegions(configuration, known); err != nil {
-				return err
-			}
-		}
-		return validateConfiguration(configuration)
-	}
-}
-
-// checkRegions returns an error if a route or a tenant allows a region that does not exist.
-func checkRegions(configuration *mirror.Configuration, known []string) error {
-	for _, route := range configuration.Routes {
-		if region, found := unknownRegion(route.AllowedRegions, known); found {
-			return eris.Errorf("route %q: region %q does not exist", route.Name, region)
-		}
-	}
-	for _, tenant := range configuration.Tenants {
-		if region, found := unknownRegion(tenant.AllowedRegions, known); found {
-			return eris.Errorf("tenant %q: region %q does not exist", tenant.Name, region)
-		}
-	}
-	return nil
-}
-
-func unknownRegion(allowed, known []string) (string, bool) {
-	for _, region := range allowed {
-		if !slices.Contains(known, region) {
-			return region, true
-		}
-	}
-	return "", false
-}
-
+// validateConfiguration returns why a configuration cannot come into force, or nil. A region that does not
+// exist is no reason: it has no instances, so that it admits none.
 func validateConfiguration(configuration *mirror.Configuration) error {
 	document, err := snapshot.NewDocument(snapshot.Content{
 		Revision: 1, Services: configuration.Services, Routes: configuration.Routes, Limits: configuration.Limits, Tenants: configuration.Tenants,
--- a/internal/contentfile/contentfile.go
+++ b/internal/contentfile/contentfile.go
@@ -68,6 +68,9 @@
 	if err := reader.readDocument(root.Content[0]); err != nil {
 		return snapshot.Content{}, err
 	}
+	if err := snapshot.CheckServiceNames(reader.content.Services); err != nil {
+		return snapshot.Content{}, &Error{File: path, Problem: err.Error()}
+	}
 	if _, err := snapshot.NewDocument(reader.content); err != nil {
 		return snapshot.Content{}, &Error{File: path, Problem: err.Error()}
 	}
--- a/internal/dataplane/hop/hop.go
+++ b/internal/dataplane/hop/hop.go
@@ -3,9 +3,11 @@
 package hop
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/rotisserie/eris"
 
@@ -84,13 +86,13 @@
 // Encode returns the text of the field.
 func (o Order) Encode() string {
 	text := strings.Join([]string{
-		o.Instance, o.CallerService, strconv.Itoa(o.Priority), strconv.Itoa(o.ValueRank),
+		o.Instance, encodeText(o.CallerService), strconv.Itoa(o.Priority), strconv.Itoa(o.ValueRank),
 		millis(o.Remaining), millis(o.Due), millis(o.MaxWait), millis(o.ServiceTime), millis(o.MeanServiceTime), strconv.FormatUint(o.Revision, 10),
 		encodeBool(o.Repeatable), encodeBool(o.OnlyCandidate), strconv.Itoa(o.RepeatPercent), encodeBool(o.Failed),
 	}, separator)
 	switch {
 	case o.Tenant != "":
-		return strings.Join([]string{text, encodeBool(o.Suspected), o.Tenant, o.KeyTag}, separator)
+		return strings.Join([]string{text, encodeBool(o.Suspected), encodeText(o.Tenant), o.KeyTag}, separator)
 	case o.Suspected:
 		return text + separator + encodeBool(true)
 	default:
@@ -108,7 +110,7 @@
 	}
 	reader := fieldReader{fields: fields[2:]}
 	order := Order{
-		Instance: fields[0], CallerService: fields[1], Priority: int(reader.number()), ValueRank: int(reader.number()),
+		Instance: fields[0], CallerService: decodeText(fields[1]), Priority: int(reader.number()), ValueRank: int(reader.number()),
 		Remaining: reader.duration(), Due: reader.duration(), MaxWait: reader.duration(), ServiceTime: reader.duration(),
 		MeanServiceTime: reader.duration(), Revision: uint64(reader.number()), Repeatable: reader.boolean(), OnlyCandidate: reader.boolean(),
 		RepeatPercent: reader.percent(), Failed: reader.boolean(),
@@ -117,7 +119,7 @@
 		order.Suspected = reader.boolean()
 	}
 	if len(fields) == tenantOrderFields {
-		order.Tenant, order.KeyTag = reader.text(), reader.text()
+		order.Tenant, order.KeyTag = decodeText(reader.text()), reader.text()
 		if order.Tenant == "" && reader.err == nil {
 			reader.err = eris.Errorf("%s: the tenant is empty", Header)
 		}
@@ -125,6 +127,26 @@
 	return order, reader.err
 }
 
+// encodeText escapes a name that contains anything but printable ASCII characters, or a separator. Sidecars
+// of earlier versions can read all other names.
+func encodeText(name string) string {
+	needsEscape := func(r rune) bool {
+		return r <= ' ' || r >= unicode.MaxASCII || r == '%' || strings.ContainsRune(separator, r)
+	}
+	if !strings.ContainsFunc(name, needsEscape) {
+		return name
+	}
+	return url.PathEscape(name)
+}
+
+func decodeText(encoded string) string {
+	name, err := url.PathUnescape(encoded)
+	if err != nil {
+		return encoded // from a sidecar that does not escape names
+	}
+	return name
+}
+
 func encodeBool(set bool) string {
 	if set {
 		return textTrue
--- a/internal/dataplane/hop/hop_test.go
+++ b/internal/dataplane/hop/hop_test.go
@@ -1,8 +1,10 @@
 package hop_test
 
 import (
+	"strings"
 	"testing"
 	"time"
+	"unicode"
 
 	qt "github.com/frankban/quicktest"
 
@@ -54,3 +56,20 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
+
+// TestOrderEscapesNames guards against a name that breaks the field into other fields, or ends it: each
+// request of such a tenant or service would be refused as malformed.
+func TestOrderEscapesNames(t *testing.T) {
+	for _, name := range []string{"a b", " a", "a;b", "a%3Bb", "100%", "a\r\nX: y", "añil", "\x7f", ";;;"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			order := hop.Order{Instance: "i-1", CallerService: name, Tenant: name, KeyTag: "0102030405060708"}
+			encoded := order.Encode()
+			c.Check(strings.ContainsFunc(encoded, func(r rune) bool { return r <= ' ' || r >= unicode.MaxASCII }), qt.IsFalse)
+			decoded, err := hop.DecodeOrder(encoded)
+			c.Assert(err, qt.IsNil)
+			c.Check(decoded, qt.DeepEquals, order)
+		})
+	}
+	qt.Check(t, hop.Order{CallerService: "a-b_c.1/2"}.Encode(), qt.Contains, ";a-b_c.1/2;")
+}
--- a/internal/dataplane/inbound/send.go
+++ b/internal/dataplane/inbound/send.go
@@ -5,8 +5,11 @@
 	"errors"
 	"maps"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
@@ -76,9 +79,9 @@
 	set(header, names.RequestID, request.ID)
 	set(header, names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	set(header, names.ExpectInstance, order.Instance)
-	set(header, names.CallerService, order.CallerService)
+	set(header, names.CallerService, headerText(order.CallerService))
 	if order.Tenant != "" {
-		set(header, names.Tenant, order.Tenant)
+		set(header, names.Tenant, headerText(order.Tenant))
 	}
 	sent := &client.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host,
@@ -201,3 +204,11 @@
 	s.parent.End(time.Now())
 	return err
 }
+
+// headerText returns a name as the value of a header field. A name that cannot be one is escaped.
+func headerText(name string) string {
+	if strings.TrimSpace(name) == name && !strings.ContainsFunc(name, unicode.IsControl) {
+		return name
+	}
+	return url.PathEscape(name)
+}
--- a/internal/dataplane/outbound/log.go
+++ b/internal/dataplane/outbound/log.go
@@ -71,6 +71,17 @@
 	}).Warn("the caller is not authenticated")
 }
 
+// unusable logs a request for which the configuration cannot be used.
+func (l *requestLog) unusable(request *message.Request, route *snapshot.Route, identity tenancy.Identity, current *snapshot.Snapshot, fault string) {
+	entry, ok := l.lines.Take(true)
+	if !ok {
+		return
+	}
+	entry.WithFields(logrus.Fields{
+		"request": request.ID, "route": route.Name, "tenant": identity.Name(), "fault": fault,
+	}).WithFields(l.versionFields(current)).Warn("the configuration of the route or of the tenant cannot be used")
+}
+
 // beyondQuota logs a request beyond the quota of its tenant.
 func (l *requestLog) beyondQuota(e *exchange, decision quota.Decision) {
 	entry, ok := l.lines.Take(true)
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -219,6 +219,9 @@
 	if refusal != "" {
 		return nil, p.refuseUnauthenticated(request, route, current, refusal)
 	}
+	if isUnusable(route, identity) {
+		return nil, p.refuseUnusable(request, route, identity, current)
+	}
 	callerTimeout, ok := p.callerTimeoutOf(request, route)
 	if !ok {
 		return nil, p.errorAnswer(request, http.StatusBadRequest, p.options.Names.Deadline+" is not a number of milliseconds", 0)
--- a/internal/dataplane/outbound/tenants.go
+++ b/internal/dataplane/outbound/tenants.go
@@ -12,21 +12,26 @@
 	"github.com/winchhead/winchhead/internal/tenancy"
 )
 
-// Check returns the answer to a request whose key is missing or not valid, or nil. It decides by the header,
-// before the body is read.
+// Check returns the answer to a request whose key is missing or not valid, or for which the configuration
+// cannot be used, or nil. It decides by the header, before the body is read.
 func (p *Proxy) Check(request *message.Request) *message.Response {
 	current := p.options.Snapshots.Current()
-	if current == nil || !current.RequiresKeys() {
+	if current == nil || !current.RequiresKeys() && !current.HasUnusableRoutes() {
 		return nil
 	}
 	route := current.Lookup(request.Method, request.Host, request.Path, request.Header)
 	if route == nil {
 		return nil
 	}
-	if _, refusal := tenancy.Authenticate(current, route, request.Header); refusal != "" {
+	identity, refusal := tenancy.Authenticate(current, route, request.Header)
+	switch {
+	case refusal != "":
 		return p.refuseUnauthenticated(request, route, current, refusal)
+	case isUnusable(route, identity):
+		return p.refuseUnusable(request, route, identity, current)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // refuseUnauthenticated returns the answer to a request whose key is missing or not valid.
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -45,8 +45,8 @@
 
 func (s *state) empty() bool { return s.revision == 0 }
 
-// apply applies items and reports whether anything changed. An invalid configuration leaves the
-// last valid one in place. An invalid instance entry removes the instance.
+// apply applies items and reports whether anything changed. An entry that is not a configuration at all
+// leaves the last one in place. An invalid instance entry removes the instance.
 func (s *state) apply(items []Item, options Options, faults *invalidEntryReporter) (changed bool) {
 	checked := checkItems(items, options)
 	for i, item := range items {
@@ -98,9 +98,7 @@
 		return item.Evacuation.Check()
 	case item.Configuration != nil:
 		item.Configuration.setDefaults()
-		if len(item.Configuration.Routes) == 0 {
-			return errNoRoutes
-		}
+		item.Configuration.sanitize()
 		return options.Validate(item.Configuration)
 	default:
 		return nil
@@ -113,8 +111,6 @@
 	defaultRouteAttempts      = 1
 )
 
-var errNoRoutes = eris.New("the configuration has no routes")
-
 // setDefaults fills in the limits that routes omit.
 func (c *Configuration) setDefaults() {
 	for i := range c.Routes {
@@ -128,6 +124,12 @@
 	}
 }
 
+// sanitize keeps a value that cannot be used from costing more than the resource that holds it.
+func (c *Configuration) sanitize() {
+	usable := snapshot.Sanitize(snapshot.Content{Services: c.Services, Routes: c.Routes, Tenants: c.Tenants, Limits: c.Limits})
+	c.Services, c.Routes, c.Tenants, c.Limits = usable.Services, usable.Routes, usable.Tenants, usable.Limits
+}
+
 // dropInstance removes an instance whose entry is invalid, and reports whether it was present.
 func (s *state) dropInstance(item Item) bool {
 	if _, held := s.instances[item.Key]; !held || item.Kind != KindInstance {
--- a/internal/mirror/unknown_values.go
+++ b/internal/mirror/unknown_values.go
@@ -59,9 +59,12 @@
 func (u *unknownValueReporter) isNew(place reportedValue) bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	if u.reported[place] || len(u.reported) >= maxReportedValues {
+	if u.reported[place] {
 		return false
 	}
+	if len(u.reported) >= maxReportedValues {
+		clear(u.reported)
+	}
 	u.reported[place] = true
 	return true
 }
--- a/internal/proxy/outbound/admit.go
+++ b/internal/proxy/outbound/admit.go
@@ -27,6 +27,9 @@
 	if route == nil {
 		return nil, refusal(outcome.ReasonNoRoute, "")
 	}
+	if route.Unusable {
+		return nil, refusal(outcome.ReasonNoInstance, "the configuration of the route cannot be used")
+	}
 	timeout, problem := requestTimeout(r, route)
 	if problem != nil {
 		return nil, problem
--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -35,13 +35,16 @@
 	snapshot.table = newRouteTable(snapshot.routes)
 	isUrgent := func(route Route) bool { return route.Priority == 0 }
 	snapshot.ranksRoutes = slices.ContainsFunc(routes, isUrgent) && slices.ContainsFunc(routes, func(route Route) bool { return !isUrgent(route) })
+	snapshot.hasUnusable = slices.ContainsFunc(routes, func(route Route) bool { return route.Unusable })
 	return snapshot, nil
 }
 
 // routeSortKey holds what determines the position of a route in the matching order.
 type routeSortKey struct {
-	host               string
-	segments, declared int
+	host     string
+	segments int
+	// literalBytes is the length of a literal prefix.
+	literalBytes, declared int
 }
 
 // sortedByMatchOrder returns the routes with a host first, longer path prefixes before shorter ones,
@@ -51,9 +54,12 @@
 	for i := range routes {
 		match := &routes[i].Match
 		sortKeys[i] = routeSortKey{host: match.Host, segments: countSegments(match.PathPrefix), declared: i}
+		if match.Literal {
+			sortKeys[i].literalBytes = len(match.PathPrefix)
+		}
 	}
 	slices.SortFunc(sortKeys, func(a, b routeSortKey) int {
-		return cmp.Or(strings.Compare(b.host, a.host), cmp.Compare(b.segments, a.segments), cmp.Compare(a.declared, b.declared))
+		return cmp.Or(strings.Compare(b.host, a.host), cmp.Compare(b.segments, a.segments), cmp.Compare(b.literalBytes, a.literalBytes), cmp.Compare(a.declared, b.declared))
 	})
 	ordered := make([]Route, len(routes))
 	for i, key := range sortKeys {
@@ -64,13 +70,18 @@
 
 // countSegments returns the number of segments of a path prefix.
 func countSegments(prefix string) int {
-	trimmed := strings.Trim(prefix, "/")
+	trimmed := trimSlashes(prefix)
 	if trimmed == "" {
 		return 0
 	}
 	return strings.Count(trimmed, "/") + 1
 }
 
+// trimSlashes returns the segments of a path prefix, which may be empty, without the slashes around them.
+func trimSlashes(prefix string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(prefix, "/"), "/")
+}
+
 // CheckConsistency checks that every service and secret named by a route is part of the snapshot, and that
 // every route can be matched and forwarded. It returns the first error.
 func (s *Snapshot) CheckConsistency() error {
@@ -95,7 +106,7 @@
 	if route.Name == "" {
 		return eris.New("the route has no name")
 	}
-	if err := checkMatch(route.Match); err != nil {
+	if err := checkMatch(route.Match); err != nil || route.Unusable {
 		return err
 	}
 	if err := checkForwarding(route); err != nil {
@@ -120,6 +131,9 @@
 	if prefix != "" && !strings.HasPrefix(prefix, "/") {
 		return eris.Errorf("path %q does not start with a slash", prefix)
 	}
+	if match.Literal {
+		return nil
+	}
 	if strings.Contains(strings.Trim(prefix, "/"), "//") {
 		return eris.Errorf("path %q has an empty segment", prefix)
 	}
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -25,6 +25,8 @@
 	ColdMillis int64 `json:"cold_ms,omitempty"`
 	// HealthPath is the path of the health check of an instance. Empty: there is none.
 	HealthPath string `json:"health_path,omitempty"`
+	// Fault says which parts of the operators' entry were not used; empty: all were.
+	Fault string `json:"fault,omitempty"`
 }
 
 // Policy is a program that an operator submitted to the platform.
--- a/internal/snapshot/explain.go
+++ b/internal/snapshot/explain.go
@@ -47,7 +47,7 @@
 	switch {
 	case !matchesHost(route.Match.Host, host):
 		result.Verdict = VerdictHost
-	case !matchesPath(route.Match.PathPrefix, path):
+	case !route.Match.matchesPath(path):
 		result.Verdict = VerdictPath
 	case !matchesMethod(route.Match.Methods, method):
 		result.Verdict = VerdictMethod
--- a/internal/snapshot/host.go
+++ b/internal/snapshot/host.go
@@ -35,23 +35,33 @@
 	return b
 }
 
-// matchesHost reports whether the host of a request matches the wanted host name.
+// matchesHost reports whether the host of a request matches the wanted host, which has a port only if
+// the request must have the same.
 func matchesHost(wanted, host string) bool {
-	if wanted == "" {
-		return true
-	}
-	name := hostName(host)
-	if len(name) != len(wanted) {
+	return wanted == "" || equalsLower(wanted, host) || equalsLower(wanted, hostName(host))
+}
+
+// equalsLower reports whether a lower-case text equals another one in lower case.
+func equalsLower(lower, text string) bool {
+	if len(lower) != len(text) {
 		return false
 	}
-	for i := range len(name) {
-		if lowerByte(name[i]) != wanted[i] {
+	for i := range len(text) {
+		if lowerByte(text[i]) != lower[i] {
 			return false
 		}
 	}
 	return true
 }
 
+func (m Match) matchesPath(path string) bool {
+	if !m.Literal {
+		return matchesPath(m.PathPrefix, path)
+	}
+	rest, found := strings.CutPrefix(path, m.PathPrefix)
+	return found && (rest == "" || rest[0] == '/' || m.PathPrefix == "" || strings.HasSuffix(m.PathPrefix, "/"))
+}
+
 // matchesPath reports whether the prefix covers whole segments of the path.
 func matchesPath(prefix, path string) bool {
 	wanted := strings.Trim(prefix, "/")
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -57,6 +57,29 @@
 	if limit := maxNameBytes(kind); len(name) > limit {
 		return eris.Errorf("%s %.16q...: the name has %d bytes, at most %d are allowed", kind, name, len(name), limit)
 	}
+	switch kind {
+	case KindService, KindRoute, KindTenant, KindEvacuation:
+		// The source assigns these names. They are only compared, and escaped wherever they are written.
+		if !utf8.ValidString(name) {
+			return eris.Errorf("%s %.64q: the name is not valid UTF-8", kind, name)
+		}
+		return nil
+	default:
+		return checkIdentifier(kind, name)
+	}
+}
+
+// CheckServiceNames returns an error if the name of a service is not an identifier that policies can use.
+func CheckServiceNames(services []Service) error {
+	for _, service := range services {
+		if err := checkIdentifier(KindService, service.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkIdentifier(kind Kind, name string) error {
 	for i := range len(name) {
 		if isNameByte(name[i], i == 0) {
 			continue
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -53,7 +53,7 @@
 	// Name is unique within a snapshot: "policy/route".
 	Name  string `json:"name"`
 	Match Match  `json:"match"`
-	// Targets is never empty in a consistent snapshot.
+	// Targets is empty only for an unusable route.
 	Targets []WeightedService `json:"targets"`
 	// PreferZone keeps requests in the caller's zone while it has capacity.
 	PreferZone bool `json:"prefer_zone"`
@@ -79,6 +79,10 @@
 	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 	// AllowedRegions are the regions whose instances may serve the route; empty: all.
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	// Unusable is set if all requests are refused because the operators' entry for the route cannot be used.
+	Unusable bool `json:"unusable,omitempty"`
+	// Fault says which parts of the operators' entry were not used; empty: all were.
+	Fault string `json:"fault,omitempty"`
 }
 
 // MayRepeat reports whether a request with this method is safe to run more than once.
@@ -107,6 +111,7 @@
 	fleet      fleet
 	// ranksRoutes is set if there are routes of priority 0 and of others.
 	ranksRoutes bool
+	hasUnusable bool
 }
 
 // Version returns the version of the document that the snapshot was compiled from.
@@ -122,6 +127,9 @@
 // RanksRoutes reports whether there are routes of priority 0 and routes of lower priority.
 func (s *Snapshot) RanksRoutes() bool { return s.ranksRoutes }
 
+// HasUnusableRoutes reports whether any route is unusable.
+func (s *Snapshot) HasUnusableRoutes() bool { return s.hasUnusable }
+
 // Service returns the service of a name, if it is part of the snapshot.
 func (s *Snapshot) Service(name string) (Service, bool) {
 	service, ok := s.services[name]
--- a/internal/snapshot/table.go
+++ b/internal/snapshot/table.go
@@ -15,6 +15,9 @@
 type routeTable struct {
 	hosts   map[string]*pathNode
 	anyHost *pathNode
+	// hasPorts is set if there are routes for a host with a port. They take precedence over those for the
+	// host with any port.
+	hasPorts bool
 }
 
 // pathNode is one segment of the path prefixes of a host.
@@ -61,13 +64,14 @@
 	if !ok {
 		node = &pathNode{}
 		t.hosts[host] = node
+		t.hasPorts = t.hasPorts || host != hostName(host)
 	}
 	return node
 }
 
 // ensurePath returns the node of a path prefix, which it creates if necessary.
 func (n *pathNode) ensurePath(prefix string) *pathNode {
-	rest := strings.Trim(prefix, "/")
+	rest := trimSlashes(prefix)
 	for rest != "" {
 		var segment string
 		segment, rest, _ = strings.Cut(rest, "/")
@@ -90,7 +94,14 @@
 		// For example "*" of OPTIONS, which only routes without a path prefix match.
 		rest = ""
 	}
-	if tree := t.hostTree(host); tree != nil {
+	if t.hasPorts {
+		if tree := t.hostTree(host); tree != nil {
+			if route := tree.find(method, path, rest, header); route != nil {
+				return route
+			}
+		}
+	}
+	if tree := t.hostTree(hostName(host)); tree != nil {
 		if route := tree.find(method, path, rest, header); route != nil {
 			return route
 		}
@@ -101,9 +112,8 @@
 	return t.anyHost.find(method, path, rest, header)
 }
 
-// hostTree returns the tree for the host of a request, or nil.
+// hostTree returns the tree for a host, or nil.
 func (t *routeTable) hostTree(host string) *pathNode {
-	host = hostName(host)
 	if !hasUpper(host) {
 		return t.hosts[host]
 	}
--- a/internal/snapshot/tenant.go
+++ b/internal/snapshot/tenant.go
@@ -58,6 +58,10 @@
 	Priority *int `json:"priority,omitempty"`
 	// AllowedRegions are the regions whose instances may serve the tenant; empty: all.
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	// Unusable is set if it is not clear what the tenant's callers may do. Their requests are refused.
+	Unusable bool `json:"unusable,omitempty"`
+	// Fault says which parts of the operators' entry were not used; empty: all were.
+	Fault string `json:"fault,omitempty"`
 }
 
 // HasKey reports whether the tenant has a key with the tag, in hexadecimal form.
--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -14,7 +14,8 @@
 	// Name is unique within a document.
 	Name string `json:"name"`
 	Host string `json:"host"`
-	// PathPrefix is a prefix of the path as sent; it begins and ends with a slash.
+	// PathPrefix is a prefix of the path as sent, in whole segments; it begins with a slash. That of an unusable
+	// route may be empty: it then takes the requests of the host that no other route takes.
 	PathPrefix string `json:"path_prefix"`
 	// Repeatable says that a request is safe to run more than once.
 	Repeatable bool `json:"repeatable,omitempty"`
@@ -31,6 +32,11 @@
 	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 	// AllowedRegions are the regions whose instances may serve the route; empty: all.
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	// Unusable is set if the route cannot be served as the operators mean it. Its requests are refused, so
+	// that none of them reaches the service of a shorter prefix.
+	Unusable bool `json:"unusable,omitempty"`
+	// Fault says which parts of the operators' entry were not used; empty: all were.
+	Fault string `json:"fault,omitempty"`
 }
 
 // Lifecycle is the readiness for new requests that an instance reports.
@@ -109,6 +115,8 @@
 	IdleTimeoutMillis   int64 `json:"idle_timeout_ms"`
 	// RequireKeys says that requests need an API key, even while there is no tenant.
 	RequireKeys bool `json:"require_keys,omitempty"`
+	// Fault says which parts of the operators' entry were not used; empty: all were.
+	Fault string `json:"fault,omitempty"`
 }
 
 // limitsName is the name of the single resource of KindLimits.
@@ -132,8 +140,8 @@
 	if route.Host == "" {
 		return eris.Errorf("route %q: the host is empty", route.Name)
 	}
-	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
-		return eris.Errorf("route %q: path prefix %q must begin and end with a slash", route.Name, route.PathPrefix)
+	if !strings.HasPrefix(route.PathPrefix, "/") && (route.PathPrefix != "" || !route.Unusable) {
+		return eris.Errorf("route %q: path prefix %q must begin with a slash", route.Name, route.PathPrefix)
 	}
 	if route.Priority < 0 {
 		return eris.Errorf("route %q: priority %d is negative", route.Name, route.Priority)
@@ -201,5 +209,7 @@
 
 		AllowAnonymous: r.AllowAnonymous,
 		AllowedRegions: r.AllowedRegions,
+		Unusable:       r.Unusable,
+		Fault:          r.Fault,
 	}
 }
--- a/internal/source/decode.go
+++ b/internal/source/decode.go
@@ -55,6 +55,9 @@
 	if err := checkSupported(content); err != nil {
 		return nil, err
 	}
+	if err := snapshot.CheckServiceNames(content.Services); err != nil {
+		return nil, eris.Wrap(err, "invalid document")
+	}
 	document, err := snapshot.NewDocument(content)
 	if err != nil {
 		return nil, eris.Wrap(err, "invalid document")
