What of a configuration is not used is logged, counted and listed

Operators could not see that a part of a configuration was left out, or why. Each node logs the resources with faults once for a configuration in force (20 lines at most), counts them in winchhead_configuration_faults, and lists them for `winchhead faults` and /v1/faults; `winchhead explain` shows the reason for an unusable route. The commands quote names that would garble a terminal.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -72,7 +72,7 @@
 func TestSecretValuesNeverAppear(t *testing.T) {
 	c := qt.New(t)
 	server, _ := startServer(c, newFakeNode(c))
-	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/v1/status", "/v1/fleet", "/v1/configuration", "/v1/tenants",
+	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/v1/status", "/v1/fleet", "/v1/configuration", "/v1/tenants", "/v1/faults",
 		"/v1/members", "/v1/explain?method=GET&path=/trips/7", "/v1/explain?method=GET&path=/none"} {
 		response, err := http.Get(server.URL + path)
 		c.Assert(err, qt.IsNil)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -105,6 +105,7 @@
 		router.Get(pathExplain, server.explain)
 		router.Get(pathMembers, server.members)
 		router.Get(pathTenants, server.tenants)
+		router.Get(pathFaults, server.faults)
 		router.Get(pathStatements, server.statements)
 		router.Get(pathSuspects, server.suspects)
 		router.Post(pathClearSuspect, server.clearSuspect)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,6 +50,7 @@
 		{"status", "Show which version each node holds", statusHelp, &statusCommand{environment: env}},
 		{"suspects", "Show which requests may crash instances, or let one in again", suspectsHelp, &suspectsCommand{environment: env}},
 		{"statements", "Show the instances that limit their requests or leave", statementsHelp, &statementsCommand{environment: env}},
+		{"faults", "Show what is not used of the configuration in force", faultsHelp, &faultsCommand{environment: env}},
 		{"tenants", "Show the tenants and what they use of their quotas", tenantsHelp, &tenantsCommand{environment: env}},
 		{"watch", "Wait until a revision is in force everywhere", watchHelp, &watchCommand{environment: env}},
 		{"trace", "Show what the logs tell of one request", traceHelp, &traceCommand{environment: env}},
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -41,7 +41,7 @@
 	if err := c.print(c.stdout, explanation, write); err != nil {
 		return err
 	}
-	if explanation.Route == nil {
+	if explanation.Route == nil || explanation.Route.Unusable {
 		return &exitError{code: ExitRefused}
 	}
 	return nil
@@ -58,7 +58,14 @@
 		writeVerdicts(out, explanation.Considered)
 		return
 	}
-	_, _ = fmt.Fprintf(out, "Route     %s\n", route.Name)
+	_, _ = fmt.Fprintf(out, "Route     %s\n", printable(route.Name))
+	if route.Fault != "" {
+		_, _ = fmt.Fprintf(out, "Fault     %s\n", printable(route.Fault))
+	}
+	if route.Unusable {
+		_, _ = fmt.Fprintln(out, "The route cannot be used: this request would be answered 503, not run.")
+		return
+	}
 	_, _ = fmt.Fprintf(out, "Timeout   %s\n", route.Timeout)
 	_, _ = fmt.Fprintf(out, "Repeat    %s\n", describeRepeat(explanation))
 	_, _ = fmt.Fprintf(out, "Zone      %s\n", describeZone(*route))
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 )
 
 // outputFlags selects the format of a command's output.
@@ -36,17 +38,27 @@
 
 func newTable(out io.Writer, columns ...string) *table {
 	t := &table{writer: tabwriter.NewWriter(out, 0, 0, columnPadding, ' ', 0)}
-	t.row(columns...)
+	_, _ = fmt.Fprintln(t.writer, strings.Join(columns, "\t"))
 	return t
 }
 
 func (t *table) row(cells ...string) {
+	shown := make([]string, len(cells))
 	for i, cell := range cells {
-		if cell == "" {
-			cells[i] = "-"
+		if shown[i] = printable(cell); cell == "" {
+			shown[i] = "-"
 		}
 	}
-	_, _ = fmt.Fprintln(t.writer, strings.Join(cells, "\t"))
+	_, _ = fmt.Fprintln(t.writer, strings.Join(shown, "\t"))
+}
+
+// printable returns a text, quoted if it has characters that would garble the terminal or a table. Names of
+// a configuration are arbitrary.
+func printable(text string) string {
+	if strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+	return text
 }
 
 func (t *table) flush() { _ = t.writer.Flush() }
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,7 @@
 
 	plan         *policy.Plan
 	conditions   Hysteresis
+	faults       []snapshot.Fault // of the configuration in force
 	refusal      *Refusal
 	refusalError error
 }
@@ -330,9 +332,33 @@
 		"routes":     len(current.Routes()),
 		"instances":  current.InstanceCount(),
 	}).Info("configuration in force")
+	a.reportFaults(current.Faults())
 	a.watchers.notify(Update{InForce: current.Version(), Generation: current.Generation(), Refusal: a.refusal})
 }
 
+// maxFaultLines bounds the lines that are logged for the faults of one configuration.
+const maxFaultLines = 20
+
+// reportFaults logs what was not used of a configuration, and sets the metric.
+func (a *Applier) reportFaults(faults []snapshot.Fault) {
+	if slices.Equal(faults, a.faults) {
+		return
+	}
+	a.faults = faults
+	a.metrics.faults.Reset()
+	for i, fault := range faults {
+		a.metrics.faults.WithLabelValues(fault.Kind.String()).Inc()
+		if i < maxFaultLines {
+			a.logger.WithFields(logrus.Fields{
+				"kind": fault.Kind.String(), "name": fault.Name, "unusable": fault.Unusable, "problem": fault.Problem,
+			}).Warn("the configuration in force has a resource of whose entry not all was used")
+		}
+	}
+	if left := len(faults) - maxFaultLines; left > 0 {
+		a.logger.WithField("left", left).Warn("further resources have faults: winchhead faults lists them")
+	}
+}
+
 // reportFleet logs the changes to instances and evacuations between two snapshots, sets the
 // metrics, and remembers what was removed.
 func (a *Applier) reportFleet(previous, current *snapshot.Snapshot, learnedBy string) {
--- a/internal/configuration/metrics.go
+++ b/internal/configuration/metrics.go
@@ -10,6 +10,7 @@
 	compilation prometheus.Histogram
 
 	evacuatedZones prometheus.Gauge
+	faults         *prometheus.GaugeVec
 }
 
 // newMetrics creates the metrics and registers them unless the registerer is nil.
@@ -35,6 +36,10 @@
 			Name: "winchhead_configuration_evacuated_zones",
 			Help: "Zones whose instances get no requests.",
 		}),
+		faults: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "winchhead_configuration_faults",
+			Help: "Resources of the configuration in force of whose entries not all was used, by kind.",
+		}, []string{"kind"}),
 		compilation: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "winchhead_configuration_compilation_seconds",
 			Help:    "Time to compile all policies of a document.",
@@ -44,7 +49,7 @@
 	if registerer == nil {
 		return built, nil
 	}
-	for _, collector := range []prometheus.Collector{built.epoch, built.revision, built.generation, built.refusals, built.compilation, built.evacuatedZones} {
+	for _, collector := range []prometheus.Collector{built.epoch, built.revision, built.generation, built.refusals, built.compilation, built.evacuatedZones, built.faults} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, err
 		}
