The body of a request refused by its header is never taken for a request

What callers could do: send the header of a POST with "Expect: 100-continue" that is refused before its body (an unknown key, or a route that cannot be used), get the refusal on a connection that stays open, and send the body then. A body with the text of another request ran as that request, past the check of its own.

Cause: a client that announces that it will wait was taken to send nothing after a refusal. It need not wait (RFC 9110, 10.1.1), so the server has to close the connection or read the body (RFC 9112, 9.3).

Change: the connection of a caller closes with such a refusal. Between nodes it stays open after a refused admission, as nodes send no body then. The row of TestCheckedBeforeTheBody that stated "stays open" states "closes", as strictly.

--- a/internal/dataplane/server/admit.go
+++ b/internal/dataplane/server/admit.go
@@ -27,7 +27,9 @@
 		return nil, nil
 	}
 	if admission.Refusal != nil {
-		return c.refuseUnread(parsed, read, admission.Refusal), nil
+		// Nodes that ask for admission send no body after a refusal, so the connection can be kept.
+		read.closeAfter = read.closeAfter || c.reader.Buffered() > 0
+		return c.refuseUnread(read, admission.Refusal), nil
 	}
 	if err := c.continueInOrder(admission.Interim); err != nil {
 		done(false)
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -89,7 +89,9 @@
 	}
 	read := c.newExchange(parsed)
 	if refusal := c.checkHeader(parsed, read.request); refusal != nil {
-		return c.refuseUnread(parsed, read, refusal), nil
+		// Any client may send the body without waiting, also after this response.
+		read.closeAfter = true
+		return c.refuseUnread(read, refusal), nil
 	}
 	if c.needsAdmission(parsed) {
 		return c.readAdmitted(parsed, read, limits)
@@ -118,12 +120,10 @@
 	return c.server.options.Check(request)
 }
 
-// refuseUnread refuses a request whose body has not been read. The connection stays open if the client
-// waits for a response before it sends the body; a client that did not wait has sent data that could be
-// taken for another request.
-func (c *connection) refuseUnread(parsed *http.Request, read *exchange, refusal *message.Response) *exchange {
+// refuseUnread refuses a request whose body has not been read. Unless the connection is closed, what the
+// client sends of the body would be taken for another request.
+func (c *connection) refuseUnread(read *exchange, refusal *message.Response) *exchange {
 	read.refused = true
-	read.closeAfter = read.closeAfter || !expectsContinue(parsed) || c.reader.Buffered() > 0
 	read.answer <- refusal
 	return read
 }
--- a/internal/dataplane/server/server_test.go
+++ b/internal/dataplane/server/server_test.go
@@ -184,7 +184,8 @@
 }
 
 // TestCheckedBeforeTheBody guards against a body that is received in full only to be refused for the
-// request's header. The connection stays open where no part of the body can follow.
+// request's header. The connection is closed wherever a part of the body can follow, also where the client
+// said that it would wait: it need not (RFC 9110, 10.1.1).
 func TestCheckedBeforeTheBody(t *testing.T) {
 	post := func(fields string) string {
 		return fmt.Sprintf("POST /p HTTP/1.1\r\nHost: h\r\n%s: 1\r\n%s\r\n", idHeader, fields)
@@ -196,7 +197,7 @@
 	}{
 		"large body":             {post("Content-Length: 100000\r\n"), true, true},
 		"chunked body":           {post("Transfer-Encoding: chunked\r\n"), true, true},
-		"body that waits":        {post("Content-Length: 100000\r\nExpect: 100-continue\r\n"), true, false},
+		"body that waits":        {post("Content-Length: 100000\r\nExpect: 100-continue\r\n"), true, true},
 		"body that did not wait": {post("Content-Length: 100000\r\nExpect: 100-continue\r\n") + "xxx", true, true},
 		"small body":             {post("Content-Length: 3\r\n") + "xxx", false, false},
 		"no body":                {get("1"), false, false},
@@ -218,6 +219,34 @@
 	}
 }
 
+// TestBodyAfterRefusalIsNoRequest guards against a body that is taken for a request because its own request was
+// refused before the body came: it would run without the check that refused its request.
+func TestBodyAfterRefusalIsNoRequest(t *testing.T) {
+	for name, fields := range map[string]string{
+		"with a length": "Content-Length: %d\r\nExpect: 100-continue\r\n", "in chunks": "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ran := make(chan string, 8)
+			r := newCheckingServer(t, func(_ context.Context, request *message.Request) *message.Response {
+				ran <- request.Path
+				return message.Whole(http.StatusOK, nil, nil)
+			}, func(*message.Request) *message.Response { return message.Whole(http.StatusUnauthorized, nil, nil) })
+			smuggled := get("2")
+			if strings.Contains(fields, "%d") {
+				fields = fmt.Sprintf(fields, len(smuggled))
+			}
+			r.send(c, fmt.Sprintf("POST /p HTTP/1.1\r\nHost: h\r\n%s: 1\r\n%s\r\n", idHeader, fields))
+			response, _ := r.read(c)
+			c.Assert(response.StatusCode, qt.Equals, http.StatusUnauthorized)
+			_, _ = io.WriteString(r.conn, smuggled) // fails if the server has closed the connection already
+			rest, _ := io.ReadAll(r.reader)         // likewise
+			c.Check(string(rest), qt.Equals, "")
+			c.Check(ran, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestDrainClosesAfterLastResponse: only the last response closes the connection, so that no
 // pipelined request is lost.
 func TestDrainClosesAfterLastResponse(t *testing.T) {
