An accepted configuration too large for a document loses its last resources only

What callers saw: an entry of 1 MiB with more than 20,000 routes, or with a long host on many routes, was refused as a whole, and the one before stayed in force.

Cause: the limits of a document (8 MiB, 20,000 resources of a kind) refuse it as a whole; one host of 250 bytes is encoded with each of its routes.

Change: a sanitized configuration that still does not compile is cut to what fits, in the order of the entry; the Fault of the limits counts the rest. Routes of a service that is left out are unusable.

--- a/internal/app/accepted_configuration_test.go
+++ b/internal/app/accepted_configuration_test.go
@@ -137,3 +137,34 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(compiled.Routes()), qt.Equals, len(paths))
 }
+
+// TestLargestConfigurationsComeIntoForce guards against entries of 1 MiB whose documents would exceed the limits
+// of documents: what fits comes into force, in the order of the entry, and the rest is counted.
+func TestLargestConfigurationsComeIntoForce(t *testing.T) {
+	long := strings.Repeat("h", 240) + ".example"
+	for name, row := range map[string]struct{ host, path string }{
+		"many routes":            {"a.example", `{"pathPrefix":"/%d/","service":"s"}`},
+		"a long host":            {long, `{"pathPrefix":"/%d/","service":"s"}`},
+		"many services":          {"a.example", `{"pathPrefix":"/%d/","service":"s%[1]d"}`},
+		"names that are escaped": {"a.example", `{"name":"%d` + strings.Repeat("<", 3000) + `","pathPrefix":"/%[1]d/","service":"s"}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			paths := &strings.Builder{}
+			for i := 0; paths.Len() < 1<<20-1000; i++ {
+				if i > 0 {
+					paths.WriteByte(',')
+				}
+				_, _ = fmt.Fprintf(paths, row.path, i)
+			}
+			configuration := fmt.Sprintf(`{"version":7,"virtualHosts":[{"host":%q,"paths":[%s]}]}`, row.host, paths)
+			compiled, err := policy.Compile(readDocument(t, []byte(configuration)), &membership.View{})
+			c.Assert(err, qt.IsNil)
+			c.Check(compiled.Lookup(http.MethodGet, row.host, "/7/x", nil), qt.IsNotNil)
+			c.Check(len(compiled.Routes()) > 100, qt.IsTrue)
+			for _, fault := range compiled.Faults() {
+				c.Logf("%d routes; %s: %s", len(compiled.Routes()), fault.Kind, fault.Problem)
+			}
+		})
+	}
+}
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -97,9 +97,7 @@
 	case item.Evacuation != nil:
 		return item.Evacuation.Check()
 	case item.Configuration != nil:
-		item.Configuration.setDefaults()
-		item.Configuration.sanitize()
-		return options.Validate(item.Configuration)
+		return item.Configuration.makeUsable(options.Validate)
 	default:
 		return nil
 	}
@@ -124,10 +122,29 @@
 	}
 }
 
-// sanitize keeps a value that cannot be used from costing more than the resource that holds it.
-func (c *Configuration) sanitize() {
-	usable := snapshot.Sanitize(snapshot.Content{Services: c.Services, Routes: c.Routes, Tenants: c.Tenants, Limits: c.Limits})
-	c.Services, c.Routes, c.Tenants, c.Limits = usable.Services, usable.Routes, usable.Tenants, usable.Limits
+// makeUsable keeps a value that cannot be used, and a configuration that is too large, from costing more than
+// the resources concerned. It returns the reason why the configuration cannot come into force after all, or nil.
+func (c *Configuration) makeUsable(validate func(*Configuration) error) error {
+	c.setDefaults()
+	c.setContent(snapshot.Sanitize(c.content()))
+	err := validate(c)
+	if err == nil {
+		return nil
+	}
+	limited, leftOut := snapshot.LimitSize(c.content())
+	if leftOut == 0 {
+		return err
+	}
+	c.setContent(limited)
+	return validate(c)
+}
+
+func (c *Configuration) content() snapshot.Content {
+	return snapshot.Content{Services: c.Services, Routes: c.Routes, Tenants: c.Tenants, Limits: c.Limits}
+}
+
+func (c *Configuration) setContent(content snapshot.Content) {
+	c.Services, c.Routes, c.Tenants, c.Limits = content.Services, content.Routes, content.Tenants, content.Limits
 }
 
 // dropInstance removes an instance whose entry is invalid, and reports whether it was present.
--- a/internal/snapshot/sanitize.go
+++ b/internal/snapshot/sanitize.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -26,6 +27,58 @@
 	return content
 }
 
+// maxConfigurationBytes leaves a quarter of a document to instances and evacuations.
+const maxConfigurationBytes = MaxDocumentBytes / 4 * 3
+
+// LimitSize returns the sanitized content without the services, tenants and routes that do not fit into a
+// document, last ones first, and how many these are. The Fault of the limits counts them.
+func LimitSize(content Content) (limited Content, leftOut int) {
+	size := 0
+	content.Services = firstFitting(content.Services, serviceName, &size, &leftOut)
+	content.Tenants = firstFitting(content.Tenants, tenantName, &size, &leftOut)
+	content.Routes = firstFitting(content.Routes, typedRouteName, &size, &leftOut)
+	if leftOut == 0 {
+		return content, 0
+	}
+	content.Routes = withoutUnlistedTargets(content.Routes, content.Services)
+	limits := CallerLimits{}
+	if content.Limits != nil {
+		limits = *content.Limits
+	}
+	limits.Fault = AddFault(limits.Fault, fmt.Sprintf("the configuration is too large: %d services, tenants and routes are left out", leftOut))
+	content.Limits = &limits
+	return content, leftOut
+}
+
+// withoutUnlistedTargets makes the routes unusable that have a target among the services left out.
+func withoutUnlistedTargets(routes []TypedRoute, services []Service) []TypedRoute {
+	listed := make(map[string]bool, len(services))
+	for _, service := range services {
+		listed[service.Name] = true
+	}
+	routes = slices.Clone(routes)
+	for i, route := range routes {
+		if slices.ContainsFunc(route.Targets, func(target WeightedService) bool { return !listed[target.Service] }) {
+			routes[i] = sanitizeRoute(route.unusable("a service of the route is left out"))
+		}
+	}
+	return routes
+}
+
+// firstFitting returns the first values that fit into a document after size bytes. It adds their size, and
+// the number of the others to leftOut.
+func firstFitting[T any](values []T, name func(T) string, size, leftOut *int) []T {
+	for i, value := range values {
+		encoded, err := json.Marshal(value)
+		*size += len(name(value)) + len(encoded)
+		if err != nil || i >= MaxTypedResources || *size > maxConfigurationBytes {
+			*leftOut += len(values) - i
+			return values[:i]
+		}
+	}
+	return values
+}
+
 // placeholderName names a resource whose own name cannot be used, by its position.
 func placeholderName(kind Kind, index int) string { return fmt.Sprintf("(%s %d)", kind, index+1) }
 
