A document that a reader accepts can be sent to every peer

What callers would see: a configuration near the limit of a document is in force at the nodes that read the store, and nowhere else; peers close the link over it.

Cause: a document may have 8 MiB of names and bodies, and so may a frame, which also carries the lengths and kinds. A delta names what it removes as well, up to as much again.

Change: the size of a document counts the overhead of its resources, and its limit is 64 KiB below that of a frame. A delta that is no smaller than the whole document gives way to it.

--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -193,7 +193,7 @@
 	if update, encoded := e.push.updates[key]; encoded {
 		return update
 	}
-	message := wire.NewUpdate(snapshot.Diff(base, e.push.held), withOrigins)
+	message := wire.NewUpdate(smallestDelta(base, e.push.held), withOrigins)
 	frame, err := wire.Encode(message)
 	if err != nil {
 		panic(err) // every adopted document can be encoded
@@ -203,6 +203,16 @@
 	return update
 }
 
+// smallestDelta returns the delta from a base, which may be nil, or the whole document if the delta is not
+// smaller. A delta also names what it removes, so that it could exceed the size of a frame.
+func smallestDelta(base, target *snapshot.Document) snapshot.Delta {
+	delta, whole := snapshot.Diff(base, target), snapshot.Diff(nil, target)
+	if delta.Size() >= whole.Size() {
+		return whole
+	}
+	return delta
+}
+
 // onUpdate verifies the document that a peer delivered. It is used only if its hash is that
 // of the target version.
 func (e *Engine) onUpdate(l *link, m *wire.Update) {
--- a/internal/snapshot/document.go
+++ b/internal/snapshot/document.go
@@ -285,7 +285,7 @@
 		if maximum := maxResources(resource.Key.Kind); counts[resource.Key.Kind] > maximum {
 			return eris.Errorf("more than %d resources of the kind %s", maximum, resource.Key.Kind)
 		}
-		total += len(resource.Key.Name) + len(resource.Body)
+		total += len(resource.Key.Name) + len(resource.Body) + ResourceOverheadBytes
 	}
 	if total > MaxDocumentBytes {
 		return eris.Errorf("the document has %d bytes, at most %d are allowed", total, MaxDocumentBytes)
--- a/internal/snapshot/limits.go
+++ b/internal/snapshot/limits.go
@@ -23,8 +23,12 @@
 	MaxResourcesPerKind = 1000
 	// MaxTypedResources is the maximum number of services, of typed routes, of instances, and of tenants.
 	MaxTypedResources = 20_000
-	// MaxDocumentBytes is the maximum total size of the encoded resources of a document.
-	MaxDocumentBytes = 8 << 20
+	// MaxDocumentBytes is the maximum total size of the encoded resources of a document with
+	// ResourceOverheadBytes for each. It leaves room for the rest of the frame that carries a whole document
+	// between nodes (wire.DefaultMaxFrameBytes).
+	MaxDocumentBytes = 8<<20 - 64<<10
+	// ResourceOverheadBytes is what the kind and the lengths of one resource take in a frame at most.
+	ResourceOverheadBytes = 16
 	// MaxServiceLimit is the maximum of each numeric limit of a service, and of an instance's slots.
 	MaxServiceLimit = 1_000_000
 )
--- a/internal/snapshot/sanitize.go
+++ b/internal/snapshot/sanitize.go
@@ -70,7 +70,7 @@
 func firstFitting[T any](values []T, name func(T) string, size, leftOut *int) []T {
 	for i, value := range values {
 		encoded, err := json.Marshal(value)
-		*size += len(name(value)) + len(encoded)
+		*size += len(name(value)) + len(encoded) + ResourceOverheadBytes
 		if err != nil || i >= MaxTypedResources || *size > maxConfigurationBytes {
 			*leftOut += len(values) - i
 			return values[:i]
