Request bodies count from their first byte until their request is answered

Cause: the bound on bodies counted announced lengths, only while bodies were read, and was 96 MiB on every machine. Bodies in chunks announce no length.

The bound is a fifth of node.memory_mb for callers and again for other nodes. A body without memory gets 503 with Retry-After, before 100 Continue where that is awaited; between nodes the answer reports that the request has not run.

--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -203,6 +203,7 @@
 
 		Mechanisms:         configured.Mechanisms,
 		LinkBytesPerSecond: configured.Node.LinkMbps * bytesPerMegabit,
+		BodyMemory:         int64(bodyMemoryShare * configured.Node.MemoryMb * bytesPerMegabyte),
 		Limits: server.Limits{
 			MaxHeaderBytes: configured.Outbound.MaxHeaderBytes,
 			MaxBodyBytes:   configured.Outbound.MaxBodyBytes,
@@ -216,6 +217,14 @@
 	})
 }
 
+const (
+	// bodyMemoryShare is the share of the process's memory for the request bodies of callers, and again for those
+	// of other nodes. Together with the heap that is garbage, they stay below the share of the Go runtime.
+	bodyMemoryShare = 0.2
+	// bytesPerMegabyte converts the setting node.memory_mb to bytes.
+	bytesPerMegabyte = 1 << 20
+)
+
 // bytesPerMegabit converts the setting node.link_mbps to bytes per second.
 const bytesPerMegabit = 1e6 / 8
 
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -42,6 +42,9 @@
 	NodePort int
 	// LinkBytesPerSecond is the capacity of the machine's network link; zero: not known.
 	LinkBytesPerSecond float64
+	// BodyMemory limits the bytes of request bodies that the node holds for callers, and as many for other
+	// nodes; zero: server.DefaultBodyMemory.
+	BodyMemory int64
 	// Regions holds the region of each zone.
 	Regions map[string]string
 	Budget  budget.Options
@@ -107,11 +110,13 @@
 	created.callerServer = server.New(server.Options{
 		Handler: created.outbound, Limits: created.callerLimits,
 		RequestID: options.Names.RequestID, Refuse: created.outbound.Refuse, Check: created.outbound.Check,
+		BodyMemory: options.BodyMemory, RefuseBody: created.outbound.RefuseBody,
 		Egress: created.link.forResponses(options), Memory: created.link.memory,
 	})
 	created.nodeServer = server.New(server.Options{
 		Handler: created.inbound, Limits: created.nodeLimits, Admit: created.inbound.Admit,
 		RequestID: options.Names.RequestID, Refuse: plainTextRefusal, ProgressHeader: hop.HeaderProgress,
+		BodyMemory: options.BodyMemory, RefuseBody: created.inbound.RefuseBody,
 		Egress: created.link.forResponses(options), Memory: created.link.memory,
 	})
 	return created, nil
--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -100,6 +100,14 @@
 	return server.Admission{Refusal: p.answerFor(request, delivery)}
 }
 
+// bodyRetryAfter is when a sender should come back with a body that found no memory.
+const bodyRetryAfter = 200 * time.Millisecond
+
+// RefuseBody returns the answer to a request whose body finds no memory. It has not run.
+func (p *Proxy) RefuseBody(request *message.Request) *message.Response {
+	return p.refuseAdmission(request, p.refuse(hop.ReasonOverloaded, bodyRetryAfter)).Refusal
+}
+
 // logIncompleteBody logs that an admitted body was not received completely.
 func (p *Proxy) logIncompleteBody(request *message.Request, order hop.Order, bytes int64) {
 	entry, ok := p.lines.Take(true)
--- a/internal/dataplane/outbound/outbound.go
+++ b/internal/dataplane/outbound/outbound.go
@@ -252,6 +252,15 @@
 	return p.errorAnswer(nil, status, reason, 0)
 }
 
+// bodyRetryAfter is when callers should retry a request whose body found no memory.
+const bodyRetryAfter = time.Second
+
+// RefuseBody returns the answer to a request whose body finds no memory.
+func (p *Proxy) RefuseBody(request *message.Request) *message.Response {
+	p.metrics.ended("", outcomeNotRun, 0)
+	return p.errorAnswer(request, http.StatusServiceUnavailable, "not run: too many bodies are held", spread(bodyRetryAfter))
+}
+
 func (p *Proxy) refuseUnconfigured(request *message.Request) *message.Response {
 	p.metrics.ended("", outcomeNotRun, 0)
 	return p.errorAnswer(request, http.StatusServiceUnavailable, "the node holds no configuration yet", unconfiguredRetryAfter)
--- a/internal/dataplane/server/admit.go
+++ b/internal/dataplane/server/admit.go
@@ -27,23 +27,33 @@
 		return nil, nil
 	}
 	if admission.Refusal != nil {
-		// Nodes that ask for admission send no body after a refusal, so the connection can be kept.
-		read.closeAfter = read.closeAfter || c.reader.Buffered() > 0
-		return c.refuseUnread(read, admission.Refusal), nil
+		return c.refuseAdmission(read, admission.Refusal), nil
+	}
+	held, found := c.server.bodies.hold(parsed.ContentLength)
+	if !found {
+		done(false)
+		return c.refuseAdmission(read, c.refuseBody(read.request)), nil
 	}
 	if err := c.continueInOrder(admission.Interim); err != nil {
+		held.release()
 		done(false)
 		return nil, nil
 	}
-	body, refusal, ok := c.readBody(parsed, limits)
+	refusal, ok := c.readBody(parsed, read, held, limits)
 	done(ok && refusal == nil)
 	if refusal != nil || !ok {
 		return nil, refusal
 	}
-	read.request.Body = body
 	return read, nil
 }
 
+// refuseAdmission refuses a request whose sender has asked for admission. Nodes send no body after a refusal,
+// so the connection can be kept.
+func (c *connection) refuseAdmission(read *exchange, refusal *message.Response) *exchange {
+	read.closeAfter = read.closeAfter || c.reader.Buffered() > 0
+	return c.refuseUnread(read, refusal)
+}
+
 // continueInOrder sends a 100 (Continue) response after the responses to earlier requests. It
 // waits for them, as a client may have read the last one before its write returned here.
 func (c *connection) continueInOrder(interim http.Header) error {
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -29,6 +29,8 @@
 	refused bool
 	// reportsProgress is set when the client asked for progress reports.
 	reportsProgress bool
+	// heldBody is the memory of the request's body, until the handler returns.
+	heldBody *heldBody
 	// heldBytes is the size of the response, counted in the connection's held responses.
 	heldBytes int64
 }
@@ -190,6 +192,7 @@
 		ctx, cancel := context.WithCancel(c.ctx)
 		defer cancel()
 		answer := c.server.options.Handler.Serve(ctx, taken.request)
+		taken.heldBody.release()
 		taken.heldBytes = int64(len(answer.Body))
 		c.held.add(taken.heldBytes)
 		taken.answer <- answer
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -50,6 +50,7 @@
 			return clientLeft
 		}
 		if !c.accept() {
+			taken.heldBody.release()
 			return lastRequestRead
 		}
 		c.dispatch(taken)
@@ -96,14 +97,17 @@
 	if c.needsAdmission(parsed) {
 		return c.readAdmitted(parsed, read, limits)
 	}
+	held, found := c.server.bodies.hold(parsed.ContentLength)
+	if !found {
+		return nil, c.refuseBody(read.request)
+	}
 	if err := c.sendContinue(parsed); err != nil {
+		held.release()
 		return nil, nil
 	}
-	body, refusal, ok := c.readBody(parsed, limits)
-	if refusal != nil || !ok {
+	if refusal, ok := c.readBody(parsed, read, held, limits); refusal != nil || !ok {
 		return nil, refusal
 	}
-	read.request.Body = body
 	return read, nil
 }
 
@@ -155,32 +159,45 @@
 	}
 }
 
-// readBody reads the whole body, so that the request can be sent again after a failure. ok is
-// false when the client left.
-func (c *connection) readBody(parsed *http.Request, limits Limits) (body []byte, refusal *message.Response, ok bool) {
+// readBody reads the whole body into the exchange, so that the request can be sent again after a failure. held
+// is its memory. ok is false when the client left.
+func (c *connection) readBody(parsed *http.Request, read *exchange, held *heldBody, limits Limits) (refusal *message.Response, ok bool) {
 	if parsed.Body == nil || parsed.Body == http.NoBody {
-		return nil, nil, true
-	}
-	reserved := parsed.ContentLength
-	if reserved < 0 {
-		reserved = 0
-	}
-	if !c.server.bodies.reserve(reserved) {
-		return nil, c.server.options.Refuse(http.StatusServiceUnavailable, "too many bodies are held"), true
+		return nil, true
 	}
-	defer c.server.bodies.release(reserved)
 	c.bound.set(limits.MaxBodyBytes + limits.MaxBodyBytes/8 + readSlack) // an eighth for the chunk framing
 	source := &deadlineReader{connection: c, inner: io.LimitReader(parsed.Body, limits.MaxBodyBytes+1)}
-	body, err := message.ReadBody(source, min(parsed.ContentLength, limits.MaxBodyBytes+1))
+	body, err := readHeld(source, min(parsed.ContentLength, limits.MaxBodyBytes+1), held)
+	if err == nil && int64(len(body)) <= limits.MaxBodyBytes {
+		read.request.Body, read.heldBody = body, held
+		return nil, true
+	}
+	held.release()
 	switch {
-	case err != nil && !isNetworkError(err) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, c.server.options.Refuse(http.StatusBadRequest, "the body is malformed"), true
-	case err != nil:
-		return nil, nil, false
-	case int64(len(body)) > limits.MaxBodyBytes:
-		return nil, c.server.options.Refuse(http.StatusRequestEntityTooLarge, "the body is too large"), true
+	case err == nil:
+		return c.server.options.Refuse(http.StatusRequestEntityTooLarge, "the body is too large"), true
+	case errors.Is(err, errNoBodyMemory):
+		return c.refuseBody(read.request), true
+	case !isNetworkError(err) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return c.server.options.Refuse(http.StatusBadRequest, "the body is malformed"), true
+	default:
+		return nil, false
+	}
+}
+
+func readHeld(source io.Reader, length int64, held *heldBody) ([]byte, error) {
+	if length < 0 {
+		return readUnsized(source, held)
+	}
+	return message.ReadBody(source, length)
+}
+
+// refuseBody returns the response to a request whose body finds no memory.
+func (c *connection) refuseBody(request *message.Request) *message.Response {
+	if c.server.options.RefuseBody != nil {
+		return c.server.options.RefuseBody(request)
 	}
-	return body, nil, true
+	return c.server.options.Refuse(http.StatusServiceUnavailable, errNoBodyMemory.Error())
 }
 
 // sendContinue sends a 100 (Continue) response if the client waits for one and all earlier
--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -58,6 +58,11 @@
 	// Memory bounds the responses held for clients that do not read, where Egress is set; nil: there
 	// is no bound.
 	Memory *ResponseMemory
+	// BodyMemory limits the bytes of request bodies that are held at once, from their first byte until the
+	// request is answered; zero: DefaultBodyMemory.
+	BodyMemory int64
+	// RefuseBody returns the response to a request whose body finds no memory; nil: Refuse does.
+	RefuseBody func(request *message.Request) *message.Response
 }
 
 // Admission is the decision about a body that has not been sent yet.
@@ -77,7 +82,7 @@
 type Server struct {
 	options  Options
 	writers  *writers
-	bodies   bodyMemory
+	bodies   *bodyMemory
 	draining atomic.Bool
 	active   atomic.Int64
 
@@ -94,7 +99,7 @@
 		options.ProgressInterval = defaultProgressInterval
 	}
 	return &Server{
-		options: options, connections: make(map[*connection]struct{}), bodies: bodyMemory{limit: maxBodyMemory}, writers: newWriters(),
+		options: options, connections: make(map[*connection]struct{}), bodies: newBodyMemory(options.BodyMemory), writers: newWriters(),
 	}
 }
 
@@ -209,23 +214,3 @@
 	defer s.mutex.Unlock()
 	return s.closed
 }
-
-// maxBodyMemory limits the total size of the request bodies that are being read.
-const maxBodyMemory = 96 << 20
-
-// bodyMemory limits the memory reserved for request bodies.
-type bodyMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve reserves memory for a body; it returns false when the limit would be exceeded.
-func (m *bodyMemory) reserve(bytes int64) bool {
-	if m.used.Add(bytes) > m.limit {
-		m.used.Add(-bytes)
-		return false
-	}
-	return true
-}
-
-func (m *bodyMemory) release(bytes int64) { m.used.Add(-bytes) }
