A further SIGTERM during a planned stop changes nothing

Cause: any second signal ended the process.

Change: only SIGINT during the stop ends it at once, a further SIGTERM is logged. The row of TestSignalsStopNode that stated the former rule for SIGTERM states it for SIGINT, and rows for repeated SIGTERMs are added.

Evidence: with the former code the test with further SIGTERMs does not get the whole answer (it hung until its time limit of 100 s); it passes now.

--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -25,7 +25,7 @@
 	ExitPending = 4
 	// ExitFailed: a part of the node failed and ended the process.
 	ExitFailed = 5
-	// ExitCutShort: a second signal cut a graceful shutdown short.
+	// ExitCutShort: SIGINT cut a graceful shutdown short.
 	ExitCutShort = 6
 )
 
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -14,7 +14,7 @@
 	"github.com/winchhead/winchhead/internal/settings"
 )
 
-const nodeHelp = `Runs a node: beside a back end, as the settings' inbound section says, or alone as an entry for callers. Every setting can be given in the file or as a flag of the same name; flags win. SIGTERM or SIGINT stops the node in the planned way: it takes no new work, finishes what it has and leaves the fleet; a second signal ends it at once. Exit codes: 0 planned stop, 2 wrong settings, 5 a part failed, 6 a planned stop was cut short.`
+const nodeHelp = `Runs a node: beside a back end, as the settings' inbound section says, or alone as an entry for callers. Every setting can be given in the file or as a flag of the same name; flags win. SIGTERM or SIGINT stops the node in the planned way: it takes no new work, finishes what it has and leaves the fleet. A further SIGTERM changes nothing; SIGINT during the stop ends it at once. Exit codes: 0 planned stop, 2 wrong settings, 5 a part failed, 6 a planned stop was cut short.`
 
 // logFlushTimeout is how long the process waits at its end for the last log lines to be
 // written.
@@ -55,26 +55,28 @@
 	return node.Run(ctx)
 }
 
-// stopOnSignal returns a context that is cancelled by the first SIGTERM or SIGINT. The
-// second one calls flush and exits the process.
+// stopOnSignal returns a context that is cancelled by the first SIGTERM or SIGINT. A later SIGINT calls flush
+// and exits the process; a later SIGTERM changes nothing, as supervisors repeat it.
 func stopOnSignal(parent context.Context, logger logrus.FieldLogger, flush func()) (context.Context, func()) {
-	const signalBuffer = 2
+	const signalBuffer = 8
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(parent)
 	go func() {
-		select {
-		case received := <-signals:
-			logger.Infof("received %s, stopping after the requests in progress", received)
-			cancel()
-		case <-ctx.Done():
-			return
-		}
-		received, open := <-signals
-		if open {
-			logger.Warnf("received %s again, exiting at once", received)
-			flush()
-			os.Exit(ExitCutShort)
+		stopping := false
+		for received := range signals {
+			switch {
+			case !stopping:
+				logger.Infof("received %s, stopping after the requests in progress", received)
+				stopping = true
+				cancel()
+			case received == os.Interrupt:
+				logger.Warnf("received %s again, exiting at once", received)
+				flush()
+				os.Exit(ExitCutShort)
+			default:
+				logger.Infof("received %s again, already stopping", received)
+			}
 		}
 	}()
 	return ctx, func() {
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -115,15 +115,19 @@
 	return string(body)
 }
 
+// TestSignalsStopNode checks what signals do to a request in progress. A supervisor may repeat SIGTERM: if that
+// ended the process, callers would get no answer to requests that have run.
 func TestSignalsStopNode(t *testing.T) {
 	rows := []struct {
 		name   string
-		twice  bool
+		later  []os.Signal
 		code   int
 		answer string
 	}{
-		{"one signal lets the request finish", false, ExitOK, "whole answer"},
-		{"a second signal ends the node at once", true, ExitCutShort, "cut"},
+		{"one signal lets the request finish", nil, ExitOK, "whole answer"},
+		{"further SIGTERMs change nothing", []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, ExitOK, "whole answer"},
+		{"SIGINT during the stop ends the node at once", []os.Signal{os.Interrupt}, ExitCutShort, "cut"},
+		{"and so it does after a further SIGTERM", []os.Signal{syscall.SIGTERM, os.Interrupt}, ExitCutShort, "cut"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -135,9 +139,13 @@
 			<-node.arrived
 			c.Assert(node.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
 			node.awaitLog(c, "leaving: no new work")
-			if row.twice {
-				c.Assert(node.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
-			} else {
+			for _, later := range row.later {
+				c.Assert(node.command.Process.Signal(later), qt.IsNil)
+				if later == syscall.SIGTERM {
+					node.awaitLog(c, "received terminated again, already stopping")
+				}
+			}
+			if row.code == ExitOK {
 				close(node.hold)
 			}
 			c.Assert(<-answered, qt.Equals, row.answer)
@@ -148,7 +156,7 @@
 				c.Fatal(err)
 			}
 			c.Assert(node.command.ProcessState.ExitCode(), qt.Equals, row.code)
-			if row.twice {
+			if row.code != ExitOK {
 				close(node.hold)
 			}
 		})
