--- a/internal/snapshot/build.go
+++ b/internal/snapshot/build.go
@@ -33,8 +33,8 @@
 	}
 	snapshot.routes = sortedByMatchOrder(routes)
 	snapshot.table = newRouteTable(snapshot.routes)
-	isUrgent := func(route Route) bool { return route.Priority == 0 }
-	snapshot.ranksRoutes = slices.ContainsFunc(routes, isUrgent) && slices.ContainsFunc(routes, func(route Route) bool { return !isUrgent(route) })
+	snapshot.ranksRoutes = slices.ContainsFunc(routes, func(route Route) bool { return !route.Unusable && route.Priority == 0 }) &&
+		slices.ContainsFunc(routes, func(route Route) bool { return !route.Unusable && route.Priority != 0 })
 	snapshot.hasUnusable = slices.ContainsFunc(routes, func(route Route) bool { return route.Unusable })
 	return snapshot, nil
 }
--- a/internal/snapshot/sanitize_test.go
+++ b/internal/snapshot/sanitize_test.go
@@ -112,3 +112,14 @@
 		}
 	}
 }
+
+// TestUnusableRouteRanksNothing guards against requests that are ranked by priority because of a route that
+// serves none.
+func TestUnusableRouteRanksNothing(t *testing.T) {
+	c := qt.New(t)
+	unusable, low, urgent := routeTo("a", "odd", "h", "/odd/"), routeTo("a", "low", "h", "/low/"), routeTo("a", "urgent", "h", "/urgent/")
+	unusable.Targets, low.Priority = nil, 1
+	c.Check(sanitized(c, unusable, low).RanksRoutes(), qt.IsFalse)
+	c.Check(sanitized(c, unusable, urgent).RanksRoutes(), qt.IsFalse)
+	c.Check(sanitized(c, unusable, low, urgent).RanksRoutes(), qt.IsTrue)
+}
