Soak: configurations with values that nodes cannot use

Every second configuration of the soak now also holds odd services, a route of the same name in another host, one to a service that is not listed, unreadable routes and hosts, and an unusable route below one that callers use. None of them may cost a promise. The entry that nodes must leave out of force is no longer a dangling route, which comes into force by design and costs its own requests, but an entry that is not a configuration; the check that nothing changes is the same.

--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -46,7 +46,7 @@
 	kind string
 	// changedRoutes are the routes that it changed.
 	changedRoutes []int
-	// invalid versions must be rejected by the nodes.
+	// invalid versions are not configurations: the nodes must keep the one before.
 	invalid bool
 }
 
@@ -123,7 +123,7 @@
 	{name: "remove routes", apply: (*catalog).remove},
 	{name: "lead routes to another service", apply: (*catalog).retarget},
 	{name: "change the time of routes", apply: (*catalog).changeTimeout},
-	{name: "a configuration that is not valid", invalid: true, apply: func(*catalog, *rand.Rand, int, int) []int { return nil }},
+	{name: "an entry that is not a configuration", invalid: true, apply: func(*catalog, *rand.Rand, int, int) []int { return nil }},
 }
 
 func (c *catalog) add(number, count int) (added []int) {
@@ -185,7 +185,7 @@
 
 // writeRandom applies a random edit and writes the next version; maxRoutes bounds the number
 // of routes.
-func (c *catalog) writeRandom(random *rand.Rand, maxRoutes int, write func(store.Configuration) snapshot.Revision) version {
+func (c *catalog) writeRandom(random *rand.Rand, maxRoutes int, write func(entry []byte) snapshot.Revision) version {
 	drawn := edits[random.IntN(len(edits))]
 	if c.tenants != nil && random.IntN(len(edits)) == 0 {
 		drawn = rotateKey
@@ -194,23 +194,26 @@
 }
 
 // writeFirst writes the first version, which has the given number of routes.
-func (c *catalog) writeFirst(routes int, write func(store.Configuration) snapshot.Revision) {
+func (c *catalog) writeFirst(routes int, write func(entry []byte) snapshot.Revision) {
 	first := edit{name: "the first", apply: func(c *catalog, _ *rand.Rand, number, _ int) []int { return c.add(number, routes) }}
 	c.write(first, nil, 0, write)
 }
 
-func (c *catalog) write(drawn edit, random *rand.Rand, maxRoutes int, write func(store.Configuration) snapshot.Revision) version {
+func (c *catalog) write(drawn edit, random *rand.Rand, maxRoutes int, write func(entry []byte) snapshot.Revision) version {
 	c.mutex.Lock()
 	number := len(c.versions) + 1
 	next := version{number: number, kind: drawn.name, invalid: drawn.invalid, sent: time.Now()}
 	next.changedRoutes = drawn.apply(c, random, number, maxRoutes)
-	document := c.document(number)
-	if drawn.invalid {
-		document.VirtualHosts = []store.VirtualHost{{Host: host, Paths: []store.Route{newRoute("wrong", "/only/", store.KindSafe, "nowhere", routeTimeoutMillis)}}}
+	entry := encode(c.document(number))
+	switch {
+	case drawn.invalid:
+		entry = unreadableEntry
+	case number%2 == 0:
+		entry = encodeWithFaults(c.document(number))
 	}
 	c.versions = append(c.versions, next) // probes may see it from the moment that it is sent
 	c.mutex.Unlock()
-	next.revision = write(document)
+	next.revision = write(entry)
 	next.acknowledged = time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/bench/storesoak/fleet.go
+++ b/internal/bench/storesoak/fleet.go
@@ -146,9 +146,9 @@
 	return nil
 }
 
-func (f *fleet) writeConfiguration(written store.Configuration) snapshot.Revision {
+func (f *fleet) writeConfiguration(entry []byte) snapshot.Revision {
 	era := f.store.Era()
-	return snapshot.NewRevision(era, f.store.PutJSON(store.KeyConfiguration, written))
+	return snapshot.NewRevision(era, f.store.Put(store.KeyConfiguration, entry))
 }
 
 // newMachine creates a machine with its instance; rate limits its links in bytes per second,
