Configurations with faults are encoded by the emulated store

The soak named fields of the platform outside the adapter and the emulator. The encoding moves to the emulated store.

--- a/internal/bench/storesoak/catalog.go
+++ b/internal/bench/storesoak/catalog.go
@@ -204,12 +204,13 @@
 	number := len(c.versions) + 1
 	next := version{number: number, kind: drawn.name, invalid: drawn.invalid, sent: time.Now()}
 	next.changedRoutes = drawn.apply(c, random, number, maxRoutes)
-	entry := encode(c.document(number))
+	document := c.document(number)
+	entry := document.Encode()
 	switch {
 	case drawn.invalid:
-		entry = unreadableEntry
+		entry = store.UnreadableConfiguration()
 	case number%2 == 0:
-		entry = encodeWithFaults(c.document(number))
+		entry = document.EncodeWithFaults()
 	}
 	c.versions = append(c.versions, next) // probes may see it from the moment that it is sent
 	c.mutex.Unlock()
