--- a/internal/app/store.go
+++ b/internal/app/store.go
@@ -79,13 +79,7 @@
 // validateConfiguration returns why a configuration cannot come into force, or nil. A region that does not
 // exist is no reason: it has no instances, so that it admits none.
 func validateConfiguration(configuration *mirror.Configuration) error {
-	document, err := snapshot.NewDocument(snapshot.Content{
-		Revision: 1, Services: configuration.Services, Routes: configuration.Routes, Limits: configuration.Limits, Tenants: configuration.Tenants,
-	})
-	if err != nil {
-		return err
-	}
-	_, err = policy.Compile(document, &membership.View{})
+	_, err := policy.Compile(configuration.Document(), &membership.View{})
 	return err
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -41,6 +41,8 @@
 	Routes   []snapshot.TypedRoute
 	Tenants  []snapshot.Tenant
 	Limits   *snapshot.CallerLimits
+
+	document *snapshot.Document // see Document
 }
 
 // Item is one entry read from the store.
--- a/internal/mirror/state.go
+++ b/internal/mirror/state.go
@@ -127,7 +127,7 @@
 func (c *Configuration) makeUsable(validate func(*Configuration) error) error {
 	c.setDefaults()
 	c.setContent(snapshot.Sanitize(c.content()))
-	err := validate(c)
+	err := c.check(validate)
 	if err == nil {
 		return nil
 	}
@@ -136,11 +136,25 @@
 		return err
 	}
 	c.setContent(limited)
+	return c.check(validate)
+}
+
+// check builds the document of the configuration alone and returns why it cannot come into force, or nil.
+func (c *Configuration) check(validate func(*Configuration) error) error {
+	document, err := snapshot.NewDocument(c.content())
+	if err != nil {
+		return err
+	}
+	c.document = document
 	return validate(c)
 }
 
+// Document returns the document of the configuration alone, without instances. It is set when Validate is
+// called; its revision is not that of the source.
+func (c *Configuration) Document() *snapshot.Document { return c.document }
+
 func (c *Configuration) content() snapshot.Content {
-	return snapshot.Content{Services: c.Services, Routes: c.Routes, Tenants: c.Tenants, Limits: c.Limits}
+	return snapshot.Content{Revision: 1, Origin: c.Origin, Services: c.Services, Routes: c.Routes, Tenants: c.Tenants, Limits: c.Limits}
 }
 
 func (c *Configuration) setContent(content snapshot.Content) {
@@ -224,22 +238,13 @@
 	return document, err
 }
 
+// buildDocument adds the instances and evacuations to the document built last, or to that of a new configuration.
 func (s *state) buildDocument() (*snapshot.Document, error) {
+	base := s.configuration.document
 	if s.built != nil && s.builtFrom == s.configuration {
-		return s.built.WithFleet(s.documentRevision, s.listedInstances(), s.listedEvacuations())
-	}
-	content := snapshot.Content{
-		Revision:  s.documentRevision,
-		Origin:    s.configuration.Origin,
-		Services:  s.configuration.Services,
-		Routes:    s.configuration.Routes,
-		Tenants:   s.configuration.Tenants,
-		Limits:    s.configuration.Limits,
-		Instances: s.listedInstances(),
-
-		Evacuations: s.listedEvacuations(),
+		base = s.built
 	}
-	return snapshot.NewDocument(content)
+	return base.WithFleet(s.documentRevision, s.listedInstances(), s.listedEvacuations())
 }
 
 func (s *state) listedEvacuations() []snapshot.Evacuation {
