Account for the slots of an instance by priority and ending

Each node now counts, for the instance beside it, the time that slots were held by effective priority and by how the request ended, and the refusals by what they lacked: all slots in use, the free ones reserved, others ahead. One log line for each second with refusals, and two counters. No decision is changed.

--- a/internal/dataplane/inbound/admit.go
+++ b/internal/dataplane/inbound/admit.go
@@ -72,6 +72,7 @@
 	}
 	delivery := p.refuse(reason, wait)
 	p.countLimited(order, reason)
+	p.recordSlotUse(order, delivery)
 	p.log(request, order, delivery)
 	return p.refuseAdmission(request, delivery)
 }
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -23,6 +23,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 	"github.com/winchhead/winchhead/internal/dataplane/quota"
+	"github.com/winchhead/winchhead/internal/dataplane/slotuse"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 	"github.com/winchhead/winchhead/internal/snapshot"
@@ -104,6 +105,7 @@
 	origins  originTracker
 	active   atomic.Int64
 	lines    *boundedlog.Limiter
+	slotUse  *slotuse.Ledger
 	metrics  *metrics
 
 	// responses admits large responses to the egress direction of the link.
@@ -133,7 +135,7 @@
 			IdleTimeout:    idleTimeout,
 		}),
 		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
-		lines: boundedlog.New(options.Logger),
+		lines: boundedlog.New(options.Logger), slotUse: slotuse.New(options.Logger),
 	}
 	created.probes = newProbeSemaphore()
 	created.crashes = &crashDetector{isGone: created.instance.RefusesConnections, crashed: created.crashed}
@@ -149,7 +151,7 @@
 	if created.responses, err = newResponseLink(options); err != nil {
 		return nil, err
 	}
-	if created.metrics, err = newMetrics(options.Registerer, created.queue, created.cold); err != nil {
+	if created.metrics, err = newMetrics(options.Registerer, created.queue, created.cold, created.slotUse); err != nil {
 		return nil, err
 	}
 	created.load, err = newInstanceLoad(options)
@@ -175,8 +177,11 @@
 // Active returns the number of requests in progress.
 func (p *Proxy) Active() int { return int(p.active.Load()) }
 
-// Maintain closes connections that were idle for too long.
-func (p *Proxy) Maintain(now time.Time) { p.instance.Prune(now) }
+// Maintain closes connections that were idle for too long, and writes the line about the slots of the last second.
+func (p *Proxy) Maintain(now time.Time) {
+	p.instance.Prune(now)
+	p.slotUse.Flush(now)
+}
 
 // Close closes the idle connections.
 func (p *Proxy) Close() {
@@ -246,6 +251,7 @@
 	delivery.Report.ExternalCallers = p.isShared(request, order)
 	p.countLimited(order, delivery.Report.Reason)
 	p.metrics.observeDelivery(delivery.Report)
+	p.recordSlotUse(order, delivery)
 	p.log(request, order, delivery)
 	return delivery
 }
--- a/internal/dataplane/inbound/metrics.go
+++ b/internal/dataplane/inbound/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
+	"github.com/winchhead/winchhead/internal/dataplane/slotuse"
 	"github.com/winchhead/winchhead/internal/dataplane/statement"
 )
 
@@ -19,7 +20,7 @@
 	limited, statedLimit prometheus.Gauge
 }
 
-func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue, cold *coldTracker) (*metrics, error) {
+func newMetrics(registerer prometheus.Registerer, waiting *queue.Queue, cold *coldTracker, slotUse *slotuse.Ledger) (*metrics, error) {
 	created := &metrics{
 		deliveries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "winchhead_dataplane_deliveries_total",
@@ -43,7 +44,7 @@
 		Name: "winchhead_dataplane_instance_limit_per_second",
 		Help: "The limit that the instance beside the node states, in requests per second; 0 if it states none.",
 	})
-	return created, registerAll(registerer, append(lateCounters(waiting),
+	return created, registerAll(registerer, append(append(lateCounters(waiting), slotUse.Collectors()...),
 		created.deliveries, created.waits, created.crashes, created.limited, created.statedLimit,
 		usageGauge("winchhead_dataplane_running_requests", "Requests that run on the instance.",
 			func() int { return waiting.Usage().Running }),
--- a/internal/dataplane/queue/reserved_slots.go
+++ b/internal/dataplane/queue/reserved_slots.go
@@ -14,6 +14,13 @@
 	return q.reservation.reserved()
 }
 
+// Usable returns the number of slots that requests of a priority and all lower ones may hold now.
+func (q *Queue) Usable(priority int) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.reservation.usable(priority, q.slots)
+}
+
 // arrived counts a request that asks for a slot. The caller must hold the mutex.
 func (q *Queue) arrived(ticket Ticket, now time.Time) {
 	q.fairness.arrived(ticket, now)
