The reserve for urgent requests is sized by new requests

Cause: the load by which the reserve is sized counted each return of a rejected caller as a further request, so that the reserve grew by rejections. It now counts new requests alone.

--- a/internal/dataplane/queue/reservation.go
+++ b/internal/dataplane/queue/reservation.go
@@ -69,7 +69,7 @@
 
 func newReservation(size sizing) *reservation { return &reservation{size: size} }
 
-// arrived counts a request that asks for a slot.
+// arrived counts a new request that asks for a slot.
 func (r *reservation) arrived(ticket Ticket, now time.Time) {
 	if r == nil {
 		return
--- a/internal/dataplane/queue/reservation_test.go
+++ b/internal/dataplane/queue/reservation_test.go
@@ -251,3 +251,35 @@
 	qt.Check(t, with.reserved, qt.Equals, 0.0)
 	qt.Check(t, with.reads.servedShare(), qt.Equals, without.reads.servedShare())
 }
+
+// TestReserveIgnoresReturningRequests guards against a reserve that grows by rejections and outlasts the overload: the
+// requests of callers that were rejected before are no further load.
+func TestReserveIgnoresReturningRequests(t *testing.T) {
+	reserved := func(returning int) (reserve int) {
+		synctest.Test(t, func(*testing.T) {
+			q := queue.New(vaultSlots)
+			q.ReserveIdleBound()
+			for range 200 {
+				lower := ticket(0, time.Minute)
+				lower.Priority = 1
+				if slot, _, _ := q.Acquire(context.Background(), lower); slot != nil {
+					slot.Release(false)
+				}
+				for i := range 1 + returning {
+					wanted := ticket(0, time.Minute)
+					wanted.Retried = i > 0
+					if slot, _, _ := q.Acquire(context.Background(), wanted); slot != nil {
+						time.AfterFunc(40*time.Millisecond, func() { slot.Release(true) })
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			reserve = q.Reserved()
+			time.Sleep(time.Minute)
+		})
+		return reserve
+	}
+	alone := reserved(0)
+	qt.Check(t, alone > 0, qt.IsTrue)
+	qt.Check(t, reserved(3), qt.Equals, alone)
+}
--- a/internal/dataplane/queue/reserved_slots.go
+++ b/internal/dataplane/queue/reserved_slots.go
@@ -24,7 +24,9 @@
 // arrived counts a request that asks for a slot. The caller must hold the mutex.
 func (q *Queue) arrived(ticket Ticket, now time.Time) {
 	q.fairness.arrived(ticket, now)
-	q.reservation.arrived(ticket, now)
+	if !ticket.Retried { // it was counted before it was rejected; otherwise a reserve would grow by rejections
+		q.reservation.arrived(ticket, now)
+	}
 	q.reservation.update(q.slots, now)
 }
 
