Each priority is guaranteed a part of the slots, and late requests go last

Cause: slots were granted by priority before anything else. Nothing bounded what a priority takes.

Fix: (1) a request that can only be late goes behind those of any priority that can be in time; (2) each priority is guaranteed half of the share of the slot time that it would get without priorities, in proportion to what its new requests ask for. Below 1, so that the more urgent class is always granted more of what it asks for. Forecasts on arrival, waits and the reserve count with the guarantee. Requests of tenants and calls keep their order: shares of tenants come before the value of an answer, and the request that a call is made for fails without it. mechanisms.class_shares switches it off.

Taken: by demand, as a fixed part lifts a class with few requests over one with many.

--- a/internal/dataplane/admission/admission.go
+++ b/internal/dataplane/admission/admission.go
@@ -50,6 +50,15 @@
 	return time.Duration(float64(b.Ahead) / free), true
 }
 
+// Shorter returns the one of two backlogs with the shorter forecast.
+func (b Backlog) Shorter(other Backlog) Backlog {
+	wait, ok := b.Forecast()
+	if otherWait, otherOK := other.Forecast(); otherOK && (!ok || otherWait < wait) {
+		return other
+	}
+	return b
+}
+
 // Admits reports whether a late request may begin to wait that must start within left.
 func (b Backlog) Admits(left time.Duration) bool {
 	wait, ok := b.Forecast()
--- a/internal/dataplane/admission/grants.go
+++ b/internal/dataplane/admission/grants.go
@@ -26,17 +26,22 @@
 
 // Class is a kind of request by the order in which slots are granted.
 type Class struct {
+	// Late is set if the request goes behind all others that are not.
+	Late bool
 	// Priority is the rank of the request, Value the rank of its answer within the priority; 0 goes first.
 	Priority, Value int
 }
 
 // precedes reports whether requests of the class go ahead of those of another one.
 func (c Class) precedes(other Class) bool {
+	if c.Late != other.Late {
+		return other.Late
+	}
 	return c.Priority < other.Priority || c.Priority == other.Priority && c.Value < other.Value
 }
 
 func (c Class) bounded() Class {
-	return Class{Priority: min(max(c.Priority, 0), maxClass), Value: min(max(c.Value, 0), maxClass)}
+	return Class{Late: c.Late, Priority: min(max(c.Priority, 0), maxClass), Value: min(max(c.Value, 0), maxClass)}
 }
 
 // Grants measures the slot time that requests are granted, by their class. It is used by one goroutine at a
--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -17,6 +17,7 @@
 	"github.com/winchhead/winchhead/internal/dataplane/boundedlog"
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
 	"github.com/winchhead/winchhead/internal/dataplane/callpriority"
+	"github.com/winchhead/winchhead/internal/dataplane/classshare"
 	"github.com/winchhead/winchhead/internal/dataplane/client"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
@@ -146,6 +147,10 @@
 	if options.Mechanisms.SlotReservation {
 		created.queue.ReserveByPriority()
 	}
+	if options.Mechanisms.ClassShares {
+		created.queue.GuaranteeShares(classshare.New())
+		created.queue.PutLateLast()
+	}
 	created.slots.Store(int64(options.Slots))
 	var err error
 	if created.responses, err = newResponseLink(options); err != nil {
--- a/internal/dataplane/mechanism/mechanism.go
+++ b/internal/dataplane/mechanism/mechanism.go
@@ -46,6 +46,9 @@
 	LoadReports bool `yaml:"load_reports" help:"use the load that instances state in their answers"`
 	// SlotReservation keeps slots of an instance free for requests of higher priority.
 	SlotReservation bool `yaml:"slot_reservation" help:"keep slots free for requests of higher priority while requests of priority 0 arrive"`
+	// ClassShares guarantees each priority a part of the slot time, and lets requests that can be in time go before
+	// late ones of any priority.
+	ClassShares bool `yaml:"class_shares" help:"guarantee each priority a part of the slots, and put late requests behind all others"`
 	// CallPriority gives calls of instances the priority of the request that they are made for.
 	CallPriority bool `yaml:"call_priority" help:"give calls of instances the priority of the request that they are made for, and let them wait until their deadline"`
 	// LapseGrace waits for entries that expired while the store was unavailable to be renewed.
@@ -64,6 +67,6 @@
 		ShortFirst: true, DueOrder: true, KeepOnlyCandidate: true, EarlyRefusal: true, PatientCalls: true,
 		LateRetries: true, Repeats: true, IdleLimit: true, LinkAdmission: true, EgressSchedule: true,
 		LinkBacklog: true, LoadReports: true, SlotReservation: true, CallPriority: true, LapseGrace: true,
-		Admission: true, ColdChecks: true,
+		Admission: true, ColdChecks: true, ClassShares: true,
 	}
 }
--- a/internal/dataplane/outbound/class_replay_test.go
+++ b/internal/dataplane/outbound/class_replay_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/winchhead/winchhead/internal/dataplane/budget"
+	"github.com/winchhead/winchhead/internal/dataplane/classshare"
 	"github.com/winchhead/winchhead/internal/dataplane/hop"
 	"github.com/winchhead/winchhead/internal/dataplane/mechanism"
 	"github.com/winchhead/winchhead/internal/dataplane/message"
@@ -246,6 +247,13 @@
 	return p.results[lookups.host], p.results[activations.host]
 }
 
+// shareSlots makes a queue share its slots between priorities as nodes do.
+func shareSlots(q *queue.Queue) {
+	q.ReserveByPriority()
+	q.GuaranteeShares(classshare.New())
+	q.PutLateLast()
+}
+
 // TestClassBehindUrgentOneKeepsItsFloor guards against an overload by urgent requests in which the class behind
 // them earns next to nothing, although part of the slot time goes to urgent requests that are late or fail.
 func TestClassBehindUrgentOneKeepsItsFloor(t *testing.T) {
@@ -253,7 +261,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				lookup, activation := newClassReplay(c, (*queue.Queue).ReserveByPriority, lookups, activations).play(classPhases(), seed)
+				lookup, activation := newClassReplay(c, shareSlots, lookups, activations).play(classPhases(), seed)
 				c.Logf("lookups:     %v, earned %.3f\nactivations: %v, earned %.3f", lookup, lookup.earned(lookups), activation, activation.earned(activations))
 				c.Check(lookup.earned(lookups) >= earnedFloor, qt.IsTrue)
 				c.Check(activation.earned(activations) >= earnedFloor, qt.IsTrue)
@@ -263,3 +271,74 @@
 		})
 	}
 }
+
+// fixedShare guarantees each priority the same part of the slot time while it asks for any.
+type fixedShare struct {
+	classshare.Shares
+	part float64
+}
+
+func (s *fixedShare) Guaranteed(priority int, now time.Time) float64 {
+	if s.Shares.Guaranteed(priority, now) == 0 {
+		return 0
+	}
+	return s.part
+}
+
+// wayToShare is a way to share slots between priorities.
+type wayToShare struct {
+	name      string
+	configure func(*queue.Queue)
+	kept      bool
+}
+
+// waysToShare are the ways that are compared, the one without any guarantee first.
+func waysToShare() []wayToShare {
+	return []wayToShare{
+		{"by priority alone", (*queue.Queue).ReserveByPriority, false},
+		{"late last", func(q *queue.Queue) { q.ReserveByPriority(); q.PutLateLast() }, false},
+		{"guarantee alone", func(q *queue.Queue) { q.ReserveByPriority(); q.GuaranteeShares(classshare.New()) }, false},
+		{"guarantee, late last", shareSlots, true},
+		{"fixed eighth, late last", func(q *queue.Queue) {
+			q.ReserveByPriority()
+			q.PutLateLast()
+			q.GuaranteeShares(&fixedShare{part: 0.125})
+		}, false},
+	}
+}
+
+// TestWaysToShareSlots guards against a guarantee that serves the class behind the urgent one at the cost of the urgent
+// one. It compares the ways to share slots under the same loads.
+func TestWaysToShareSlots(t *testing.T) {
+	// maxUrgentLoss is how much less of its credit the urgent class may earn than by priority alone.
+	const maxUrgentLoss = 0.05
+	for _, load := range []struct {
+		name   string
+		phases []classPhase
+	}{
+		{"bursts and an evacuation", classPhases()},
+		{"urgent requests alone ask for more than there is", []classPhase{{1, 1, 0, 4 * time.Second}, {2, 1, 0, 10 * time.Second}, {1, 1, 0, 4 * time.Second}}},
+		{"the class behind asks for more than there is", []classPhase{{1, 1, 0, 4 * time.Second}, {1, 5, 0, 10 * time.Second}, {1, 1, 0, 4 * time.Second}}},
+		{"usual load", []classPhase{{1, 1, 0, 10 * time.Second}}},
+	} {
+		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
+			var strict float64
+			for i, way := range waysToShare() {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					lookup, activation := newClassReplay(c, way.configure, lookups, activations).play(load.phases, 1)
+					c.Logf("%s\nlookups:     %v, earned %.3f\nactivations: %v, earned %.3f", way.name, lookup, lookup.earned(lookups), activation, activation.earned(activations))
+					if i == 0 {
+						strict = lookup.earned(lookups)
+					}
+					if way.kept {
+						c.Check(activation.earned(activations) >= earnedFloor, qt.IsTrue)
+						c.Check(lookup.earned(lookups) >= strict-maxUrgentLoss, qt.IsTrue)
+						c.Check(lookup.served() >= activation.served()-servedMargin, qt.IsTrue)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/dataplane/queue/late.go
+++ b/internal/dataplane/queue/late.go
@@ -51,7 +51,7 @@
 		return ticket, refusal, wait
 	}
 	late := q.asLate(ticket)
-	inTime := q.backlog(ticket, q.workAhead(ticket), q.grants.Recent(ticket.class(), now))
+	inTime := q.backlog(ticket, q.workAhead(ticket), q.grants.Recent(ticket.class(), now)).Shorter(q.guaranteedBacklog(ticket, now))
 	arrival := admission.Arrival{
 		InTime: inTime, MayWait: ticket.Due.Sub(now), Left: late.LatestStart.Sub(now), Elsewhere: ticket.Elsewhere,
 		Late: q.backlog(late, q.workAhead(late), q.overtaking.Overtaking(late.class(), now)),
@@ -74,7 +74,7 @@
 }
 
 func (t Ticket) class() admission.Class {
-	return admission.Class{Priority: t.Priority, Value: int(t.Value)}
+	return admission.Class{Late: t.isLate(), Priority: t.Priority, Value: int(t.Value)}
 }
 
 // recordGrant records that a request gets a slot. The caller must hold the mutex.
@@ -97,12 +97,12 @@
 	return ticket
 }
 
-// workAhead returns the slot time of the waiting requests that precede a request. The caller must hold the
-// mutex.
+// workAhead returns the slot time of the waiting requests that precede a request. Those do not that may not take the
+// slots which are free for it. The caller must hold the mutex.
 func (q *Queue) workAhead(ticket Ticket) time.Duration {
-	work := time.Duration(0)
+	work, free := time.Duration(0), q.hasSlotFor(ticket)
 	for _, other := range q.waiting {
-		if other.ticket.precedes(ticket) {
+		if other.ticket.precedes(ticket) && (!free || q.hasSlotFor(other.ticket)) {
 			work += q.expected(other.ticket)
 		}
 	}
--- a/internal/dataplane/queue/queue.go
+++ b/internal/dataplane/queue/queue.go
@@ -33,6 +33,9 @@
 	fairness  fairness
 	// reservation is nil unless ReserveByPriority was called.
 	reservation *reservation
+	// guarantee is set by GuaranteeShares, lateLast by PutLateLast.
+	guarantee ShareGuarantee
+	lateLast  bool
 	// grants and late belong to the requests with forecasts; reviewPending is set while a timer of
 	// scheduleReview runs.
 	grants        *admission.Grants
@@ -53,7 +56,7 @@
 	grants := admission.NewGrants()
 	return &Queue{
 		limiter: limiter, slots: max(slots, 1), serviceTime: initialServiceTime, grantedAt: make(map[*Slot]time.Time),
-		fairness: maxMinShares{}, grants: grants, overtaking: grants,
+		fairness: maxMinShares{}, guarantee: noGuarantee{}, grants: grants, overtaking: grants,
 	}
 }
 
@@ -167,6 +170,7 @@
 func (q *Queue) ranked(ticket Ticket, now time.Time) Ticket {
 	ticket.cost = q.expected(ticket)
 	ticket.beyondShare = q.fairness.exceeds(ticket, now)
+	ticket.lateLast = q.lateLast && ticket.Tenant == ""
 	ticket.startBy, ticket.canBeDue = ticket.Due, ticket.Due.After(now)
 	return ticket
 }
@@ -269,6 +273,9 @@
 		work += q.serviceTime // until the next slot is free
 	}
 	slotWait, rateWait := work/time.Duration(q.reservation.usable(ticket.Priority, q.slots)), q.limiter.Delay(count, now)
+	if guaranteed, ok := q.guaranteedBacklog(ticket, now).Forecast(); ok {
+		slotWait = min(slotWait, guaranteed)
+	}
 	if rateWait > slotWait {
 		return rateWait, RateLimited
 	}
@@ -286,6 +293,7 @@
 func (q *Queue) grant(ticket Ticket, now time.Time) *Slot {
 	q.running++
 	q.fairness.granted(ticket, now)
+	q.guarantee.Granted(ticket.Priority, ticket.cost, now)
 	q.reservation.granted(ticket, now)
 	q.recordGrant(ticket, now)
 	slot := &Slot{queue: q, expected: q.expected(ticket), priority: ticket.Priority}
@@ -313,10 +321,10 @@
 
 // grantWaiting grants free slots to waiters. The caller must hold the mutex.
 func (q *Queue) grantWaiting(now time.Time) {
-	q.reservation.update(q.slots, now)
-	for q.waiting.Len() > 0 && q.hasSlotFor(q.waiting[0].ticket) {
-		if next := q.waiting[0]; !next.ticket.LatestStart.After(now) {
-			heap.Pop(&q.waiting)
+	q.reservation.update(q.slots, q.guarantee, now)
+	for next := q.next(now); next != nil; next = q.next(now) {
+		if !next.ticket.LatestStart.After(now) {
+			heap.Remove(&q.waiting, next.index)
 			next.result <- grantResult{refusal: Expired}
 			continue
 		}
@@ -324,7 +332,7 @@
 			q.scheduleGrant(delay, now)
 			return
 		}
-		next := heap.Pop(&q.waiting).(*waiter)
+		heap.Remove(&q.waiting, next.index)
 		next.result <- grantResult{slot: q.grant(next.ticket, now)}
 	}
 	q.recheckReserve(now)
--- a/internal/dataplane/queue/reservation.go
+++ b/internal/dataplane/queue/reservation.go
@@ -158,21 +158,22 @@
 	return true
 }
 
-// update computes the reserves anew if that is due.
-func (r *reservation) update(slots int, now time.Time) {
+// update computes the reserves anew if that is due. They leave each class what it is guaranteed.
+func (r *reservation) update(slots int, guarantee ShareGuarantee, now time.Time) {
 	if r == nil || now.Sub(r.updatedAt) < reservationInterval {
 		return
 	}
 	factor := math.Exp(-now.Sub(r.updatedAt).Seconds() / loadWindow.Seconds())
 	r.updatedAt = now
 	ahead, reserved := 0.0, 0
+	guaranteed := guaranteedFrom(guarantee, now)
 	for each := range r.boundaries {
 		at := &r.boundaries[each]
 		at.load = ahead
 		at.waits *= factor
 		at.overdue *= factor
 		if each > 0 {
-			reserved = max(reserved, min(r.sizeOf(at, slots, now), slots-1))
+			reserved = max(reserved, min(r.sizeOf(at, slots, now), slots-1, slots-int(math.Ceil(guaranteed[each]*float64(slots)))))
 		}
 		if at.reserved != reserved {
 			at.reserved, at.changedAt = reserved, now
@@ -183,6 +184,16 @@
 	}
 }
 
+// guaranteedFrom returns the share of the slot time that each class and all after it are guaranteed.
+func guaranteedFrom(guarantee ShareGuarantee, now time.Time) (shares [classCount]float64) {
+	sum := 0.0
+	for each := classCount - 1; each >= 0; each-- {
+		sum += guarantee.Guaranteed(each, now)
+		shares[each] = sum
+	}
+	return shares
+}
+
 func (r *reservation) sizeOf(at *boundary, slots int, now time.Time) int {
 	if now.Sub(r.urgentAt) > urgentMemory {
 		return 0
--- a/internal/dataplane/queue/reserved_slots.go
+++ b/internal/dataplane/queue/reserved_slots.go
@@ -10,7 +10,7 @@
 func (q *Queue) Reserved() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.reservation.update(q.slots, time.Now())
+	q.reservation.update(q.slots, q.guarantee, time.Now())
 	return q.reservation.reserved()
 }
 
@@ -24,10 +24,11 @@
 // arrived counts a request that asks for a slot. The caller must hold the mutex.
 func (q *Queue) arrived(ticket Ticket, now time.Time) {
 	q.fairness.arrived(ticket, now)
-	if !ticket.Retried { // it was counted before it was rejected; otherwise a reserve would grow by rejections
+	if !ticket.Retried { // otherwise it was counted before it was rejected, and rejections would count as demand
+		q.guarantee.Arrived(ticket.Priority, ticket.cost, now)
 		q.reservation.arrived(ticket, now)
 	}
-	q.reservation.update(q.slots, now)
+	q.reservation.update(q.slots, q.guarantee, now)
 }
 
 // refused counts a request that gets no slot. The reserve would not help against a rate limit. The caller
--- a/internal/dataplane/queue/ticket.go
+++ b/internal/dataplane/queue/ticket.go
@@ -72,6 +72,9 @@
 	// tenant has had more than its fair share. The queue sets both.
 	cost        time.Duration
 	beyondShare bool
+	// lateLast is set if the request goes behind those of all priorities once it can only be late. The shares of
+	// tenants come before the value of an answer, so that it is not set for their requests. The queue sets it.
+	lateLast bool
 	// startBy is Due as it was on arrival, and canBeDue says that it was not over then. The queue sets both.
 	startBy  time.Time
 	canBeDue bool
--- a/internal/dataplane/queue/waiters.go
+++ b/internal/dataplane/queue/waiters.go
@@ -28,8 +28,15 @@
 // priority and value are ordered.
 func (t Ticket) effectiveDue() time.Time { return t.Due.Add(lengthWeight * t.Length) }
 
-// precedes reports whether the request gets a slot before the other.
+// isLate reports whether the request goes behind those of all priorities that can be in time. One without a forecast
+// does not: the answer to a call is needed late as well, as the request that it is made for fails without it.
+func (t Ticket) isLate() bool { return t.lateLast && t.Forecast && t.Value == ValueLate }
+
+// precedes reports whether the request gets a slot before the other, unless a class is owed slot time.
 func (t Ticket) precedes(other Ticket) bool {
+	if t.isLate() != other.isLate() {
+		return other.isLate()
+	}
 	if t.Priority != other.Priority {
 		return t.Priority < other.Priority
 	}
