Bytes without end that are no response end the exchange

An instance in trouble may send bytes without end in the head or the body of a response, until its caller closes.

What is read of an unwanted response is limited to 64 KiB and 20 ms. The reader that the server bounds requests with now serves both sides.

--- a/internal/dataplane/client/conn.go
+++ b/internal/dataplane/client/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
 )
 
@@ -25,6 +26,8 @@
 	// minConcurrentBody is the size above which a body is written while the response is
 	// read, as a server may respond early.
 	minConcurrentBody = 16 << 10
+	// maxHeadBytes limits the status line and the header of a response.
+	maxHeadBytes = 64 << 10
 	// maxMismatchBytes limits the body of a skipped response.
 	maxMismatchBytes = 4 << 20
 )
@@ -35,8 +38,9 @@
 type conn struct {
 	net.Conn
 	pool *Pool
-	// reader is nil while the connection is idle.
+	// reader is nil while the connection is idle. It reads through bound.
 	reader    *bufio.Reader
+	bound     *message.BoundedReader
 	exchanges int
 	// idleSince is when the last response ended, or the connection was established: nothing
 	// has been received on it since.
--- a/internal/dataplane/client/read_buffer.go
+++ b/internal/dataplane/client/read_buffer.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"math"
 	"sync"
+
+	"github.com/winchhead/winchhead/internal/dataplane/message"
 )
 
 // readBuffers holds the read buffers that no connection uses.
@@ -10,9 +13,13 @@
 
 // takeReader gives the connection a read buffer, unless it has one.
 func (c *conn) takeReader() {
+	if c.bound == nil {
+		c.bound = message.NewBoundedReader(c.Conn)
+		c.bound.Set(math.MaxInt64)
+	}
 	if c.reader == nil {
 		c.reader = readBuffers.Get().(*bufio.Reader)
-		c.reader.Reset(c.Conn)
+		c.reader.Reset(c.bound)
 	}
 }
 
--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -84,10 +84,19 @@
 	return ok && body.inner != http.NoBody && r.Length >= 0 && r.Length < MaxBufferedBodyBytes
 }
 
-// Discard reads and drops the body of an unwanted response, if it is short, so that the
+const (
+	// maxDiscardedBytes and discardTimeout limit what is read of an unwanted response to keep its connection: a
+	// new one costs about a millisecond, and the request may be waiting for another instance.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 20 * time.Millisecond
+)
+
+// Discard reads and drops the body of an unwanted response, if it is short and there, so that the
 // connection can be reused.
 func (r *Response) Discard() {
-	_, _ = io.CopyN(io.Discard, r.Body, MaxBufferedBodyBytes)
+	_ = r.owner.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
+	_ = r.owner.SetReadDeadline(time.Time{})
 	_ = r.Close()
 }
 
--- a/internal/dataplane/client/verify.go
+++ b/internal/dataplane/client/verify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -15,6 +16,8 @@
 	VerifyMethod = http.MethodOptions
 	VerifyTarget = "*"
 	verifyID     = "verify"
+	// maxVerifyBytes limits the response to a liveness check, with its body.
+	maxVerifyBytes = maxHeadBytes
 )
 
 // verify sends a liveness check and waits for its response until the timeout. After an
@@ -34,7 +37,9 @@
 	if failure := c.write(check); failure != nil {
 		return eris.Wrap(failure, "send the liveness check")
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: VerifyMethod})
+	c.bound.Set(maxVerifyBytes)
+	defer c.bound.Set(math.MaxInt64)
+	response, err := c.parseHeader(VerifyMethod)
 	if err != nil {
 		return eris.Wrap(err, "wait for the response to the liveness check")
 	}
--- a/internal/dataplane/inbound/health.go
+++ b/internal/dataplane/inbound/health.go
@@ -18,6 +18,8 @@
 	healthTimeout = 500 * time.Millisecond
 	// maxHealthBodyBytes limits how much of the body of an answer is read, so that its connection can be reused.
 	maxHealthBodyBytes = 4 << 10
+	// maxHealthHeaderBytes limits the header of an answer.
+	maxHealthHeaderBytes = 64 << 10
 	// maxColdTime is the longest cold time that is believed.
 	maxColdTime = time.Hour
 )
@@ -31,8 +33,10 @@
 
 func newHealthChecker(names message.Names, address string) *healthChecker {
 	return &healthChecker{names: names, address: address, client: &http.Client{
-		Timeout:       healthTimeout,
-		Transport:     &http.Transport{MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		Timeout: healthTimeout,
+		Transport: &http.Transport{
+			MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHealthHeaderBytes,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -42,7 +42,7 @@
 	conn   net.Conn
 	// reader is nil while the connection waits for a request without a buffer.
 	reader *bufio.Reader
-	bound  *boundedReader
+	bound  *message.BoundedReader
 	// first waits for requests; nil: the connection keeps its read buffer.
 	first *firstRead
 
@@ -66,7 +66,7 @@
 }
 
 func newConnection(server *Server, conn net.Conn) *connection {
-	bound := &boundedReader{inner: conn}
+	bound := message.NewBoundedReader(conn)
 	ctx, cancel := context.WithCancel(context.Background())
 	created := &connection{
 		server: server,
--- a/internal/dataplane/server/first_read.go
+++ b/internal/dataplane/server/first_read.go
@@ -70,9 +70,9 @@
 func (f *firstRead) tryRead(descriptor uintptr) bool {
 	c := f.connection
 	reader := takeReader(c.bound)
-	c.bound.inner, f.descriptor = f, descriptor
+	c.bound.Inner, f.descriptor = f, descriptor
 	_, f.err = reader.Peek(1)
-	c.bound.inner = c.conn
+	c.bound.Inner = c.conn
 	if errors.Is(f.err, syscall.EAGAIN) {
 		releaseReader(reader)
 		return false
--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -32,7 +32,7 @@
 func (c *connection) readRequests() readEnd {
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	for {
-		c.bound.set(readSlack)
+		c.bound.Set(readSlack)
 		if err := c.awaitRequest(); err != nil {
 			return clientLeft // or the idle timeout expired
 		}
@@ -65,7 +65,7 @@
 func (c *connection) awaitClose() readEnd {
 	var one [1]byte
 	for {
-		c.bound.set(readSlack)
+		c.bound.Set(readSlack)
 		if _, err := c.reader.Read(one[:]); err != nil {
 			return clientLeft
 		}
@@ -77,7 +77,7 @@
 func (c *connection) readRequest() (*exchange, *message.Response) {
 	limits := c.server.options.Limits()
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.bound.set(int64(limits.MaxHeaderBytes) + readSlack)
+	c.bound.Set(int64(limits.MaxHeaderBytes) + readSlack)
 	parsed, err := http.ReadRequest(c.reader)
 	if err != nil {
 		return nil, c.refuseHeader(err)
@@ -134,7 +134,7 @@
 
 func (c *connection) refuseHeader(err error) *message.Response {
 	switch {
-	case errors.Is(err, errTooLong):
+	case errors.Is(err, message.ErrTooLong):
 		return c.server.options.Refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is too large")
 	case isNetworkError(err), c.peerClosed():
 		return nil // a header that was cut off by the client's close looks malformed
@@ -165,7 +165,7 @@
 	if parsed.Body == nil || parsed.Body == http.NoBody {
 		return nil, true
 	}
-	c.bound.set(limits.MaxBodyBytes + limits.MaxBodyBytes/8 + readSlack) // an eighth for the chunk framing
+	c.bound.Set(limits.MaxBodyBytes + limits.MaxBodyBytes/8 + readSlack) // an eighth for the chunk framing
 	source := &deadlineReader{connection: c, inner: io.LimitReader(parsed.Body, limits.MaxBodyBytes+1)}
 	body, err := readHeld(source, min(parsed.ContentLength, limits.MaxBodyBytes+1), held)
 	if err == nil && int64(len(body)) <= limits.MaxBodyBytes {
@@ -280,30 +280,6 @@
 	return size
 }
 
-// errTooLong is returned by a read beyond the limit.
-var errTooLong = errors.New("the client sent more than is allowed")
-
-// boundedReader limits how much may be read until the limit is set again.
-type boundedReader struct {
-	inner io.Reader
-	left  int64
-}
-
-func (r *boundedReader) set(bytes int64) { r.left = bytes }
-
-// Read fails with errTooLong at the limit.
-func (r *boundedReader) Read(data []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errTooLong
-	}
-	if int64(len(data)) > r.left {
-		data = data[:r.left]
-	}
-	count, err := r.inner.Read(data)
-	r.left -= int64(count)
-	return count, err
-}
-
 // deadlineReader limits the time between two reads of a body.
 type deadlineReader struct {
 	connection *connection
