Bodies of each priority are guaranteed a part of a machine's link

Same switch, mechanisms.class_shares.

Looked at and left: responses on the link (one piece in eight goes to the body that has waited longest), the first data plane (no priorities), stated and cold rates (they grant through the same queue, so that the guarantee holds there).

--- a/internal/dataplane/inbound/inbound.go
+++ b/internal/dataplane/inbound/inbound.go
@@ -135,7 +135,7 @@
 			ConnectTimeout: connectTimeout,
 			IdleTimeout:    idleTimeout,
 		}),
-		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond}),
+		link:  transfer.NewGate(transfer.Options{BytesPerSecond: options.LinkBytesPerSecond, ClassShares: options.Mechanisms.ClassShares}),
 		lines: boundedlog.New(options.Logger), slotUse: slotuse.New(options.Logger),
 	}
 	created.probes = newProbeSemaphore()
--- a/internal/dataplane/transfer/gate.go
+++ b/internal/dataplane/transfer/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/winchhead/winchhead/internal/dataplane/classshare"
 	"github.com/winchhead/winchhead/internal/dataplane/queue"
 )
 
@@ -38,6 +39,8 @@
 	// BytesPerSecond is the link's capacity; zero means that it is estimated from the
 	// observed rates.
 	BytesPerSecond float64
+	// ClassShares guarantees each priority a part of the link's time.
+	ClassShares bool
 }
 
 // Gate admits bodies to one link. It is safe for concurrent use.
@@ -54,7 +57,11 @@
 
 // NewGate returns a Gate without transfers in progress.
 func NewGate(options Options) *Gate {
-	return &Gate{options: options, waiting: queue.New(maxConcurrent), rate: initialRate}
+	created := &Gate{options: options, waiting: queue.New(maxConcurrent), rate: initialRate}
+	if options.ClassShares {
+		created.waiting.GuaranteeShares(classshare.New())
+	}
+	return created
 }
 
 // Rate returns the expected transfer rate of a body, in bytes per second.
