--- a/internal/dataplane/classshare/classshare_test.go
+++ b/internal/dataplane/classshare/classshare_test.go
@@ -50,3 +50,17 @@
 	c.Check(shares.Guaranteed(0, start), qt.Equals, 0.25)
 	c.Check(shares.Guaranteed(7, start), qt.Equals, 0.25)
 }
+
+// BenchmarkShares measures what a request that gets a slot costs.
+func BenchmarkShares(b *testing.B) {
+	shares := classshare.New()
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		shares.Arrived(1, time.Millisecond, now)
+		for priority := range 8 {
+			_ = shares.Owed(priority, now)
+		}
+		shares.Granted(1, time.Millisecond, now)
+	}
+}
