A connection with an unread request is not idle at a planned stop

The kernel is asked whether something is unread, and the first byte is read under the lock that closing takes, so that a request is either unread or being read. TestUnreadRequestKeepsConnection fails before with a reset.

--- a/internal/dataplane/queue/reserved_slots.go
+++ b/internal/dataplane/queue/reserved_slots.go
@@ -24,7 +24,7 @@
 // arrived counts a request that asks for a slot. The caller must hold the mutex.
 func (q *Queue) arrived(ticket Ticket, now time.Time) {
 	q.fairness.arrived(ticket, now)
-	if !ticket.Retried { // otherwise it was counted before it was rejected, and rejections would count as demand
+	if !ticket.Retried { // a retry was counted when it was new: rejections are no further demand
 		q.guarantee.Arrived(ticket.Priority, ticket.cost, now)
 		q.reservation.arrived(ticket, now)
 	}
--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -103,11 +103,11 @@
 	_ = c.conn.Close()
 }
 
-// closeIfIdle closes the connection unless a request is in progress.
+// closeIfIdle closes the connection unless a request is in progress, or one has arrived that was not read yet.
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.pending == 0 && !c.reading && !c.closing {
+	if c.pending == 0 && !c.reading && !c.closing && !c.first.hasUnread() {
 		c.closing = true
 		c.cancel()
 		_ = c.conn.Close()
--- a/internal/dataplane/server/first_read.go
+++ b/internal/dataplane/server/first_read.go
@@ -69,6 +69,8 @@
 // again when something may have.
 func (f *firstRead) tryRead(descriptor uintptr) bool {
 	c := f.connection
+	c.mutex.Lock() // closeIfIdle finds the request either unread or being read
+	defer c.mutex.Unlock()
 	reader := takeReader(c.bound)
 	c.bound.Inner, f.descriptor = f, descriptor
 	_, f.err = reader.Peek(1)
@@ -77,10 +79,20 @@
 		releaseReader(reader)
 		return false
 	}
-	c.reader = reader
+	c.reader, c.reading = reader, f.err == nil
 	return true
 }
 
+// hasUnread reports whether something has arrived on the connection that was not read. It is false if that is not known.
+func (f *firstRead) hasUnread() bool {
+	if f == nil {
+		return false
+	}
+	unread := false
+	err := f.raw.Control(func(descriptor uintptr) { unread = hasUnread(descriptor) })
+	return err == nil && unread
+}
+
 // Read reads what has arrived, without waiting; it fails with syscall.EAGAIN if nothing has.
 func (f *firstRead) Read(data []byte) (int, error) {
 	for {
--- a/internal/dataplane/server/first_read_other.go
+++ b/internal/dataplane/server/first_read_other.go
@@ -8,3 +8,6 @@
 
 // readDescriptor is not used on this system.
 func readDescriptor(uintptr, []byte) (int, error) { return 0, syscall.EINVAL }
+
+// hasUnread is not used on this system.
+func hasUnread(uintptr) bool { return false }
--- a/internal/dataplane/server/first_read_test.go
+++ b/internal/dataplane/server/first_read_test.go
@@ -103,3 +103,40 @@
 	_ = client.Close()
 	<-ended
 }
+
+// TestUnreadRequestKeepsConnection guards against a request without an answer at a planned stop: the connection counted
+// as idle although the request had arrived, as the process had no time to read it.
+func TestUnreadRequestKeepsConnection(t *testing.T) {
+	c := qt.New(t)
+	client, conn := tcpPair(c)
+	created := New(Options{
+		Handler: echoHandler{},
+		Limits: func() Limits {
+			return Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		},
+	})
+	starved := newConnection(created, conn)
+	_, err := fmt.Fprint(client, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	awaitArrival(c, conn)
+	created.Drain()
+	starved.closeIfIdle()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		starved.run()
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(body), qt.Equals, "/last")
+	<-ended
+}
+
+// awaitArrival waits until something has arrived on a connection, and leaves it unread.
+func awaitArrival(c *qt.C, conn net.Conn) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	c.Assert(raw.Read(hasUnread), qt.IsNil)
+}
