The fixed share that class shares are compared with owes by its own guarantee

It is a type of its own now. The guarantee by demand stays, as a fixed part lifts a class with few requests over one with many. Checks are unchanged.

--- a/internal/dataplane/outbound/class_replay_test.go
+++ b/internal/dataplane/outbound/class_replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -274,17 +275,50 @@
 
 // fixedShare guarantees each priority the same part of the slot time while it asks for any.
 type fixedShare struct {
-	classshare.Shares
-	part float64
+	part      float64
+	askedAt   map[int]time.Time
+	granted   map[int]float64 // seconds, weighted by age
+	updatedAt time.Time
+}
+
+// fixedShareWindow is the time over which slot time is averaged, and for which a priority counts as asking.
+const fixedShareWindow = 2 * time.Second
+
+func newFixedShare(part float64) *fixedShare {
+	return &fixedShare{part: part, askedAt: make(map[int]time.Time), granted: make(map[int]float64)}
+}
+
+func (s *fixedShare) Arrived(priority int, _ time.Duration, now time.Time) { s.askedAt[priority] = now }
+
+func (s *fixedShare) Granted(priority int, slotTime time.Duration, now time.Time) {
+	s.decay(now)
+	s.granted[priority] += slotTime.Seconds()
 }
 
 func (s *fixedShare) Guaranteed(priority int, now time.Time) float64 {
-	if s.Shares.Guaranteed(priority, now) == 0 {
+	if asked, known := s.askedAt[priority]; !known || now.Sub(asked) > fixedShareWindow {
 		return 0
 	}
 	return s.part
 }
 
+func (s *fixedShare) Owed(priority int, now time.Time) time.Duration {
+	s.decay(now)
+	all := 0.0
+	for _, granted := range s.granted {
+		all += granted
+	}
+	return time.Duration((s.Guaranteed(priority, now)*all - s.granted[priority]) * float64(time.Second))
+}
+
+func (s *fixedShare) decay(now time.Time) {
+	factor := math.Exp(-now.Sub(s.updatedAt).Seconds() / fixedShareWindow.Seconds())
+	s.updatedAt = now
+	for priority := range s.granted {
+		s.granted[priority] *= factor
+	}
+}
+
 // wayToShare is a way to share slots between priorities.
 type wayToShare struct {
 	name      string
@@ -302,7 +336,7 @@
 		{"fixed eighth, late last", func(q *queue.Queue) {
 			q.ReserveByPriority()
 			q.PutLateLast()
-			q.GuaranteeShares(&fixedShare{part: 0.125})
+			q.GuaranteeShares(newFixedShare(0.125))
 		}, false},
 	}
 }
