Growth of class shares and slot accounts, and one copy of the replays' ticket

The new state had no test of its growth, and two replays built the same ticket. 100 and 1,000 requests of any priority allocate nothing in classshare; 1,000 stated priorities make eight series of each metric of slotuse. Neither sends messages.

--- a/internal/dataplane/classshare/classshare_test.go
+++ b/internal/dataplane/classshare/classshare_test.go
@@ -51,6 +51,23 @@
 	c.Check(shares.Guaranteed(7, start), qt.Equals, 0.25)
 }
 
+// TestStateIsFixed guards against state or memory that grows with the nodes that send requests: at 100 and at 1,000
+// requests a moment, of any priority, nothing is allocated.
+func TestStateIsFixed(t *testing.T) {
+	for _, senders := range []int{100, 1000} {
+		shares, now := classshare.New(), start
+		allocations := testing.AllocsPerRun(10, func() {
+			for sender := range senders {
+				now = now.Add(time.Microsecond)
+				shares.Arrived(sender, time.Millisecond, now)
+				shares.Granted(sender, time.Millisecond, now)
+				_ = shares.Owed(sender, now)
+			}
+		})
+		qt.Check(t, allocations, qt.Equals, 0.0)
+	}
+}
+
 // BenchmarkShares measures what a request that gets a slot costs.
 func BenchmarkShares(b *testing.B) {
 	shares := classshare.New()
--- a/internal/dataplane/outbound/class_replay_test.go
+++ b/internal/dataplane/outbound/class_replay_test.go
@@ -114,11 +114,7 @@
 		usage := q.Usage()
 		return hop.Report{Outcome: outcome, Reason: reason, Running: usage.Running, Waiting: usage.Waiting, Slots: usage.Slots}
 	}
-	slot, refusal, wait := q.Acquire(ctx, queue.Ticket{
-		Priority: order.Priority, Value: queue.Value(order.ValueRank), Due: asked.Add(order.Due), MaxWait: order.MaxWait,
-		LatestStart: asked.Add(order.Remaining - order.ServiceTime), Expected: order.ServiceTime, Length: order.ServiceTime,
-		OnlyCandidate: order.OnlyCandidate, Forecast: order.Admission.Late, Retried: order.Admission.Retried, Elsewhere: order.Admission.Elsewhere,
-	})
+	slot, refusal, wait := q.Acquire(ctx, replayTicket(order, asked))
 	if refusal != queue.None {
 		refused := report(hop.Refused, hop.ReasonOverloaded)
 		refused.RetryAfter, refused.Waited = wait, time.Since(asked)
--- a/internal/dataplane/outbound/replay_test.go
+++ b/internal/dataplane/outbound/replay_test.go
@@ -84,11 +84,7 @@
 		s.refusals.Add(1)
 		return resultOf(report(hop.Rejected, hop.ReasonRejected))
 	}
-	slot, refusal, wait := q.Acquire(ctx, queue.Ticket{
-		Priority: order.Priority, Value: queue.Value(order.ValueRank), Due: asked.Add(order.Due), MaxWait: order.MaxWait,
-		LatestStart: asked.Add(order.Remaining - order.ServiceTime), Expected: order.ServiceTime, Length: order.ServiceTime,
-		OnlyCandidate: order.OnlyCandidate, Forecast: order.Admission.Late, Retried: order.Admission.Retried, Elsewhere: order.Admission.Elsewhere,
-	})
+	slot, refusal, wait := q.Acquire(ctx, replayTicket(order, asked))
 	if refusal != queue.None {
 		s.refusals.Add(1)
 		refused := report(hop.Refused, hop.ReasonOverloaded)
@@ -106,6 +102,15 @@
 	return resultOf(answered)
 }
 
+// replayTicket returns the ticket with which the sidecar of an instance queues a request that arrived at a time.
+func replayTicket(order hop.Order, asked time.Time) queue.Ticket {
+	return queue.Ticket{
+		Priority: order.Priority, Value: queue.Value(order.ValueRank), Due: asked.Add(order.Due), MaxWait: order.MaxWait,
+		LatestStart: asked.Add(order.Remaining - order.ServiceTime), Expected: order.ServiceTime, Length: order.ServiceTime,
+		OnlyCandidate: order.OnlyCandidate, Forecast: order.Admission.Late, Retried: order.Admission.Retried, Elsewhere: order.Admission.Elsewhere,
+	}
+}
+
 // result is what became of the callers of a replay.
 type result struct {
 	mutex                           sync.Mutex
--- a/internal/dataplane/slotuse/slotuse_test.go
+++ b/internal/dataplane/slotuse/slotuse_test.go
@@ -46,3 +46,22 @@
 	ledger.Flush(start.Add(time.Minute))
 	c.Check(hook.Entries, qt.HasLen, 1)
 }
+
+// TestStateIsBoundedByPriorities guards against metrics that grow with the requests or with the priorities that senders
+// state: priorities beyond the last class share its series.
+func TestStateIsBoundedByPriorities(t *testing.T) {
+	c := qt.New(t)
+	logger, _ := test.NewNullLogger()
+	ledger := slotuse.New(logger)
+	for priority := range 1000 {
+		ledger.Ended(priority, slotuse.InTime, time.Millisecond, time.Unix(1, 0))
+		ledger.Refused(slotuse.Refusal{Priority: priority, Running: 6, Usable: 6, Slots: 6}, time.Unix(1, 0))
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(ledger.Collectors()...)
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	for _, family := range families {
+		c.Check(family.GetMetric(), qt.HasLen, 8)
+	}
+}
