Review case 4: answers of 1 MiB or more are cut off

Cause: the context of an exchange is cancelled when the handler returns, but long answers are read afterwards. Shown by a script without any other disruption: the connection of the client ends after some 4,000 bytes.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by name. Each one returns whether its rule was broken.
 var cases = map[string]func(directory, recordPath string, trouble bool) (broken bool, err error){
+	"answers":    playAnswers,
 	"departures": playDepartures,
 }
 
