--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(directory, recordPath string, trouble bool) (broken bool, err error){
 	"answers":    playAnswers,
 	"departures": playDepartures,
+	"readers":    playSlowReaders,
 }
 
 func main() { os.Exit(run()) }
