--- a/review/standin-2/answers.go
+++ b/review/standin-2/answers.go
@@ -41,7 +41,7 @@
 		return store.Route{Name: name, PathPrefix: "/" + name + "/", Kind: kind, TimeoutMs: 4000, TargetLatencyMs: 1000, Priority: 1, Service: callerService, MaxAttempts: 2}
 	}
 	f.store.PutJSON(store.KeyConfiguration, store.Configuration{
-		Version: 17, Services: []store.Service{{Name: callerService}},
+		Version: 17, Services: []store.Service{{Name: callerService, HealthPath: instance.HealthPath}},
 		Limits: store.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 5000, IdleTimeoutMs: 20000},
 		VirtualHosts: []store.VirtualHost{{Host: host, Paths: []store.Route{
 			route("map-pack", "download"), route("order", store.KindUnsafe), route("status", store.KindSafe),
--- a/review/standin-2/departures.go
+++ b/review/standin-2/departures.go
@@ -34,7 +34,7 @@
 	}
 	defer f.close()
 	f.store.PutJSON(store.KeyConfiguration, store.Configuration{
-		Version: 17, Services: []store.Service{{Name: callerService}},
+		Version: 17, Services: []store.Service{{Name: callerService, HealthPath: instance.HealthPath}},
 		Limits: store.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 5000, IdleTimeoutMs: 20000},
 		VirtualHosts: []store.VirtualHost{{Host: host, Paths: []store.Route{{
 			Name: "order", PathPrefix: "/order/", Kind: store.KindUnsafe, TimeoutMs: 1500, TargetLatencyMs: 400, Priority: 1, Service: callerService, MaxAttempts: 2,
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -148,9 +148,10 @@
 	}
 	m.sequence++
 	sequence := m.sequence
-	m.fleet.store.PutJSON(store.KeyInstances+m.instance.Name, store.Entry{
-		Address: m.address, Info: store.EntryInfo{Service: callerService, Zone: m.zone, Slots: slots},
-		Status: store.EntryStatus{State: state, Sequence: sequence},
+	m.fleet.store.PutJSON(store.KeyInstances+m.instance.Name, map[string]any{
+		"address": m.address,
+		"info":    map[string]any{"service": callerService, "version": "v1", "zone": m.zone, "slots": slots},
+		"status":  map[string]any{"state": state, "sequence": sequence, "coldRemainingMs": 0},
 	})
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 	"answers":    playAnswers,
 	"departures": playDepartures,
 	"readers":    playSlowReaders,
+	"stops":      playStops,
 }
 
 func main() { os.Exit(run()) }
