Client: an early response without a length is complete only once its request was written

Seen by callers: a long upload that its instance answered at once with a 200 without a length, and whose connection it then reset, got the part that had arrived as a complete answer. Cause: the kernel reports the error of a reset once per socket. While the body is being written, the writer gets it, and the read that comes next sees a plain end of the stream, which is also how a response without a length ends. The same holds where the server closes without reading the body. Change: the end of such a response counts only after the body of its request was written without an error, and on a connection that the kernel does not show as reset, whichever call took the error. A server that ends its sending direction and then reads the body to its end has answered completely; one that closes without reading it has not, as the two cannot be told apart.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -81,8 +81,12 @@
 	Length int64
 	Body   io.Reader
 
-	owner    *conn
-	stop     func() bool
+	owner *conn
+	stop  func() bool
+	// cancelled is closed when the context of the request ends.
+	cancelled <-chan struct{}
+	// unframed is set if only the end of the connection marks the end of the body.
+	unframed bool
 	complete bool
 }
 
@@ -209,7 +213,7 @@
 		return nil, failure
 	}
 	p.recordReceipt()
-	response.owner, response.stop = used, stop
+	response.owner, response.stop, response.cancelled = used, stop, ctx.Done()
 	return response, nil
 }
 
--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -3,19 +3,24 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
 func (c *conn) newResponse(parsed *http.Response) *Response {
-	c.closeAfter = parsed.Close || parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0
+	unframed := parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0
+	c.closeAfter = parsed.Close || unframed
 	if seconds, ok := keepAliveTimeout(parsed.Header); ok {
 		c.idleTimeout = reuseLimit(seconds)
 	}
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength}
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, unframed: unframed}
 	response.Body = &bodyReader{inner: parsed.Body, response: response}
 	return response
 }
@@ -54,11 +59,42 @@
 func (r *bodyReader) Read(data []byte) (int, error) {
 	count, err := r.inner.Read(data)
 	if err == io.EOF {
+		if err := r.response.checkEnd(); err != nil {
+			return count, err
+		}
 		r.response.complete = true
 	}
 	return count, err
 }
 
+// errBrokenOff is returned in place of the end of a body that may not be complete.
+var errBrokenOff = eris.New("the server closed the connection before it had received the request")
+
+// checkEnd returns an error unless a body that was read to its end is complete. Where the end of the connection is
+// the only sign of it, the stream may end because of a reset whose error was reported to another call: the
+// kernel reports it once, for example to the writer of the request's body. So the end counts only after that
+// body was written without an error, to a connection that was closed and not reset. A server that closes
+// without reading the body to its end has broken off its response as well: the two cannot be told apart.
+func (r *Response) checkEnd() error {
+	if !r.unframed || r.owner == nil {
+		return nil
+	}
+	if writing := r.owner.writing; writing != nil {
+		select {
+		case <-writing.ended:
+		case <-r.cancelled:
+			return os.ErrDeadlineExceeded
+		}
+		if writing.err != nil {
+			return eris.Wrap(writing.err, errBrokenOff.Error())
+		}
+	}
+	if forward.PeerReset(r.owner.Conn) {
+		return errBrokenOff
+	}
+	return nil
+}
+
 // MaxBufferedBodyBytes is the size up to which a response is buffered completely before it is
 // passed on, so that an incomplete one can still be replaced.
 const MaxBufferedBodyBytes = 1 << 20
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -75,6 +75,15 @@
 	// Crashes crashes the instance after the work: it closes its connections and accepts no more
 	// until Restart.
 	Crashes Fault = 16
+	// EarlyUnframedReset runs the request and sends a part of an answer without a Content-Length before it
+	// reads the body. It does not read the body, and resets the connection.
+	EarlyUnframedReset Fault = 17
+	// EarlyUnframedClose is like EarlyUnframedReset, but the connection is closed instead of reset.
+	EarlyUnframedClose Fault = 18
+	// EarlyUnframedDrain sends all of such an answer, ends its sending direction and then reads the body.
+	EarlyUnframedDrain Fault = 20
+	// Raw runs the request, sends what RawAnswer returns and closes the connection.
+	Raw Fault = 19
 )
 
 // Run is one request that the instance ran.
@@ -112,6 +121,10 @@
 	FaultAfterWork func(id string) Fault
 	// BodyOf returns the body of the proper answer to a request; nil: Body.
 	BodyOf func(id string) string
+	// RawAnswer returns the bytes of the answer of the fault Raw.
+	RawAnswer func(id string) string
+	// EarlyDelay is how long the faults EarlyUnframedReset and EarlyUnframedClose keep the connection open.
+	EarlyDelay time.Duration
 	// Load returns the figures of HeaderLoad of an answer while so many other requests run; nil: none are
 	// stated.
 	Load func(running int) string
@@ -293,6 +306,18 @@
 		ok := send(conn, "413 Content Too Large", id, i.stamp(), "too long")
 		_, _ = io.Copy(io.Discard, request.Body)
 		return ok
+	case EarlyUnframedReset, EarlyUnframedClose, EarlyUnframedDrain:
+		i.end(i.begin(request, ""), false)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\n%s", HeaderID, id, i.stamp(), i.body(id))
+		time.Sleep(i.EarlyDelay)
+		switch tcp, ok := conn.(*net.TCPConn); {
+		case fault == EarlyUnframedReset:
+			reset(conn)
+		case fault == EarlyUnframedDrain && ok:
+			_ = tcp.CloseWrite()
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		return false
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
@@ -394,6 +419,9 @@
 	case Garbage:
 		_, _ = io.WriteString(conn, "\x00\x01 this is no answer\r\n\r\n")
 		return false
+	case Raw:
+		_, _ = io.WriteString(conn, i.RawAnswer(id))
+		return false
 	case NoStamp:
 		return send(conn, "200 OK", id, "", body)
 	case Fails:
--- a/internal/proxy/forward/peer_linux.go
+++ b/internal/proxy/forward/peer_linux.go
@@ -19,16 +19,29 @@
 // direction or reset the connection, even if earlier bytes are still unread. It
 // returns false for other connections and if the kernel cannot tell.
 func PeerClosed(conn net.Conn) bool {
+	state, known := tcpState(conn)
+	return known && (state == tcpClose || state == tcpCloseWait || state == tcpLastAck)
+}
+
+// PeerReset reports whether the peer of an open TCP connection has reset it, even if the error was already
+// reported to a read or write. It returns false for other connections and if the kernel cannot tell.
+func PeerReset(conn net.Conn) bool {
+	state, known := tcpState(conn)
+	return known && state == tcpClose
+}
+
+func tcpState(conn net.Conn) (state uint8, known bool) {
 	raw, ok := rawConn(conn)
 	if !ok {
-		return false
+		return 0, false
 	}
-	closed := false
 	err := raw.Control(func(descriptor uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && (info.State == tcpClose || info.State == tcpCloseWait || info.State == tcpLastAck)
+		if err == nil {
+			state, known = info.State, true
+		}
 	})
-	return err == nil && closed
+	return state, known && err == nil
 }
 
 func rawConn(conn net.Conn) (syscall.RawConn, bool) {
