Proxies over net/http: an early response without a length is complete only once its request was written

Seen by callers of the first data plane: the part of an early 200 without a length as a complete answer, when the back end reset or closed the connection during the upload. Cause: http.Transport takes the end of the stream for the end of such a body, also when the error of the reset went to the goroutine that writes the request. Change: httpresponse.Transport, which both proxies use now, ends such a body with an error unless the request was written without one; forward.Conn reports a reset that the kernel has reported to a write. The rule for what ends with its connection is the one of the other data plane's client. The limit of the outbound proxy's tests is now 4 MiB: with 1 MiB the whole upload fits into buffers, and the fault did not show.

--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -11,11 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/httpresponse"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
 func (c *conn) newResponse(parsed *http.Response) *Response {
-	unframed := parsed.ContentLength < 0 && len(parsed.TransferEncoding) == 0
+	unframed := httpresponse.IsUnframed(parsed)
 	c.closeAfter = parsed.Close || unframed
 	if seconds, ok := keepAliveTimeout(parsed.Header); ok {
 		c.idleTimeout = reuseLimit(seconds)
--- a/internal/proxy/forward/send.go
+++ b/internal/proxy/forward/send.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +34,16 @@
 // Assign makes the connection write for this SendAttempt.
 func (c *Conn) Assign(send *SendAttempt) { c.assigned.Store(send) }
 
+// Read reads from the connection. It also reports a reset whose error the kernel has reported to a write; without it
+// the stream seems to have ended in order.
+func (c *Conn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) && PeerReset(c.Conn) {
+		return count, syscall.ECONNRESET
+	}
+	return count, err
+}
+
 // Write writes for the assigned SendAttempt, or returns ErrNotSent.
 func (c *Conn) Write(data []byte) (int, error) {
 	assigned := c.assigned.Load()
--- a/internal/proxy/inbound/backend.go
+++ b/internal/proxy/inbound/backend.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/winchhead/winchhead/internal/httpresponse"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
@@ -34,7 +35,7 @@
 type backendClient struct {
 	address   string
 	dialer    net.Dialer
-	transport *http.Transport
+	transport *httpresponse.Transport
 	limit     *connectionLimit
 	// closeWait is closeTimeout, except in tests.
 	closeWait time.Duration
@@ -49,7 +50,7 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	created.transport = &http.Transport{
+	created.transport = &httpresponse.Transport{Transport: &http.Transport{
 		DialContext:            created.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -57,7 +58,7 @@
 		IdleConnTimeout:        backendIdleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 	return created
 }
 
--- a/internal/proxy/outbound/bothproxies_test.go
+++ b/internal/proxy/outbound/bothproxies_test.go
@@ -31,10 +31,17 @@
 	emulated := backend.New(backend.Options{Name: name})
 	r.Assert(emulated.Start("127.0.0.1:0"), qt.IsNil)
 	emulated.Configure(behavior)
+	r.t.Cleanup(emulated.Kill)
+	r.addInboundProxy(name, emulated.Address())
+	return emulated
+}
+
+// addInboundProxy adds an instance with a real inbound proxy for the backend at an address.
+func (r *harness) addInboundProxy(name, address string) {
 	proxy, err := inbound.New(inbound.Options{
 		Snapshots: r, Publisher: r, Self: membership.Record{Node: membership.NodeID(name), Incarnation: 7},
 		Settings: settings.Inbound{
-			Service: testService, Backend: emulated.Address(), Slots: 4, Connections: 20, MaxQueued: 8,
+			Service: testService, Backend: address, Slots: 4, Connections: 20, MaxQueued: 8,
 			DrainGrace: time.Minute, IdempotencyKeyRetention: time.Minute, HealthInterval: time.Minute,
 		},
 		Logger: logging.Discard(), Registerer: prometheus.NewRegistry(),
@@ -50,11 +57,9 @@
 	r.t.Cleanup(func() {
 		_ = server.Close()
 		proxy.Close()
-		emulated.Kill()
 		<-served
 	})
 	r.addMember(name, listener.Addr().String(), membership.StateReady)
-	return emulated
 }
 
 // Through both proxies, with backends that break connections and responses: a booking
--- a/internal/proxy/outbound/harness_test.go
+++ b/internal/proxy/outbound/harness_test.go
@@ -28,7 +28,7 @@
 
 const (
 	testService = "reservas"
-	bodyLimit   = 1 << 20
+	bodyLimit   = 4 << 20
 	headerLimit = 8 << 10
 )
 
--- a/internal/proxy/outbound/transport.go
+++ b/internal/proxy/outbound/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/winchhead/winchhead/internal/httpresponse"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
@@ -31,14 +32,14 @@
 
 // newTransport returns the transport for requests to the inbound proxies. The scheme
 // is always http: dialTracked adds TLS itself, below the forward.Conn.
-func newTransport(config *tls.Config) *http.Transport {
+func newTransport(config *tls.Config) *httpresponse.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlivePeriod}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return dialTracked(ctx, dialer, config, network, address)
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return &httpresponse.Transport{Transport: &http.Transport{
 		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -47,7 +48,7 @@
 		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 func dialTracked(ctx context.Context, dialer *net.Dialer, config *tls.Config, network, address string) (net.Conn, error) {
