Client: responses that violate the protocol are no answers

Seen by callers: answers with a blank in a field name were passed on without that line, and with the body that was left of them (a length or chunks behind a blank before the colon do not count); answers of status 600 and of version 3.7 were passed on; heads of status 000 or 099 were skipped like interim responses. Cause: http.ReadResponse accepts more than RFC 9110 and 9112 do: any three digits as the status, any version, blanks in names (also in trailers and interim responses), and an HTTP/1.0 response with a transfer coding, which it ignores. Change: package httpresponse has the rule for what a response is; the client of the data plane reads heads by it (those of instances, of other nodes and of liveness checks, interim and skipped ones) and checks trailers. What breaks it is an invalid answer: 502, or another instance where the request may be repeated.

--- a/internal/dataplane/client/client.go
+++ b/internal/dataplane/client/client.go
@@ -85,9 +85,8 @@
 	stop  func() bool
 	// cancelled is closed when the context of the request ends.
 	cancelled <-chan struct{}
-	// unframed is set if only the end of the connection marks the end of the body.
-	unframed bool
-	complete bool
+	parsed    *http.Response
+	complete  bool
 }
 
 // Options configures a Pool.
--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -16,12 +16,11 @@
 )
 
 func (c *conn) newResponse(parsed *http.Response) *Response {
-	unframed := httpresponse.IsUnframed(parsed)
-	c.closeAfter = parsed.Close || unframed
+	c.closeAfter = parsed.Close || httpresponse.IsUnframed(parsed)
 	if seconds, ok := keepAliveTimeout(parsed.Header); ok {
 		c.idleTimeout = reuseLimit(seconds)
 	}
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, unframed: unframed}
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, parsed: parsed}
 	response.Body = &bodyReader{inner: parsed.Body, response: response}
 	return response
 }
@@ -71,14 +70,14 @@
 // errBrokenOff is returned in place of the end of a body that may not be complete.
 var errBrokenOff = eris.New("the server closed the connection before it had received the request")
 
-// checkEnd returns an error unless a body that was read to its end is complete. Where the end of the connection is
+// checkEnd returns an error unless a body that was read to its end is complete and its trailer is valid. Where the end of the connection is
 // the only sign of it, the stream may end because of a reset whose error was reported to another call: the
 // kernel reports it once, for example to the writer of the request's body. So the end counts only after that
 // body was written without an error, to a connection that was closed and not reset. A server that closes
 // without reading the body to its end has broken off its response as well: the two cannot be told apart.
 func (r *Response) checkEnd() error {
-	if !r.unframed || r.owner == nil {
-		return nil
+	if !httpresponse.IsUnframed(r.parsed) || r.owner == nil {
+		return httpresponse.CheckFields(r.parsed.Trailer)
 	}
 	if writing := r.owner.writing; writing != nil {
 		select {
--- a/internal/dataplane/client/silence.go
+++ b/internal/dataplane/client/silence.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/winchhead/winchhead/internal/httpresponse"
 )
 
 // SilenceError is returned when a server that reports progress has sent nothing for the
@@ -31,25 +33,13 @@
 			return nil, &SilenceError{Limit: limit}
 		}
 	}
-	response, err := c.parseHeader(request.Method)
+	response, err := httpresponse.Read(c.reader, request.Method)
 	if limit > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, &SilenceError{Limit: limit}
 	}
 	return response, err
 }
 
-// errNoResponse is returned for bytes that no response begins with.
-var errNoResponse = errors.New("the server sent bytes that are no response")
-
-// parseHeader reads and parses a header. Bytes that no header begins with are not read to the end of a line.
-func (c *conn) parseHeader(method string) (*http.Response, error) {
-	const protocol = "HTTP/"
-	if start, err := c.reader.Peek(len(protocol)); err == nil && string(start) != protocol {
-		return nil, errNoResponse
-	}
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
-}
-
 // awaitByte waits for the next byte from the server, and leaves the silence limit for the rest of the
 // header. It reports whether the request is given up: at once if it may be, otherwise only if the
 // server answers on another connection, so that this one must be dead. A server that is slow on all
