Proxies over net/http: responses that violate the protocol are no answers

Seen by callers of the first data plane: answers with a blank in a field name (dropped on the way, with a length or chunks behind a blank before the colon not counted), in an interim response or in a trailer; of status 600; of version 3.7. At status 000 and 099 the inbound proxy panicked in its handler, which net/http recovered. Cause: http.Transport reads responses with the same lenient parser. Change: httpresponse.Transport checks heads, interim responses and trailers by the rule of its package, and closes the connection after a malformed response, which http.Transport would use again where there is no body. Both proxies, and with them the reports of back ends, read through it. What breaks the rule is a broken response: 502. Open: an HTTP/1.0 response with a transfer coding, which cannot be told behind http.Transport; the client of the other data plane rejects it.

--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -4,88 +4,137 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 
 	"github.com/rotisserie/eris"
 )
 
-// Transport is an http.Transport whose responses are complete where their body ends without an error.
+// Transport is an http.Transport that returns only valid responses, whose bodies are complete where they end without
+// an error.
 type Transport struct{ *http.Transport }
 
-// RoundTrip sends a request and returns the response to it.
+// RoundTrip sends a request and returns the response to it. After a malformed one the connection is closed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	if request.Body == nil || request.Body == http.NoBody {
-		return t.Transport.RoundTrip(request)
+	current := &exchange{ctx: request.Context()}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), current.trace())))
+	if err != nil {
+		return nil, err
 	}
-	writing := &bodyWrite{}
-	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { writing.begin() },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { writing.end(info.Err) },
+	if err := current.check(response); err != nil {
+		_ = response.Body.Close()
+		current.closeConnection()
+		return nil, err
 	}
-	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if err == nil && IsUnframed(response) {
-		response.Body = &unframedBody{ReadCloser: response.Body, ctx: request.Context(), writing: writing}
+	if response.StatusCode != http.StatusSwitchingProtocols { // whose body is the connection
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response, exchange: current}
 	}
-	return response, err
+	return response, nil
 }
 
-// bodyWrite is the writing of a request with a body, which may go on while the response is read.
-type bodyWrite struct {
+// exchange is one request, whose body may still be written while the response is read.
+type exchange struct {
+	ctx context.Context
+
 	mutex sync.Mutex
-	ended chan struct{} // closed when the last attempt to write has ended
-	err   error
+	conn  net.Conn
+	// interim is the error of a malformed interim response.
+	interim error
+	written chan struct{} // closed when the last attempt to write the request has ended
+	failed  error         // of the attempts to write
+}
+
+func (e *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { e.beginWrite(info.Conn) },
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { e.endWrite(info.Err) },
+		Got1xxResponse: e.checkInterim,
+	}
 }
 
-func (w *bodyWrite) begin() {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.ended, w.err = make(chan struct{}), nil
+func (e *exchange) beginWrite(conn net.Conn) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.conn, e.written, e.failed = conn, make(chan struct{}), nil
 }
 
-func (w *bodyWrite) end(err error) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.err = errors.Join(w.err, err)
+func (e *exchange) endWrite(err error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.failed = errors.Join(e.failed, err)
 	select {
-	case <-w.ended: // by an earlier attempt that was still writing
+	case <-e.written: // by an earlier attempt that was still writing
 	default:
-		close(w.ended)
+		close(e.written)
 	}
 }
 
-// await waits until the writing has ended, and returns its error.
-func (w *bodyWrite) await(ctx context.Context) error {
-	w.mutex.Lock()
-	ended := w.ended
-	w.mutex.Unlock()
+// checkInterim keeps the error as well, since the hook of another trace may replace the result.
+func (e *exchange) checkInterim(_ int, fields textproto.MIMEHeader) error {
+	err := CheckFields(http.Header(fields))
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.interim = errors.Join(e.interim, err)
+	return err
+}
+
+func (e *exchange) check(response *http.Response) error {
+	e.mutex.Lock()
+	interim := e.interim
+	e.mutex.Unlock()
+	if interim != nil {
+		return interim
+	}
+	return Check(response)
+}
+
+// closeConnection closes the connection, which http.Transport would use again after a response without a body.
+func (e *exchange) closeConnection() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	_ = e.conn.Close()
+}
+
+// awaitWritten waits until the writing of the request has ended, and returns its error.
+func (e *exchange) awaitWritten() error {
+	e.mutex.Lock()
+	written := e.written
+	e.mutex.Unlock()
 	select {
-	case <-ended:
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	case <-written:
+	case <-e.ctx.Done():
+		return context.Cause(e.ctx)
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.err
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.failed
 }
 
-// unframedBody is the body of a response that ends with its connection. A stream may also end because of a reset
-// whose error the kernel has reported to the writer of the request, so that the body is complete only if the
-// request was written without an error.
-type unframedBody struct {
+// checkedBody is the body of a response. Where only the end of the connection marks the end of the body, the stream
+// may also end because of a reset whose error the kernel has reported to the writer of the request, so that the
+// body is complete only if the request was written without an error.
+type checkedBody struct {
 	io.ReadCloser
-	ctx     context.Context
-	writing *bodyWrite
+	response *http.Response
+	exchange *exchange
 }
 
-// Read returns io.EOF only after the complete body.
-func (b *unframedBody) Read(data []byte) (int, error) {
+// Read returns io.EOF only after the complete body and a valid trailer.
+func (b *checkedBody) Read(data []byte) (int, error) {
 	count, err := b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
-		if failed := b.writing.await(b.ctx); failed != nil {
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if IsUnframed(b.response) {
+		if failed := b.exchange.awaitWritten(); failed != nil {
 			return count, eris.Wrap(failed, "the server closed the connection before it had received the request")
 		}
 	}
+	if invalid := CheckFields(b.response.Trailer); invalid != nil {
+		return count, invalid
+	}
 	return count, err
 }
--- a/internal/proxy/forward/informational.go
+++ b/internal/proxy/forward/informational.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/textproto"
 	"sync"
+
+	"github.com/winchhead/winchhead/internal/httpresponse"
 )
 
 // InformationalForwarder forwards 1xx responses until the final response begins. The transport calls
@@ -23,8 +25,12 @@
 
 // Pass forwards one 1xx response; it has the signature of
 // httptrace.ClientTrace.Got1xxResponse. It does not forward "100 Continue": net/http
-// sends that when the transport reads the body, which the next hop has asked for then.
+// sends that when the transport reads the body, which the next hop has asked for then. The error of a malformed
+// response ends the request.
 func (i *InformationalForwarder) Pass(status int, from textproto.MIMEHeader) error {
+	if err := httpresponse.CheckFields(http.Header(from)); err != nil {
+		return err
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.stopped || status == http.StatusContinue {
