Health checks: an answer that violates the protocol states nothing

Seen by nodes: an instance in trouble that answered its health check with status 000 or 600, or with a blank in a field name, counted as healthy; a cold time behind a blank before the colon was dropped, so that a cold instance counted as warm. Cause: the health check reads by http.Transport, whose parser accepts such answers. Change: it reads by httpresponse.Transport.

--- a/internal/dataplane/inbound/health.go
+++ b/internal/dataplane/inbound/health.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/httpresponse"
 )
 
 const (
@@ -34,9 +35,9 @@
 func newHealthChecker(names message.Names, address string) *healthChecker {
 	return &healthChecker{names: names, address: address, client: &http.Client{
 		Timeout: healthTimeout,
-		Transport: &http.Transport{
+		Transport: &httpresponse.Transport{Transport: &http.Transport{
 			MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHealthHeaderBytes,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/dataplane/inbound/health_test.go
+++ b/internal/dataplane/inbound/health_test.go
@@ -74,3 +74,32 @@
 	_, err = ask()
 	c.Check(err, qt.IsNotNil)
 }
+
+// TestMalformedHealthAnswers guards against an answer that violates the protocol and states the health of an instance.
+func TestMalformedHealthAnswers(t *testing.T) {
+	const ok, named, framed = "HTTP/1.1 200 OK\r\n", instance.HeaderInstance + ": i-1\r\n", "Content-Length: 0\r\n\r\n"
+	for name, row := range map[string]struct {
+		sent  string
+		fails bool
+	}{
+		"proper":                   {ok + named + framed, false},
+		"unhealthy":                {"HTTP/1.1 503 Service Unavailable\r\n" + named + framed, false},
+		"status 000":               {"HTTP/1.1 000 Odd\r\n" + named + framed, true},
+		"status 600":               {"HTTP/1.1 600 Odd\r\n" + named + framed, true},
+		"a blank in a name":        {ok + named + "Foo Bar: x\r\n" + framed, true},
+		"the cold time behind one": {ok + named + instance.HeaderCold + " : 1500\r\n" + framed, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			emulated := &instance.Instance{Name: "i-1", RawHealth: row.sent}
+			address, err := emulated.Start()
+			c.Assert(err, qt.IsNil)
+			c.Cleanup(emulated.Close)
+			checker := newHealthChecker(healthNames, address)
+			c.Cleanup(checker.close)
+			stated, err := checker.check(context.Background(), instance.HealthPath)
+			c.Check(err != nil, qt.Equals, row.fails)
+			c.Check(stated.instance == "i-1", qt.Equals, !row.fails)
+		})
+	}
+}
--- a/internal/emulator/instance/cold.go
+++ b/internal/emulator/instance/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"time"
 )
@@ -70,6 +71,10 @@
 	if silent {
 		return true
 	}
+	if i.RawHealth != "" {
+		_, _ = io.WriteString(conn, i.RawHealth)
+		return false
+	}
 	fields := HeaderInstance + ": " + i.Name + "\r\n"
 	if remaining > 0 {
 		fields += fmt.Sprintf("%s: %d\r\n", HeaderCold, max(remaining.Milliseconds(), 1))
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -123,6 +123,9 @@
 	BodyOf func(id string) string
 	// RawAnswer returns the bytes of the answer of the fault Raw.
 	RawAnswer func(id string) string
+	// RawHealth is sent in place of the answer to each health check, before the connection is closed; empty: a
+	// proper answer is sent.
+	RawHealth string
 	// EarlyDelay is how long the faults EarlyUnframedReset and EarlyUnframedClose keep the connection open.
 	EarlyDelay time.Duration
 	// Load returns the figures of HeaderLoad of an answer while so many other requests run; nil: none are
