Proxies over net/http: interim responses without end end the exchange

Seen by callers of the first data plane: a back end that sends interim responses without end reached them through both proxies, until the caller gave up (Go's client after 10 MB of them). Cause: http.Transport limits interim responses only while no trace receives them, and the proxies pass them on by one. Change: at most 8 of them before a final response, as in the client of the other data plane; httpresponse has the limit for both.

--- a/internal/dataplane/client/conn.go
+++ b/internal/dataplane/client/conn.go
@@ -15,12 +15,11 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
+	"github.com/winchhead/winchhead/internal/httpresponse"
 )
 
 const (
 	readBufferBytes = 4 << 10
-	// maxInterimResponses limits the interim (1xx) responses before a final one.
-	maxInterimResponses = 8
 	// maxMismatches limits the skipped responses to other requests.
 	maxMismatches = 2
 	// minConcurrentBody is the size above which a body is written while the response is
@@ -190,7 +189,7 @@
 // readFinalHeader reads up to the header of the next final response. The number of progress
 // reports that were asked for is not limited: the deadline of the request bounds the wait.
 func (c *conn) readFinalHeader(ctx context.Context, request *Request) (*http.Response, error) {
-	for interim := 0; interim < maxInterimResponses; interim++ {
+	for interim := 0; interim < httpresponse.MaxInterim; interim++ {
 		response, err := c.readHeader(ctx, request)
 		switch {
 		case err != nil:
--- a/internal/emulator/instance/answer.go
+++ b/internal/emulator/instance/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -59,6 +60,15 @@
 	return err == nil
 }
 
+// sendEndless sends a start and then a piece again and again until the client closes the connection. An empty piece is
+// not sent.
+func sendEndless(conn net.Conn, start, piece string) {
+	_, err := io.WriteString(conn, start)
+	for err == nil && piece != "" {
+		_, err = io.WriteString(conn, piece)
+	}
+}
+
 // reset makes the next Close of a connection send a TCP reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/internal/emulator/instance/cold.go
+++ b/internal/emulator/instance/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"time"
 )
@@ -72,7 +71,7 @@
 		return true
 	}
 	if i.RawHealth != "" {
-		_, _ = io.WriteString(conn, i.RawHealth)
+		sendEndless(conn, i.RawHealth, i.EndlessHealth)
 		return false
 	}
 	fields := HeaderInstance + ": " + i.Name + "\r\n"
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -84,6 +84,8 @@
 	EarlyUnframedDrain Fault = 20
 	// Raw runs the request, sends what RawAnswer returns and closes the connection.
 	Raw Fault = 19
+	// Endless runs the request and sends what EndlessAnswer returns until the client closes the connection.
+	Endless Fault = 21
 )
 
 // Run is one request that the instance ran.
@@ -123,6 +125,10 @@
 	BodyOf func(id string) string
 	// RawAnswer returns the bytes of the answer of the fault Raw.
 	RawAnswer func(id string) string
+	// EndlessAnswer returns the start of the bytes of the fault Endless and the piece that follows without end.
+	EndlessAnswer func(id string) (start, piece string)
+	// EndlessHealth is sent without end after RawHealth; empty: the connection is closed.
+	EndlessHealth string
 	// RawHealth is sent in place of the answer to each health check, before the connection is closed; empty: a
 	// proper answer is sent.
 	RawHealth string
@@ -425,6 +431,10 @@
 	case Raw:
 		_, _ = io.WriteString(conn, i.RawAnswer(id))
 		return false
+	case Endless:
+		start, piece := i.EndlessAnswer(id)
+		sendEndless(conn, start, piece)
+		return false
 	case NoStamp:
 		return send(conn, "200 OK", id, "", body)
 	case Fails:
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -19,6 +19,10 @@
 	maxStatus = 599
 )
 
+// MaxInterim limits the interim (1xx) responses before a final one. http.Transport does not limit them while a trace
+// receives them.
+const MaxInterim = 8
+
 // ErrMalformed is wrapped by the errors for responses that violate the protocol.
 var ErrMalformed = errors.New("malformed HTTP response")
 
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -22,7 +22,7 @@
 	current := &exchange{ctx: request.Context()}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), current.trace())))
 	if err != nil {
-		return nil, err
+		return nil, current.failure(err)
 	}
 	if err := current.check(response); err != nil {
 		_ = response.Body.Close()
@@ -41,10 +41,11 @@
 
 	mutex sync.Mutex
 	conn  net.Conn
-	// interim is the error of a malformed interim response.
-	interim error
-	written chan struct{} // closed when the last attempt to write the request has ended
-	failed  error         // of the attempts to write
+	// interims counts the interim responses, and invalidInterim is the error of one that is not accepted.
+	interims       int
+	invalidInterim error
+	written        chan struct{} // closed when the last attempt to write the request has ended
+	failed         error         // of the attempts to write
 }
 
 func (e *exchange) trace() *httptrace.ClientTrace {
@@ -72,25 +73,41 @@
 	}
 }
 
-// checkInterim keeps the error as well, since the hook of another trace may replace the result.
+// checkInterim also keeps the error, as the hook of another trace may replace the result.
 func (e *exchange) checkInterim(_ int, fields textproto.MIMEHeader) error {
 	err := CheckFields(http.Header(fields))
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.interim = errors.Join(e.interim, err)
+	if e.interims++; e.interims > MaxInterim {
+		err = eris.Wrap(ErrMalformed, "too many interim responses")
+	}
+	if err != nil {
+		e.invalidInterim = err
+		_ = e.conn.Close() // the result of this call may not end the exchange
+	}
 	return err
 }
 
 func (e *exchange) check(response *http.Response) error {
 	e.mutex.Lock()
-	interim := e.interim
+	invalidInterim := e.invalidInterim
 	e.mutex.Unlock()
-	if interim != nil {
-		return interim
+	if invalidInterim != nil {
+		return invalidInterim
 	}
 	return Check(response)
 }
 
+// failure returns why there is no response: an interim one that is not accepted, or err.
+func (e *exchange) failure(err error) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.invalidInterim != nil {
+		return e.invalidInterim
+	}
+	return err
+}
+
 // closeConnection closes the connection, which http.Transport would use again after a response without a body.
 func (e *exchange) closeConnection() {
 	e.mutex.Lock()
