Test: endless answers and health checks are counted

Cause: TestEndlessAnswersDoNotEndTheNode did not show that the instance had sent any. Change: it wants at least one of each kind of answer and one health check.

--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -100,6 +100,9 @@
 		}
 	}
 	faulty.Wait()
+	endless := f.machines[1].instance
+	qt.Check(t, len(endless.Runs()) >= len(answers), qt.IsTrue, qt.Commentf("%d endless answers", len(endless.Runs())))
+	qt.Check(t, endless.HealthChecks() > 0, qt.IsTrue)
 	endlessStore.Store(true)
 	time.Sleep(3 * time.Second) // some reads of the store
 	close(stop)
