Instances: entries with names of megabytes or an address that nothing can have name none

A further report of the users: one odd entry of another writer ended the machines that read it, or stopped them from following the list. Tried here with some 110 odd entries (nested thousands of levels, numbers of hundreds of digits and 1e999, ports out of range, addresses that are none, texts in place of numbers and the other way round, invalid UTF-8, names of 900 KB, odd keys): through nodes that run, that start, and that start again. Seen: no node ended. A dozen entries with a zone of 900 KB stopped all nodes from following the store for good: together they exceed what a document may hold, and no document was built. Each of them named an instance that was used, as did entries with the port 0 and with unspecified, multicast and scoped addresses. Cause: only the name of an instance was limited, and any address with a port from 0 to 65535 counted. Change: an entry whose service or zone is longer than the name of a resource may be (4 KiB), or whose address no server can have, names no instance. Documents from other nodes are not held to that, as one of an earlier version may still pass such an instance on. All other kinds of entries were handled before.

--- a/internal/snapshot/typed.go
+++ b/internal/snapshot/typed.go
@@ -152,15 +152,34 @@
 	return nil // New checks the rest, for all kinds of routes
 }
 
-// Check returns an error if the instance is not valid in a document.
-func (i Instance) Check() error { return checkInstance(i) }
+// Check returns an error if an entry of a source describes no instance: one that is not valid in a document, that no
+// node could reach, or whose names are too long to be passed on. Documents of other nodes are only checked for
+// the first, as one of an earlier version may hold the others.
+func (i Instance) Check() error {
+	if err := checkInstance(i); err != nil {
+		return err
+	}
+	if len(i.Service) > MaxTypedNameBytes || len(i.Zone) > MaxTypedNameBytes {
+		return eris.Errorf("instance %q: the service has %d bytes and the zone %d, at most %d are allowed", i.Name, len(i.Service), len(i.Zone), MaxTypedNameBytes)
+	}
+	if address := netip.MustParseAddrPort(i.Address); !isReachable(address) {
+		return eris.Errorf("instance %q: nothing can be reached at %s", i.Name, address)
+	}
+	return nil
+}
+
+// isReachable reports whether an address may be that of a server on another machine.
+func isReachable(address netip.AddrPort) bool {
+	ip := address.Addr().Unmap()
+	return address.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == ""
+}
 
 func checkInstance(instance Instance) error {
 	if err := checkName(KindInstance, instance.Name); err != nil {
 		return err
 	}
 	if _, err := netip.ParseAddrPort(instance.Address); err != nil {
-		return eris.Errorf("instance %q: %q is not an address (IP:port)", instance.Name, instance.Address)
+		return eris.Errorf("instance %q: %.64q is not an address (IP:port)", instance.Name, instance.Address)
 	}
 	if instance.State != InstanceReady && instance.State != InstanceDraining {
 		return eris.Errorf("instance %q: unknown state %q", instance.Name, instance.State)
