Mirror: what is reported of an unknown word is short

Cause: each word that the adapter does not know was logged whole and remembered whole, 1,000 of them. An entry may hold one of 900 KB, and another writer may change it again and again: up to 900 MB in memory. Found by reading, for the users' report of odd entries.

--- a/internal/mirror/unknown_values.go
+++ b/internal/mirror/unknown_values.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -46,6 +47,7 @@
 	for _, item := range items {
 		for _, unknown := range item.UnknownValues {
 			u.counts.WithLabelValues(unknown.Field).Inc()
+			unknown.Value = shortened(unknown.Value)
 			if u.isNew(reportedValue{key: item.Key, word: unknown}) {
 				u.logger.WithFields(logrus.Fields{
 					"key": item.Key, "revision": item.Revision.String(), "field": unknown.Field, "word": unknown.Value,
@@ -55,6 +57,16 @@
 	}
 }
 
+// maxReportedWordBytes is how much of a value is logged and remembered: an entry may hold any.
+const maxReportedWordBytes = 64
+
+func shortened(word string) string {
+	if len(word) <= maxReportedWordBytes {
+		return word
+	}
+	return strings.ToValidUTF8(word[:maxReportedWordBytes], "") + "..."
+}
+
 // isNew reports whether the value has not been reported for its key yet, and remembers it.
 func (u *unknownValueReporter) isNew(place reportedValue) bool {
 	u.mutex.Lock()
