Server: an idle connection is closed without its lock

Cause: closeIfIdle closed the connection while it held its mutex. Close waits until no read of the socket is in progress, and tryRead, which runs within such a read, waits for the mutex. CloseIdle holds the lock of the server meanwhile, so that the whole server stands still. Change: the mutex covers the decision only. A request that arrives behind it is not accepted, as before.

--- a/internal/dataplane/server/connection.go
+++ b/internal/dataplane/server/connection.go
@@ -105,13 +105,20 @@
 
 // closeIfIdle closes the connection unless a request is in progress, or one has arrived that was not read yet.
 func (c *connection) closeIfIdle() {
+	if c.beginIdleClose() {
+		c.closeNow() // without the mutex: Close waits for a read in progress, and tryRead for the mutex
+	}
+}
+
+// beginIdleClose reports whether the connection is idle. If it is, no further request is accepted on it.
+func (c *connection) beginIdleClose() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.pending == 0 && !c.reading && !c.closing && !c.first.hasUnread() {
-		c.closing = true
-		c.cancel()
-		_ = c.conn.Close()
+	if c.pending > 0 || c.reading || c.closing || c.first.hasUnread() {
+		return false
 	}
+	c.closing = true
+	return true
 }
 
 // isOpen reports whether a request may still be answered on the connection. It is false
