Server: a connection that is accepted during Close is waited for or closed

Cause: start added the goroutine of a connection after it had released the lock, so that Close could wait for all goroutines before that one was added: a data race of the WaitGroup, and a connection that outlived Close. Found by TestCloseIdleBesideReads with the race detector. Change: it is added under the lock.

--- a/internal/dataplane/server/server.go
+++ b/internal/dataplane/server/server.go
@@ -139,14 +139,13 @@
 func (s *Server) start(conn net.Conn) {
 	created := newConnection(s, conn)
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if s.closed {
-		s.mutex.Unlock()
 		_ = conn.Close()
 		return
 	}
 	s.connections[created] = struct{}{}
-	s.mutex.Unlock()
-	s.running.Go(func() {
+	s.running.Go(func() { // before Close can wait for all
 		created.run()
 		s.mutex.Lock()
 		delete(s.connections, created)
