Rename httpresponse to httpmessage

Cause: the rule for field names is the same for requests, and is to be used for them. Change: names only; Read and Check become ReadResponse and CheckResponse.

--- a/internal/dataplane/client/conn.go
+++ b/internal/dataplane/client/conn.go
@@ -15,7 +15,7 @@
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
 	"github.com/winchhead/winchhead/internal/dataplane/transfer"
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 const (
@@ -189,7 +189,7 @@
 // readFinalHeader reads up to the header of the next final response. The number of progress
 // reports that were asked for is not limited: the deadline of the request bounds the wait.
 func (c *conn) readFinalHeader(ctx context.Context, request *Request) (*http.Response, error) {
-	for interim := 0; interim < httpresponse.MaxInterim; interim++ {
+	for interim := 0; interim < httpmessage.MaxInterim; interim++ {
 		response, err := c.readHeader(ctx, request)
 		switch {
 		case err != nil:
--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -11,12 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
 func (c *conn) newResponse(parsed *http.Response) *Response {
-	c.closeAfter = parsed.Close || httpresponse.IsUnframed(parsed)
+	c.closeAfter = parsed.Close || httpmessage.IsUnframed(parsed)
 	if seconds, ok := keepAliveTimeout(parsed.Header); ok {
 		c.idleTimeout = reuseLimit(seconds)
 	}
@@ -76,8 +76,8 @@
 // body was written without an error, to a connection that was closed and not reset. A server that closes
 // without reading the body to its end has broken off its response as well: the two cannot be told apart.
 func (r *Response) checkEnd() error {
-	if !httpresponse.IsUnframed(r.parsed) || r.owner == nil {
-		return httpresponse.CheckFields(r.parsed.Trailer)
+	if !httpmessage.IsUnframed(r.parsed) || r.owner == nil {
+		return httpmessage.CheckFields(r.parsed.Trailer)
 	}
 	if writing := r.owner.writing; writing != nil {
 		select {
--- a/internal/dataplane/client/silence.go
+++ b/internal/dataplane/client/silence.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 // SilenceError is returned when a server that reports progress has sent nothing for the
@@ -33,7 +33,7 @@
 			return nil, &SilenceError{Limit: limit}
 		}
 	}
-	response, err := httpresponse.Read(c.reader, request.Method)
+	response, err := httpmessage.ReadResponse(c.reader, request.Method)
 	if limit > 0 && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, &SilenceError{Limit: limit}
 	}
--- a/internal/dataplane/client/verify.go
+++ b/internal/dataplane/client/verify.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 // A liveness check is an OPTIONS request for the server itself (RFC 9110, section 9.3.7),
@@ -41,7 +41,7 @@
 	}
 	c.bound.Set(maxVerifyBytes)
 	defer c.bound.Set(math.MaxInt64)
-	response, err := httpresponse.Read(c.reader, VerifyMethod)
+	response, err := httpmessage.ReadResponse(c.reader, VerifyMethod)
 	if err != nil {
 		return eris.Wrap(err, "wait for the response to the liveness check")
 	}
--- a/internal/dataplane/inbound/health.go
+++ b/internal/dataplane/inbound/health.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 const (
@@ -35,7 +35,7 @@
 func newHealthChecker(names message.Names, address string) *healthChecker {
 	return &healthChecker{names: names, address: address, client: &http.Client{
 		Timeout: healthTimeout,
-		Transport: &httpresponse.Transport{Transport: &http.Transport{
+		Transport: &httpmessage.Transport{Transport: &http.Transport{
 			MaxConnsPerHost: 1, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHealthHeaderBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpmessage/httpmessage.go
@@ -1,6 +1,6 @@
-// Package httpresponse decides which HTTP/1.1 responses are valid and complete, for all that read some: net/http
-// accepts more than the protocol allows.
-package httpresponse
+// Package httpmessage decides which HTTP/1.1 messages are valid and complete, for all that read some: net/http accepts
+// more than the protocol allows, and what is passed on may be read differently by the next parser.
+package httpmessage
 
 import (
 	"bufio"
@@ -23,15 +23,15 @@
 // receives them.
 const MaxInterim = 8
 
-// ErrMalformed is wrapped by the errors for responses that violate the protocol.
-var ErrMalformed = errors.New("malformed HTTP response")
+// ErrMalformed is wrapped by the errors for messages that violate the protocol.
+var ErrMalformed = errors.New("malformed HTTP message")
 
 // protocolPrefix begins each response.
 const protocolPrefix = "HTTP/"
 
-// Read reads the header of a response to a request with the method. Bytes that no response begins with are not read
+// ReadResponse reads the header of a response to a request with the method. Bytes that no response begins with are not read
 // to the end of a line.
-func Read(reader *bufio.Reader, method string) (*http.Response, error) {
+func ReadResponse(reader *bufio.Reader, method string) (*http.Response, error) {
 	const version10 = protocolPrefix + "1.0"
 	if start, err := reader.Peek(len(protocolPrefix)); err == nil && string(start) != protocolPrefix {
 		return nil, eris.Wrap(ErrMalformed, "not a status line")
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return response, Check(response)
+	return response, CheckResponse(response)
 }
 
 // checkVersion10 rejects the header of an HTTP/1.0 response with a transfer coding, which that version does not have
@@ -76,9 +76,9 @@
 	}
 }
 
-// Check returns an error if the header of a response that net/http has parsed violates the protocol. net/http accepts any
+// CheckResponse returns an error if the header of a response that net/http has parsed violates the protocol. net/http accepts any
 // three digits as the status, any version and field names with blanks.
-func Check(response *http.Response) error {
+func CheckResponse(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
 		return eris.Wrapf(ErrMalformed, "version %.16q", response.Proto)
--- a/internal/httpresponse/transport.go
+++ b/internal/httpmessage/transport.go
@@ -1,4 +1,4 @@
-package httpresponse
+package httpmessage
 
 import (
 	"context"
@@ -95,7 +95,7 @@
 	if invalidInterim != nil {
 		return invalidInterim
 	}
-	return Check(response)
+	return CheckResponse(response)
 }
 
 // failure returns why there is no response: an interim one that is not accepted, or err.
--- a/internal/httpresponse/transport_test.go
+++ b/internal/httpmessage/transport_test.go
@@ -1,4 +1,4 @@
-package httpresponse_test
+package httpmessage_test
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 // serveRaw answers each request on a connection of its own with the given bytes, and returns the URL.
@@ -75,7 +75,7 @@
 		for method, body := range map[string]string{http.MethodGet: "", http.MethodPost: "body"} {
 			t.Run(name+", "+method, func(t *testing.T) {
 				c := qt.New(t)
-				transport := &httpresponse.Transport{Transport: &http.Transport{}}
+				transport := &httpmessage.Transport{Transport: &http.Transport{}}
 				defer transport.CloseIdleConnections()
 				request, err := http.NewRequestWithContext(t.Context(), method, serveRaw(c, row.sent), strings.NewReader(body))
 				c.Assert(err, qt.IsNil)
@@ -121,10 +121,10 @@
 		_, err = reader.ReadByte()
 		closed <- err
 	}()
-	transport := &httpresponse.Transport{Transport: &http.Transport{}}
+	transport := &httpmessage.Transport{Transport: &http.Transport{}}
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	_, err = transport.RoundTrip(request)
-	c.Check(errors.Is(err, httpresponse.ErrMalformed), qt.IsTrue)
+	c.Check(errors.Is(err, httpmessage.ErrMalformed), qt.IsTrue)
 	c.Check(errors.Is(<-closed, io.EOF), qt.IsTrue)
 }
--- a/internal/proxy/forward/informational.go
+++ b/internal/proxy/forward/informational.go
@@ -6,7 +6,7 @@
 	"net/textproto"
 	"sync"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 // InformationalForwarder forwards 1xx responses until the final response begins. The transport calls
@@ -28,7 +28,7 @@
 // sends that when the transport reads the body, which the next hop has asked for then. The error of a malformed
 // response ends the request.
 func (i *InformationalForwarder) Pass(status int, from textproto.MIMEHeader) error {
-	if err := httpresponse.CheckFields(http.Header(from)); err != nil {
+	if err := httpmessage.CheckFields(http.Header(from)); err != nil {
 		return err
 	}
 	i.mu.Lock()
--- a/internal/proxy/inbound/backend.go
+++ b/internal/proxy/inbound/backend.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
@@ -35,7 +35,7 @@
 type backendClient struct {
 	address   string
 	dialer    net.Dialer
-	transport *httpresponse.Transport
+	transport *httpmessage.Transport
 	limit     *connectionLimit
 	// closeWait is closeTimeout, except in tests.
 	closeWait time.Duration
@@ -50,7 +50,7 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	created.transport = &httpresponse.Transport{Transport: &http.Transport{
+	created.transport = &httpmessage.Transport{Transport: &http.Transport{
 		DialContext:            created.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
--- a/internal/proxy/outbound/proxy.go
+++ b/internal/proxy/outbound/proxy.go
@@ -16,7 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/proxy/balance"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
@@ -60,7 +60,7 @@
 	logger    logrus.FieldLogger
 	metrics   *metrics
 	balancer  *balance.Balancer
-	transport *httpresponse.Transport
+	transport *httpmessage.Transport
 	keys      *keyCache
 	budgets   budgets
 	activity  activity
--- a/internal/proxy/outbound/transport.go
+++ b/internal/proxy/outbound/transport.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 	"github.com/winchhead/winchhead/internal/proxy/forward"
 )
 
@@ -32,14 +32,14 @@
 
 // newTransport returns the transport for requests to the inbound proxies. The scheme
 // is always http: dialTracked adds TLS itself, below the forward.Conn.
-func newTransport(config *tls.Config) *httpresponse.Transport {
+func newTransport(config *tls.Config) *httpmessage.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: keepAlivePeriod}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return dialTracked(ctx, dialer, config, network, address)
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &httpresponse.Transport{Transport: &http.Transport{
+	return &httpmessage.Transport{Transport: &http.Transport{
 		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/winchhead/winchhead/internal/httpresponse"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 	"github.com/winchhead/winchhead/internal/membership"
 	"github.com/winchhead/winchhead/internal/snapshot"
 	"github.com/winchhead/winchhead/internal/socketbytes"
@@ -62,7 +62,7 @@
 type Client struct {
 	options   Options
 	http      *http.Client
-	transport *httpresponse.Transport
+	transport *httpmessage.Transport
 }
 
 var (
@@ -94,8 +94,8 @@
 
 // newTransport returns a transport that ignores proxy settings of the environment,
 // uses HTTP/1.1 only and counts the bytes of its connections.
-func newTransport(options Options) *httpresponse.Transport {
-	return &httpresponse.Transport{Transport: &http.Transport{
+func newTransport(options Options) *httpmessage.Transport {
+	return &httpmessage.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := options.Dial(ctx, network, address)
 			if err != nil {
