Server: a request with a malformed field name is refused

Cause: http.ReadRequest accepts blanks in field names, as http.ReadResponse does. A length or a coding behind a blank before the colon does not count, so that the body was read as a further request, which could run (RFC 9112, section 5.1, asks for 400). Found by following the cause of the malformed answers; net/http's own server refuses it already. Change: names of the header and of the trailer are checked by the rule of httpmessage, before the request is passed on; 400, and the connection is closed.

--- a/internal/dataplane/server/read.go
+++ b/internal/dataplane/server/read.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/winchhead/winchhead/internal/dataplane/message"
+	"github.com/winchhead/winchhead/internal/httpmessage"
 )
 
 // bodyTimeout is how long a client may send nothing within a body.
@@ -150,6 +151,8 @@
 		return refuse(http.StatusMethodNotAllowed, "the method is not supported")
 	case parsed.Host == "" && parsed.ProtoAtLeast(1, 1):
 		return refuse(http.StatusBadRequest, "the request names no host")
+	case httpmessage.CheckFields(parsed.Header) != nil:
+		return refuse(http.StatusBadRequest, "a header field is malformed")
 	case id != "" && len(parsed.Header[id]) != 1:
 		return refuse(http.StatusBadRequest, "want one "+id)
 	case limits.MaxBodyBytes > 0 && parsed.ContentLength > limits.MaxBodyBytes:
@@ -168,6 +171,9 @@
 	c.bound.Set(limits.MaxBodyBytes + limits.MaxBodyBytes/8 + readSlack) // an eighth for the chunk framing
 	source := &deadlineReader{connection: c, inner: io.LimitReader(parsed.Body, limits.MaxBodyBytes+1)}
 	body, err := readHeld(source, min(parsed.ContentLength, limits.MaxBodyBytes+1), held)
+	if err == nil {
+		err = httpmessage.CheckFields(parsed.Trailer)
+	}
 	if err == nil && int64(len(body)) <= limits.MaxBodyBytes {
 		read.request.Body, read.heldBody = body, held
 		return nil, true
--- a/internal/dataplane/server/server_test.go
+++ b/internal/dataplane/server/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -343,3 +344,33 @@
 		})
 	}
 }
+
+// TestMalformedFieldNames guards against a request that this parser and the next one read differently: a length or a
+// coding behind a blank does not count here, so that the body would be taken for another request.
+func TestMalformedFieldNames(t *testing.T) {
+	const start = "POST /p HTTP/1.1\r\nHost: h\r\n" + idHeader + ": first\r\n"
+	smuggled := get("smuggled")
+	for name, sent := range map[string]string{
+		"a blank in a name":                   start + "Foo Bar: x\r\nContent-Length: 0\r\n\r\n",
+		"a length behind a blank":             start + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(smuggled)),
+		"chunks behind a blank":               start + "Transfer-Encoding : chunked\r\n\r\n",
+		"a control byte in a name":            start + "Fo\x01o: x\r\n\r\n",
+		"a blank in the name of a trailer":    start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 1\r\n\r\n",
+		"a control byte in that of a trailer": start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX\x01Sum: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var served atomic.Int64
+			r := newTestServer(t, func(_ context.Context, request *message.Request) *message.Response {
+				served.Add(1)
+				return echo(t.Context(), request)
+			})
+			r.send(c, sent+smuggled)
+			response, _ := r.read(c)
+			c.Check(response.StatusCode, qt.Equals, http.StatusBadRequest)
+			_, err := r.reader.ReadByte()
+			c.Check(err, qt.IsNotNil) // the connection is closed
+			c.Check(served.Load(), qt.Equals, int64(0))
+		})
+	}
+}
