--- a/internal/httpmessage/transport_test.go
+++ b/internal/httpmessage/transport_test.go
@@ -128,3 +128,17 @@
 	c.Check(errors.Is(err, httpmessage.ErrMalformed), qt.IsTrue)
 	c.Check(errors.Is(<-closed, io.EOF), qt.IsTrue)
 }
+
+// BenchmarkCheckResponse measures what the check of a usual header costs for each response.
+func BenchmarkCheckResponse(b *testing.B) {
+	response := &http.Response{ProtoMajor: 1, ProtoMinor: 1, StatusCode: http.StatusOK, Header: http.Header{
+		"Winchhead-Request-Id": {"9c41d07be2a35f68"}, "Winchhead-Server-Stamp": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Winchhead-Server-Load": {"3,0,8"},
+		"Content-Type": {"application/json"}, "Content-Length": {"3000"}, "Date": {"Mon, 07 Dec 2026 17:00:00 GMT"}, "Keep-Alive": {"timeout=5"},
+	}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := httpmessage.CheckResponse(response); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
