Reading pass: comments, order of the emulator's faults, events in place of waits

Cause: read as a newcomer would, some comments ran on and the faults of the emulated instance were out of order; two tests waited for a fixed time where there is an event. Change: as said; no product logic. Result: the tests concerned pass.

--- a/internal/dataplane/client/response.go
+++ b/internal/dataplane/client/response.go
@@ -70,11 +70,13 @@
 // errBrokenOff is returned in place of the end of a body that may not be complete.
 var errBrokenOff = eris.New("the server closed the connection before it had received the request")
 
-// checkEnd returns an error unless a body that was read to its end is complete and its trailer is valid. Where the end of the connection is
-// the only sign of it, the stream may end because of a reset whose error was reported to another call: the
-// kernel reports it once, for example to the writer of the request's body. So the end counts only after that
-// body was written without an error, to a connection that was closed and not reset. A server that closes
-// without reading the body to its end has broken off its response as well: the two cannot be told apart.
+// checkEnd returns an error unless a body that was read to its end is complete and its trailer is valid.
+//
+// Where only the end of the connection marks the end of the body, the stream may also end because of a reset whose
+// error was reported to another call: the kernel reports it once, for example to the writer of the request's
+// body. So the end counts only after that body was written without an error, on a connection that was not
+// reset. A server that closes without reading the request to its end counts as one that has broken off its
+// response: the two cannot be told apart.
 func (r *Response) checkEnd() error {
 	if !httpmessage.IsUnframed(r.parsed) || r.owner == nil {
 		return httpmessage.CheckFields(r.parsed.Trailer)
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -81,9 +81,9 @@
 	// EarlyUnframedClose is like EarlyUnframedReset, but the connection is closed instead of reset.
 	EarlyUnframedClose Fault = 18
 	// EarlyUnframedDrain sends all of such an answer, ends its sending direction and then reads the body.
-	EarlyUnframedDrain Fault = 20
+	EarlyUnframedDrain Fault = 19
 	// Raw runs the request, sends what RawAnswer returns and closes the connection.
-	Raw Fault = 19
+	Raw Fault = 20
 	// Endless runs the request and sends what EndlessAnswer returns until the client closes the connection.
 	Endless Fault = 21
 )
@@ -123,17 +123,15 @@
 	FaultAfterWork func(id string) Fault
 	// BodyOf returns the body of the proper answer to a request; nil: Body.
 	BodyOf func(id string) string
+	// EarlyDelay is how long the faults EarlyUnframed* keep the connection open after the answer.
+	EarlyDelay time.Duration
 	// RawAnswer returns the bytes of the answer of the fault Raw.
 	RawAnswer func(id string) string
 	// EndlessAnswer returns the start of the bytes of the fault Endless and the piece that follows without end.
 	EndlessAnswer func(id string) (start, piece string)
-	// EndlessHealth is sent without end after RawHealth; empty: the connection is closed.
-	EndlessHealth string
-	// RawHealth is sent in place of the answer to each health check, before the connection is closed; empty: a
-	// proper answer is sent.
-	RawHealth string
-	// EarlyDelay is how long the faults EarlyUnframedReset and EarlyUnframedClose keep the connection open.
-	EarlyDelay time.Duration
+	// RawHealth is sent in place of the answer to each health check; empty: a proper answer is sent. Then
+	// EndlessHealth follows without end; empty: the connection is closed.
+	RawHealth, EndlessHealth string
 	// Load returns the figures of HeaderLoad of an answer while so many other requests run; nil: none are
 	// stated.
 	Load func(running int) string
--- a/internal/httpmessage/httpmessage.go
+++ b/internal/httpmessage/httpmessage.go
@@ -1,5 +1,5 @@
-// Package httpmessage decides which HTTP/1.1 messages are valid and complete, for all that read some: net/http accepts
-// more than the protocol allows, and what is passed on may be read differently by the next parser.
+// Package httpmessage decides which HTTP/1.1 messages are valid, and which responses are complete. net/http accepts more
+// than the protocol allows, and the next parser may read differently what is passed on.
 package httpmessage
 
 import (
@@ -29,8 +29,8 @@
 // protocolPrefix begins each response.
 const protocolPrefix = "HTTP/"
 
-// ReadResponse reads the header of a response to a request with the method. Bytes that no response begins with are not read
-// to the end of a line.
+// ReadResponse reads the header of a response to a request with the method, and checks it. Bytes that no response
+// begins with are not read to the end of a line.
 func ReadResponse(reader *bufio.Reader, method string) (*http.Response, error) {
 	const version10 = protocolPrefix + "1.0"
 	if start, err := reader.Peek(len(protocolPrefix)); err == nil && string(start) != protocolPrefix {
@@ -76,8 +76,8 @@
 	}
 }
 
-// CheckResponse returns an error if the header of a response that net/http has parsed violates the protocol. net/http accepts any
-// three digits as the status, any version and field names with blanks.
+// CheckResponse returns an error if the header of a response that net/http has parsed violates the protocol: net/http
+// accepts any three digits as the status, any version, and field names with blanks.
 func CheckResponse(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
--- a/internal/httpmessage/transport.go
+++ b/internal/httpmessage/transport.go
@@ -44,10 +44,12 @@
 	// interims counts the interim responses, and invalidInterim is the error of one that is not accepted.
 	interims       int
 	invalidInterim error
-	written        chan struct{} // closed when the last attempt to write the request has ended
-	failed         error         // of the attempts to write
+	// written is closed when the last attempt to write the request has ended, and failed is its error.
+	written chan struct{}
+	failed  error
 }
 
+// trace returns the hooks by which http.Transport reports on the exchange.
 func (e *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn:        func(info httptrace.GotConnInfo) { e.beginWrite(info.Conn) },
@@ -73,7 +75,8 @@
 	}
 }
 
-// checkInterim also keeps the error, as the hook of another trace may replace the result.
+// checkInterim checks an interim response. It ends the exchange by itself, as the hook of another trace may replace its
+// result.
 func (e *exchange) checkInterim(_ int, fields textproto.MIMEHeader) error {
 	err := CheckFields(http.Header(fields))
 	e.mutex.Lock()
@@ -83,11 +86,12 @@
 	}
 	if err != nil {
 		e.invalidInterim = err
-		_ = e.conn.Close() // the result of this call may not end the exchange
+		_ = e.conn.Close()
 	}
 	return err
 }
 
+// check returns why a response is not accepted, or nil.
 func (e *exchange) check(response *http.Response) error {
 	e.mutex.Lock()
 	invalidInterim := e.invalidInterim
--- a/test/integration/endless_test.go
+++ b/test/integration/endless_test.go
@@ -50,6 +50,8 @@
 	answers := endlessAnswers()
 	var next atomic.Int64
 	var endlessStore atomic.Bool
+	const storeAnswers = 2 * storeAnswerKinds
+	storeAnswerEnded := make(chan struct{}, 100)
 	f := newStoreFleet(t, []string{"calm", "data"}, func(index int, emulated *instance.Instance) {
 		if index != 1 {
 			return
@@ -67,6 +69,10 @@
 				return
 			}
 			sendEndlessStoreAnswer(w, int(next.Add(1)))
+			select {
+			case storeAnswerEnded <- struct{}{}:
+			default:
+			}
 		})
 	})
 	f.startAll()
@@ -104,7 +110,13 @@
 	qt.Check(t, len(endless.Runs()) >= len(answers), qt.IsTrue, qt.Commentf("%d endless answers", len(endless.Runs())))
 	qt.Check(t, endless.HealthChecks() > 0, qt.IsTrue)
 	endlessStore.Store(true)
-	time.Sleep(3 * time.Second) // some reads of the store
+	for range storeAnswers {
+		select {
+		case <-storeAnswerEnded:
+		case <-testContext(t).Done():
+			t.Fatal("the nodes do not read the store")
+		}
+	}
 	close(stop)
 	calm.Wait()
 	for index, m := range f.machines {
@@ -118,7 +130,10 @@
 	}
 }
 
-// sendEndlessStoreAnswer sends an answer of the store without end, of one of some kinds.
+// storeAnswerKinds is the number of kinds of sendEndlessStoreAnswer.
+const storeAnswerKinds = 5
+
+// sendEndlessStoreAnswer sends an answer of the store without end, until the client closes the connection.
 func sendEndlessStoreAnswer(w http.ResponseWriter, kind int) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -126,13 +141,13 @@
 	}
 	defer func() { _ = conn.Close() }()
 	head, piece := "HTTP/1.1 200 OK\r\n", strings.Repeat("x", 16<<10)
-	chosen := []endlessAnswer{
+	chosen := [storeAnswerKinds]endlessAnswer{
 		{start: head + "\r\n" + `{"items":[{"privateKey":"`, piece: piece},
 		{start: head + "\r\n" + `{"items":[`, piece: strings.Repeat(`{"privateKey":"servers/x","revision":5},`, 200)},
 		{start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)},
 		{start: head, piece: "X: " + piece[:100] + "\r\n"},
 		{start: "", piece: piece},
-	}[kind%5]
+	}[kind%storeAnswerKinds]
 	_, err = conn.Write([]byte(chosen.start))
 	for err == nil {
 		_, err = conn.Write([]byte(chosen.piece))
--- a/test/integration/planned_stop_test.go
+++ b/test/integration/planned_stop_test.go
@@ -50,6 +50,7 @@
 			var group sync.WaitGroup
 			var mutex sync.Mutex
 			var requests []stopRequest
+			answered := make(chan struct{}, 2*workers)
 			for worker := range workers {
 				group.Go(func() {
 					draw := rand.New(rand.NewPCG(*stopSeed, uint64(worker)))
@@ -65,11 +66,17 @@
 						mutex.Lock()
 						requests = append(requests, request)
 						mutex.Unlock()
+						select {
+						case answered <- struct{}{}:
+						default:
+						}
 						time.Sleep(time.Duration(draw.IntN(40)) * time.Millisecond) // the pace of a client
 					}
 				})
 			}
-			time.Sleep(time.Second)
+			for range 2 * workers {
+				<-answered
+			}
 			began := time.Now()
 			f.terminate(stopping)
 			group.Wait()
